--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: run test format check fuzz
+
+$(VENV)/.installed: pyproject.toml
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev,measure]'
+	touch $@
+
+# Brings the whole path up on loopback and serves until interrupted.
+run: $(VENV)/.installed
+	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/run.sh
+
+test: $(VENV)/.installed
+	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/test.sh
+
+format: $(VENV)/.installed
+	$(BIN)/pyink --quiet .
+	$(BIN)/ruff check --fix .
+
+check: $(VENV)/.installed
+	$(BIN)/pyink --check --quiet .
+	$(BIN)/ruff check .
--- /dev/null
+++ b/baobabdoor/measure/__init__.py
@@ -0,0 +1,6 @@
+"""`baobabdoor-measure`: policies against naive and clairvoyant references."""
+
+from baobabdoor.measure._main import main
+from baobabdoor.measure._result import Result
+
+__all__ = ["Result", "main"]
--- /dev/null
+++ b/baobabdoor/platform/__init__.py
@@ -0,0 +1,35 @@
+"""The platform's service as the rest of the system sees it."""
+
+from baobabdoor.platform._interface import Platform
+from baobabdoor.platform._types import AlreadyStarted
+from baobabdoor.platform._types import Committed
+from baobabdoor.platform._types import Condition
+from baobabdoor.platform._types import Conflict
+from baobabdoor.platform._types import Row
+from baobabdoor.platform._types import TaskRecord
+from baobabdoor.platform._types import TaskSpec
+from baobabdoor.platform._types import TaskState
+from baobabdoor.platform._types import TaskUsage
+from baobabdoor.platform._types import TransactionResult
+from baobabdoor.platform._types import Unknown
+from baobabdoor.platform._types import VmListState
+from baobabdoor.platform._types import VmRecord
+from baobabdoor.platform._types import Write
+
+__all__ = [
+    "AlreadyStarted",
+    "Committed",
+    "Condition",
+    "Conflict",
+    "Platform",
+    "Row",
+    "TaskRecord",
+    "TaskSpec",
+    "TaskState",
+    "TaskUsage",
+    "TransactionResult",
+    "Unknown",
+    "VmListState",
+    "VmRecord",
+    "Write",
+]
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,30 @@
+"""Checks the import rule of the house style over the whole package."""
+
+import ast
+import importlib.util
+import pathlib
+
+import pytest
+
+PACKAGE = pathlib.Path(__file__).parent.parent / "baobabdoor"
+# Typing names are exempt in the Google Python Style Guide (2.2.4.1).
+EXEMPT = {"typing", "collections.abc", "typing_extensions"}
+SOURCES = sorted(
+    path for path in PACKAGE.rglob("*.py") if path.name != "__init__.py"
+)
+
+
+def imported_names(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.module not in EXEMPT:
+            for alias in node.names:
+                yield node.module, alias.name
+
+
+class TestImports:
+
+    @pytest.mark.parametrize("path", SOURCES, ids=lambda path: path.stem)
+    def test_modules_are_imported_not_names(self, path):
+        for module, name in imported_names(path):
+            spec = importlib.util.find_spec(f"{module}.{name}")
+            assert spec, f"{path}: {name} of {module} is not a module"
