--- /dev/null
+++ b/baobabdoor/cli/__init__.py
@@ -0,0 +1,5 @@
+"""`baobabdoor`, the operators' command line."""
+
+from baobabdoor.cli._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/baobabdoor/cli/_fleet_commands.py
@@ -0,0 +1,180 @@
+"""`pool list`, `vm list`, `status` and `timeline`."""
+
+import asyncio
+from collections.abc import Sequence
+import sys
+from typing import Any
+
+from baobabdoor import timeline
+from baobabdoor.cli import _context
+from baobabdoor.cli import _exit_codes
+
+ExitCode = _exit_codes.ExitCode
+
+
+async def pool_list(
+    context: _context.Context, arguments: Sequence[str]
+) -> ExitCode:
+    """Lists the pools with promised and available capacity."""
+    del arguments
+    reply = await context.client.get("/v1/pools")
+    rows = [
+        (
+            pool["pool"],
+            pool["in_service"],
+            pool["promised"],
+            pool["unavailable"],
+            pool["budget"],
+            pool["reason"],
+        )
+        for pool in reply.body["pools"]
+    ]
+    header = (
+        "pool",
+        "in service",
+        "promised",
+        "unavailable",
+        "budget",
+        "reason",
+    )
+    context.show(reply.body, header, rows)
+    return ExitCode.DONE
+
+
+async def vm_list(
+    context: _context.Context, arguments: Sequence[str]
+) -> ExitCode:
+    """Lists the VMs with pool and phase."""
+    del arguments
+    reply = await context.client.get("/v1/vms")
+    rows = [
+        (
+            vm["vm_id"],
+            vm["availability_zone"],
+            vm["rack"],
+            vm["pool"],
+            vm["phase"],
+            vm["target_pool"] or "-",
+        )
+        for vm in reply.body["vms"]
+    ]
+    header = ("vm", "zone", "rack", "pool", "phase", "target")
+    context.show(reply.body, header, rows)
+    return ExitCode.DONE
+
+
+async def status(
+    context: _context.Context, arguments: Sequence[str]
+) -> ExitCode:
+    """Shows every entry with its generation and what it reports."""
+    del arguments
+    first = await context.client.get("/v1/status")
+    reports = await _from_all(context, first, "/v1/status")
+    value = {"entries": [reports[entry_id] for entry_id in sorted(reports)]}
+    rows = []
+    for entry_id in sorted(reports):
+        rows.append(_status_row(entry_id, reports[entry_id], first.body))
+    header = ("entry", "zone", "state", "generation", "preset", "control")
+    context.show(value, header, rows)
+    if not context.json:
+        _print_short_pools(first.body)
+    return ExitCode.DONE
+
+
+def _status_row(
+    entry_id: str, report: dict[str, Any], first: dict[str, Any]
+) -> tuple:
+    holder = first.get("control", {}).get("holder", "")
+    control = "holder" if holder == entry_id else ""
+    return (
+        entry_id,
+        report.get("availability_zone", ""),
+        report.get("state", "reachable"),
+        report.get("generation", "-"),
+        report.get("preset", "-"),
+        control,
+    )
+
+
+def _print_short_pools(report: dict[str, Any]) -> None:
+    for pool in report.get("pools", []):
+        if pool["in_service"] < pool["promised"]:
+            print(
+                f"pool {pool['pool']} is short: {pool['in_service']} of"
+                f" {pool['promised']} in service; {pool['reason']}"
+            )
+
+
+async def show_timeline(
+    context: _context.Context, arguments: Sequence[str]
+) -> ExitCode:
+    """Merges the events of all processes into one order.
+
+    Arguments are filters: `kind=PREFIX`, `process=ID`, `peer=ID`, `cause=ID`.
+    """
+    event_filter = _parse_filter(arguments)
+    first = await context.client.get("/v1/status")
+    reports = await _from_all(context, first, "/v1/timeline")
+    streams = []
+    for entry_id, report in reports.items():
+        if "events" not in report:
+            print(f"{entry_id}: cannot be reached", file=sys.stderr)
+            continue
+        events = [timeline.Event.from_json(data) for data in report["events"]]
+        streams.append(events)
+    merged = list(timeline.merge_events(streams, event_filter))
+    rows = [
+        (
+            event.time,
+            event.process,
+            event.kind,
+            event.peer or "-",
+            event.cause or "-",
+            " ".join(f"{key}={value}" for key, value in event.fields.items()),
+        )
+        for event in merged
+    ]
+    header = ("time", "process", "event", "peer", "cause", "fields")
+    value = {"events": [event.to_json() for event in merged]}
+    context.show(value, header, rows)
+    return ExitCode.DONE
+
+
+def _parse_filter(arguments: Sequence[str]) -> timeline.EventFilter:
+    fields = {}
+    for argument in arguments:
+        name, separator, value = argument.partition("=")
+        if name not in ("kind", "process", "peer", "cause") or not separator:
+            raise _exit_codes.CommandError(
+                ExitCode.USAGE,
+                "timeline: expected kind=, process=, peer= or cause=,"
+                f" found {argument!r}",
+            )
+        fields[name] = value
+    return timeline.EventFilter(**fields)
+
+
+async def _from_all(
+    context: _context.Context, first: Any, path: str
+) -> dict[str, dict[str, Any]]:
+    """Reads a path from every entry that the first one knows.
+
+    Returns:
+        The answer of each entry by its identifier; for one that cannot be
+        reached, what the first entry knows of it.
+    """
+    own_id = first.body["entry_id"]
+    known = {peer["entry_id"]: peer for peer in first.body["peers"]}
+    urls = {entry_id: peer["control"] for entry_id, peer in known.items()}
+    urls[own_id] = first.entry
+
+    async def read(entry_id: str) -> dict[str, Any]:
+        try:
+            reply = await context.client.get(path, urls[entry_id])
+        except _exit_codes.CommandError:
+            return {**known.get(entry_id, {}), "entry_id": entry_id}
+        return reply.body
+
+    entry_ids = sorted(urls)
+    answers = await asyncio.gather(*(read(name) for name in entry_ids))
+    return dict(zip(entry_ids, answers))
--- /dev/null
+++ b/baobabdoor/cli/_output.py
@@ -0,0 +1,19 @@
+"""Prints results as tables for people or as JSON for programs."""
+
+from collections.abc import Sequence
+import json
+from typing import Any
+
+
+def print_json(value: Any) -> None:
+    """Prints one JSON value on one line."""
+    print(json.dumps(value, ensure_ascii=False, sort_keys=True))
+
+
+def print_table(header: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
+    """Prints rows in aligned columns."""
+    cells = [[str(cell) for cell in row] for row in (header, *rows)]
+    widths = [max(len(cell) for cell in column) for column in zip(*cells)]
+    for row in cells:
+        padded = (cell.ljust(width) for cell, width in zip(row, widths))
+        print("  ".join(padded).rstrip())
