--- a/baobabdoor/cli/_fleet_commands.py
+++ b/baobabdoor/cli/_fleet_commands.py
@@ -177,4 +177,4 @@
 
     entry_ids = sorted(urls)
     answers = await asyncio.gather(*(read(name) for name in entry_ids))
-    return dict(zip(entry_ids, answers))
+    return dict(zip(entry_ids, answers, strict=True))
--- a/baobabdoor/cli/_output.py
+++ b/baobabdoor/cli/_output.py
@@ -13,7 +13,11 @@
 def print_table(header: Sequence[str], rows: Sequence[Sequence[Any]]) -> None:
     """Prints rows in aligned columns."""
     cells = [[str(cell) for cell in row] for row in (header, *rows)]
-    widths = [max(len(cell) for cell in column) for column in zip(*cells)]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*cells, strict=True)
+    ]
     for row in cells:
-        padded = (cell.ljust(width) for cell, width in zip(row, widths))
+        padded = (
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        )
         print("  ".join(padded).rstrip())
--- a/baobabdoor/settings/_fields.py
+++ b/baobabdoor/settings/_fields.py
@@ -18,7 +18,9 @@
 ) -> Any:
     def check(instance: Any, attribute: attrs.Attribute, value: Any) -> None:
         if not accepts(value):
-            raise _errors.FieldError(attribute.name, expected, value)
+            # Keys and tokens are left out of errors, as they are of `repr`.
+            found = value if attribute.repr else "a text that is not shown"
+            raise _errors.FieldError(attribute.name, expected, found)
 
     return attrs.field(validator=check, **options)
 
