Add jobs: planning, preemption, quarantine and the job controller

Conclusion: planner, evidence, service and controller are in place with unit tests of the planner; the controller is not yet tested against the platform stand-in, and nothing is measured.

--- a/baobabdoor/configuration/_changes.py
+++ b/baobabdoor/configuration/_changes.py
@@ -7,6 +7,7 @@
 import attrs
 
 from baobabdoor import base
+from baobabdoor import operator_api
 from baobabdoor import settings
 from baobabdoor.configuration import _rows
 
@@ -93,13 +94,6 @@
 ChangeResult = Applied | Superseded | NotApplied | OutcomeUnknown
 
 
-def refusal_to_json(refusal: base.Refusal) -> dict[str, str]:
-    """Returns the form of a refusal that operators see."""
-    fields = attrs.asdict(refusal)
-    fields["reason"] = refusal.reason.value
-    return fields
-
-
 @functools.singledispatch
 def result_to_json(result: ChangeResult) -> dict[str, Any]:
     """Returns the form of a result that operators see."""
@@ -125,11 +119,14 @@
     winner = result.winner.to_json() if result.winner else None
     return {
         "result": "not-applied",
-        "refusal": refusal_to_json(result.refusal),
+        "refusal": operator_api.refusal_to_json(result.refusal),
         "winner": winner,
     }
 
 
 @result_to_json.register
 def _(result: OutcomeUnknown) -> dict[str, Any]:
-    return {"result": "unknown", "refusal": refusal_to_json(result.refusal)}
+    return {
+        "result": "unknown",
+        "refusal": operator_api.refusal_to_json(result.refusal),
+    }
--- a/baobabdoor/configuration/_routes.py
+++ b/baobabdoor/configuration/_routes.py
@@ -1,13 +1,10 @@
 """Operators' HTTP interface to the configuration."""
 
-import hmac
-import json
 import re
 from typing import Any
 
-from tornado import web
-
 from baobabdoor import base
+from baobabdoor import operator_api
 from baobabdoor import settings
 from baobabdoor.configuration import _changes
 from baobabdoor.configuration import _committer
@@ -18,44 +15,7 @@
 HISTORY_LIMIT = 100
 
 
-class OperatorHandler(web.RequestHandler):
-    """Checks the operator's bearer token and reads JSON bodies."""
-
-    def initialize(self, token: str, **parts: Any) -> None:
-        """Stores the token and the parts that the handler serves."""
-        self.token = token
-        for name, part in parts.items():
-            setattr(self, name, part)
-
-    def prepare(self) -> None:
-        """Refuses a request without the operator's token."""
-        expected = f"Bearer {self.token}".encode()
-        found = self.request.headers.get("Authorization", "").encode()
-        if not hmac.compare_digest(expected, found):
-            self.refuse(401, "operator.authorize", "a valid bearer token")
-
-    def read_json(self) -> dict[str, Any] | None:
-        """Returns the body; None after a refusal has been sent."""
-        try:
-            body = json.loads(self.request.body)
-        except (ValueError, RecursionError) as error:
-            self.refuse(400, "operator.parse", f"a JSON object: {error}")
-            return None
-        if not isinstance(body, dict):
-            self.refuse(400, "operator.parse", "a JSON object")
-            return None
-        return body
-
-    def refuse(self, status: int, step: str, expected: str) -> None:
-        """Ends the request with a refusal."""
-        refusal = base.Refusal(
-            base.Reason.BAD_REQUEST, step, detail=f"expected {expected}"
-        )
-        self.set_status(status)
-        self.finish({"refusal": _changes.refusal_to_json(refusal)})
-
-
-class ConfigHandler(OperatorHandler):
+class ConfigHandler(operator_api.OperatorHandler):
     """Shows the configuration in force and applies a new one."""
 
     store: _store.ConfigurationStore
@@ -134,7 +94,7 @@
             await self.submit(body, _changes.ChangeKind.SWITCH)
 
 
-class ChangeHandler(OperatorHandler):
+class ChangeHandler(operator_api.OperatorHandler):
     """Finds out what became of a change."""
 
     committer: _committer.ChangeCommitter
@@ -145,7 +105,7 @@
         self.finish(_changes.result_to_json(result))
 
 
-class HistoryHandler(OperatorHandler):
+class HistoryHandler(operator_api.OperatorHandler):
     """Shows the last accepted changes."""
 
     committer: _committer.ChangeCommitter
@@ -154,8 +114,7 @@
         """Sends the last changes, newest first."""
         rows = await self.committer.history(HISTORY_LIMIT)
         if isinstance(rows, base.Refusal):
-            self.set_status(503)
-            self.finish({"refusal": _changes.refusal_to_json(rows)})
+            self.send_refusal(503, rows)
             return
         self.finish({"changes": [row.to_json() for row in rows]})
 
--- /dev/null
+++ b/baobabdoor/jobs/_batch.py
@@ -0,0 +1,124 @@
+"""Writes many job rows in few conditional transactions."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import platform as platform_lib
+from baobabdoor.jobs import _types
+
+# Rows in one transaction. One transaction a batch keeps a wave of thousands of
+# cancellations below the platform's several hundred writes a second.
+MAX_ROWS = 50
+MAX_ATTEMPTS = 4
+
+
+@attrs.frozen
+class BatchResult:
+    """What became of a batch.
+
+    Attributes:
+        committed: Jobs written, with their new versions.
+        conflicting: Identifiers of jobs whose rows had changed.
+        refusal: Why the rest was not written; None if all was tried.
+    """
+
+    committed: list[_types.Job]
+    conflicting: list[str]
+    refusal: base.Refusal | None = None
+
+
+async def commit_jobs(
+    platform: platform_lib.Platform,
+    fence: platform_lib.Condition,
+    jobs: Sequence[_types.Job],
+) -> BatchResult:
+    """Writes jobs, each conditional on its version and on the control epoch.
+
+    Args:
+        platform: The platform's service.
+        fence: Holds only while this entry holds the control lease.
+        jobs: New values; `version` is that of the row they replace.
+    """
+    committed: list[_types.Job] = []
+    conflicting: list[str] = []
+    for start in range(0, len(jobs), MAX_ROWS):
+        chunk = list(jobs[start : start + MAX_ROWS])
+        refusal = await _commit_chunk(
+            platform, fence, chunk, committed, conflicting
+        )
+        if refusal is not None:
+            return BatchResult(committed, conflicting, refusal)
+    return BatchResult(committed, conflicting)
+
+
+async def _commit_chunk(
+    platform: platform_lib.Platform,
+    fence: platform_lib.Condition,
+    chunk: list[_types.Job],
+    committed: list[_types.Job],
+    conflicting: list[str],
+) -> base.Refusal | None:
+    """Writes one chunk; takes conflicting jobs out and tries again."""
+    unknown = False
+    for _ in range(MAX_ATTEMPTS + len(chunk)):
+        if not chunk:
+            return None
+        result = await _transact(platform, fence, chunk)
+        if isinstance(result, platform_lib.Committed):
+            committed.extend(_with_versions(chunk, result))
+            return None
+        if isinstance(result, platform_lib.Unknown):
+            unknown = True
+            continue
+        if isinstance(result, base.Refusal):
+            return result
+        if result.row.key == fence.key:
+            return base.Refusal(base.Reason.NOT_HOLDER, "jobs.commit")
+        if unknown:
+            # The conflict may be our own earlier attempt. Reading the rows
+            # again tells, so they are all handed back.
+            conflicting.extend(job.spec.job_id for job in chunk)
+            return None
+        conflicting.append(result.row.key.removeprefix(_types.JOB_PREFIX))
+        chunk = [job for job in chunk if job.key != result.row.key]
+    return base.Refusal(base.Reason.UNKNOWN_RESULT, "jobs.commit", "platform")
+
+
+async def _transact(
+    platform: platform_lib.Platform,
+    fence: platform_lib.Condition,
+    chunk: list[_types.Job],
+) -> platform_lib.TransactionResult:
+    conditions = [fence]
+    writes = []
+    for job in chunk:
+        conditions.append(platform_lib.Condition(job.key, job.version))
+        writes.append(platform_lib.Write(job.key, job.to_row()))
+    return await platform.transact(conditions, writes)
+
+
+def _with_versions(
+    chunk: list[_types.Job], result: platform_lib.Committed
+) -> list[_types.Job]:
+    return [
+        attrs.evolve(job, version=result.versions[job.key]) for job in chunk
+    ]
+
+
+async def clear_inbox(
+    platform: platform_lib.Platform,
+    fence: platform_lib.Condition,
+    rows: Sequence[platform_lib.Row],
+) -> None:
+    """Deletes the notes that were read; later notes stay."""
+    for start in range(0, len(rows), MAX_ROWS):
+        chunk = rows[start : start + MAX_ROWS]
+        conditions = [fence]
+        conditions.extend(
+            platform_lib.Condition(row.key, row.version) for row in chunk
+        )
+        writes = [platform_lib.Write(row.key, None) for row in chunk]
+        # A failure leaves notes that are read again at the next step.
+        await platform.transact(conditions, writes)
--- /dev/null
+++ b/baobabdoor/jobs/_controller.py
@@ -0,0 +1,376 @@
+"""Carries out the planner's actions while its entry holds the control lease."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import functools
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import platform as platform_lib
+from baobabdoor import settings
+from baobabdoor import timeline
+from baobabdoor.jobs import _actions
+from baobabdoor.jobs import _batch
+from baobabdoor.jobs import _planner
+from baobabdoor.jobs import _service
+from baobabdoor.jobs import _sizes
+from baobabdoor.jobs import _types
+
+# Workers whose usage is read in one step, in turn; bounds the platform's reads.
+USAGE_READS_PER_STEP = 8
+STEP = "jobs.step"
+
+
+class JobController:
+    """Places jobs and follows their tasks.
+
+    Its memory is a cache of job rows: a successor builds the same from the
+    table. Every write is conditional on the control epoch and the job's row,
+    so a cancellation that commits first makes the placement fail.
+
+    Args:
+        platform: The platform's service.
+        planner: Plans starts, preemptions and parkings.
+        recorder: Time line of the process.
+        wall_ms: Returns the wall clock in milliseconds.
+    """
+
+    def __init__(
+        self,
+        platform: platform_lib.Platform,
+        planner: _planner.PriorityPlanner,
+        recorder: timeline.EventRecorder,
+        wall_ms: Callable[[], int],
+    ):
+        self.platform = platform
+        self.planner = planner
+        self.recorder = recorder
+        self.wall_ms = wall_ms
+        self.jobs_: dict[str, _types.Job] | None = None
+        self.updates_: dict[str, _types.Job] = {}
+        self.usage_cursor_ = 0
+
+    def reset(self) -> None:
+        """Forgets the cache; called when the control lease is lost."""
+        self.jobs_ = None
+        self.updates_ = {}
+
+    async def step(
+        self,
+        fence: platform_lib.Condition,
+        workers: Sequence[_planner.Worker],
+        quotas: Mapping[str, settings.TeamQuota],
+        now_s: float,
+    ) -> base.Refusal | None:
+        """Reads changes, follows tasks, plans, and carries out the plan.
+
+        Args:
+            fence: Holds only while this entry holds the control lease.
+            workers: Workers in service.
+            quotas: Quota of each team.
+            now_s: Monotonic time in seconds.
+        """
+        refusal = await self._refresh(fence)
+        if refusal is not None:
+            return refusal
+        await self._follow_tasks(now_s)
+        await self._observe_usage(workers)
+        refusal = await self._commit_updates(fence)
+        if refusal is not None:
+            return refusal
+        jobs = list(self.jobs_.values())
+        actions = self.planner.plan(
+            jobs, workers, quotas, now_s, self.wall_ms()
+        )
+        for action in actions:
+            await self._carry_out(action)
+        refusal = await self._commit_updates(fence)
+        if refusal is not None:
+            return refusal
+        await self._start_tasks()
+        return await self._commit_updates(fence)
+
+    async def _refresh(
+        self, fence: platform_lib.Condition
+    ) -> base.Refusal | None:
+        if self.jobs_ is None:
+            return await self._load_all()
+        notes = await self.platform.scan(_service.INBOX_PREFIX)
+        if isinstance(notes, base.Refusal):
+            return notes
+        names = [note.key.removeprefix(_service.INBOX_PREFIX) for note in notes]
+        refusal = await self._reload(names)
+        if refusal is None and notes:
+            await _batch.clear_inbox(self.platform, fence, notes)
+        return refusal
+
+    async def _load_all(self) -> base.Refusal | None:
+        rows = await self.platform.scan(_types.JOB_PREFIX)
+        if isinstance(rows, base.Refusal):
+            return rows
+        self.jobs_ = {}
+        for row in rows:
+            self._keep(_types.Job.from_row(row.value, row.version))
+        return None
+
+    async def _reload(self, job_ids: Sequence[str]) -> base.Refusal | None:
+        if not job_ids:
+            return None
+        keys = [_types.JOB_PREFIX + job_id for job_id in job_ids]
+        rows = await self.platform.read(keys)
+        if isinstance(rows, base.Refusal):
+            return rows
+        for row in rows.values():
+            if row.value is not None:
+                self._keep(_types.Job.from_row(row.value, row.version))
+        return None
+
+    def _keep(self, job: _types.Job) -> None:
+        job_id = job.spec.job_id
+        if job.state.final:
+            self.jobs_.pop(job_id, None)
+        else:
+            self.jobs_[job_id] = job
+
+    async def _follow_tasks(self, now_s: float) -> None:
+        """Renews the leases of tasks and takes over their states."""
+        placed = [job for job in self.jobs_.values() if job.state.placed]
+        if not placed:
+            return
+        by_task = {job.task_id: job for job in placed}
+        records = await self.platform.renew_tasks(sorted(by_task))
+        if not isinstance(records, list):
+            return
+        for record in records:
+            job = by_task.get(record.task_id)
+            if job is not None:
+                self._take_record(job, record, now_s)
+
+    def _take_record(
+        self, job: _types.Job, record: platform_lib.TaskRecord, now_s: float
+    ) -> None:
+        """Moves a job on according to what the platform says of its task."""
+        state = record.state
+        task = platform_lib.TaskState
+        if state is task.RUNNING:
+            if job.state is _types.JobState.STARTING:
+                self._update(job, state=_types.JobState.RUNNING)
+        elif state is task.SUCCEEDED:
+            self.planner.evidence.observe_success(
+                job.spec.job_id, job.worker_id
+            )
+            self._update(job, state=_types.JobState.SUCCEEDED)
+        elif state is task.FAILED:
+            self.planner.evidence.observe_failure(
+                job.spec.job_id, job.worker_id, now_s
+            )
+            self._take_failure(job, record.detail or "task failed")
+        elif state in (task.CHECKPOINTED, task.FORBIDDEN):
+            self._queue_again(job, state.value)
+        elif state is task.STOPPED:
+            self._take_loss(job)
+
+    def _take_failure(self, job: _types.Job, detail: str) -> None:
+        """Queues a failed job again unless a second run could do harm."""
+        workers = {*job.failed_workers, job.worker_id}
+        failed = attrs.evolve(job, failed_workers=tuple(sorted(workers)))
+        if job.spec.idempotent:
+            self._queue_again(failed, detail)
+        else:
+            self._update(failed, state=_types.JobState.FAILED, reason=detail)
+
+    def _take_loss(self, job: _types.Job) -> None:
+        if job.cancel:
+            self._update(job, state=_types.JobState.CANCELLED)
+        elif job.spec.idempotent:
+            self._queue_again(job, "stopped")
+        else:
+            reason = "stopped before its end; it may have run in part"
+            self._update(job, state=_types.JobState.FAILED, reason=reason)
+
+    def _queue_again(self, job: _types.Job, reason: str) -> None:
+        state = _types.JobState.CANCELLED if job.cancel else None
+        self._update(
+            job,
+            state=state or _types.JobState.QUEUED,
+            worker_id="",
+            throttled=False,
+            reason=reason,
+        )
+
+    async def _observe_usage(self, workers: Sequence[_planner.Worker]) -> None:
+        """Reads the usage of some workers that run jobs, in turn."""
+        placed = [job for job in self.jobs_.values() if job.state.placed]
+        by_task = {job.task_id: job for job in placed}
+        known = {worker.worker_id for worker in workers}
+        busy = sorted({job.worker_id for job in placed} & known)
+        count = min(USAGE_READS_PER_STEP, len(busy))
+        start = self.usage_cursor_ % len(busy) if busy else 0
+        self.usage_cursor_ = start + count
+        for offset in range(count):
+            worker_id = busy[(start + offset) % len(busy)]
+            usage = await self.platform.task_usage(worker_id)
+            if not isinstance(usage, base.Refusal):
+                self._learn(by_task, usage)
+
+    def _learn(
+        self,
+        by_task: Mapping[str, _types.Job],
+        usage: Sequence[platform_lib.TaskUsage],
+    ) -> None:
+        for item in usage:
+            job = by_task.get(item.task_id)
+            # A throttled task's use says little of what it needs.
+            if job is not None and not job.throttled:
+                used = _sizes.Size(
+                    item.cores, item.memory_gb, item.accelerators
+                )
+                self.planner.estimator.observe(job.spec, used)
+
+    def _update(self, job: _types.Job, **changes: object) -> None:
+        """Notes a change that the next commit writes."""
+        changed = attrs.evolve(job, state_since_ms=self.wall_ms(), **changes)
+        self.jobs_[job.spec.job_id] = changed
+        self.updates_[job.spec.job_id] = changed
+
+    async def _commit_updates(
+        self, fence: platform_lib.Condition
+    ) -> base.Refusal | None:
+        updates = list(self.updates_.values())
+        self.updates_ = {}
+        if not updates:
+            return None
+        result = await _batch.commit_jobs(self.platform, fence, updates)
+        for job in result.committed:
+            self._record(job)
+            self._keep(job)
+        if result.refusal is not None:
+            self.reset()
+            return result.refusal
+        return await self._reload(result.conflicting)
+
+    def _record(self, job: _types.Job) -> None:
+        self.recorder.record(
+            f"jobs.{job.state.value}",
+            job.worker_id,
+            job.spec.job_id,
+            attempt=job.attempt,
+            reason=job.reason,
+        )
+
+    async def _start_tasks(self) -> None:
+        """Starts the tasks of jobs whose placement is committed.
+
+        The start is repeated at every step until the platform answers; a task
+        identifier runs at most once, so a repeat is harmless.
+        """
+        starting = [
+            job
+            for job in self.jobs_.values()
+            if job.state is _types.JobState.STARTING
+        ]
+        await asyncio.gather(*(self._start_task(job) for job in starting))
+
+    async def _start_task(self, job: _types.Job) -> None:
+        if job.cancel:
+            await self._end_task(job, _actions.Cancel(job.spec.job_id))
+            return
+        spec = platform_lib.TaskSpec(
+            job.spec.job_id,
+            job.spec.cores,
+            job.spec.memory_gb,
+            job.spec.accelerators,
+            job.spec.run_s,
+        )
+        record = await self.platform.start_task(
+            job.worker_id, job.task_id, spec
+        )
+        if isinstance(record, platform_lib.TaskRecord):
+            if record.state is platform_lib.TaskState.RUNNING:
+                self._update(job, state=_types.JobState.RUNNING)
+            return
+        if isinstance(record, base.Refusal):
+            await self._give_up_start(job, record)
+
+    async def _give_up_start(
+        self, job: _types.Job, refusal: base.Refusal
+    ) -> None:
+        """Queues a job again once its task can certainly never start."""
+        result = await self.platform.forbid_task(job.task_id)
+        if isinstance(result, platform_lib.TaskRecord):
+            self._queue_again(job, str(refusal))
+
+    @functools.singledispatchmethod
+    async def _carry_out(self, action: _actions.Action) -> None:
+        raise TypeError(f"not a job action: {action!r}")
+
+    @_carry_out.register
+    async def _(self, action: _actions.Start) -> None:
+        job = self.jobs_[action.job_id]
+        self._update(
+            job,
+            state=_types.JobState.STARTING,
+            attempt=job.attempt + 1,
+            worker_id=action.worker_id,
+            reason="",
+        )
+
+    @_carry_out.register
+    async def _(self, action: _actions.Park) -> None:
+        job = self.jobs_[action.job_id]
+        self._update(job, state=_types.JobState.PARKED, reason=action.reason)
+
+    @_carry_out.register
+    async def _(self, action: _actions.Throttle) -> None:
+        job = self.jobs_[action.job_id]
+        record = await self.platform.throttle_task(job.task_id, action.share)
+        if isinstance(record, platform_lib.TaskRecord):
+            self._update(job, throttled=True)
+
+    @_carry_out.register
+    async def _(self, action: _actions.Unthrottle) -> None:
+        job = self.jobs_[action.job_id]
+        record = await self.platform.throttle_task(job.task_id, 1.0)
+        if isinstance(record, platform_lib.TaskRecord):
+            self._update(job, throttled=False)
+
+    @_carry_out.register
+    async def _(self, action: _actions.Checkpoint) -> None:
+        await self._end_task(self.jobs_[action.job_id], action)
+
+    @_carry_out.register
+    async def _(self, action: _actions.Stop) -> None:
+        await self._end_task(self.jobs_[action.job_id], action)
+
+    @_carry_out.register
+    async def _(self, action: _actions.Cancel) -> None:
+        job = self.jobs_[action.job_id]
+        if not job.state.placed:
+            self._update(job, state=_types.JobState.CANCELLED)
+            return
+        await self._end_task(job, action)
+
+    async def _end_task(self, job: _types.Job, action: _actions.Action) -> None:
+        """Checkpoints or stops a task; its next record moves the job on."""
+        if isinstance(action, _actions.Checkpoint):
+            record = await self.platform.checkpoint_task(job.task_id)
+        else:
+            record = await self._stop_or_forbid(job)
+        if not isinstance(record, platform_lib.TaskRecord):
+            return
+        ending = attrs.evolve(job, state=_types.JobState.ENDING)
+        self.jobs_[job.spec.job_id] = ending
+        self._take_record(ending, record, 0.0)
+
+    async def _stop_or_forbid(
+        self, job: _types.Job
+    ) -> platform_lib.TaskRecord | platform_lib.Unknown | base.Refusal:
+        """Stops a task, or makes sure that it never starts."""
+        if job.state is _types.JobState.STARTING:
+            result = await self.platform.forbid_task(job.task_id)
+            if not isinstance(result, platform_lib.AlreadyStarted):
+                return result
+        return await self.platform.stop_task(job.task_id)
