Add the platform client and the stand-ins

The platform's service and the backend servers are outside systems, so the daemon, tests and measurements need stand-ins with the same interface. MemoryPlatform and the platform daemon share one core without I/O, so a fault means the same in a unit test and over HTTP. Each port of the daemon has faults of its own, so a single zone can be cut off from the platform.

HttpPlatform uses tornado's simple client: curl repeats a request by itself on a closed kept connection, which would report an applied transaction as a conflict. The body producer marks the point from which the effect is unknown.

VmRecord gains pool_hint.

--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -1,5 +1,6 @@
 """The platform's service as the rest of the system sees it."""
 
+from baobabdoor.platform._http import HttpPlatform
 from baobabdoor.platform._interface import Platform
 from baobabdoor.platform._types import AlreadyStarted
 from baobabdoor.platform._types import Committed
@@ -15,12 +16,21 @@
 from baobabdoor.platform._types import VmListState
 from baobabdoor.platform._types import VmRecord
 from baobabdoor.platform._types import Write
+from baobabdoor.platform._wire import OPERATIONS
+from baobabdoor.platform._wire import MalformedMessageError
+from baobabdoor.platform._wire import Operation
+from baobabdoor.platform._wire import decode_arguments
+from baobabdoor.platform._wire import encode_result
 
 __all__ = [
     "AlreadyStarted",
     "Committed",
     "Condition",
     "Conflict",
+    "HttpPlatform",
+    "MalformedMessageError",
+    "OPERATIONS",
+    "Operation",
     "Platform",
     "Row",
     "TaskRecord",
@@ -32,4 +42,6 @@
     "VmListState",
     "VmRecord",
     "Write",
+    "decode_arguments",
+    "encode_result",
 ]
--- a/baobabdoor/platform/_types.py
+++ b/baobabdoor/platform/_types.py
@@ -108,6 +108,8 @@
         availability_zone: Zone of the VM.
         rack: Rack of the VM.
         idle: Whether a draining VM has nothing in progress any more.
+        pool_hint: Pool that the VM was created for; empty for VMs that are not
+            workers. Only used until the VM has a row of its own.
     """
 
     vm_id: str
@@ -117,6 +119,7 @@
     availability_zone: str
     rack: str
     idle: bool = False
+    pool_hint: str = ""
 
 
 @attrs.frozen
--- /dev/null
+++ b/baobabdoor/standin/_backend_server.py
@@ -0,0 +1,376 @@
+"""HTTP servers of many simulated backend VMs in one process."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import json
+from typing import Any
+
+from tornado import httpserver
+from tornado import iostream
+from tornado import netutil
+from tornado import web
+
+from baobabdoor import observability
+from baobabdoor.standin import _admin
+from baobabdoor.standin import _backend
+
+# Parts in which a slow body is sent.
+SLOW_PARTS = 10
+# Bytes beyond the declared length in an answer of wrong length.
+EXCESS = b"-excess-"
+# How long the connection of such an answer stays open, so that a client that
+# reuses it meets the excess.
+EXCESS_OPEN_S = 1.0
+
+_Kind = _backend.BackendFault
+
+
+class _LimitedServer(httpserver.HTTPServer):
+    """Closes connections beyond the limit of its VM at once."""
+
+    def initialize(self, app: web.Application, vm: _backend.BackendVm) -> None:
+        """Stores the VM."""
+        super().initialize(app)
+        self.vm = vm
+
+    def handle_stream(self, stream: iostream.IOStream, address: Any) -> None:
+        """Serves a connection within the limit."""
+        if self.vm.open_connection():
+            super().handle_stream(stream, address)
+        else:
+            stream.close()
+
+    def on_close(self, server_conn: Any) -> None:
+        """Counts the end of a connection."""
+        self.vm.close_connection()
+        super().on_close(server_conn)
+
+
+@web.stream_request_body
+class WorkHandler(web.RequestHandler):
+    """Runs any request in a slot and echoes what it was.
+
+    Request headers: `Standin-Work-Ms` is the time that it runs,
+    `Standin-Answer-Bytes` the least length of the answer and `Standin-Fault`
+    a fault for this request only.
+    """
+
+    SUPPORTED_METHODS = (
+        "GET",
+        "HEAD",
+        "POST",
+        "DELETE",
+        "PATCH",
+        "PUT",
+        "OPTIONS",
+    )
+
+    def initialize(self, server: "BackendServer", vm: _backend.BackendVm):
+        """Stores the VM."""
+        self.server = server
+        self.vm = vm
+        self.body_bytes = 0
+        self.closed = False
+
+    def data_received(self, chunk: bytes) -> None:
+        """Counts the bytes of the body and drops them."""
+        self.body_bytes += len(chunk)
+
+    def on_connection_close(self) -> None:
+        """Notes that nobody waits for the answer any more."""
+        self.closed = True
+
+    async def get(self) -> None:
+        """Runs the request."""
+        await self._serve()
+
+    head = post = delete = patch = put = options = get
+
+    async def _serve(self) -> None:
+        vm = self.vm
+        vm.last_arrival_s = asyncio.get_running_loop().time()
+        plan = self._plan()
+        kind = plan.kind if plan else None
+        if kind is _Kind.CLOSE_BEFORE:
+            self.detach().close()
+            return
+        if kind is _Kind.REFUSING:
+            await self._send_raw(503, b'{"error":"leaving"}')
+            return
+        await vm.acquire_slot()
+        try:
+            if not self.closed:
+                await self._run(plan)
+        finally:
+            vm.release_slot()
+
+    def _plan(self) -> _backend.FaultPlan | None:
+        requested = self.request.headers.get("Standin-Fault")
+        if requested:
+            return _backend.FaultPlan(requested)
+        return self.vm.take_fault()
+
+    async def _run(self, plan: _backend.FaultPlan | None) -> None:
+        body = self._count_and_describe()
+        work_ms = self.request.headers.get("Standin-Work-Ms")
+        work_s = float(work_ms) / 1000 if work_ms else self.server.work_s
+        if work_s > 0:
+            await asyncio.sleep(work_s)
+        if plan is None:
+            self._finish(body)
+            return
+        answer = self._FAULTY_ANSWERS[plan.kind]
+        await answer(self, body, plan)
+
+    def _count_and_describe(self) -> bytes:
+        headers = self.request.headers
+        request_id = headers.get("X-Request-Id", "")
+        key = headers.get("Idempotency-Key", "")
+        runs = self.server.count(request_id, key)
+        self.vm.runs += 1
+        described = {
+            "request_id": request_id,
+            "key": key,
+            "vm_id": self.vm.vm_id,
+            "address": self.vm.address,
+            "method": self.request.method,
+            "path": self.request.uri,
+            "body_bytes": self.body_bytes,
+            "pool": headers.get("Baobabdoor-Pool", ""),
+            "runs": runs,
+        }
+        body = json.dumps(described).encode()
+        least = int(headers.get("Standin-Answer-Bytes", "0"))
+        return body.ljust(least)
+
+    def _finish(self, body: bytes, status: int = 200) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.set_header("Content-Length", str(len(body)))
+        if self.request.method != "HEAD":
+            self.write(body)
+        self.finish()
+
+    async def _late(self, body: bytes, plan: _backend.FaultPlan) -> None:
+        await asyncio.sleep(plan.delay_s)
+        self._finish(body)
+
+    async def _slow(self, body: bytes, plan: _backend.FaultPlan) -> None:
+        self.set_header("Content-Length", str(len(body)))
+        size = -(-len(body) // SLOW_PARTS)
+        try:
+            for start in range(0, len(body), size):
+                await asyncio.sleep(plan.delay_s / SLOW_PARTS)
+                self.write(body[start : start + size])
+                await self.flush()
+        except iostream.StreamClosedError:
+            return
+        self.finish()
+
+    async def _fail(self, body: bytes, plan: _backend.FaultPlan) -> None:
+        del plan
+        self._finish(body, 500)
+
+    async def _truncate(self, body: bytes, plan: _backend.FaultPlan) -> None:
+        del plan
+        await self._send_raw(200, body[: len(body) // 2], len(body))
+
+    async def _close(self, body: bytes, plan: _backend.FaultPlan) -> None:
+        del body, plan
+        self.detach().close()
+
+    async def _exceed(self, body: bytes, plan: _backend.FaultPlan) -> None:
+        del plan
+        await self._send_raw(200, body + EXCESS, len(body), EXCESS_OPEN_S)
+
+    async def _send_raw(
+        self,
+        status: int,
+        body: bytes,
+        declared: int | None = None,
+        open_s: float = 0.0,
+    ) -> None:
+        """Sends an answer whose declared length may be wrong, and closes."""
+        length = len(body) if declared is None else declared
+        lines = [f"HTTP/1.1 {status} Stand-in", f"Content-Length: {length}"]
+        if open_s == 0:
+            lines.append("Connection: close")
+        head = "\r\n".join(lines) + "\r\n\r\n"
+        stream = self.detach()
+        try:
+            await stream.write(head.encode() + body)
+            await asyncio.sleep(open_s)
+        except iostream.StreamClosedError:
+            return
+        finally:
+            stream.close()
+
+    _FAULTY_ANSWERS: dict[_Kind, Callable[..., Awaitable[None]]] = {
+        _Kind.LATE: _late,
+        _Kind.SLOW_BODY: _slow,
+        _Kind.FAILING: _fail,
+        _Kind.TRUNCATED: _truncate,
+        _Kind.CLOSE_AFTER: _close,
+        _Kind.WRONG_LENGTH: _exceed,
+    }
+
+
+class BackendServer:
+    """Listens on the address of every VM, and on the admin port.
+
+    Args:
+        vms: The VMs.
+        work_s: Time that a request runs in seconds. Default: 0.
+    """
+
+    def __init__(self, vms: list[_backend.BackendVm], work_s: float = 0.0):
+        self.vms = {vm.address: vm for vm in vms}
+        self.work_s = work_s
+        self.counter_ = _backend.RunCounter()
+        self.servers_: dict[str, _LimitedServer] = {}
+        self.logger_ = observability.get_logger("backend")
+
+    def start(self) -> None:
+        """Starts to listen on all VMs."""
+        for address in self.vms:
+            self.bring_up(address)
+
+    async def stop(self) -> None:
+        """Closes everything."""
+        for address in list(self.servers_):
+            await self.take_down(address)
+
+    def count(self, request_id: str, key: str) -> int:
+        """Counts a run under its request id and its idempotency key.
+
+        Returns:
+            The larger of the two numbers of runs.
+        """
+        runs = 1
+        if request_id:
+            runs = self.counter_.add(f"id:{request_id}")
+        if key:
+            runs = max(runs, self.counter_.add(f"key:{key}"))
+        return runs
+
+    def bring_up(self, address: str) -> None:
+        """Listens on the address of a VM."""
+        if address in self.servers_:
+            return
+        vm = self.vms[address]
+        options = {"server": self, "vm": vm}
+        application = web.Application(
+            [(r".*", WorkHandler, options)], log_function=_log_nothing
+        )
+        server = _LimitedServer(application, vm=vm)
+        host, _, port = address.rpartition(":")
+        server.add_sockets(netutil.bind_sockets(int(port), host))
+        self.servers_[address] = server
+
+    async def take_down(self, address: str) -> None:
+        """Closes the listener and all connections of a VM."""
+        server = self.servers_.pop(address, None)
+        if server is None:
+            return
+        vm = self.vms[address]
+        vm.cut_off += vm.in_progress
+        if vm.in_progress:
+            self.logger_.warning(
+                "requests_cut_off", vm_id=vm.vm_id, requests=vm.in_progress
+            )
+        server.stop()
+        await server.close_all_connections()
+
+    def admin_routes(self) -> list[tuple[str, type, dict[str, Any]]]:
+        """Returns the routes of the admin port."""
+        options = {"server": self}
+        return [
+            (r"/admin/state", _StateHandler, options),
+            (r"/admin/load", _LoadHandler, options),
+            (r"/admin/runs", _RunsHandler, options),
+            (r"/admin/faults", _FaultsHandler, options),
+            (r"/admin/vms", _VmsHandler, options),
+        ]
+
+
+def _log_nothing(handler: web.RequestHandler) -> None:
+    """Stands in for tornado's access log, which would be a line a request."""
+
+
+class _BackendAdminHandler(_admin.AdminHandler):
+
+    def initialize(self, server: BackendServer) -> None:
+        """Stores the server."""
+        self.server = server
+
+    def selected(self, address: str) -> list[_backend.BackendVm]:
+        """Returns the VM of an address or VM id, or all for `*`."""
+        found = [
+            vm
+            for vm in self.server.vms.values()
+            if address in ("*", vm.address, vm.vm_id)
+        ]
+        if not found:
+            raise web.HTTPError(400, f"unknown VM {address!r}")
+        return found
+
+
+class _StateHandler(_BackendAdminHandler):
+
+    def get(self) -> None:
+        """Returns the state of all VMs."""
+        vms = [vm.describe() for vm in self.server.vms.values()]
+        for described in vms:
+            described["up"] = described["address"] in self.server.servers_
+        self.answer({"vms": vms})
+
+
+class _LoadHandler(_BackendAdminHandler):
+
+    def get(self) -> None:
+        """Returns the requests in progress on each VM by address."""
+        vms = self.server.vms.values()
+        self.answer({vm.address: vm.in_progress for vm in vms})
+
+
+class _RunsHandler(_BackendAdminHandler):
+
+    def get(self) -> None:
+        """Returns the runs of a request id or key, and all repeated ones."""
+        counter = self.server.counter_
+        request_id = self.get_query_argument("id", "")
+        key = self.get_query_argument("key", "")
+        name = f"id:{request_id}" if request_id else f"key:{key}"
+        self.answer(
+            {
+                "runs": counter.get(name),
+                "known": len(counter.runs_),
+                "repeated": counter.repeated(),
+            }
+        )
+
+
+class _FaultsHandler(_BackendAdminHandler):
+
+    def post(self) -> None:
+        """Sets the fault of `vm` (`*` for all); `kind` "" removes it."""
+        arguments = self.arguments()
+        vms = self.selected(arguments.pop("vm", "*"))
+        kind = arguments.pop("kind", "")
+        for vm in vms:
+            vm.fault = _backend.FaultPlan(kind, **arguments) if kind else None
+        self.answer({"vms": len(vms)})
+
+
+class _VmsHandler(_BackendAdminHandler):
+
+    async def post(self) -> None:
+        """Takes `vm` down or brings it up."""
+        arguments = self.arguments()
+        for vm in self.selected(arguments["vm"]):
+            if arguments["up"]:
+                self.server.bring_up(vm.address)
+            else:
+                await self.server.take_down(vm.address)
+        self.answer({})
--- /dev/null
+++ b/baobabdoor/standin/_core.py
@@ -0,0 +1,143 @@
+"""The platform's whole state behind the operations of its service."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Sequence
+from typing import Any
+
+from baobabdoor import base
+from baobabdoor import platform
+from baobabdoor.standin import _objects
+from baobabdoor.standin import _table
+from baobabdoor.standin import _tasks
+from baobabdoor.standin import _vms
+
+
+class PlatformCore:
+    """Table, objects, VMs and tasks, without I/O and without faults.
+
+    Its methods have the names and arguments of `platform.Platform`.
+
+    Args:
+        timers: Timer service.
+        list_lag_s: Age of the VM list in seconds. Default: 1.
+        usage_lag_s: Age of task usage in seconds. Default: 5.
+        drain_s: Least time of a drain in seconds. Default: 0.
+        needs: Gives the real needs of a task. Default: as declared.
+
+    Attributes:
+        in_progress: Says how many requests a VM is serving, if known; a VM
+            with any is not idle.
+        calls: Number of calls by operation.
+    """
+
+    def __init__(
+        self,
+        timers: base.TimerService,
+        list_lag_s: float = 1.0,
+        usage_lag_s: float = 5.0,
+        drain_s: float = 0.0,
+        needs: Callable[[platform.TaskSpec], _tasks.TaskNeeds] | None = None,
+    ):
+        self.timers = timers
+        self.table = _table.Table()
+        self.objects = _objects.ObjectStore()
+        self.vms = _vms.VmService(timers, list_lag_s, drain_s, self._is_busy)
+        self.tasks = _tasks.TaskService(timers, self.vms, usage_lag_s, needs)
+        self.in_progress: Callable[[str], int] | None = None
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def call(self, operation: str, arguments: dict[str, Any]) -> Any:
+        """Runs an operation of `platform.OPERATIONS` and counts it."""
+        if operation not in platform.OPERATIONS:
+            raise ValueError(f"unknown operation {operation!r}")
+        self.calls[operation] += 1
+        return getattr(self, operation)(**arguments)
+
+    def read(self, keys: Sequence[str]) -> dict[str, platform.Row]:
+        """Returns the rows of all `keys`, absent ones included."""
+        return self.table.read(keys)
+
+    def scan(self, prefix: str) -> list[platform.Row]:
+        """Returns the present rows whose key starts with `prefix`."""
+        return self.table.scan(prefix)
+
+    def transact(
+        self,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> platform.TransactionResult:
+        """Applies all writes if all conditions hold, or none."""
+        return self.table.transact(conditions, writes)
+
+    def put_object(self, content: bytes) -> str:
+        """Stores content and returns its SHA-256 in hexadecimal."""
+        return self.objects.put(content)
+
+    def get_object(self, digest: str) -> bytes | base.Refusal:
+        """Returns the content with the given SHA-256."""
+        return self.objects.get(digest)
+
+    def list_vms(self) -> list[platform.VmRecord]:
+        """Returns the list of VMs, which lags behind the truth."""
+        return self.vms.list()
+
+    def drain_vm(
+        self, vm_id: str, boot_id: str
+    ) -> platform.VmRecord | base.Refusal:
+        """Asks the VM to finish its work."""
+        return self.vms.drain(vm_id, boot_id)
+
+    def undrain_vm(
+        self, vm_id: str, boot_id: str
+    ) -> platform.VmRecord | base.Refusal:
+        """Lets a drained VM take work again."""
+        return self.vms.undrain(vm_id, boot_id)
+
+    def reboot_vm(
+        self, vm_id: str, boot_id: str
+    ) -> platform.VmRecord | base.Refusal:
+        """Starts a reboot."""
+        return self.vms.reboot(vm_id, boot_id)
+
+    def start_task(
+        self, worker_id: str, task_id: str, spec: platform.TaskSpec
+    ) -> platform.TaskRecord | base.Refusal:
+        """Starts a task; a task id runs at most once, on any worker."""
+        return self.tasks.start(worker_id, task_id, spec)
+
+    def task_state(self, task_id: str) -> platform.TaskRecord:
+        """Returns what is known of a task."""
+        return self.tasks.state(task_id)
+
+    def forbid_task(
+        self, task_id: str
+    ) -> platform.TaskRecord | platform.AlreadyStarted:
+        """Makes sure that a task that has not started never will."""
+        return self.tasks.forbid(task_id)
+
+    def renew_tasks(self, task_ids: Sequence[str]) -> list[platform.TaskRecord]:
+        """Renews the leases of tasks and returns their states."""
+        return self.tasks.renew(task_ids)
+
+    def throttle_task(
+        self, task_id: str, share: float
+    ) -> platform.TaskRecord | base.Refusal:
+        """Limits a task to a share of its processors, in (0, 1]."""
+        return self.tasks.throttle(task_id, share)
+
+    def checkpoint_task(self, task_id: str) -> platform.TaskRecord:
+        """Saves a task's progress and ends it."""
+        return self.tasks.checkpoint(task_id)
+
+    def stop_task(self, task_id: str) -> platform.TaskRecord:
+        """Ends a task; its progress is lost."""
+        return self.tasks.stop(task_id)
+
+    def task_usage(self, worker_id: str) -> list[platform.TaskUsage]:
+        """Returns the measured use of a worker's tasks, which lags."""
+        return self.tasks.usage(worker_id)
+
+    def _is_busy(self, vm_id: str) -> bool:
+        requests = self.in_progress(vm_id) if self.in_progress else 0
+        return requests > 0 or self.tasks.is_busy(vm_id)
--- /dev/null
+++ b/baobabdoor/standin/_main.py
@@ -0,0 +1,146 @@
+"""Command line of `baobabdoor-standin`."""
+
+import asyncio
+import signal
+import sys
+from typing import Any
+
+from absl import app
+from absl import flags
+import attrs
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from baobabdoor import observability
+from baobabdoor import settings
+from baobabdoor.standin import _backend
+from baobabdoor.standin import _backend_server
+from baobabdoor.standin import _core
+from baobabdoor.standin import _layout
+from baobabdoor.standin import _platform_server
+from baobabdoor.standin import _vms
+
+FLAGS = flags.FLAGS
+ROLES = ("platform", "backend")
+
+
+def define_flags() -> None:
+    """Defines the command's flags; called once, before they are parsed."""
+    flags.DEFINE_string("deployment", None, "Deployment file.", required=True)
+    flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
+    flags.DEFINE_integer("admin_port", 21190, "Port that switches faults.")
+    flags.DEFINE_string("vm_host", "127.0.0.1", "IP number of all workers.")
+    flags.DEFINE_integer(
+        "vm_base_port", 21100, "Port of the first worker; the next follow it."
+    )
+    flags.DEFINE_enum(
+        "log_level", "info", ["debug", "info", "warning", "error"], "Logs."
+    )
+    flags.DEFINE_multi_integer(
+        "port", [21000], "platform: ports, each with faults of its own."
+    )
+    flags.DEFINE_string(
+        "backend_admin", "", "platform: admin URL of the backend stand-in."
+    )
+    flags.DEFINE_list(
+        "entry_vms", [], "platform: VMs of entries, each as ID=ZONE."
+    )
+    flags.DEFINE_float(
+        "reboot_s", 0.0, "platform: reboot time; 0 for the deployment's."
+    )
+    flags.DEFINE_float("list_lag_s", 1.0, "platform: age of the VM list.")
+    flags.DEFINE_float("usage_lag_s", 5.0, "platform: age of task usage.")
+    flags.DEFINE_float("work_ms", 5.0, "backend: time that a request runs.")
+
+
+def _workers(deployment: settings.Deployment) -> list[_vms.VmSpec]:
+    host, base_port = FLAGS.vm_host, FLAGS.vm_base_port
+    return _layout.lay_out(
+        deployment, lambda index: f"{host}:{base_port + index}"
+    )
+
+
+def _entry_vm(text: str) -> _vms.VmSpec:
+    vm_id, _, zone = text.partition("=")
+    return _vms.VmSpec(vm_id, "", zone, f"{zone}-entries")
+
+
+def make_platform(
+    deployment: settings.Deployment,
+) -> _platform_server.PlatformServer:
+    """Returns the platform stand-in for the flags."""
+    timers = observability.LoopTimerService()
+    core = _core.PlatformCore(timers, FLAGS.list_lag_s, FLAGS.usage_lag_s)
+    specs = _workers(deployment)
+    specs += [_entry_vm(text) for text in FLAGS.entry_vms]
+    for spec in specs:
+        if FLAGS.reboot_s > 0:
+            spec = attrs.evolve(spec, reboot_s=FLAGS.reboot_s)
+        core.vms.add(spec, listed_at_once=True)
+    link = _platform_server.BackendLink(FLAGS.backend_admin, core)
+    return _platform_server.PlatformServer(core, FLAGS.host, FLAGS.port, link)
+
+
+def make_backend(
+    deployment: settings.Deployment,
+) -> _backend_server.BackendServer:
+    """Returns the backend stand-in for the flags."""
+    vms = []
+    for spec in _workers(deployment):
+        pool = deployment.pools[spec.pool_hint]
+        vms.append(
+            _backend.BackendVm(
+                spec.vm_id,
+                spec.address,
+                spec.pool_hint,
+                pool.slots,
+                pool.connections,
+            )
+        )
+    return _backend_server.BackendServer(vms, FLAGS.work_ms / 1000)
+
+
+async def _serve(role: str, deployment: settings.Deployment) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    server: Any
+    if role == "platform":
+        server = make_platform(deployment)
+        await server.start()
+    else:
+        server = make_backend(deployment)
+        server.start()
+    # Listens last, so that an answer of this port means that all others are
+    # ready.
+    admin = httpserver.HTTPServer(
+        web.Application(
+            server.admin_routes(), log_function=lambda handler: None
+        )
+    )
+    admin.add_sockets(netutil.bind_sockets(FLAGS.admin_port, FLAGS.host))
+    observability.get_logger(role).info("ready", admin_port=FLAGS.admin_port)
+    await stopping.wait()
+    admin.stop()
+    await server.stop()
+
+
+def _run(argv: list[str]) -> int:
+    if len(argv) != 2 or argv[1] not in ROLES:
+        raise app.UsageError(f"expected one of {ROLES}, found {argv[1:]}")
+    observability.configure_logs(f"standin-{argv[1]}", FLAGS.log_level)
+    try:
+        deployment = settings.load_deployment(FLAGS.deployment)
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        return 2
+    asyncio.run(_serve(argv[1], deployment))
+    return 0
+
+
+def main() -> None:
+    """Entry point of `baobabdoor-standin`."""
+    define_flags()
+    app.run(_run)
--- /dev/null
+++ b/baobabdoor/standin/_table.py
@@ -0,0 +1,93 @@
+"""The table: rows with versions and atomic conditional transactions."""
+
+import bisect
+from collections.abc import Sequence
+import json
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import platform
+
+
+@attrs.define
+class _StoredRow:
+    version: int = 0
+    # JSON text, so that no caller shares a mutable value with the table; None
+    # for a deleted row, which stays for its version.
+    text: str | None = None
+
+
+class Table:
+    """Keeps rows in memory; a deleted row keeps its version counter.
+
+    Attributes:
+        rows_: Every key ever written.
+        keys_: The same keys in order, for scans.
+    """
+
+    def __init__(self):
+        self.rows_: dict[str, _StoredRow] = {}
+        self.keys_: list[str] = []
+
+    def read(self, keys: Sequence[str]) -> dict[str, platform.Row]:
+        """Returns the rows of all `keys`, absent ones included."""
+        return {key: self._row(key) for key in keys}
+
+    def scan(self, prefix: str) -> list[platform.Row]:
+        """Returns the present rows whose key starts with `prefix`, in order."""
+        found = []
+        for index in range(
+            bisect.bisect_left(self.keys_, prefix), len(self.keys_)
+        ):
+            key = self.keys_[index]
+            if not key.startswith(prefix):
+                break
+            if self.rows_[key].text is not None:
+                found.append(self._row(key))
+        return found
+
+    def transact(
+        self,
+        conditions: Sequence[platform.Condition],
+        writes: Sequence[platform.Write],
+    ) -> platform.Committed | platform.Conflict | base.Refusal:
+        """Applies all writes if all conditions hold, or none."""
+        keys = [write.key for write in writes]
+        if len(set(keys)) != len(keys):
+            return base.Refusal(
+                base.Reason.BAD_REQUEST,
+                "platform.transact",
+                detail="a key is written twice",
+            )
+        for condition in conditions:
+            row = self._row(condition.key)
+            if row.version != condition.version:
+                return platform.Conflict(row)
+        texts = [_to_text(write) for write in writes]
+        versions = {}
+        for key, text in zip(keys, texts, strict=True):
+            versions[key] = self._store(key, text)
+        return platform.Committed(versions)
+
+    def _row(self, key: str) -> platform.Row:
+        stored = self.rows_.get(key)
+        if stored is None:
+            return platform.Row(key, 0, None)
+        value = None if stored.text is None else json.loads(stored.text)
+        return platform.Row(key, stored.version, value)
+
+    def _store(self, key: str, text: str | None) -> int:
+        stored = self.rows_.get(key)
+        if stored is None:
+            stored = self.rows_[key] = _StoredRow()
+            bisect.insort(self.keys_, key)
+        stored.version += 1
+        stored.text = text
+        return stored.version
+
+
+def _to_text(write: platform.Write) -> str | None:
+    if write.value is None:
+        return None
+    return json.dumps(write.value, separators=(",", ":"))
--- /dev/null
+++ b/baobabdoor/standin/_tasks.py
@@ -0,0 +1,306 @@
+"""Tasks on workers: at most one run per task id, leases and lagging usage."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import math
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import platform
+from baobabdoor.standin import _vms
+
+# Time after which a task on a faulty worker or of a faulty job fails.
+FAILURE_DELAY_S = 0.5
+# Past usages kept for each worker.
+MAX_HISTORY = 64
+
+_State = platform.TaskState
+
+
+@attrs.frozen
+class TaskNeeds:
+    """What a task really uses, as opposed to what was declared.
+
+    Attributes:
+        cores: Processor cores.
+        memory_gb: Memory in GB.
+        accelerators: Accelerators.
+        run_s: Run time in seconds with all its cores.
+    """
+
+    cores: float
+    memory_gb: float
+    accelerators: int
+    run_s: float
+
+
+@attrs.define
+class _Task:
+    record: platform.TaskRecord
+    spec: platform.TaskSpec
+    needs: TaskNeeds
+    remaining_s: float
+    share: float = 1.0
+    rate: float = 0.0
+    settled_at_s: float = 0.0
+    lease_until_s: float = 0.0
+    fails_at_s: float = math.inf
+    timer: base.Subscription | None = None
+
+
+class TaskService:
+    """Runs simulated tasks on the VMs of a `VmService`.
+
+    Processors that are claimed more than once are shared out and slow the tasks
+    down; a task whose memory does not fit any more fails; accelerators are
+    exclusive.
+
+    Args:
+        timers: Timer service.
+        vms: The VMs.
+        usage_lag_s: Age of the usage in seconds. Default: 5.
+        needs: Gives the real needs of a task. Default: as declared.
+
+    Attributes:
+        failing_workers: Workers that fail every task they start.
+        failing_jobs: Jobs whose tasks fail on every worker.
+        starts: Number of times that each task id has been run.
+    """
+
+    def __init__(
+        self,
+        timers: base.TimerService,
+        vms: _vms.VmService,
+        usage_lag_s: float = 5.0,
+        needs: Callable[[platform.TaskSpec], TaskNeeds] | None = None,
+    ):
+        self.timers = timers
+        self.vms = vms
+        self.usage_lag_s = usage_lag_s
+        self.needs = needs
+        self.failing_workers: set[str] = set()
+        self.failing_jobs: set[str] = set()
+        self.starts: dict[str, int] = {}
+        self.records_: dict[str, platform.TaskRecord] = {}
+        self.running_: dict[str, dict[str, _Task]] = {}
+        self.checkpoints_: dict[str, float] = {}
+        self.usage_: dict[str, list[tuple[float, list]]] = {}
+        vms.subscribe(self._end_worker)
+
+    def is_busy(self, worker_id: str) -> bool:
+        """Returns whether a worker runs any task."""
+        return bool(self.running_.get(worker_id))
+
+    def start(
+        self, worker_id: str, task_id: str, spec: platform.TaskSpec
+    ) -> platform.TaskRecord | base.Refusal:
+        """Starts a task unless the id was started or forbidden before."""
+        known = self.records_.get(task_id)
+        if known is not None:
+            return known
+        refusal = self._check_worker(worker_id, spec)
+        if refusal is not None:
+            return refusal
+        task = self._create(worker_id, task_id, spec)
+        self.running_.setdefault(worker_id, {})[task_id] = task
+        self.records_[task_id] = task.record
+        self.starts[task_id] = self.starts.get(task_id, 0) + 1
+        self._enforce_memory(worker_id)
+        self._share_out(worker_id)
+        return self.records_[task_id]
+
+    def state(self, task_id: str) -> platform.TaskRecord:
+        """Returns what is known of a task."""
+        known = self.records_.get(task_id)
+        return known or platform.TaskRecord(task_id, "", _State.NEVER_STARTED)
+
+    def forbid(
+        self, task_id: str
+    ) -> platform.TaskRecord | platform.AlreadyStarted:
+        """Makes sure that a task that has not started never will."""
+        record = self.state(task_id)
+        if record.state is _State.NEVER_STARTED:
+            record = platform.TaskRecord(task_id, "", _State.FORBIDDEN)
+            self.records_[task_id] = record
+        if record.state is not _State.FORBIDDEN:
+            return platform.AlreadyStarted(record)
+        return record
+
+    def renew(self, task_ids: Sequence[str]) -> list[platform.TaskRecord]:
+        """Renews the leases of running tasks; returns all states."""
+        for task_id in task_ids:
+            task = self._running(task_id)
+            if task is not None:
+                self._renew(task)
+        return [self.state(task_id) for task_id in task_ids]
+
+    def throttle(
+        self, task_id: str, share: float
+    ) -> platform.TaskRecord | base.Refusal:
+        """Limits a task to a share of its processors, in (0, 1]."""
+        if not 0 < share <= 1:
+            return base.Refusal(
+                base.Reason.BAD_REQUEST,
+                "platform.throttle_task",
+                detail=f"expected a share in (0, 1], found {share}",
+            )
+        task = self._running(task_id)
+        if task is not None:
+            task.share = share
+            self._share_out(task.record.worker_id)
+        return self.state(task_id)
+
+    def checkpoint(self, task_id: str) -> platform.TaskRecord:
+        """Saves a task's progress for its job and ends it."""
+        task = self._running(task_id)
+        if task is not None:
+            self._settle(task)
+            self.checkpoints_[task.spec.job_id] = task.remaining_s
+            self._end(task, _State.CHECKPOINTED)
+        return self.state(task_id)
+
+    def stop(self, task_id: str) -> platform.TaskRecord:
+        """Ends a task; its progress is lost."""
+        task = self._running(task_id)
+        if task is not None:
+            self._end(task, _State.STOPPED)
+        return self.state(task_id)
+
+    def usage(self, worker_id: str) -> list[platform.TaskUsage]:
+        """Returns the usage as it was `usage_lag_s` ago."""
+        as_of_s = self.timers.now_s() - self.usage_lag_s
+        for since_s, usages in reversed(self.usage_.get(worker_id, [])):
+            if since_s <= as_of_s:
+                return usages
+        return []
+
+    def _check_worker(
+        self, worker_id: str, spec: platform.TaskSpec
+    ) -> base.Refusal | None:
+        vm = self.vms.get(worker_id)
+        step = "platform.start_task"
+        if vm is None or vm.record.state is platform.VmListState.TERMINATED:
+            return base.Refusal(base.Reason.NOT_FOUND, step, worker_id)
+        if vm.draining_since_s is not None:
+            return base.Refusal(base.Reason.DRAINING, step, worker_id)
+        in_use = sum(
+            task.needs.accelerators
+            for task in self.running_.get(worker_id, {}).values()
+        )
+        if in_use + spec.accelerators > vm.spec.accelerators:
+            detail = f"{in_use} of {vm.spec.accelerators} accelerators in use"
+            return base.Refusal(
+                base.Reason.NO_CAPACITY, step, worker_id, detail
+            )
+        return None
+
+    def _create(
+        self, worker_id: str, task_id: str, spec: platform.TaskSpec
+    ) -> _Task:
+        now_s = self.timers.now_s()
+        needs = self._needs(spec)
+        remaining_s = self.checkpoints_.pop(spec.job_id, needs.run_s)
+        task = _Task(
+            record=platform.TaskRecord(task_id, worker_id, _State.RUNNING),
+            spec=spec,
+            needs=needs,
+            remaining_s=remaining_s,
+            settled_at_s=now_s,
+            lease_until_s=now_s + spec.lease_s,
+        )
+        faulty_worker = worker_id in self.failing_workers
+        if faulty_worker or spec.job_id in self.failing_jobs:
+            task.fails_at_s = now_s + FAILURE_DELAY_S
+        return task
+
+    def _needs(self, spec: platform.TaskSpec) -> TaskNeeds:
+        if self.needs is not None:
+            return self.needs(spec)
+        return TaskNeeds(
+            spec.cores, spec.memory_gb, spec.accelerators, spec.run_s
+        )
+
+    def _running(self, task_id: str) -> _Task | None:
+        worker_id = self.state(task_id).worker_id
+        return self.running_.get(worker_id, {}).get(task_id)
+
+    def _renew(self, task: _Task) -> None:
+        task.lease_until_s = self.timers.now_s() + task.spec.lease_s
+        self._schedule(task)
+
+    def _enforce_memory(self, worker_id: str) -> None:
+        """Fails the newest tasks until the rest fits into memory."""
+        vm = self.vms.get(worker_id)
+        running = self.running_[worker_id]
+        while running and vm is not None:
+            total_gb = sum(task.needs.memory_gb for task in running.values())
+            if total_gb <= vm.spec.memory_gb:
+                return
+            newest = list(running.values())[-1]
+            self._end(newest, _State.FAILED, "out of memory")
+
+    def _share_out(self, worker_id: str) -> None:
+        """Computes how fast each task of a worker advances from now on."""
+        vm = self.vms.get(worker_id)
+        tasks = list(self.running_.get(worker_id, {}).values())
+        claimed = sum(task.needs.cores * task.share for task in tasks)
+        cores = vm.spec.cores if vm is not None else 0.0
+        scale = min(1.0, cores / claimed) if claimed > 0 else 1.0
+        for task in tasks:
+            self._settle(task)
+            task.rate = task.share * scale
+            self._schedule(task)
+        self._record_usage(worker_id, tasks)
+
+    def _settle(self, task: _Task) -> None:
+        """Accounts for the progress since the last change of rate."""
+        now_s = self.timers.now_s()
+        done_s = (now_s - task.settled_at_s) * task.rate
+        task.remaining_s = max(0.0, task.remaining_s - done_s)
+        task.settled_at_s = now_s
+
+    def _schedule(self, task: _Task) -> None:
+        """Sets the timer of the first thing that happens to the task."""
+        if task.timer is not None:
+            task.timer.cancel()
+        self._settle(task)
+        now_s = self.timers.now_s()
+        finish_s = math.inf
+        if task.rate > 0:
+            finish_s = now_s + task.remaining_s / task.rate
+        ends = [
+            (task.fails_at_s, _State.FAILED, "failed at its start"),
+            (finish_s, _State.SUCCEEDED, ""),
+            (task.lease_until_s, _State.STOPPED, "lease expired"),
+        ]
+        due_s, state, detail = min(ends, key=lambda end: end[0])
+        task.timer = self.timers.call_later(
+            due_s - now_s, lambda: self._end(task, state, detail)
+        )
+
+    def _end(self, task: _Task, state: _State, detail: str = "") -> None:
+        if task.timer is not None:
+            task.timer.cancel()
+        record = attrs.evolve(task.record, state=state, detail=detail)
+        self.records_[record.task_id] = record
+        self.running_[record.worker_id].pop(record.task_id, None)
+        self._share_out(record.worker_id)
+
+    def _end_worker(self, worker_id: str) -> None:
+        for task in list(self.running_.get(worker_id, {}).values()):
+            self._end(task, _State.FAILED, "the worker was restarted")
+
+    def _record_usage(self, worker_id: str, tasks: list[_Task]) -> None:
+        usages = [
+            platform.TaskUsage(
+                task.record.task_id,
+                task.needs.cores * task.rate,
+                task.needs.memory_gb,
+                float(task.needs.accelerators),
+            )
+            for task in tasks
+        ]
+        history = self.usage_.setdefault(worker_id, [])
+        history.append((self.timers.now_s(), usages))
+        del history[:-MAX_HISTORY]
