Send only changes of the VM list to polling clients

The whole list of 3,500 VMs is about 0.7 MB and entries poll it every 2 s, against a target of 3 KB/s for control. The client now sends the version of the list it has and gets the records that changed; `Platform.list_vms` is as before.

--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -13,6 +13,7 @@
 from baobabdoor.platform._types import TaskUsage
 from baobabdoor.platform._types import TransactionResult
 from baobabdoor.platform._types import Unknown
+from baobabdoor.platform._types import VmListChanges
 from baobabdoor.platform._types import VmListState
 from baobabdoor.platform._types import VmRecord
 from baobabdoor.platform._types import Write
@@ -39,6 +40,7 @@
     "TaskUsage",
     "TransactionResult",
     "Unknown",
+    "VmListChanges",
     "VmListState",
     "VmRecord",
     "Write",
--- a/baobabdoor/platform/_http.py
+++ b/baobabdoor/platform/_http.py
@@ -13,7 +13,7 @@
 from baobabdoor.platform import _types
 from baobabdoor.platform import _wire
 
-# Largest answer; the list of 3,500 VMs takes about 0.7 MB.
+# Largest answer; the whole list of 3,500 VMs takes about 0.7 MB.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
@@ -72,6 +72,8 @@
         self.max_pending = max_pending
         self.client_: simple_httpclient.SimpleAsyncHTTPClient | None = None
         self.pending_ = 0
+        self.list_version_ = ""
+        self.vms_: dict[str, _types.VmRecord] = {}
 
     def close(self) -> None:
         """Ends the client; calls in progress get no answer."""
@@ -111,7 +113,15 @@
 
     async def list_vms(self) -> list[_types.VmRecord] | base.Refusal:
         """Returns the list of VMs, which lags behind the truth."""
-        return await self._call("list_vms")
+        since = self.list_version_
+        changes = await self._call("list_vms", since=since)
+        if isinstance(changes, base.Refusal):
+            return changes
+        # Another call may have finished meanwhile with the same changes or
+        # with newer ones.
+        if self.list_version_ == since:
+            self._apply(changes)
+        return list(self.vms_.values())
 
     async def drain_vm(
         self, vm_id: str, boot_id: str
@@ -186,6 +196,12 @@
         """Returns the measured use of a worker's tasks, which lags."""
         return await self._call("task_usage", worker_id=worker_id)
 
+    def _apply(self, changes: _types.VmListChanges) -> None:
+        if changes.complete:
+            self.vms_.clear()
+        self.vms_.update({vm.vm_id: vm for vm in changes.records})
+        self.list_version_ = changes.version
+
     async def _call(self, name: str, **arguments: Any) -> Any:
         operation = _wire.OPERATIONS[name]
         if self.pending_ >= self.max_pending:
--- a/baobabdoor/platform/_types.py
+++ b/baobabdoor/platform/_types.py
@@ -122,6 +122,24 @@
     pool_hint: str = ""
 
 
+@attrs.frozen
+class VmListChanges:
+    """What has changed in the list of VMs since a version of it.
+
+    The whole list of 3,500 VMs is about 0.7 MB, too much for a poll every 2 s.
+
+    Attributes:
+        version: Version of the list with these changes.
+        complete: Whether `records` is the whole list instead, as for a client
+            that has no version or one of another list.
+        records: Records that are new or have changed.
+    """
+
+    version: str
+    complete: bool
+    records: list[VmRecord]
+
+
 @attrs.frozen
 class TaskSpec:
     """What a task asks of a worker.
--- a/baobabdoor/platform/_wire.py
+++ b/baobabdoor/platform/_wire.py
@@ -55,7 +55,7 @@
     ),
     Operation("put_object", {"content": bytes}, str),
     Operation("get_object", {"digest": str}, bytes, False),
-    Operation("list_vms", {}, list[_types.VmRecord], False),
+    Operation("list_vms", {"since": str}, _types.VmListChanges, False),
     Operation("drain_vm", _VM, _types.VmRecord),
     Operation("undrain_vm", _VM, _types.VmRecord),
     Operation("reboot_vm", _VM, _types.VmRecord),
--- a/baobabdoor/standin/_core.py
+++ b/baobabdoor/standin/_core.py
@@ -42,7 +42,9 @@
         self.timers = timers
         self.table = _table.Table()
         self.objects = _objects.ObjectStore()
-        self.vms = _vms.VmService(timers, list_lag_s, drain_s, self._is_busy)
+        self.vms = _vms.VmService(
+            timers, list_lag_s, drain_s, self._is_busy, f"{timers.wall_ms()}"
+        )
         self.tasks = _tasks.TaskService(timers, self.vms, usage_lag_s, needs)
         self.in_progress: Callable[[str], int] | None = None
         self.calls: collections.Counter[str] = collections.Counter()
@@ -78,9 +80,9 @@
         """Returns the content with the given SHA-256."""
         return self.objects.get(digest)
 
-    def list_vms(self) -> list[platform.VmRecord]:
-        """Returns the list of VMs, which lags behind the truth."""
-        return self.vms.list()
+    def list_vms(self, since: str = "") -> platform.VmListChanges:
+        """Returns the changes of the list of VMs since a version of it."""
+        return self.vms.changes(since)
 
     def drain_vm(
         self, vm_id: str, boot_id: str
--- a/baobabdoor/standin/_memory.py
+++ b/baobabdoor/standin/_memory.py
@@ -39,7 +39,7 @@
         self.core = core or _core.PlatformCore(timers)
         self.faults = faults or _faults.PlatformFaults()
         self.timeout_s = timeout_s
-        self.last_list_: list[platform.VmRecord] | None = None
+        self.last_list_: platform.VmListChanges | None = None
 
     def client(self) -> "MemoryPlatform":
         """Returns another client of the same core, without faults."""
@@ -77,7 +77,10 @@
 
     async def list_vms(self) -> list[platform.VmRecord] | base.Refusal:
         """Returns the list of VMs, which lags behind the truth."""
-        return await self.call("list_vms")
+        changes = await self.call("list_vms", since="")
+        if isinstance(changes, base.Refusal):
+            return changes
+        return changes.records
 
     async def drain_vm(
         self, vm_id: str, boot_id: str
@@ -167,7 +170,7 @@
             return _refusal(base.Reason.TIMEOUT, name, "no answer in time")
         await self._sleep(faults.slow_s)
         if name == "list_vms":
-            return self._list_vms()
+            return self._list_vms(**arguments)
         return self.core.call(name, arguments)
 
     async def _change(self, name: str, arguments: dict[str, Any]) -> Any:
@@ -189,10 +192,15 @@
         await self._sleep(half_s)
         return result
 
-    def _list_vms(self) -> list[platform.VmRecord]:
-        if self.last_list_ is None or not self.faults.stale_list:
-            self.last_list_ = self.core.call("list_vms", {})
-        return list(self.last_list_)
+    def _list_vms(self, since: str) -> platform.VmListChanges:
+        if self.faults.stale_list and since:
+            return platform.VmListChanges(since, False, [])
+        if self.faults.stale_list and self.last_list_ is not None:
+            return self.last_list_
+        changes = self.core.call("list_vms", {"since": since})
+        if changes.complete:
+            self.last_list_ = changes
+        return changes
 
     def _apply_later(
         self, delay_s: float, name: str, arguments: dict[str, Any]
--- a/baobabdoor/standin/_vms.py
+++ b/baobabdoor/standin/_vms.py
@@ -41,6 +41,21 @@
     boot_id: str = ""
 
 
+@attrs.frozen
+class Version:
+    """A record as it was published.
+
+    Attributes:
+        since_s: Time at which it was published.
+        number: Position in the order of all publications.
+        record: The record.
+    """
+
+    since_s: float
+    number: int
+    record: platform.VmRecord
+
+
 @attrs.define
 class Vm:
     """The true state of a VM.
@@ -52,7 +67,7 @@
         draining_since_s: Time of the first drain call of this boot, or None.
         rebooting: Whether a reboot is under way.
         gone: Whether it was terminated for good.
-        history: Time and content of past records, oldest first.
+        history: Past versions of the record, oldest first.
     """
 
     spec: VmSpec
@@ -61,7 +76,7 @@
     draining_since_s: float | None = None
     rebooting: bool = False
     gone: bool = False
-    history: list[tuple[float, platform.VmRecord]] = attrs.field(factory=list)
+    history: list[Version] = attrs.field(factory=list)
 
 
 class VmService:
@@ -73,6 +88,8 @@
         drain_s: Least time from the first drain call to idle, in seconds.
             Default: 0.
         is_busy: Says whether a VM has work in progress. Default: never.
+        list_id: Tells versions of this list from those of an earlier process.
+            Default: `list`.
 
     Attributes:
         failing_reboots: VMs that do not come back from their next reboot.
@@ -84,13 +101,16 @@
         list_lag_s: float = 1.0,
         drain_s: float = 0.0,
         is_busy: Callable[[str], bool] | None = None,
+        list_id: str = "list",
     ):
         self.timers = timers
         self.list_lag_s = list_lag_s
         self.drain_s = drain_s
         self.is_busy = is_busy
+        self.list_id = list_id
         self.failing_reboots: set[str] = set()
         self.vms_: dict[str, Vm] = {}
+        self.published_ = 0
         self.down_callbacks_: list[Callable[[str], None]] = []
         self.up_callbacks_: list[Callable[[str], None]] = []
 
@@ -119,21 +139,29 @@
             pool_hint=spec.pool_hint,
         )
         vm = Vm(spec, record)
-        since_s = self.timers.now_s()
-        if listed_at_once:
-            since_s -= self.list_lag_s
-        vm.history.append((since_s, record))
         self.vms_[spec.vm_id] = vm
+        self._publish(vm, -self.list_lag_s if listed_at_once else 0.0)
 
     def get(self, vm_id: str) -> Vm | None:
         """Returns the true state of a VM."""
         return self.vms_.get(vm_id)
 
-    def list(self) -> list[platform.VmRecord]:
-        """Returns the records as they were `list_lag_s` ago."""
+    def changes(self, since: str = "") -> platform.VmListChanges:
+        """Returns what the list, as of `list_lag_s` ago, shows since then.
+
+        Args:
+            since: Version of an earlier result. Default: the whole list.
+        """
         as_of_s = self.timers.now_s() - self.list_lag_s
-        records = (_record_at(vm, as_of_s) for vm in self.vms_.values())
-        return [record for record in records if record is not None]
+        found = (_version_at(vm, as_of_s) for vm in self.vms_.values())
+        versions = [version for version in found if version is not None]
+        last = max((version.number for version in versions), default=0)
+        known = self._known_number(since)
+        return platform.VmListChanges(
+            version=f"{self.list_id}.{last}",
+            complete=known == 0,
+            records=[v.record for v in versions if v.number > known],
+        )
 
     def drain(
         self, vm_id: str, boot_id: str
@@ -240,14 +268,22 @@
             )
         return vm
 
-    def _publish(self, vm: Vm, **changes: object) -> None:
+    def _known_number(self, since: str) -> int:
+        list_id, _, number = since.rpartition(".")
+        if list_id != self.list_id or not number.isdecimal():
+            return 0
+        return int(number)
+
+    def _publish(self, vm: Vm, delay_s: float = 0.0, **changes: object) -> None:
         vm.record = attrs.evolve(vm.record, **changes)
-        vm.history.append((self.timers.now_s(), vm.record))
+        self.published_ += 1
+        since_s = self.timers.now_s() + delay_s
+        vm.history.append(Version(since_s, self.published_, vm.record))
         del vm.history[:-MAX_HISTORY]
 
 
-def _record_at(vm: Vm, as_of_s: float) -> platform.VmRecord | None:
-    for since_s, record in reversed(vm.history):
-        if since_s <= as_of_s:
-            return record
+def _version_at(vm: Vm, as_of_s: float) -> Version | None:
+    for version in reversed(vm.history):
+        if version.since_s <= as_of_s:
+            return version
     return None
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -87,6 +87,11 @@
         async def scenario(h):
             (record,) = await h.client.list_vms()
             assert record.boot_id == "vm-1.1"
+            h.core.vms.add(standin.VmSpec("vm-2", "127.0.0.1:2", "z", "r"))
+            h.core.vms.leave("vm-1")
+            listed = {vm.vm_id: vm for vm in await h.client.list_vms()}
+            assert listed["vm-1"].state is platform.VmListState.LEAVING
+            assert len(listed) == 2
             task = await h.client.start_task("vm-1", "t", SPEC)
             assert task.state is platform.TaskState.RUNNING
             assert await h.client.task_state("t") == task
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -81,9 +81,20 @@
 
     def test_list_lags_behind(self, core, timers):
         core.vms.terminate("vm-1")
-        assert core.list_vms()[0].state is LIVE
+        assert core.list_vms().records[0].state is LIVE
         timers.advance(2)
-        assert core.list_vms()[0].state is TERMINATED
+        assert core.list_vms().records[0].state is TERMINATED
+
+    def test_changes_since_a_version(self, core, timers):
+        # A poll must not carry the whole list again.
+        first = core.list_vms()
+        assert first.complete
+        assert core.list_vms(first.version).records == []
+        core.vms.leave("vm-1")
+        timers.advance(2)
+        (record,) = core.list_vms(first.version).records
+        assert record.state is platform.VmListState.LEAVING
+        assert core.list_vms("another-list.9").complete
 
     def test_drain_is_idle_only_without_work(self, core, timers):
         load = {"vm-1": 1}
@@ -97,16 +108,16 @@
         core.vms.failing_reboots.add("vm-1")
         core.reboot_vm("vm-1", "vm-1.1")
         timers.advance(200)
-        assert core.list_vms()[0].state is TERMINATED
+        assert core.list_vms().records[0].state is TERMINATED
         core.reboot_vm("vm-1", "vm-1.1")
         timers.advance(92)
-        assert core.list_vms()[0].boot_id == "vm-1.2"
+        assert core.list_vms().records[0].boot_id == "vm-1.2"
 
     def test_terminated_vm_does_not_come_back(self, core, timers):
         core.reboot_vm("vm-1", "vm-1.1")
         core.vms.terminate("vm-1")
         timers.advance(200)
-        assert core.list_vms()[0].state is TERMINATED
+        assert core.list_vms().records[0].state is TERMINATED
         assert not core.reboot_vm("vm-1", "vm-1.1")
 
 
