--- a/baobabdoor/standin/_main.py
+++ b/baobabdoor/standin/_main.py
@@ -104,8 +104,11 @@
 async def _serve(role: str, deployment: settings.Deployment) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGTERM, stopping.set)
+    # A script's background process starts with SIGINT ignored; an interrupt
+    # then reaches the entries, which still need the stand-ins, but not these.
+    if signal.getsignal(signal.SIGINT) is not signal.SIG_IGN:
+        loop.add_signal_handler(signal.SIGINT, stopping.set)
     server: Any
     if role == "platform":
         server = make_platform(deployment)
