--- a/baobabdoor/platform/_types.py
+++ b/baobabdoor/platform/_types.py
@@ -108,6 +108,8 @@
         availability_zone: Zone of the VM.
         rack: Rack of the VM.
         idle: Whether a draining VM has nothing in progress any more.
+        pool_hint: Pool that the VM was created for; empty for VMs that are not
+            workers. Only used until the VM has a row of its own.
     """
 
     vm_id: str
@@ -117,6 +119,25 @@
     availability_zone: str
     rack: str
     idle: bool = False
+    pool_hint: str = ""
+
+
+@attrs.frozen
+class VmListChanges:
+    """What has changed in the list of VMs since a version of it.
+
+    The whole list of 3,500 VMs is about 0.7 MB, too much for a poll every 2 s.
+
+    Attributes:
+        version: Version of the list with these changes.
+        complete: Whether `records` is the whole list instead, as for a client
+            that has no version or one of another list.
+        records: Records that are new or have changed.
+    """
+
+    version: str
+    complete: bool
+    records: list[VmRecord]
 
 
 @attrs.frozen
