--- a/baobabdoor/slots/__init__.py
+++ b/baobabdoor/slots/__init__.py
@@ -1,6 +1,19 @@
 """How the entries share the slots of each worker."""
 
+from baobabdoor.slots._base import EntrySlots
+from baobabdoor.slots._credits import Credits
 from baobabdoor.slots._interface import SlotPolicy
 from baobabdoor.slots._interface import WorkerSlots
+from baobabdoor.slots._policies import make_policy
+from baobabdoor.slots._static import StaticSplit
+from baobabdoor.slots._two_choices import TwoChoices
 
-__all__ = ["SlotPolicy", "WorkerSlots"]
+__all__ = [
+    "Credits",
+    "EntrySlots",
+    "SlotPolicy",
+    "StaticSplit",
+    "TwoChoices",
+    "WorkerSlots",
+    "make_policy",
+]
--- /dev/null
+++ b/baobabdoor/slots/_credits.py
@@ -0,0 +1,317 @@
+"""Credits for slots, lent by demand from one owner of each worker."""
+
+from typing import Any
+import zlib
+
+import attrs
+
+from baobabdoor.slots import _base
+from baobabdoor.slots import _ledger
+from baobabdoor.slots import _water_filling
+
+# Survives the loss of one exchange of the one-second rhythm and a slow one.
+CREDIT_TTL_S = 3.0
+# A new owner waits for the old credits and for a peer that learns of the new
+# view up to a second later.
+OWNER_WAIT_S = CREDIT_TTL_S + 1.0
+# An entry that its owner does not answer falls back on the static part this
+# long after its credits; by then the owner has set that part aside.
+FALLBACK_S = 2.0
+# Requests that a silent peer reported may still run for this long after its
+# credits have expired.
+RUN_OUT_S = 2.0
+# Early exchanges of one entry are at least this far apart, which keeps them
+# within a tenth of the control budget.
+EARLY_EXCHANGE_S = 0.5
+
+
+@attrs.frozen
+class Credit:
+    """Slots lent by the owner of a worker.
+
+    Attributes:
+        owner: Entry that lent them.
+        count: Number of slots.
+        expires_s: Time at which they expire on the holder's clock.
+    """
+
+    owner: str
+    count: int
+    expires_s: float
+
+
+class Credits(_base.EntrySlots):
+    """Each worker has one owning entry, which lends its slots by demand.
+
+    The owner is found by rendezvous hashing over the entries of the zone. It
+    divides the slots of a worker max-min by the demand that entries reported,
+    and spreads what nobody wants evenly, so that an idle entry can start
+    requests at once. A credit expires a fixed time after the holder sent the
+    report that the owner answers; the owner counts from the receipt of that
+    report, so a credit always expires earlier for its holder.
+
+    Payload fields: `s` number of the payload, `e` number of the latest payload
+    of the receiver, `v` digest of workers and entries, `d` slots wanted in each
+    pool, `u` requests in progress on the receiver's workers, `g` credits on the
+    sender's workers. Lists follow the order of the workers' identifiers, so
+    that identifiers need not be sent.
+
+    Args:
+        entry_id: Identifier of the own entry.
+    """
+
+    def __init__(self, entry_id: str):
+        self.owners_: dict[str, str] = {}
+        self.pool_slots_: dict[str, int] = {}
+        self.ledgers_: dict[str, _ledger.Ledger] = {}
+        self.credits_: dict[str, Credit] = {}
+        self.targets_: dict[str, dict[str, int]] = {}
+        self.numbers_: dict[str, int] = {}
+        self.sent_: dict[str, dict[int, float]] = {}
+        self.started_ = False
+        self.won_: set[str] = set()
+        self.lost_: set[str] = set()
+        self.wait_until_s_: dict[str, float] = {}
+        self.early_s_ = float("-inf")
+        super().__init__(entry_id)
+
+    def view_changed(self) -> None:
+        """Finds the owners again and notes which workers changed owner."""
+        before = self.owners_
+        self.owners_ = {
+            worker_id: max(
+                self.entries_, key=lambda entry: _score(entry, worker_id)
+            )
+            for worker_id in self.workers_
+        }
+        self.pool_slots_ = dict.fromkeys(self.pools_, 0)
+        for worker in self.workers_.values():
+            self.pool_slots_[worker.pool] += worker.slots
+        for worker_id, owner in self.owners_.items():
+            self._note_owner(worker_id, before, owner)
+        self.targets_ = {}
+
+    def usable(self, worker_id: str, now_s: float) -> int:
+        """Returns the slots owned and not lent, or the credits held."""
+        self._settle(now_s)
+        if self.owners_[worker_id] != self.entry_id:
+            return self._held(worker_id, now_s)
+        if now_s < self.wait_until_s_.get(worker_id, now_s):
+            return self._held(worker_id, now_s)
+        if not self.targets_:
+            self._set_targets(now_s)
+        left = self._uncommitted(worker_id, "", now_s)
+        return min(left, self.targets_[worker_id][self.entry_id])
+
+    def wants_exchange(self, now_s: float) -> bool:
+        """Returns whether to exchange now instead of at the next second.
+
+        True at most every `EARLY_EXCHANGE_S`, when requests wait for a pool
+        in which this entry has no slot left. The caller then exchanges with
+        the peers of its zone.
+        """
+        if now_s - self.early_s_ < EARLY_EXCHANGE_S:
+            return False
+        for pool, queued in self.queued_.items():
+            known = queued and pool in self.pool_slots_
+            if known and not self._any_available(pool, now_s):
+                self.early_s_ = now_s
+                return True
+        return False
+
+    def exchange(self, peer_id: str, now_s: float) -> dict[str, Any]:
+        """Returns a report to, and credits for, one peer."""
+        self._settle(now_s)
+        self._set_targets(now_s)
+        number = self.numbers_.get(peer_id, 0) + 1
+        self.numbers_[peer_id] = number
+        sent = self.sent_.setdefault(peer_id, {})
+        sent[number] = now_s
+        for old in [
+            n for n, at_s in sent.items() if now_s - at_s > CREDIT_TTL_S
+        ]:
+            del sent[old]
+        ledger = self.ledgers_.setdefault(peer_id, _ledger.Ledger())
+        return {
+            "s": number,
+            "e": max(0, ledger.heard_number),
+            "v": self.view_digest_,
+            "d": self.demand(),
+            "u": [self.in_use_.get(w, 0) for w in self._owned_by(peer_id)],
+            "g": self._grant(peer_id, ledger, number, now_s),
+        }
+
+    def receive(
+        self, peer_id: str, payload: dict[str, Any], now_s: float
+    ) -> None:
+        """Takes in a peer's report and credits.
+
+        A payload made under another view counts as lost: it is not confirmed,
+        so the sender keeps what it granted reserved until it expires.
+        """
+        self._settle(now_s)
+        number = _base.read_number(payload, "s")
+        if number < 0 or payload.get("v") != self.view_digest_:
+            return
+        ledger = self.ledgers_.setdefault(peer_id, _ledger.Ledger())
+        overtaken = number <= ledger.heard_number
+        # After this silence, a lower number means that the peer has restarted.
+        if overtaken and now_s - ledger.heard_s <= CREDIT_TTL_S:
+            return
+        ledger.heard_number = number
+        ledger.heard_s = now_s
+        confirmed = _base.read_number(payload, "e")
+        ledger.confirm(confirmed)
+        own = self._owned_by(self.entry_id)
+        wanted = _base.read_counts(payload, "d", len(self.pools_))
+        in_use = _base.read_counts(payload, "u", len(own))
+        ledger.wanted = dict(zip(self.pools_, wanted, strict=False))
+        ledger.in_use = dict(zip(own, in_use, strict=False))
+        self._take_credits(peer_id, payload, confirmed)
+        self._set_targets(now_s)
+
+    def _take_credits(
+        self, peer_id: str, payload: dict[str, Any], confirmed: int
+    ) -> None:
+        sent_s = self.sent_.get(peer_id, {}).get(confirmed)
+        workers = self._owned_by(peer_id)
+        counts = _base.read_counts(payload, "g", len(workers))
+        if sent_s is None or not counts:
+            return
+        expires_s = sent_s + CREDIT_TTL_S
+        for worker_id, count in zip(workers, counts, strict=True):
+            self.credits_[worker_id] = Credit(peer_id, count, expires_s)
+
+    def _held(self, worker_id: str, now_s: float) -> int:
+        credit = self.credits_.get(worker_id)
+        if credit is None:
+            return 0
+        if now_s < credit.expires_s:
+            return credit.count
+        if now_s < credit.expires_s + FALLBACK_S:
+            return 0
+        return self._static_part(worker_id)
+
+    def _static_part(self, worker_id: str) -> int:
+        return self.workers_[worker_id].slots // len(self.entries_)
+
+    def _grant(
+        self, peer_id: str, ledger: _ledger.Ledger, number: int, now_s: float
+    ) -> list[int]:
+        """Decides on the credits of one peer and notes the promise."""
+        counts: dict[str, int] = {}
+        if now_s - ledger.heard_s >= CREDIT_TTL_S:
+            return []
+        for worker_id in self._owned_by(self.entry_id):
+            counts[worker_id] = 0
+            if now_s >= self.wait_until_s_.get(worker_id, now_s):
+                left = self._uncommitted(worker_id, peer_id, now_s)
+                left -= self.in_use_.get(worker_id, 0)
+                target = self.targets_[worker_id].get(peer_id, 0)
+                counts[worker_id] = max(0, min(target, left))
+        expires_s = ledger.heard_s + CREDIT_TTL_S
+        ledger.promises.append(_ledger.Promise(number, counts, expires_s))
+        return list(counts.values())
+
+    def _uncommitted(self, worker_id: str, except_id: str, now_s: float) -> int:
+        """Returns the slots that no peer but `except_id` may be using."""
+        left = self.workers_[worker_id].slots
+        for peer_id in {*self.entries_, *self.ledgers_}:
+            if peer_id not in (self.entry_id, except_id):
+                left -= self._committed(peer_id, worker_id, now_s)
+        return max(0, left)
+
+    def _committed(self, peer_id: str, worker_id: str, now_s: float) -> int:
+        ledger = self.ledgers_.get(peer_id)
+        fallback = 0
+        if peer_id in self.entries_:
+            fallback = self._static_part(worker_id)
+        if ledger is None:
+            return fallback
+        ledger.expire(now_s)
+        silent_s = now_s - ledger.heard_s
+        in_use = ledger.in_use.get(worker_id, 0)
+        if silent_s < CREDIT_TTL_S:
+            return max(in_use, ledger.committed(worker_id))
+        if silent_s < CREDIT_TTL_S + RUN_OUT_S:
+            return max(in_use, fallback)
+        return fallback
+
+    def _set_targets(self, now_s: float) -> None:
+        """Divides the slots of the own workers by the demand of the entries."""
+        wanted = {entry: self._wanted(entry, now_s) for entry in self.entries_}
+        self.targets_ = {}
+        for index, worker_id in enumerate(self._owned_by(self.entry_id)):
+            worker = self.workers_[worker_id]
+            scale = worker.slots / self.pool_slots_[worker.pool]
+            parts = _water_filling.water_fill(
+                worker.slots,
+                [
+                    wanted[entry].get(worker.pool, 0) * scale
+                    for entry in self.entries_
+                ],
+            )
+            whole = _water_filling.round_parts(parts, worker.slots, index)
+            self.targets_[worker_id] = dict(
+                zip(self.entries_, whole, strict=True)
+            )
+
+    def _wanted(self, entry_id: str, now_s: float) -> dict[str, int]:
+        if entry_id == self.entry_id:
+            return dict(zip(self.pools_, self.demand(), strict=True))
+        ledger = self.ledgers_.get(entry_id)
+        if ledger is None or now_s - ledger.heard_s >= CREDIT_TTL_S:
+            return {}
+        return ledger.wanted
+
+    def _owned_by(self, entry_id: str) -> list[str]:
+        return [
+            worker_id
+            for worker_id, owner in self.owners_.items()
+            if owner == entry_id
+        ]
+
+    def _any_available(self, pool: str, now_s: float) -> bool:
+        return any(
+            worker.pool == pool and self.available(worker_id, now_s)
+            for worker_id, worker in self.workers_.items()
+        )
+
+    def _note_owner(
+        self, worker_id: str, before: dict[str, str], owner: str
+    ) -> None:
+        """Marks a worker that was won or lost; times follow in `_settle`."""
+        old = before.get(worker_id)
+        # A worker that joins a running zone has no old credits to wait for.
+        if not self.started_ or old is None or old == owner:
+            return
+        if owner == self.entry_id:
+            self.won_.add(worker_id)
+        elif old == self.entry_id:
+            self.lost_.add(worker_id)
+
+    def _settle(self, now_s: float) -> None:
+        """Starts the waits that a change of view made necessary."""
+        if not self.started_:
+            self.started_ = True
+            # Before this entry started, another one owned its workers.
+            if len(self.entries_) > 1:
+                self.won_.update(self._owned_by(self.entry_id))
+        for worker_id in self.won_:
+            self.wait_until_s_[worker_id] = now_s + OWNER_WAIT_S
+        self.won_.clear()
+        for worker_id in self.lost_ & set(self.workers_):
+            # The former owner keeps what it uses as a credit, like its peers.
+            used = self.in_use_.get(worker_id, 0)
+            self.credits_[worker_id] = Credit(
+                self.entry_id, used, now_s + CREDIT_TTL_S
+            )
+        self.lost_.clear()
+
+
+def _score(entry_id: str, worker_id: str) -> int:
+    """Returns the rank of an entry for a worker (rendezvous hashing)."""
+    # CRC alone is linear, so two entries would be ranked alike for most
+    # workers; the multiplication mixes the bits.
+    digest = zlib.crc32(f"{entry_id}/{worker_id}".encode())
+    return (digest * 0x9E3779B97F4A7C15 >> 16) & 0xFFFFFFFF
--- /dev/null
+++ b/baobabdoor/slots/_ledger.py
@@ -0,0 +1,59 @@
+"""What the owner of a worker has promised to one peer."""
+
+import attrs
+
+
+@attrs.frozen
+class Promise:
+    """Credits that one payload granted.
+
+    Attributes:
+        number: Number of the payload.
+        counts: Credits by worker.
+        expires_s: Time on the owner's clock at which they have expired.
+    """
+
+    number: int
+    counts: dict[str, int]
+    expires_s: float
+
+
+@attrs.define
+class Ledger:
+    """Promises to one peer and what the peer last reported.
+
+    A promise binds the owner until the peer has confirmed a later payload or
+    the promise has expired, because payloads are lost and overtake each other.
+
+    Attributes:
+        promises: Promises that may still be used, oldest first.
+        in_use: Reported requests in progress by worker.
+        wanted: Reported demand by pool.
+        heard_number: Number of the latest payload; -1 before the first.
+        heard_s: Time of its receipt.
+    """
+
+    promises: list[Promise] = attrs.field(factory=list)
+    in_use: dict[str, int] = attrs.field(factory=dict)
+    wanted: dict[str, int] = attrs.field(factory=dict)
+    heard_number: int = -1
+    heard_s: float = float("-inf")
+
+    def confirm(self, number: int) -> None:
+        """Drops the promises that a confirmed payload has replaced."""
+        self.promises = [
+            promise for promise in self.promises if promise.number >= number
+        ]
+
+    def expire(self, now_s: float) -> None:
+        """Drops the promises that have expired."""
+        self.promises = [
+            promise for promise in self.promises if promise.expires_s > now_s
+        ]
+
+    def committed(self, worker_id: str) -> int:
+        """Returns how many slots the peer may be using."""
+        promised = [
+            promise.counts.get(worker_id, 0) for promise in self.promises
+        ]
+        return max(promised, default=0)
