Plan maintenance waves under the availability budget

WavePlanner reads due VMs, VMs out of service and failed reboots from the rows only, so that a roll-out continues under another controller. A pool refills as soon as one of its VMs is back. OneAtATimePlanner is the naive baseline.

--- a/baobabdoor/maintenance/__init__.py
+++ b/baobabdoor/maintenance/__init__.py
@@ -1,6 +1,17 @@
 """Plans maintenance reboots under each pool's availability budget."""
 
+from baobabdoor.maintenance._availability import allowance
+from baobabdoor.maintenance._availability import members_by_pool
 from baobabdoor.maintenance._interface import MaintenancePolicy
 from baobabdoor.maintenance._interface import StartMaintenance
+from baobabdoor.maintenance._waves import OneAtATimePlanner
+from baobabdoor.maintenance._waves import WavePlanner
 
-__all__ = ["MaintenancePolicy", "StartMaintenance"]
+__all__ = [
+    "MaintenancePolicy",
+    "OneAtATimePlanner",
+    "StartMaintenance",
+    "WavePlanner",
+    "allowance",
+    "members_by_pool",
+]
--- /dev/null
+++ b/baobabdoor/maintenance/_waves.py
@@ -0,0 +1,152 @@
+"""Maintenance policies: waves under the budget, and one VM at a time."""
+
+from collections.abc import Sequence
+
+from baobabdoor import ownership
+from baobabdoor import settings
+from baobabdoor.maintenance import _availability
+from baobabdoor.maintenance import _domains
+from baobabdoor.maintenance import _interface
+from baobabdoor.maintenance import _roll_out
+
+
+class WavePlanner(_interface.MaintenancePolicy):
+    """Takes as many VMs at once as each pool's budget and promise leave.
+
+    The planner keeps no state: which VMs are due, which are out and how many
+    reboots failed in a row is read from the rows at each call, so a roll-out
+    continues under another controller. A pool refills as soon as one of its
+    VMs is back instead of waiting for the whole wave, which keeps a roll-out
+    near its lower bound, VMs x reboot time / VMs at once.
+
+    Example:
+        >>> planner = WavePlanner()
+        >>> starts = planner.plan(snapshot, deployment, preset, wall_ms)
+    """
+
+    def plan(
+        self,
+        snapshot: ownership.FleetSnapshot,
+        deployment: settings.Deployment,
+        preset: settings.Preset,
+        wall_ms: int,
+    ) -> list[_interface.StartMaintenance]:
+        """Returns the VMs to take out of service now; see the base class."""
+        if _stopped(snapshot, deployment, preset, wall_ms):
+            return []
+        roll_out = _roll_out.RollOut.at(preset.maintenance, wall_ms)
+        vms = list(snapshot.vms.values())
+        if not any(roll_out.is_due(vm) for vm in vms):
+            return []
+        wave = _Wave(
+            _domains.DomainCounts(vms), roll_out, deployment.workers_per_rack
+        )
+        starts = []
+        members_by_pool = _availability.members_by_pool(vms)
+        for pool, promise in sorted(preset.pools.items()):
+            members = members_by_pool.get(pool, [])
+            count = _availability.allowance(members, promise)
+            starts.extend(wave.choose(members, count))
+        return starts
+
+
+class OneAtATimePlanner(_interface.MaintenancePolicy):
+    """Naive baseline: reboots one VM of the whole deployment at a time."""
+
+    def plan(
+        self,
+        snapshot: ownership.FleetSnapshot,
+        deployment: settings.Deployment,
+        preset: settings.Preset,
+        wall_ms: int,
+    ) -> list[_interface.StartMaintenance]:
+        """Returns the next VM if none is out for maintenance."""
+        if _stopped(snapshot, deployment, preset, wall_ms):
+            return []
+        vms = list(snapshot.vms.values())
+        if any(_in_progress(vm) for vm in vms):
+            return []
+        roll_out = _roll_out.RollOut.at(preset.maintenance, wall_ms)
+        members_by_pool = _availability.members_by_pool(vms)
+        for vm in sorted(vms, key=_age):
+            promise = preset.pools.get(vm.pool)
+            if promise is None or not _eligible(vm, roll_out):
+                continue
+            if _availability.allowance(members_by_pool[vm.pool], promise):
+                return [_start(vm, roll_out)]
+        return []
+
+
+class _Wave:
+    """The VMs chosen in one call, over all pools."""
+
+    def __init__(
+        self,
+        domains: _domains.DomainCounts,
+        roll_out: _roll_out.RollOut,
+        workers_per_rack: int,
+    ):
+        self.domains = domains
+        self.roll_out = roll_out
+        self.workers_per_rack = workers_per_rack
+
+    def choose(
+        self, members: Sequence[ownership.VmState], count: int
+    ) -> list[_interface.StartMaintenance]:
+        """Returns up to `count` VMs of one pool, spread over its domains."""
+        candidates = [vm for vm in members if _eligible(vm, self.roll_out)]
+        starts = []
+        while candidates and len(starts) < count:
+            vm = min(candidates, key=self._preference)
+            candidates.remove(vm)
+            if self.domains.completes_second_domain(vm):
+                continue
+            self.domains.take(vm)
+            starts.append(_start(vm, self.roll_out))
+        return starts
+
+    def _preference(self, vm: ownership.VmState) -> tuple:
+        # VMs that missed whole periods come first wherever they are. Among the
+        # others spreading comes before age, because their ages differ by less
+        # than one roll-out.
+        zone_is_full = self.domains.zone_lost(vm) >= self.workers_per_rack
+        return (
+            -self.roll_out.periods_missed(vm),
+            zone_is_full,
+            self.domains.crowding(vm),
+            _age(vm),
+        )
+
+
+def _stopped(
+    snapshot: ownership.FleetSnapshot,
+    deployment: settings.Deployment,
+    preset: settings.Preset,
+    wall_ms: int,
+) -> bool:
+    policy = preset.maintenance
+    if not policy.enabled:
+        return True
+    failed = _roll_out.failed_in_a_row(
+        snapshot.vms.values(), deployment, wall_ms
+    )
+    return failed >= policy.max_failed_reboots
+
+
+def _eligible(vm: ownership.VmState, roll_out: _roll_out.RollOut) -> bool:
+    return vm.in_service and not vm.intent and roll_out.is_due(vm)
+
+
+def _in_progress(vm: ownership.VmState) -> bool:
+    maintained = bool(vm.intent) and vm.target_pool == vm.pool
+    return maintained and vm.phase is not ownership.Phase.FAILED
+
+
+def _age(vm: ownership.VmState) -> tuple[int, str]:
+    return (vm.last_maintained_ms, vm.vm_id)
+
+
+def _start(
+    vm: ownership.VmState, roll_out: _roll_out.RollOut
+) -> _interface.StartMaintenance:
+    return _interface.StartMaintenance(vm.vm_id, vm.pool, roll_out.roll_out_id)
