Forward a request through the entry to a backend server

The caller port decides on headers before the body, queues, dispatches to free slots and returns whole answers. The metrics module named a class that aioprometheus does not export, which broke its import.

--- /dev/null
+++ b/baobabdoor/entry/_local_paths.py
@@ -0,0 +1,112 @@
+"""Paths of the caller port that the entry answers itself."""
+
+from collections.abc import Callable
+import json
+
+from tornado import httputil
+from tornado import web
+
+from baobabdoor import base
+from baobabdoor import requests
+from baobabdoor.entry import _caller_request
+
+Handler = Callable[[_caller_request.CallerRequest, bytes], None]
+
+
+class LocalPaths:
+    """Finds the handler of a path.
+
+    Args:
+        ready: Returns a refusal while the entry takes no requests.
+        issue_ticket: Returns a new ticket, or a refusal.
+        job_routes: Tornado routes below `/v1/jobs`. Default: none; such
+            requests get 404.
+    """
+
+    def __init__(
+        self,
+        ready: Callable[[], base.Refusal | None],
+        issue_ticket: Callable[[], str | base.Refusal],
+        job_routes: list | None = None,
+    ):
+        self.ready = ready
+        self.issue_ticket = issue_ticket
+        self.job_routes = job_routes
+        self.handlers_: dict[str, Handler] = {
+            "/healthz": self._healthz,
+            "/readyz": self._readyz,
+            "/v1/tickets": self._tickets,
+        }
+        self.application_: web.Application | None = None
+        if job_routes is not None:
+            self.application_ = web.Application(
+                job_routes, log_function=self._job_ended
+            )
+        self.job_requests_: dict[
+            httputil.HTTPConnection, _caller_request.CallerRequest
+        ] = {}
+
+    def find(self, target: str) -> Handler | None:
+        """Returns the handler of a request target; None for other paths."""
+        handler = self.handlers_.get(target)
+        if handler is not None:
+            return handler
+        path = target.partition("?")[0]
+        if path == "/v1/jobs" or path.startswith("/v1/jobs/"):
+            return self._jobs
+        return self.handlers_.get(path)
+
+    def _healthz(
+        self, request: _caller_request.CallerRequest, body: bytes
+    ) -> None:
+        request.answer_plain(_plain(200, {"healthy": True}))
+
+    def _readyz(
+        self, request: _caller_request.CallerRequest, body: bytes
+    ) -> None:
+        refusal = self.ready()
+        if refusal is None:
+            request.answer_plain(_plain(200, {"ready": True}))
+        else:
+            _refuse(request, refusal)
+
+    def _tickets(
+        self, request: _caller_request.CallerRequest, body: bytes
+    ) -> None:
+        if request.start_line.method != "POST":
+            request.answer_plain(_plain(405, {"expected": "POST"}))
+            return
+        ticket = self.issue_ticket()
+        if isinstance(ticket, base.Refusal):
+            _refuse(request, ticket)
+        else:
+            request.answer_plain(_plain(201, {"ticket": ticket}))
+
+    def _jobs(
+        self, request: _caller_request.CallerRequest, body: bytes
+    ) -> None:
+        if self.application_ is None:
+            _refuse(request, base.Refusal(base.Reason.NOT_FOUND, "entry.jobs"))
+            return
+        connection = request.connection
+        self.job_requests_[connection] = request
+        delegate = self.application_.start_request(None, connection)
+        delegate.headers_received(request.start_line, request.headers)
+        if body:
+            delegate.data_received(body)
+        delegate.finish()
+
+    def _job_ended(self, handler: web.RequestHandler) -> None:
+        request = self.job_requests_.pop(handler.request.connection, None)
+        if request is not None:
+            request.forget()
+
+
+def _refuse(
+    request: _caller_request.CallerRequest, refusal: base.Refusal
+) -> None:
+    request.answer(requests.Failure(requests.Outcome.NOT_RUN, refusal))
+
+
+def _plain(status: int, fields: dict) -> _caller_request.PlainAnswer:
+    return _caller_request.PlainAnswer(status, json.dumps(fields).encode())
--- /dev/null
+++ b/baobabdoor/entry/_main.py
@@ -0,0 +1,31 @@
+"""Command line of `baobabdoor-entry`."""
+
+import asyncio
+import sys
+
+from absl import app
+from absl import flags
+
+from baobabdoor import settings
+from baobabdoor.entry import _daemon
+
+FLAGS = flags.FLAGS
+EXIT_SETTINGS = 2
+
+
+def _run(argv: list[str]) -> int:
+    if len(argv) > 1:
+        raise app.UsageError(f"unexpected argument {argv[1]!r}")
+    try:
+        entry_settings = settings.load_entry(FLAGS.config)
+    except settings.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    return asyncio.run(_daemon.run(entry_settings))
+
+
+def main() -> None:
+    """Entry point of `baobabdoor-entry`."""
+    flags.DEFINE_string("config", None, "Settings file of this entry.")
+    flags.mark_flag_as_required("config")
+    app.run(_run)
--- /dev/null
+++ b/baobabdoor/entry/_work.py
@@ -0,0 +1,56 @@
+"""One request on its way through the entry."""
+
+from collections.abc import Callable
+import enum
+
+import attrs
+from tornado import httputil
+
+from baobabdoor import admission
+from baobabdoor import idempotency
+from baobabdoor import requests
+
+Result = requests.Reply | requests.Failure
+
+
+class Stage(enum.Enum):
+    """Where a request is."""
+
+    QUEUED = "queued"
+    PARKED = "parked"
+    DISPATCHED = "dispatched"
+    ENDED = "ended"
+
+
+@attrs.define(eq=False, slots=True)
+class Work:
+    """A request, independent of the connection that it came on.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query.
+        headers: Headers as received.
+        info: What the headers say.
+        item: What admission knows of it.
+        finish: Called once with the result.
+        body: The whole body; valid once `ready`.
+        ready: Whether the body is whole and the idempotency key is settled.
+        stage: Where the request is.
+        settle: Called with the result before `finish`, to keep the outcome
+            of an idempotency key.
+        ticket: The ticket that the idempotency key is, if it is one.
+        abandoned: Whether nobody waits for the result any more.
+    """
+
+    method: str
+    target: str
+    headers: httputil.HTTPHeaders
+    info: requests.RequestInfo
+    item: admission.WorkItem
+    finish: Callable[[Result], None]
+    body: bytes = b""
+    ready: bool = False
+    stage: Stage = Stage.PARKED
+    settle: Callable[[Result], None] | None = None
+    ticket: idempotency.Ticket | None = None
+    abandoned: bool = False
--- /dev/null
+++ b/baobabdoor/idempotency/_tickets.py
@@ -0,0 +1,227 @@
+"""Tickets that one incarnation of one entry issues and starts at most once."""
+
+import collections
+import hmac
+import re
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import requests
+from baobabdoor.idempotency import _stored
+
+STEP = "idempotency.ticket"
+# Longer than the retries of a usual caller, and short enough to remember
+# every started ticket until it expires.
+VALIDITY_S = 600
+# About 250 bytes each.
+MAX_STARTED = 32_768
+MAX_STORED_BYTES = 4 * 1024 * 1024
+# Bits of the number that count tickets; the bits above are the second of issue.
+COUNTER_BITS = 32
+MAC_LENGTH = 32
+_TICKET = re.compile(
+    r"([a-z0-9-]{1,63})\.([A-Za-z0-9_-]{1,64})\.([0-9]{1,20})"
+    rf"\.([0-9a-f]{{{MAC_LENGTH}}})"
+)
+
+
+@attrs.frozen
+class Ticket:
+    """A parsed ticket, which may be forged.
+
+    Attributes:
+        entry_id: Entry that issued it.
+        incarnation: Incarnation of that entry.
+        number: Second of issue and a counter.
+        mac: Message authentication code of the other fields.
+    """
+
+    entry_id: str
+    incarnation: str
+    number: int
+    mac: str
+
+    @property
+    def issued_s(self) -> int:
+        """Monotonic second of the issuing process."""
+        return self.number >> COUNTER_BITS
+
+
+def parse_ticket(key: str) -> Ticket | None:
+    """Returns the ticket that a key is; None for a caller's own key."""
+    match = _TICKET.fullmatch(key)
+    if match is None:
+        return None
+    entry_id, incarnation, number, mac = match.groups()
+    return Ticket(entry_id, incarnation, int(number), mac)
+
+
+@attrs.frozen
+class Started:
+    """The request may be sent now, once.
+
+    Attributes:
+        number: Number of the ticket.
+    """
+
+    number: int
+
+
+@attrs.define
+class _Record:
+    """A started ticket; `result` is None while the request is in progress."""
+
+    fingerprint: str
+    result: requests.Reply | requests.Failure | None = None
+
+
+class Tickets:
+    """Issues tickets, and remembers each started one until it expires.
+
+    Args:
+        entry_id: Identifier of the entry.
+        incarnation: Incarnation of the entry's process.
+        secret: Random key of this process, at least 16 bytes.
+        validity_s: Time in which a ticket can be started, in whole seconds.
+            Default: 600.
+        max_started: Most tickets started within that time. Default: 32,768.
+        max_stored_bytes: Most bytes of stored answers. Default: 4 MiB.
+
+    Example:
+        >>> tickets = Tickets("entry-1", "7", bytes(16))
+        >>> ticket = parse_ticket(tickets.issue(now_s=5.0))
+        >>> tickets.begin(ticket, "f", now_s=6.0)
+        Started(number=21474836481)
+        >>> tickets.begin(ticket, "f", now_s=6.0).refusal.reason.value
+        'key-in-use'
+    """
+
+    PARAMETER_CONSTRAINTS = {
+        "validity_s": base.Interval(1, integer=True),
+        "max_started": base.Interval(1, integer=True),
+        "max_stored_bytes": base.Interval(0, integer=True),
+    }
+
+    def __init__(
+        self,
+        entry_id: str,
+        incarnation: str,
+        secret: bytes,
+        validity_s: int = VALIDITY_S,
+        max_started: int = MAX_STARTED,
+        max_stored_bytes: int = MAX_STORED_BYTES,
+    ):
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.secret = secret
+        self.validity_s = validity_s
+        self.max_started = max_started
+        self.max_stored_bytes = max_stored_bytes
+        self.counter_ = 0
+        self.records_: dict[int, _Record] = {}
+        # Started numbers by second of issue, oldest second first to expire.
+        self.by_second_: dict[int, list[int]] = collections.defaultdict(list)
+        self.stored_: collections.deque[tuple[int, int]] = collections.deque()
+        self.stored_bytes_ = 0
+
+    def issue(self, now_s: float) -> str:
+        """Returns a new ticket."""
+        if not self.counter_:
+            base.validate(self)
+        self.counter_ += 1
+        number = (int(now_s) << COUNTER_BITS) | self.counter_
+        mac = self._mac(number)
+        return f"{self.entry_id}.{self.incarnation}.{number}.{mac}"
+
+    def check(self, ticket: Ticket, now_s: float) -> requests.Failure | None:
+        """Returns why a ticket can never be started; None if it might be."""
+        if ticket.entry_id != self.entry_id:
+            return _stored.unknown(
+                base.Reason.PEER_GONE, "", ticket.entry_id, STEP
+            )
+        if ticket.incarnation != self.incarnation:
+            detail = "issued before the entry restarted"
+            return _stored.unknown(
+                base.Reason.PEER_GONE, detail, ticket.entry_id, STEP
+            )
+        if not hmac.compare_digest(self._mac(ticket.number), ticket.mac):
+            return _stored.not_run(base.Reason.FORGED, step=STEP)
+        if self._expired(ticket.issued_s, now_s):
+            # It may have been started before it expired.
+            return _stored.unknown(base.Reason.TICKET_EXPIRED, step=STEP)
+        return None
+
+    def begin(
+        self, ticket: Ticket, fingerprint: str, now_s: float
+    ) -> Started | requests.Reply | requests.Failure:
+        """Starts a ticket, or returns the result of its request."""
+        failure = self.check(ticket, now_s)
+        if failure is not None:
+            return failure
+        record = self.records_.get(ticket.number)
+        if record is not None:
+            return self._repeat(record, fingerprint)
+        if len(self.records_) >= self.max_started:
+            detail = "too many tickets started"
+            return _stored.not_run(base.Reason.NO_CAPACITY, detail, step=STEP)
+        self.records_[ticket.number] = _Record(fingerprint)
+        self.by_second_[ticket.issued_s].append(ticket.number)
+        return Started(ticket.number)
+
+    def settle(
+        self, started: Started, result: requests.Reply | requests.Failure
+    ) -> None:
+        """Stores the result of a started ticket's request.
+
+        A ticket whose request was not run can be started again.
+        """
+        record = self.records_.get(started.number)
+        if record is None:
+            return
+        if result.outcome is requests.Outcome.NOT_RUN:
+            del self.records_[started.number]
+            return
+        record.result = result
+        if isinstance(result, requests.Reply):
+            self._store(started.number, len(result.body))
+
+    def expire(self, now_s: float) -> None:
+        """Forgets tickets that can no longer be started."""
+        for second in list(self.by_second_):
+            if self._expired(second, now_s):
+                for number in self.by_second_.pop(second):
+                    self.records_.pop(number, None)
+        while self.stored_ and self.stored_[0][0] not in self.records_:
+            self.stored_bytes_ -= self.stored_.popleft()[1]
+
+    def _expired(self, issued_s: int, now_s: float) -> bool:
+        return now_s >= issued_s + self.validity_s
+
+    def _repeat(
+        self, record: _Record, fingerprint: str
+    ) -> requests.Reply | requests.Failure:
+        if record.fingerprint != fingerprint:
+            return _stored.not_run(base.Reason.FINGERPRINT_MISMATCH, step=STEP)
+        if record.result is None:
+            detail = "the first request with this ticket is in progress"
+            return _stored.unknown(base.Reason.KEY_IN_USE, detail, step=STEP)
+        return record.result
+
+    def _store(self, number: int, length: int) -> None:
+        self.stored_.append((number, length))
+        self.stored_bytes_ += length
+        while self.stored_bytes_ > self.max_stored_bytes:
+            dropped, dropped_bytes = self.stored_.popleft()
+            self.stored_bytes_ -= dropped_bytes
+            record = self.records_.get(dropped)
+            if record is not None:
+                detail = "the request ran; its answer is no longer stored"
+                record.result = _stored.unknown(
+                    base.Reason.UNKNOWN_RESULT, detail, step=STEP
+                )
+
+    def _mac(self, number: int) -> str:
+        message = f"{self.entry_id}.{self.incarnation}.{number}".encode()
+        digest = hmac.digest(self.secret, message, "sha256")
+        return digest.hex()[:MAC_LENGTH]
--- a/baobabdoor/observability/_metrics.py
+++ b/baobabdoor/observability/_metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of a daemon and the handler that shows them."""
 
 import aioprometheus
+from aioprometheus import collectors
 from aioprometheus import renderer
 from tornado import web
 
@@ -15,7 +16,7 @@
 
     def __init__(self):
         self.registry_ = aioprometheus.Registry()
-        self.collectors_: dict[str, aioprometheus.Collector] = {}
+        self.collectors_: dict[str, collectors.Collector] = {}
 
     def count(
         self, name: str, labels: dict[str, str] | None = None, amount: float = 1
@@ -36,7 +37,7 @@
         collector = self._collector(aioprometheus.Histogram, name)
         collector.observe(labels or {}, value_s)
 
-    def _collector(self, kind: type, name: str) -> aioprometheus.Collector:
+    def _collector(self, kind: type, name: str) -> collectors.Collector:
         collector = self.collectors_.get(name)
         if collector is None:
             doc = name.replace("_", " ")
