--- a/baobabdoor/standin/_backend_server.py
+++ b/baobabdoor/standin/_backend_server.py
@@ -350,6 +350,12 @@
             }
         )
 
+    def post(self) -> None:
+        """Returns the runs of each of the request `ids`."""
+        counter = self.server.counter_
+        ids = self.arguments()["ids"]
+        self.answer({name: counter.get(f"id:{name}") for name in ids})
+
 
 class _FaultsHandler(_BackendAdminHandler):
 
--- a/baobabdoor/standin/_main.py
+++ b/baobabdoor/standin/_main.py
@@ -23,22 +23,29 @@
 
 FLAGS = flags.FLAGS
 ROLES = ("platform", "backend")
+USAGE = "usage: baobabdoor-standin platform|backend --deployment=FILE [flags]"
+EXIT_USAGE = 2
+MAX_PORT = 65_535
 
 
 def define_flags() -> None:
     """Defines the command's flags; called once, before they are parsed."""
     flags.DEFINE_string("deployment", None, "Deployment file.", required=True)
     flags.DEFINE_string("host", "127.0.0.1", "IP number to listen on.")
-    flags.DEFINE_integer("admin_port", 21190, "Port that switches faults.")
+    _define_port("admin_port", 21190, "Port that switches faults.")
     flags.DEFINE_string("vm_host", "127.0.0.1", "IP number of all workers.")
-    flags.DEFINE_integer(
+    _define_port(
         "vm_base_port", 21100, "Port of the first worker; the next follow it."
     )
     flags.DEFINE_enum(
         "log_level", "info", ["debug", "info", "warning", "error"], "Logs."
     )
     flags.DEFINE_multi_integer(
-        "port", [21000], "platform: ports, each with faults of its own."
+        "port",
+        [21000],
+        "platform: ports, each with faults of its own.",
+        lower_bound=1,
+        upper_bound=MAX_PORT,
     )
     flags.DEFINE_string(
         "backend_admin", "", "platform: admin URL of the backend stand-in."
@@ -54,6 +61,13 @@
     flags.DEFINE_float("work_ms", 5.0, "backend: time that a request runs.")
 
 
+def _define_port(name: str, default: int, text: str) -> None:
+    # The system takes a larger number modulo 65,536.
+    flags.DEFINE_integer(
+        name, default, text, lower_bound=1, upper_bound=MAX_PORT
+    )
+
+
 def _workers(deployment: settings.Deployment) -> list[_vms.VmSpec]:
     host, base_port = FLAGS.vm_host, FLAGS.vm_base_port
     return _layout.lay_out(
@@ -132,13 +146,14 @@
 
 def _run(argv: list[str]) -> int:
     if len(argv) != 2 or argv[1] not in ROLES:
-        raise app.UsageError(f"expected one of {ROLES}, found {argv[1:]}")
+        print(USAGE, file=sys.stderr)
+        return EXIT_USAGE
     observability.configure_logs(f"standin-{argv[1]}", FLAGS.log_level)
     try:
         deployment = settings.load_deployment(FLAGS.deployment)
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
-        return 2
+        return EXIT_USAGE
     asyncio.run(_serve(argv[1], deployment))
     return 0
 
@@ -146,4 +161,12 @@
 def main() -> None:
     """Entry point of `baobabdoor-standin`."""
     define_flags()
-    app.run(_run)
+    app.run(_run, flags_parser=_parse_flags)
+
+
+def _parse_flags(argv: list[str]) -> list[str]:
+    try:
+        return FLAGS(argv)
+    except flags.Error as error:
+        print(f"{error}\n{USAGE}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
