Shorten the request path and measure it against bare forwarders

Heads are encoded once, headers are classified in one pass, routing looks at two workers and the wait for headers is limited without a timer for each request.

--- a/baobabdoor/entry/_backend_client.py
+++ b/baobabdoor/entry/_backend_client.py
@@ -49,17 +49,25 @@
     Attributes:
         method: HTTP method.
         target: Path and query.
-        headers: Headers without those of the caller's connection.
+        headers: Names and values, checked by the parser that read them,
+            without those of the caller's connection.
         body: The whole body.
         deadline_s: Monotonic time at which the exchange is abandoned.
     """
 
     method: str
     target: str
-    headers: httputil.HTTPHeaders
+    headers: list[tuple[str, str]]
     body: bytes
     deadline_s: float
 
+    def head(self) -> bytes:
+        """Returns the request line and the headers."""
+        lines = [f"{self.method} {self.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in self.headers]
+        lines.append("\r\n")
+        return "\r\n".join(lines).encode("latin-1")
+
 
 class AnswerReader(httputil.HTTPMessageDelegate):
     """Collects the answers that arrive on one connection."""
@@ -158,13 +166,24 @@
         self.deadline_s = request.deadline_s
         self.answer_ = asyncio.get_running_loop().create_future()
         exchange.observe(requests.Progress.SENT)
-        start_line = httputil.RequestStartLine(
-            request.method, request.target, "HTTP/1.1"
-        )
-        self.http.write_headers(start_line, request.headers, request.body)
-        self.http.finish()
+        self._write(request)
         return self.answer_
 
+    def _write(self, request: OutgoingRequest) -> None:
+        if request.method == "HEAD":
+            # The parser must know that the answer has no body.
+            start_line = httputil.RequestStartLine(
+                "HEAD", request.target, "HTTP/1.1"
+            )
+            headers = httputil.HTTPHeaders()
+            for name, value in request.headers:
+                headers.add(name, value)
+            self.http.write_headers(start_line, headers, request.body)
+        else:
+            # A head encoded here costs a third of one checked again.
+            self.http.write(request.head() + request.body)
+        self.http.finish()
+
     def abandon(self, refusal: base.Refusal) -> None:
         """Closes the connection and ends its exchange."""
         self.close()
--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -1,6 +1,7 @@
 """One request on a caller's connection: its body, its answer, its limits."""
 
 from collections.abc import Callable
+import functools
 import http
 from typing import Any
 
@@ -18,6 +19,10 @@
 # A refused body up to this size is read and dropped, so that the caller can
 # read the answer: closing with unread data resets the connection.
 MAX_DROPPED_BYTES = 262_144
+# Time without the headers of a request. Balancers that keep connections close
+# them earlier. Checked here because a timer of the library for each request
+# costs a tenth of forwarding it.
+IDLE_S = 75.0
 STEP = "entry.read"
 
 
@@ -58,6 +63,7 @@
         "local",
         "start_line",
         "headers",
+        "idle_limit_s",
     )
 
     def __init__(self, server: Any, connection: httputil.HTTPConnection):
@@ -72,6 +78,8 @@
         self.gone = False
         self.limit_s = float("inf")
         self.local: Callable | None = None
+        self.start_line: httputil.RequestStartLine | None = None
+        self.idle_limit_s = server.timers.now_s() + IDLE_S
 
     def headers_received(
         self,
@@ -96,7 +104,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Keeps a part of the body, or drops it after a refusal."""
         self.length += len(chunk)
-        if self.answered:
+        if self.answered or self.finished:
             if self.length > MAX_DROPPED_BYTES:
                 self._finish_connection()
             return
@@ -141,10 +149,8 @@
 
     def answer_plain(self, answer: PlainAnswer) -> None:
         """Writes an answer of the entry itself."""
-        headers = httputil.HTTPHeaders()
-        headers["Content-Type"] = answer.content_type
-        phrase = http.HTTPStatus(answer.status).phrase
-        self._write(answer.status, phrase, headers, answer.body)
+        headers = [("Content-Type", answer.content_type)]
+        self._write(answer.status, _phrase(answer.status), headers, answer.body)
 
     def expire(self, now_s: float) -> None:
         """Ends the request if its body or its answer takes too long."""
@@ -166,26 +172,24 @@
         return body
 
     def _write_reply(self, reply: requests.Reply) -> None:
-        headers = httputil.HTTPHeaders()
-        for name, value in reply.headers:
-            headers.add(name, value)
-        headers[requests.OUTCOME_HEADER] = reply.outcome.value
+        headers = [
+            pair for pair in reply.headers if pair[0] != "Content-Length"
+        ]
+        headers.append((requests.OUTCOME_HEADER, reply.outcome.value))
+        if self.start_line.method == "HEAD" or reply.status == 304:
+            # The length is that of a body which is not sent.
+            headers = [*reply.headers, headers[-1]]
         self._write(reply.status, reply.reason, headers, reply.body)
 
     def _write_failure(self, failure: requests.Failure) -> None:
-        headers = httputil.HTTPHeaders()
-        headers["Content-Type"] = "application/json"
-        headers[requests.OUTCOME_HEADER] = failure.outcome.value
-        if failure.retry_after_s:
-            headers["Retry-After"] = str(failure.retry_after_s)
-        phrase = http.HTTPStatus(failure.status).phrase
-        self._write(failure.status, phrase, headers, failure.body())
+        status, headers, body = _failure_parts(failure)
+        self._write(status, _phrase(status), list(headers), body)
 
     def _write(
         self,
         status: int,
         phrase: str,
-        headers: httputil.HTTPHeaders,
+        headers: list[tuple[str, str]],
         body: bytes,
     ) -> None:
         if self.answered or self.gone:
@@ -195,16 +199,34 @@
         if self.start_line.method == "HEAD":
             body = b""
         elif status not in (204, 304):
-            headers["Content-Length"] = str(len(body))
-        if self.server.draining or not self.body_whole and self._long_body():
-            headers["Connection"] = "close"
-        start_line = httputil.ResponseStartLine("HTTP/1.1", status, phrase)
-        self.connection.write_headers(start_line, headers, body)
+            headers.append(("Content-Length", str(len(body))))
+        closing = self._closing()
+        if closing:
+            headers.append(("Connection", "close"))
+        elif self.start_line.version == "HTTP/1.0":
+            headers.append(("Connection", "keep-alive"))
+        lines = [f"HTTP/1.1 {status} {phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        lines.append("\r\n")
+        # A head encoded here costs a third of one checked again; the parser
+        # of the backend server's answer has checked its headers.
+        head = "\r\n".join(lines).encode("latin-1")
+        self.connection.write(head + body)
         if self.body_whole:
             self._finish_connection()
 
+    def _closing(self) -> bool:
+        if self.server.draining or (not self.body_whole and self._long_body()):
+            return True
+        asked = self.headers.get("Connection", "").lower()
+        if self.start_line.version == "HTTP/1.0":
+            return asked != "keep-alive"
+        return asked == "close"
+
     def _long_body(self) -> bool:
-        length = self.headers.get("Content-Length", "")
+        if "Transfer-Encoding" in self.headers:
+            return True
+        length = self.headers.get("Content-Length", "0")
         return not length.isdigit() or int(length) > MAX_DROPPED_BYTES
 
     def _finish_connection(self) -> None:
@@ -222,3 +244,22 @@
             self.server.open_.discard(self)
             self.server.unreserve(sum(map(len, self.chunks)))
             self.chunks = []
+
+
+# Refusals under load are few different ones, so their form is made once.
+@functools.lru_cache(maxsize=256)
+def _failure_parts(
+    failure: requests.Failure,
+) -> tuple[int, tuple[tuple[str, str], ...], bytes]:
+    headers = [
+        ("Content-Type", "application/json"),
+        (requests.OUTCOME_HEADER, failure.outcome.value),
+    ]
+    if failure.retry_after_s:
+        headers.append(("Retry-After", str(failure.retry_after_s)))
+    return failure.status, tuple(headers), failure.body()
+
+
+@functools.cache
+def _phrase(status: int) -> str:
+    return http.HTTPStatus(status).phrase
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from tornado import httpserver
 from tornado import httputil
 
 from baobabdoor import base
@@ -46,6 +47,7 @@
         self.max_body_bytes = max_body_bytes
         self.draining = False
         self.open_: set[_caller_request.CallerRequest] = set()
+        self.connections_: dict[object, _caller_request.CallerRequest] = {}
         self.buffered_ = 0
         self.refused_ = 0
 
@@ -53,10 +55,13 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> _caller_request.CallerRequest:
         """Returns the receiver of one request."""
-        return _caller_request.CallerRequest(self, request_conn)
+        request = _caller_request.CallerRequest(self, request_conn)
+        self.connections_[server_conn] = request
+        return request
 
     def on_close(self, server_conn: object) -> None:
-        """Does nothing; each request notices the close itself."""
+        """Forgets a connection."""
+        self.connections_.pop(server_conn, None)
 
     def accept(
         self, request: _caller_request.CallerRequest, now_s: float
@@ -134,6 +139,13 @@
             else:
                 request.expire(now_s)
 
+    def close_idle(self) -> None:
+        """Closes connections that have brought no headers for long."""
+        now_s = self.timers.now_s()
+        for request in list(self.connections_.values()):
+            if request.start_line is None and now_s >= request.idle_limit_s:
+                request.connection.close()
+
     def _refuse_early(
         self, info: requests.RequestInfo, now_s: float
     ) -> base.Refusal | None:
@@ -167,6 +179,15 @@
         return base.Refusal(base.Reason.NO_CAPACITY, STEP, detail=detail)
 
 
+class CallerHttpServer(httpserver.HTTPServer):
+    """Tells the `CallerServer` of closed connections; tornado does not."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a closed connection."""
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 def _failure(refusal: base.Refusal | None) -> requests.Failure | None:
     if refusal is None:
         return None
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -29,8 +29,6 @@
 BALANCER_WAIT_S = 3.0
 DRAIN_POLL_S = 0.05
 HOUSEKEEPING_S = 1.0
-# A balancer that reuses a connection closes it earlier than this.
-IDLE_CALLER_S = 75.0
 # Headers beyond this close the connection; up to it, they get a clear answer.
 MAX_HEADER_BYTES = 65_536
 # Bodies are limited by `CallerServer` with a clear answer; the library's own
@@ -99,14 +97,15 @@
             self.path_, parts.tickets, parts.claims, parts.control, parts.timers
         )
         self.caller_ = self._make_caller_server()
-        self.caller_http_ = httpserver.HTTPServer(
+        self.caller_http_ = _caller_server.CallerHttpServer(
             self.caller_,
-            idle_connection_timeout=IDLE_CALLER_S,
             max_header_size=MAX_HEADER_BYTES,
             chunk_size=READ_CHUNK_BYTES,
             max_body_size=BODY_LIMIT_MARGIN
             * parts.entry_settings.max_body_bytes,
         )
+        # `CallerServer.close_idle` limits the wait for headers instead.
+        self.caller_http_.conn_params.header_timeout = None
         self.control_http_: httpserver.HTTPServer | None = None
         self.subscriptions_: list[base.Subscription] = []
 
@@ -240,6 +239,7 @@
 
     def _housekeep(self) -> None:
         now_s = self.parts.timers.now_s()
+        self.caller_.close_idle()
         self.parts.slot_sharing.expire(now_s)
         self.parts.tickets.expire(now_s)
         # A change of the preset alone does not change the view.
--- a/baobabdoor/entry/_forwarder.py
+++ b/baobabdoor/entry/_forwarder.py
@@ -125,15 +125,17 @@
         return self.router.admit(work.info.pool, now_s, excluded)
 
     def _outgoing(self, work: _work.Work) -> _backend_client.OutgoingRequest:
-        headers = work.headers.copy()
-        for name in _backend_client.connection_headers(work.headers):
-            headers.pop(name, None)
-        for name in NOT_FORWARDED:
-            headers.pop(name, None)
+        dropped = _backend_client.connection_headers(work.headers)
+        headers = [
+            pair
+            for pair in work.headers.get_all()
+            if pair[0] not in NOT_FORWARDED and pair[0] not in dropped
+        ]
         left_s = work.info.deadline_s - self.timers.now_s()
-        headers["Baobabdoor-Deadline-Ms"] = str(max(0, int(left_s * 1000)))
+        left_ms = max(0, int(left_s * 1000))
+        headers.append(("Baobabdoor-Deadline-Ms", str(left_ms)))
         if work.body or work.info.body_bytes:
-            headers["Content-Length"] = str(len(work.body))
+            headers.append(("Content-Length", str(len(work.body))))
         return _backend_client.OutgoingRequest(
             method=work.method,
             target=work.target,
--- a/baobabdoor/entry/_request_path.py
+++ b/baobabdoor/entry/_request_path.py
@@ -4,8 +4,6 @@
 import collections
 import itertools
 
-from tornado import ioloop
-
 from baobabdoor import admission
 from baobabdoor import base
 from baobabdoor import capacity
@@ -51,7 +49,6 @@
         self.waiting_: collections.Counter[str] = collections.Counter()
         self.running_: collections.Counter[str] = collections.Counter()
         self.tasks_: set[asyncio.Task] = set()
-        self.pump_pending_ = False
         self.ended_: collections.Counter[str] = collections.Counter()
 
     def item(self, info: requests.RequestInfo) -> admission.WorkItem:
@@ -73,17 +70,17 @@
         work.stage = _work.Stage.QUEUED
         self.queued_[work.item.request_id] = work
         self.waiting_[work.item.pool] += 1
-        self._wake()
         return None
 
     def make_ready(self, work: _work.Work) -> None:
         """Notes that nothing but a slot is missing."""
         work.ready = True
-        if work.stage is not _work.Stage.PARKED:
-            return
-        refusal = self.admit(work)
-        if refusal is not None:
-            self.end(work, not_run(refusal))
+        if work.stage is _work.Stage.PARKED:
+            refusal = self.admit(work)
+            if refusal is not None:
+                self.end(work, not_run(refusal))
+                return
+        self.pump()
 
     def cancel(self, work: _work.Work) -> None:
         """Drops a request whose caller is gone, unless it is in progress."""
@@ -133,13 +130,13 @@
 
     def pump(self) -> None:
         """Dispatches queued requests to free slots."""
-        self.pump_pending_ = False
         now_s = self.timers.now_s()
         free = {}
         for pool, waiting in self.waiting_.items():
-            slot_count = self.router.free_slots(pool, now_s) if waiting else 0
-            if slot_count > 0:
-                free[pool] = slot_count
+            if waiting:
+                free_count = self.router.free_slots(pool, waiting, now_s)
+                if free_count > 0:
+                    free[pool] = free_count
         if not free:
             return
         for item in self.admission_policy.plan(free, now_s):
@@ -180,7 +177,7 @@
         self.admission_policy.release(work.item, self.timers.now_s())
         self.end(work, result)
         if self.waiting_[work.info.pool]:
-            self._wake()
+            self.pump()
 
     def _expire(self, work: _work.Work) -> None:
         self._unqueue(work)
@@ -192,12 +189,6 @@
         del self.queued_[work.item.request_id]
         self.waiting_[work.item.pool] -= 1
 
-    def _wake(self) -> None:
-        if not self.pump_pending_:
-            self.pump_pending_ = True
-            # Requests that arrive in one step of the loop are planned together.
-            ioloop.IOLoop.current().add_callback(self.pump)
-
 
 def not_run(refusal: base.Refusal) -> requests.Failure:
     """Returns the failure of a request that was not sent anywhere."""
--- a/baobabdoor/entry/_slot_sharing.py
+++ b/baobabdoor/entry/_slot_sharing.py
@@ -1,5 +1,6 @@
 """The slot policy in force and its exchange with the entries of the zone."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Sequence
 from typing import Any
@@ -14,8 +15,8 @@
 class SlotSharing(slots.SlotPolicy):
     """Delegates to the policy of the preset in force, which may change.
 
-    Slots taken under an earlier policy are given back to that policy, and
-    count as used under the present one.
+    Slots taken under an earlier policy count as used under the present one
+    until they are given back.
 
     Args:
         entry_id: Identifier of the own entry.
@@ -40,13 +41,16 @@
         self.workers_: list[slots.WorkerSlots] = []
         self.heard_: dict[str, float] = {}
         self.entries_ = [entry_id]
-        self.held_: dict[str, list[slots.SlotPolicy]] = {}
+        self.held_: collections.Counter[str] = collections.Counter()
+        self.held_before_: collections.Counter[str] = collections.Counter()
 
     def use(self, name: str) -> None:
         """Changes the policy if another one is in force now."""
         if name == self.name_:
             return
         self.name_ = name
+        self.held_before_ += self.held_
+        self.held_.clear()
         self.policy_ = self.make_policy(name, self.entry_id)
         self.policy_.set_workers(self.workers_)
         self.policy_.set_entries(self.entries_)
@@ -68,25 +72,27 @@
     def available(self, worker_id: str, now_s: float) -> int:
         """Returns how many more requests may be sent to a worker."""
         available = self.policy_.available(worker_id, now_s)
-        for policy in self.held_.get(worker_id, ()):
-            available -= policy is not self.policy_
-        return max(0, available)
+        if not self.held_before_:
+            return available
+        return max(0, available - self.held_before_[worker_id])
 
     def acquire(self, worker_id: str, now_s: float) -> base.Refusal | None:
         """Takes a slot."""
-        if not self.available(worker_id, now_s):
+        if self.held_before_ and not self.available(worker_id, now_s):
             return base.Refusal(base.Reason.NO_CAPACITY, "entry.slots")
         refusal = self.policy_.acquire(worker_id, now_s)
         if refusal is None:
-            self.held_.setdefault(worker_id, []).append(self.policy_)
+            self.held_[worker_id] += 1
         return refusal
 
     def release(self, worker_id: str, now_s: float) -> None:
-        """Gives a slot back, the one taken first."""
-        held = self.held_[worker_id]
-        held.pop(0).release(worker_id, now_s)
-        if not held:
-            del self.held_[worker_id]
+        """Gives a slot back, first one taken under an earlier policy."""
+        if self.held_before_[worker_id]:
+            self.held_before_[worker_id] -= 1
+            self.held_before_ = +self.held_before_
+            return
+        self.held_[worker_id] -= 1
+        self.policy_.release(worker_id, now_s)
 
     def connection_limit(self, worker_id: str) -> int:
         """Returns how many connections may be held to a worker."""
--- /dev/null
+++ b/baobabdoor/measure/_lone_entry.py
@@ -0,0 +1,97 @@
+"""An entry server without peers and platform, for measurements of its cost."""
+
+import pathlib
+from typing import Any
+
+from baobabdoor import admission
+from baobabdoor import base
+from baobabdoor import idempotency
+from baobabdoor import observability
+from baobabdoor import settings
+from baobabdoor import slots
+from baobabdoor import timeline
+from baobabdoor.entry import _entry_server
+from baobabdoor.entry import _slot_sharing
+
+EXAMPLE = pathlib.Path(__file__).parents[2] / "examples" / "federation.yaml"
+ENTRY_ID = "entry-1"
+ZONE = "taal"
+
+
+class LoneView:
+    """Adds subscriptions that never fire to a fixed view."""
+
+    def __init__(self, view: Any):
+        self.workers = view.workers
+        self.permit = view.permit
+
+    def subscribe(self, callback: base.Callback) -> None:
+        """Ignores the subscription."""
+
+
+class LoneControl:
+    """A control service with one fixed view and configuration."""
+
+    def __init__(self, view: Any):
+        self.view = LoneView(view)
+        self.deployment = settings.load_deployment(str(EXAMPLE))
+        self.preset_name = self.deployment.initial_preset
+        self.generation = 1
+
+    async def start(self) -> None:
+        """Does nothing."""
+
+    async def stop(self) -> None:
+        """Does nothing."""
+
+    def ready(self) -> None:
+        """Is always ready."""
+
+    def routes(self) -> list:
+        """Has no routes."""
+        return []
+
+    def add_exchange(self, name: str, provider: Any) -> None:
+        """Ignores the provider; there are no peers."""
+
+    def set_load_source(self, source: Any) -> None:
+        """Ignores the source."""
+
+    def set_sending_check(self, check: Any) -> None:
+        """Ignores the check."""
+
+
+def build(port: int, view: Any) -> _entry_server.EntryServer:
+    """Returns an entry server for one port; the control port is the next."""
+    timers = observability.LoopTimerService()
+    control = LoneControl(view)
+    loopback = "127.0.0.1"
+    entry_settings = settings.EntrySettings(
+        entry_id=ENTRY_ID,
+        region=control.deployment.region,
+        availability_zone=ZONE,
+        caller=settings.Address(host=loopback, port=port),
+        control=settings.Address(host=loopback, port=port + 1),
+        platform=settings.Address(host=loopback, port=1),
+        peer_key="0" * 32,
+        operator_token="0" * 16,
+    )
+    return _entry_server.EntryServer(
+        _entry_server.Parts(
+            entry_settings=entry_settings,
+            timers=timers,
+            control=control,
+            admission_policy=admission.FairShareQueue(
+                control.deployment.callers
+            ),
+            slot_sharing=_slot_sharing.SlotSharing(
+                ENTRY_ID, ZONE, slots.make_policy
+            ),
+            tickets=idempotency.Tickets(ENTRY_ID, "1", bytes(16)),
+            claims=idempotency.Claims(None, timers, ENTRY_ID, "1"),
+            recorder=timeline.EventRecorder(
+                ENTRY_ID, base.HybridClock(timers.wall_ms)
+            ),
+            metrics=observability.Metrics(),
+        )
+    )
--- a/baobabdoor/requests/_classification.py
+++ b/baobabdoor/requests/_classification.py
@@ -25,6 +25,18 @@
 IDEMPOTENT_METHODS = frozenset(
     ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE")
 )
+USED_HEADERS = frozenset(
+    (
+        POOL_HEADER,
+        CALLER_HEADER,
+        PRIORITY_HEADER,
+        DEADLINE_HEADER,
+        IDEMPOTENT_HEADER,
+        KEY_HEADER,
+        "Content-Length",
+        "Transfer-Encoding",
+    )
+)
 # Value of `body_bytes` for a chunked body, whose length is not declared.
 CHUNKED = -1
 
@@ -35,11 +47,14 @@
 _BOOLEANS = {"true": True, "false": False}
 
 
+Found = dict[str, list[str]]
+
+
 class Headers(Protocol):
-    """The part of `tornado.httputil.HTTPHeaders` that is used."""
+    """The part of `tornado.httputil.HTTPHeaders` that is used.
 
-    def get_list(self, name: str) -> list[str]:
-        """Returns all values of a header."""
+    Names are in the normal form `Words-With-Hyphens`.
+    """
 
     def get_all(self) -> list[tuple[str, str]]:
         """Returns all names and values."""
@@ -79,20 +94,22 @@
     Raises:
         HeaderError: A header is missing, malformed, duplicated or over-long.
     """
-    _check_lengths(headers)
+    found = _collect(headers)
     return RequestInfo(
-        pool=_name(headers, POOL_HEADER, "the name of a pool"),
-        caller=_name(headers, CALLER_HEADER, "the name of the caller"),
-        urgency=_urgency(headers),
-        deadline_s=now_s + _deadline_ms(headers) / 1000.0,
-        idempotent=_idempotent(method, headers),
-        key=_key(headers),
-        body_bytes=_body_bytes(headers),
+        pool=_name(found, POOL_HEADER, "the name of a pool"),
+        caller=_name(found, CALLER_HEADER, "the name of the caller"),
+        urgency=_urgency(found),
+        deadline_s=now_s + _deadline_ms(found) / 1000.0,
+        idempotent=_idempotent(method, found),
+        key=_key(found),
+        body_bytes=_body_bytes(found),
     )
 
 
-def _check_lengths(headers: Headers) -> None:
+def _collect(headers: Headers) -> Found:
+    """Returns the values of the headers used here; checks all lengths."""
     total = 0
+    found: Found = {}
     for name, value in headers.get_all():
         length = len(value)
         if length > MAX_VALUE_LENGTH:
@@ -100,23 +117,26 @@
                 name[:MAX_NAME_LENGTH], MAX_VALUE_LENGTH, length
             )
         total += len(name) + length
+        if name in USED_HEADERS:
+            found.setdefault(name, []).append(value)
     if total > MAX_HEADERS_LENGTH:
         raise _header_errors.OverlongHeaderError(
             "all headers", MAX_HEADERS_LENGTH, total
         )
+    return found
 
 
-def _single(headers: Headers, name: str) -> str:
-    values = headers.get_list(name)
-    if not values:
+def _single(found: Found, name: str) -> str:
+    values = found.get(name)
+    if values is None:
         return ""
     if len(values) > 1:
         raise _header_errors.DuplicatedHeaderError(name, len(values))
     return values[0]
 
 
-def _name(headers: Headers, header: str, expected: str) -> str:
-    value = _single(headers, header)
+def _name(found: Found, header: str, expected: str) -> str:
+    value = _single(found, header)
     if not value:
         raise _header_errors.MissingHeaderError(header, expected)
     if len(value) > MAX_NAME_LENGTH:
@@ -128,16 +148,16 @@
     return value
 
 
-def _urgency(headers: Headers) -> int:
+def _urgency(found: Found) -> int:
     # Priority is a structured list, so several lines are one value; the last
     # `u` counts (RFC 8941, section 3.2).
-    values = headers.get_list(PRIORITY_HEADER)
+    values = found.get(PRIORITY_HEADER)
     if not values:
         return DEFAULT_URGENCY
-    found = _URGENCY.findall(",".join(values))
-    if not found:
+    urgencies = _URGENCY.findall(",".join(values))
+    if not urgencies:
         return DEFAULT_URGENCY
-    text = found[-1].strip()
+    text = urgencies[-1].strip()
     if len(text) != 1 or text not in "01234567":
         raise _header_errors.MalformedHeaderError(
             PRIORITY_HEADER, "u=0 to u=7", text
@@ -145,8 +165,8 @@
     return int(text)
 
 
-def _deadline_ms(headers: Headers) -> int:
-    text = _single(headers, DEADLINE_HEADER)
+def _deadline_ms(found: Found) -> int:
+    text = _single(found, DEADLINE_HEADER)
     if not text:
         return DEFAULT_DEADLINE_MS
     if not _DIGITS.fullmatch(text):
@@ -156,8 +176,8 @@
     return min(int(text), MAX_DEADLINE_MS)
 
 
-def _idempotent(method: str, headers: Headers) -> bool:
-    text = _single(headers, IDEMPOTENT_HEADER)
+def _idempotent(method: str, found: Found) -> bool:
+    text = _single(found, IDEMPOTENT_HEADER)
     if not text:
         return method in IDEMPOTENT_METHODS
     if text not in _BOOLEANS:
@@ -167,8 +187,8 @@
     return _BOOLEANS[text]
 
 
-def _key(headers: Headers) -> str:
-    key = _single(headers, KEY_HEADER)
+def _key(found: Found) -> str:
+    key = _single(found, KEY_HEADER)
     if not key:
         return ""
     if len(key) > MAX_KEY_LENGTH:
@@ -182,9 +202,9 @@
     return key
 
 
-def _body_bytes(headers: Headers) -> int:
-    coding = _single(headers, "Transfer-Encoding")
-    length = _single(headers, "Content-Length")
+def _body_bytes(found: Found) -> int:
+    coding = _single(found, "Transfer-Encoding")
+    length = _single(found, "Content-Length")
     if coding:
         # Two framings could be read differently by the backend server
         # (request smuggling; RFC 9112, section 6.1).
--- a/baobabdoor/routing/_router.py
+++ b/baobabdoor/routing/_router.py
@@ -76,11 +76,12 @@
             return 0
         return free
 
-    def free_slots(self, pool: str, now_s: float) -> int:
+    def free_slots(self, pool: str, wanted: int, now_s: float) -> int:
         """Returns the free slots of a pool; another zone's if there are none.
 
         Args:
             pool: Name of the pool.
+            wanted: Counting stops at this many, to keep large pools cheap.
             now_s: Monotonic time in seconds.
         """
         total = 0
@@ -90,6 +91,8 @@
                 break
             zone = vm.availability_zone
             total += self.free(vm, now_s)
+            if total >= wanted:
+                break
         return total
 
     def admit(
@@ -102,12 +105,14 @@
             now_s: Monotonic time in seconds.
             excluded: VMs that this request has failed on. Default: none.
         """
-        candidates = self._candidates(pool, now_s, excluded)
-        while candidates:
-            vm = self._pick(candidates)
-            if self._acquire(vm, now_s):
+        workers = self.view.workers(pool)
+        start = 0
+        while start < len(workers):
+            end = _zone_end(workers, start)
+            vm = self._admit_in_zone(workers[start:end], now_s, excluded)
+            if vm is not None:
                 return vm
-            candidates.remove(vm)
+            start = end
         return base.Refusal(base.Reason.NO_CAPACITY, STEP, detail=pool)
 
     def release(self, vm_id: str, now_s: float) -> None:
@@ -136,25 +141,46 @@
                 del self.health_[vm_id]
                 self.acquired_.pop(vm_id, None)
 
-    def _candidates(
-        self, pool: str, now_s: float, excluded: Collection[str]
-    ) -> list[ownership.VmState]:
-        found: list[ownership.VmState] = []
-        for vm in self.view.workers(pool):
-            if found and vm.availability_zone != found[0].availability_zone:
-                break
-            if vm.vm_id not in excluded and self.free(vm, now_s) > 0:
-                found.append(vm)
-        return found
-
-    def _pick(self, candidates: list[ownership.VmState]) -> ownership.VmState:
-        if len(candidates) == 1:
-            return candidates[0]
+    def _admit_in_zone(
+        self,
+        workers: list[ownership.VmState],
+        now_s: float,
+        excluded: Collection[str],
+    ) -> ownership.VmState | None:
         # Source: Mitzenmacher, "The Power of Two Choices in Randomized Load
         # Balancing", 2001.
-        first, second = self.random_.sample(candidates, 2)
-        more = self.health(first).outstanding > self.health(second).outstanding
-        return second if more else first
+        usable = self._usable(self._two(workers), now_s, excluded)
+        if not usable:
+            usable = self._usable(workers, now_s, excluded)
+        while usable:
+            vm = min(usable[:2], key=self._outstanding)
+            if self._acquire(vm, now_s):
+                return vm
+            usable.remove(vm)
+        return None
+
+    def _two(self, workers: list[ownership.VmState]) -> list[ownership.VmState]:
+        count = len(workers)
+        if count <= 2:
+            return workers
+        first = int(self.random_.random() * count)
+        second = int(self.random_.random() * (count - 1))
+        return [workers[first], workers[second + (second >= first)]]
+
+    def _usable(
+        self,
+        workers: list[ownership.VmState],
+        now_s: float,
+        excluded: Collection[str],
+    ) -> list[ownership.VmState]:
+        return [
+            vm
+            for vm in workers
+            if vm.vm_id not in excluded and self.free(vm, now_s) > 0
+        ]
+
+    def _outstanding(self, vm: ownership.VmState) -> int:
+        return self.health_[vm.vm_id].outstanding
 
     def _acquire(self, vm: ownership.VmState, now_s: float) -> bool:
         own = vm.availability_zone == self.zone
@@ -163,3 +189,11 @@
         self.health(vm).outstanding += 1
         self.acquired_.setdefault(vm.vm_id, []).append(own)
         return True
+
+
+def _zone_end(workers: list[ownership.VmState], start: int) -> int:
+    zone = workers[start].availability_zone
+    end = start + 1
+    while end < len(workers) and workers[end].availability_zone == zone:
+        end += 1
+    return end
