--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -1,10 +1,12 @@
 """The entry as one object: both ports, the request path and its shutdown."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 from tornado import httpserver
+from tornado import httputil
 from tornado import web
 
 from baobabdoor import admission
@@ -22,12 +24,16 @@
 from baobabdoor.entry import _forwarder
 from baobabdoor.entry import _keys
 from baobabdoor.entry import _local_paths
+from baobabdoor.entry import _peer_requests
 from baobabdoor.entry import _request_path
 from baobabdoor.entry import _slot_sharing
+from baobabdoor.entry import _work
 
 # A load balancer polls `/readyz` each second and reacts to two failures.
 BALANCER_WAIT_S = 3.0
 DRAIN_POLL_S = 0.05
+# Time to write the last answers once the requests are abandoned.
+LAST_ANSWERS_S = 1.0
 HOUSEKEEPING_S = 1.0
 # Headers beyond this close the connection; up to it, they get a clear answer.
 MAX_HEADER_BYTES = 65_536
@@ -97,6 +103,9 @@
             self.path_, parts.tickets, parts.claims, parts.control, parts.timers
         )
         self.caller_ = self._make_caller_server()
+        self.peer_receiver = _peer_requests.PeerReceiver(
+            self._make_peer_work, self.keys_.settle
+        )
         self.caller_http_ = _caller_server.CallerHttpServer(
             self.caller_,
             max_header_size=MAX_HEADER_BYTES,
@@ -117,6 +126,9 @@
         control.add_exchange("slots", parts.slot_sharing)
         control.set_load_source(self.path_.load)
         control.set_sending_check(self.client_.sending)
+        control.add_peer_function(
+            _peer_requests.PATH, self.peer_receiver.answer
+        )
         self._listen_control()
         await control.start()
         self._on_view_changed()
@@ -142,6 +154,8 @@
         self.caller_http_.stop()
         self.caller_.draining = True
         drained = await self._drain(end_s)
+        if not drained:
+            await self._abandon()
         for subscription in self.subscriptions_:
             subscription.cancel()
         self.client_.close()
@@ -167,6 +181,12 @@
             await asyncio.sleep(DRAIN_POLL_S)
         return True
 
+    async def _abandon(self) -> None:
+        """Answers what could not be completed in time."""
+        self.path_.abandon_queued()
+        self.client_.close()
+        await self._drain(self.parts.timers.now_s() + LAST_ANSWERS_S)
+
     def _make_path(self) -> _request_path.RequestPath:
         parts = self.parts
         forwarder = _forwarder.Forwarder(
@@ -193,6 +213,16 @@
             self.parts.entry_settings.max_body_bytes,
         )
 
+    def _make_peer_work(
+        self,
+        method: str,
+        target: str,
+        headers: httputil.HTTPHeaders,
+        finish: Callable[[_work.Result], None],
+    ) -> _work.Work | requests.Failure:
+        now_s = self.parts.timers.now_s()
+        return self.caller_.make_work(method, target, headers, finish, now_s)
+
     def _issue_ticket(self) -> str | base.Refusal:
         if self.draining_:
             # The ticket would be unknown as soon as this process has ended.
--- a/baobabdoor/entry/_forwarder.py
+++ b/baobabdoor/entry/_forwarder.py
@@ -47,7 +47,7 @@
         outgoing = self._outgoing(work)
         excluded: list[str] = []
         while True:
-            result = await self._attempt(vm, outgoing, exchange)
+            result = await self._attempt(work, vm, outgoing, exchange)
             excluded.append(vm.vm_id)
             leaving = self._leaving(result)
             if result and not leaving:
@@ -59,6 +59,7 @@
 
     async def _attempt(
         self,
+        work: _work.Work,
         vm: ownership.VmState,
         outgoing: _backend_client.OutgoingRequest,
         exchange: requests.Exchange,
@@ -71,7 +72,9 @@
                 vm.address,
                 outgoing,
                 exchange,
-                lambda: self.router.view.permit(vm.vm_id, self.timers.now_s()),
+                lambda: self.router.view.permit(
+                    vm.vm_id, self.timers.now_s(), work.info.pool
+                ),
             )
         finally:
             now_s = self.timers.now_s()
@@ -88,6 +91,7 @@
     ) -> None:
         if self._leaving(result):
             self.router.observe_leaving(vm, now_s)
+            self.router.view.observe_leaving(vm.vm_id)
         elif isinstance(result, requests.Reply):
             self.router.observe(vm, True, now_s)
         elif self._server_failed(result.reason, taken_s):
--- a/baobabdoor/entry/_peer_requests.py
+++ b/baobabdoor/entry/_peer_requests.py
@@ -16,6 +16,7 @@
 
 PATH = "/peer/v1/request"
 STEP = "entry.peer"
+WAY_BACK_S = 1.0
 
 
 async def forward(
@@ -35,6 +36,8 @@
         PATH,
         {"Content-Type": "application/json"},
         json.dumps(message).encode(),
+        # The peer answers by the deadline; the rest is for the way back.
+        timeout_s=left_ms / 1000.0 + WAY_BACK_S,
     )
     if not isinstance(answer, bytes):
         # The peer may have started the ticket earlier, so even a refusal to
@@ -55,9 +58,8 @@
     """Runs requests that peers send because this entry issued their ticket.
 
     Args:
-        accept: Queues a request; returns a failure if it does not.
-        settle: Called once the request is queued.
-        make_work: Builds the request from what the peer sent.
+        make_work: Queues a request; returns a failure if it does not.
+        settle: Settles the key of a request whose body is whole.
     """
 
     def __init__(
@@ -68,7 +70,7 @@
         self.make_work = make_work
         self.settle = settle
 
-    async def handle(self, body: bytes) -> bytes:
+    async def answer(self, sender: str, incarnation: int, body: bytes) -> bytes:
         """Runs the request of a verified message; returns its result."""
         finished = asyncio.get_running_loop().create_future()
 
--- a/baobabdoor/entry/_request_path.py
+++ b/baobabdoor/entry/_request_path.py
@@ -105,6 +105,12 @@
             work.settle(result)
         work.finish(result)
 
+    def abandon_queued(self) -> None:
+        """Refuses all queued requests because the process ends."""
+        refusal = base.Refusal(base.Reason.DRAINING, "entry.stop")
+        for work in list(self.queued_.values()):
+            self.end(work, not_run(refusal))
+
     def load(self) -> dict[str, capacity.PoolDemand]:
         """Returns the requests in progress and waiting for each pool."""
         return {
--- a/baobabdoor/idempotency/_claims.py
+++ b/baobabdoor/idempotency/_claims.py
@@ -19,6 +19,8 @@
 MAX_ROUNDS = 4
 RETRY_S = 0.1
 ABANDON_RETRY_S = 2.0
+# Outcomes not written by then stay unknown to repeats.
+STOP_S = 3.0
 # After a minute the row stays claimed, which answers `unknown` to repeats.
 MAX_ABANDON_ROUNDS = 30
 # Larger answers are not stored in the table.
@@ -154,7 +156,7 @@
         self._flush_claims()
         self._flush_updates()
         while self.tasks_:
-            await asyncio.wait(self.tasks_, timeout=RETRY_S * MAX_ROUNDS)
+            await asyncio.wait(self.tasks_, timeout=STOP_S)
             for task in list(self.tasks_):
                 task.cancel()
             await asyncio.sleep(0)
--- a/baobabdoor/measure/_forwarding.py
+++ b/baobabdoor/measure/_forwarding.py
@@ -164,7 +164,9 @@
         """Returns the one worker."""
         return [self.worker] if pool == self.worker.pool else []
 
-    def permit(self, vm_id: str, now_s: float) -> base.Refusal | None:
+    def permit(
+        self, vm_id: str, now_s: float, pool: str = ""
+    ) -> base.Refusal | None:
         """Permits every send."""
         return None
 
--- a/baobabdoor/measure/_lone_entry.py
+++ b/baobabdoor/measure/_lone_entry.py
@@ -54,6 +54,9 @@
     def add_exchange(self, name: str, provider: Any) -> None:
         """Ignores the provider; there are no peers."""
 
+    def add_peer_function(self, path: str, function: Any) -> None:
+        """Ignores the function; there are no peers."""
+
     def set_load_source(self, source: Any) -> None:
         """Ignores the source."""
 
--- a/baobabdoor/routing/_router.py
+++ b/baobabdoor/routing/_router.py
@@ -21,9 +21,14 @@
     def workers(self, pool: str) -> list[ownership.VmState]:
         """Returns the workers that serve a pool, own zone first."""
 
-    def permit(self, vm_id: str, now_s: float) -> base.Refusal | None:
+    def permit(
+        self, vm_id: str, now_s: float, pool: str = ""
+    ) -> base.Refusal | None:
         """Returns a refusal if this entry may not send to the VM now."""
 
+    def observe_leaving(self, vm_id: str) -> None:
+        """Notes that a backend server answered that it is leaving."""
+
 
 class Router:
     """Chooses backend servers, and counts requests in progress on each.
