--- /dev/null
+++ b/baobabdoor/control/_controller.py
@@ -0,0 +1,390 @@
+"""The controller: carries out moves and maintenance while it has the lease."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import capacity
+from baobabdoor import maintenance
+from baobabdoor import membership
+from baobabdoor import ownership
+from baobabdoor import platform as platform_lib
+from baobabdoor import settings
+from baobabdoor import timeline
+from baobabdoor.control import _lease
+
+STEP = "control.act"
+# VMs created by one transaction; bounds its size to about 20 KB.
+CREATE_BATCH = 64
+# A transaction whose answer is lost is repeated at once this many times, then
+# once in each round.
+MAX_REPEATS = 2
+# Most phases that one VM passes in a round.
+MAX_PHASES_PER_ROUND = 4
+
+
+class Configuration:
+    """What the controller needs of `configuration.ConfigurationStore`."""
+
+    generation: int
+    deployment: settings.Deployment | None
+    preset_name: str
+
+
+@attrs.define
+class Planners:
+    """Where planned operations come from.
+
+    Attributes:
+        make_capacity: Makes the capacity policy of a name.
+        maintenance: Plans maintenance reboots; None for none.
+        demand: Returns the demand on each pool over all entries.
+    """
+
+    make_capacity: Callable[[str], capacity.CapacityPolicy | None]
+    maintenance: maintenance.MaintenancePolicy | None
+    demand: Callable[[], Mapping[str, capacity.PoolDemand]]
+
+
+@attrs.frozen
+class ControlRound:
+    """What a further part of the controller may use in one round.
+
+    Attributes:
+        epoch: Every write must be conditional on this control row version.
+        snapshot: The VMs.
+        deployment: Settings in force.
+        preset: Preset in force.
+        is_acting: Must be true immediately before each write or operation.
+    """
+
+    epoch: int
+    snapshot: ownership.FleetSnapshot
+    deployment: settings.Deployment
+    preset: settings.Preset
+    is_acting: Callable[[], bool]
+
+
+class Controller:
+    """Acts for a region while its entry holds the control lease.
+
+    Args:
+        platform: The platform's service.
+        timers: Timer service.
+        lease: Control lease.
+        configuration: Configuration in force.
+        listed: Returns the platform's list as last read.
+        planners: Sources of planned operations.
+        recorder: Time line of the process.
+    """
+
+    def __init__(
+        self,
+        platform: platform_lib.Platform,
+        timers: base.TimerService,
+        lease: _lease.ControlLease,
+        configuration: Configuration,
+        listed: Callable[[], Mapping[str, platform_lib.VmRecord]],
+        planners: Planners,
+        recorder: timeline.EventRecorder,
+    ):
+        self.platform = platform
+        self.timers = timers
+        self.lease = lease
+        self.configuration = configuration
+        self.listed = listed
+        self.planners = planners
+        self.recorder = recorder
+        self.gone = ownership.GoneEntries(membership.GRANT_HOLD_S)
+        self.table_: ownership.FleetTable | None = None
+        self.pending_: ownership.Step | None = None
+        self.policy_name_ = ""
+        self.policy_: capacity.CapacityPolicy | None = None
+        self.parts_: list[Callable[[ControlRound], Any]] = []
+        self.refusals_: dict[str, base.Refusal] = {}
+
+    def add_part(self, act: Callable[[ControlRound], Any]) -> None:
+        """Calls the coroutine `act` in each round, after the VM rows."""
+        self.parts_.append(act)
+
+    def is_acting(self) -> bool:
+        """Returns whether writes and operations are allowed at this moment."""
+        return self.lease.is_acting(self.timers.now_s())
+
+    async def act(self) -> None:
+        """Carries out one round of control."""
+        if not self.is_acting():
+            self.table_ = None
+            return
+        if not await self._settle_pending():
+            return
+        table = await self._read()
+        deployment = self.configuration.deployment
+        if table is None or deployment is None:
+            return
+        preset = deployment.presets[self.configuration.preset_name]
+        if not await self._create(table, deployment):
+            return
+        for vm_id in sorted(table.vms):
+            if not await self._advance(table, vm_id, deployment):
+                return
+        # Started last: the entry rows that allow a VM to drain must have been
+        # read after its leaving row was written, that is, in a later round.
+        if not await self._start(table, deployment, preset):
+            return
+        await self._act_parts(table, deployment, preset)
+
+    # Reading.
+
+    async def _read(self) -> ownership.FleetTable | None:
+        """Reads the rows; those that only this epoch writes are kept."""
+        table = self.table_
+        if table is None or table.epoch != self.lease.epoch_:
+            table = ownership.FleetTable(
+                self.lease.region, epoch=self.lease.epoch_
+            )
+            prefixes = (
+                ownership.VIEW_PREFIX,
+                ownership.VM_PREFIX,
+                ownership.BUDGET_PREFIX,
+            )
+            for prefix in prefixes:
+                rows = await self.platform.scan(prefix)
+                if isinstance(rows, base.Refusal):
+                    return None
+                table.observe_rows(rows)
+        rows = await self.platform.scan(ownership.ENTRY_PREFIX)
+        if isinstance(rows, base.Refusal):
+            return None
+        if table.epoch != self.lease.epoch_:
+            return None
+        table.entries = {}
+        table.observe_rows(rows)
+        table.listed = dict(self.listed())
+        table.gone = self.gone.observe(
+            table.entries, table.listed, self.timers.now_s()
+        )
+        self.table_ = table
+        return table
+
+    # Writing.
+
+    async def _settle_pending(self) -> bool:
+        """Repeats a transaction whose result is unknown until it is known."""
+        step = self.pending_
+        if step is None:
+            return True
+        epoch_key = ownership.control_key(self.lease.region)
+        epoch = platform_lib.Condition(epoch_key, self.lease.epoch_)
+        if epoch not in step.conditions:
+            # The condition on the earlier epoch can never hold again.
+            self.pending_ = None
+            return True
+        result = await self._transact(step)
+        if isinstance(result, platform_lib.Unknown | base.Refusal):
+            return False
+        self.pending_ = None
+        self.table_ = None
+        self._record(step, repeated=True)
+        return True
+
+    async def _commit(
+        self, table: ownership.FleetTable, step: ownership.Step
+    ) -> bool:
+        """Returns whether the transaction was applied as far as known.
+
+        Otherwise the rows are read again in the next round.
+        """
+        result = None
+        for _ in range(1 + MAX_REPEATS):
+            if not self.is_acting():
+                return False
+            result = await self._transact(step)
+            if isinstance(result, platform_lib.Unknown):
+                self.pending_ = step
+            elif not isinstance(result, base.Refusal):
+                break
+        if isinstance(result, platform_lib.Committed):
+            self.pending_ = None
+            ownership.apply_step(table, step, result.versions)
+            self._record(step)
+            return True
+        if isinstance(result, platform_lib.Conflict):
+            self.pending_ = None
+        self.table_ = None
+        return False
+
+    async def _transact(
+        self, step: ownership.Step
+    ) -> platform_lib.TransactionResult:
+        return await self.platform.transact(step.conditions, step.writes)
+
+    def _record(self, step: ownership.Step, repeated: bool = False) -> None:
+        self.recorder.record(
+            step.kind,
+            step.vm_id,
+            step.intent,
+            transaction=step.transaction,
+            repeated=repeated,
+        )
+
+    # VMs.
+
+    async def _create(
+        self, table: ownership.FleetTable, deployment: settings.Deployment
+    ) -> bool:
+        by_zone: dict[str, list[platform_lib.VmRecord]] = {}
+        for vm_id, record in sorted(table.listed.items()):
+            is_live = record.state is platform_lib.VmListState.LIVE
+            if vm_id in table.vms or not is_live or not record.pool_hint:
+                continue
+            if record.pool_hint not in deployment.pools:
+                record = attrs.evolve(record, pool_hint=deployment.spare_pool)
+            by_zone.setdefault(record.availability_zone, []).append(record)
+        for zone, records in by_zone.items():
+            for start in range(0, len(records), CREATE_BATCH):
+                batch = records[start : start + CREATE_BATCH]
+                if not await self._create_batch(table, zone, batch):
+                    return False
+        return True
+
+    async def _create_batch(
+        self,
+        table: ownership.FleetTable,
+        zone: str,
+        records: Sequence[platform_lib.VmRecord],
+    ) -> bool:
+        keys = [ownership.vm_key(zone, record.vm_id) for record in records]
+        rows = await self.platform.read(keys)
+        if isinstance(rows, base.Refusal):
+            return False
+        if any(row.value is not None for row in rows.values()):
+            self.table_ = None
+            return False
+        versions = {key: row.version for key, row in rows.items()}
+        step = ownership.create_vms(
+            table, zone, records, versions, self.timers.wall_ms()
+        )
+        return await self._commit(table, step)
+
+    async def _advance(
+        self,
+        table: ownership.FleetTable,
+        vm_id: str,
+        deployment: settings.Deployment,
+    ) -> bool:
+        """Takes one VM as far as it gets; returns whether to go on."""
+        pool = deployment.pools.get(table.vms[vm_id].row.pool)
+        reboot_s = pool.reboot_s if pool is not None else 0.0
+        for _ in range(MAX_PHASES_PER_ROUND):
+            action = ownership.next_action(
+                table, vm_id, reboot_s, self.timers.wall_ms()
+            )
+            if isinstance(action, ownership.Operation):
+                action = await self._operate(table, action)
+            if action is None:
+                return True
+            if not await self._commit(table, action):
+                return False
+            if table.vms[vm_id].row.phase is ownership.Phase.LEAVING:
+                # Its acknowledgements must be read after this write.
+                return True
+        return True
+
+    async def _operate(
+        self, table: ownership.FleetTable, operation: ownership.Operation
+    ) -> ownership.Step | None:
+        if not self.is_acting():
+            return None
+        calls = {
+            ownership.OperationKind.DRAIN: self.platform.drain_vm,
+            ownership.OperationKind.UNDRAIN: self.platform.undrain_vm,
+            ownership.OperationKind.REBOOT: self.platform.reboot_vm,
+        }
+        call = calls[operation.kind]
+        record = await call(operation.vm_id, operation.boot_id)
+        if not isinstance(record, platform_lib.VmRecord):
+            return None
+        return ownership.after_operation(
+            table, operation, record, self.timers.wall_ms()
+        )
+
+    # Planning.
+
+    async def _start(
+        self,
+        table: ownership.FleetTable,
+        deployment: settings.Deployment,
+        preset: settings.Preset,
+    ) -> bool:
+        self.refusals_ = {}
+        for vm_id, target_pool in self.plan(table, deployment, preset):
+            step = ownership.start_operation(
+                table, vm_id, target_pool, preset, self.timers.wall_ms()
+            )
+            if isinstance(step, base.Refusal):
+                self.refusals_[vm_id] = step
+            elif not await self._commit(table, step):
+                return False
+        return True
+
+    def plan(
+        self,
+        table: ownership.FleetTable,
+        deployment: settings.Deployment,
+        preset: settings.Preset,
+    ) -> list[tuple[str, str]]:
+        """Returns the VMs to take out of service and their target pools."""
+        snapshot = table.snapshot()
+        planned = []
+        policy = self._policy(preset.capacity_policy)
+        if policy is not None:
+            moves = policy.plan(
+                snapshot,
+                self.planners.demand(),
+                deployment,
+                preset,
+                self.timers.now_s(),
+            )
+            for move in moves:
+                vm = snapshot.vms.get(move.vm_id)
+                if vm is not None and vm.pool == move.from_pool != move.to_pool:
+                    planned.append((move.vm_id, move.to_pool))
+        if preset.maintenance.enabled and self.planners.maintenance is not None:
+            starts = self.planners.maintenance.plan(
+                snapshot, deployment, preset, self.timers.wall_ms()
+            )
+            for start in starts:
+                vm = snapshot.vms.get(start.vm_id)
+                if vm is not None and vm.pool == start.pool:
+                    planned.append((start.vm_id, vm.pool))
+        return planned
+
+    def _policy(self, name: str) -> capacity.CapacityPolicy | None:
+        if name != self.policy_name_:
+            self.policy_ = self.planners.make_capacity(name)
+            self.policy_name_ = name
+        return self.policy_
+
+    async def _act_parts(
+        self,
+        table: ownership.FleetTable,
+        deployment: settings.Deployment,
+        preset: settings.Preset,
+    ) -> None:
+        for act in self.parts_:
+            if not self.is_acting():
+                return
+            await act(
+                ControlRound(
+                    table.epoch,
+                    table.snapshot(),
+                    deployment,
+                    preset,
+                    self.is_acting,
+                )
+            )
--- /dev/null
+++ b/baobabdoor/control/_lease.py
@@ -0,0 +1,165 @@
+"""The control lease of a region."""
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import ownership
+from baobabdoor import platform as platform_lib
+
+BEAT_S = 2.0
+# The holder stops acting well before another entry takes over.
+ACTING_S = 6.0
+TAKEOVER_S = 10.0
+# A longer gap between successful reads says more about the platform than about
+# the holder, so the waiting time starts again.
+MAX_READ_GAP_S = 4.0
+
+
+@attrs.frozen
+class Holder:
+    """Who holds the control lease.
+
+    Attributes:
+        entry_id: Entry; empty for nobody.
+        incarnation: Start of its process.
+        epoch: Version of the control row.
+    """
+
+    entry_id: str = ""
+    incarnation: int = 0
+    epoch: int = 0
+
+
+class ControlLease:
+    """Acquires, renews and loses the control lease for one entry.
+
+    Args:
+        platform: The platform's service.
+        timers: Timer service.
+        region: Region of the lease.
+        entry_id: Identifier of this entry.
+    """
+
+    def __init__(
+        self,
+        platform: platform_lib.Platform,
+        timers: base.TimerService,
+        region: str,
+        entry_id: str,
+    ):
+        self.platform = platform
+        self.timers = timers
+        self.region = region
+        self.entry_id = entry_id
+        self.holder_ = Holder()
+        self.epoch_ = 0
+        self.renewed_s_: float | None = None
+        self.seen_versions_: tuple[int, int] | None = None
+        self.unchanged_since_s_ = 0.0
+        self.read_s_: float | None = None
+
+    def is_acting(self, now_s: float) -> bool:
+        """Returns whether this entry may act as the controller."""
+        if not self.epoch_ or self.renewed_s_ is None:
+            return False
+        return now_s - self.renewed_s_ < ACTING_S
+
+    def suspend(self) -> None:
+        """Stops acting until the lease has been renewed again."""
+        self.renewed_s_ = None
+        self.seen_versions_ = None
+
+    async def tick(self, incarnation: int) -> None:
+        """Renews the lease, or takes it over if its holder is silent.
+
+        Args:
+            incarnation: Registered start of this process.
+        """
+        control_key = ownership.control_key(self.region)
+        beat_key = ownership.control_beat_key(self.region)
+        rows = await self.platform.read([control_key, beat_key])
+        if isinstance(rows, base.Refusal):
+            return
+        control, beat = rows[control_key], rows[beat_key]
+        self.observe(control, beat, incarnation)
+        now_s = self.timers.now_s()
+        if self.epoch_:
+            await self._renew(control, beat, now_s)
+        elif self._may_take(control, now_s):
+            await self._acquire(control, beat, incarnation, now_s)
+
+    def observe(
+        self, control: platform_lib.Row, beat: platform_lib.Row, incarnation: int
+    ) -> None:
+        """Notes the rows of the lease as they were read."""
+        value = control.value or {}
+        self.holder_ = Holder(
+            str(value.get("holder", "")),
+            int(value.get("incarnation", 0)),
+            control.version,
+        )
+        is_own = (self.holder_.entry_id, self.holder_.incarnation) == (
+            self.entry_id,
+            incarnation,
+        )
+        epoch = control.version if is_own else 0
+        if epoch != self.epoch_:
+            self.epoch_ = epoch
+            self.renewed_s_ = None
+        now_s = self.timers.now_s()
+        versions = (control.version, beat.version)
+        gap_s = now_s - (self.read_s_ if self.read_s_ is not None else now_s)
+        if versions != self.seen_versions_ or gap_s > MAX_READ_GAP_S:
+            self.seen_versions_ = versions
+            self.unchanged_since_s_ = now_s
+        self.read_s_ = now_s
+
+    def _may_take(self, control: platform_lib.Row, now_s: float) -> bool:
+        if control.value is None:
+            return True
+        return now_s - self.unchanged_since_s_ >= TAKEOVER_S
+
+    async def _acquire(
+        self,
+        control: platform_lib.Row,
+        beat: platform_lib.Row,
+        incarnation: int,
+        sent_s: float,
+    ) -> None:
+        """Takes the lease; an unknown result shows in the next read."""
+        epoch = control.version + 1
+        holder = {"holder": self.entry_id, "incarnation": incarnation}
+        result = await self.platform.transact(
+            [
+                platform_lib.Condition(control.key, control.version),
+                platform_lib.Condition(beat.key, beat.version),
+            ],
+            [
+                platform_lib.Write(control.key, holder),
+                platform_lib.Write(beat.key, {"beat": 0, "epoch": epoch}),
+            ],
+        )
+        if isinstance(result, platform_lib.Committed):
+            self.epoch_ = result.versions[control.key]
+            self.holder_ = Holder(self.entry_id, incarnation, self.epoch_)
+            self.renewed_s_ = sent_s
+
+    async def _renew(
+        self, control: platform_lib.Row, beat: platform_lib.Row, sent_s: float
+    ) -> None:
+        """Writes a heartbeat; it counts from the moment it was sent."""
+        count = int((beat.value or {}).get("beat", 0)) + 1
+        result = await self.platform.transact(
+            [
+                platform_lib.Condition(control.key, control.version),
+                platform_lib.Condition(beat.key, beat.version),
+            ],
+            [
+                platform_lib.Write(
+                    beat.key, {"beat": count, "epoch": self.epoch_}
+                )
+            ],
+        )
+        epoch_is_same = control.version == self.epoch_
+        if isinstance(result, platform_lib.Committed) and epoch_is_same:
+            self.renewed_s_ = sent_s
--- /dev/null
+++ b/baobabdoor/control/_member.py
@@ -0,0 +1,411 @@
+"""One entry's registration, views, leases, grants and acknowledgements."""
+
+from collections.abc import Callable
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import membership
+from baobabdoor import ownership
+from baobabdoor import platform as platform_lib
+from baobabdoor import timeline
+
+TICK_S = 1.0
+HEARTBEAT_S = 5.0
+STEP = "control.member"
+
+
+@attrs.frozen
+class Identity:
+    """Who this entry is.
+
+    Attributes:
+        entry_id: Identifier of the entry.
+        availability_zone: Its zone.
+        control: IP number and port of its control port, as `host:port`.
+        boot_id: Boot of its VM as the platform lists it; empty if not known.
+            Without it, the entry keeps counting until a process with the same
+            control address replaces it.
+    """
+
+    entry_id: str
+    availability_zone: str
+    control: str
+    boot_id: str = ""
+
+
+class Member:
+    """Keeps an entry's place in the deployment.
+
+    Its coroutines must not overlap with themselves; it needs no loop.
+
+    Args:
+        identity: Who this entry is.
+        platform: The platform's service.
+        timers: Timer service.
+        peers: Known peers.
+        recorder: Time line of the process.
+        is_sending: Says whether a send to a VM is under way now.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        platform: platform_lib.Platform,
+        timers: base.TimerService,
+        peers: membership.PeerTable,
+        recorder: timeline.EventRecorder,
+        is_sending: Callable[[str], bool],
+    ):
+        self.identity = identity
+        self.platform = platform
+        self.timers = timers
+        self.peers = peers
+        self.recorder = recorder
+        self.views = ownership.ZoneViews(is_sending)
+        self.grants = membership.GrantBook()
+        self.leases = membership.LeaseBook()
+        self.jumps = membership.ClockJumpDetector(TICK_S)
+        self.incarnation_ = 0
+        self.generation_ = 0
+        self.is_registered_ = False
+        self.refusal_: base.Refusal | None = None
+        # Whether the home zone's view was read after the registration.
+        self.is_home_valid_ = False
+        self.is_closing_ = False
+        self.row_version_ = 0
+        self.beat_ = 0
+        self.beat_s_: float | None = None
+        self.acknowledged_ = 0
+        self.written_ = 0
+        self.listed_: dict[str, platform_lib.VmRecord] = {}
+        self.zones_: frozenset[str] | None = None
+        self.subscribers_: list[Callable[[], None]] = []
+        self.on_return: Callable[[str], None] = lambda vm_id: None
+
+    @property
+    def home(self) -> str:
+        """Zone of this entry."""
+        return self.identity.availability_zone
+
+    def begin(self) -> None:
+        """Chooses the incarnation of this process."""
+        self.incarnation_ = max(1, self.timers.wall_ms())
+
+    # Rows of the table.
+
+    async def register(self) -> None:
+        """Writes the entry's row; an unknown result shows in the next read."""
+        key = ownership.entry_key(self.identity.entry_id)
+        rows = await self.platform.read([key])
+        if isinstance(rows, base.Refusal):
+            return
+        found = ownership.from_json(rows[key].value, ownership.EntryRow)
+        if found is not None and found.incarnation == self.incarnation_:
+            self._note_registered(rows[key].version)
+            return
+        if found is None and rows[key].value is not None:
+            detail = f"the row {key} is malformed"
+            self.refusal_ = base.Refusal(
+                base.Reason.CONFLICT, STEP, "platform", detail
+            )
+            return
+        self.refusal_ = ownership.check_registration(
+            found, self.own_row(), self.listed_.get(self.identity.entry_id)
+        )
+        if self.refusal_ is not None:
+            return
+        if found is not None and found.incarnation >= self.incarnation_:
+            self.incarnation_ = found.incarnation + 1
+        result = await self.platform.transact(
+            [platform_lib.Condition(key, rows[key].version)],
+            [platform_lib.Write(key, ownership.to_json(self.own_row()))],
+        )
+        if isinstance(result, platform_lib.Committed):
+            self._note_registered(result.versions[key])
+
+    def _note_registered(self, version: int) -> None:
+        self.row_version_ = version
+        self.is_registered_ = True
+        self.is_home_valid_ = False
+        self.grants.start(self.timers.now_s())
+        self.recorder.record(
+            "membership.registered", incarnation=self.incarnation_
+        )
+
+    async def beat(self) -> None:
+        """Writes heartbeat and acknowledgements if they are due."""
+        now_s = self.timers.now_s()
+        self._acknowledge(now_s)
+        is_due = self.beat_s_ is None or now_s - self.beat_s_ >= HEARTBEAT_S
+        if not is_due and self.written_ == self.acknowledged_:
+            return
+        key = ownership.entry_key(self.identity.entry_id)
+        row = self.own_row()
+        result = await self.platform.transact(
+            [platform_lib.Condition(key, self.row_version_)],
+            [platform_lib.Write(key, ownership.to_json(row))],
+        )
+        if isinstance(result, platform_lib.Committed):
+            self.row_version_ = result.versions[key]
+            self.beat_ = row.beat + 1
+            self.beat_s_ = now_s
+            self.written_ = row.views[self.home]
+        elif isinstance(result, platform_lib.Conflict):
+            self._settle_beat(result.row)
+
+    def _settle_beat(self, row: platform_lib.Row) -> None:
+        """Follows an earlier heartbeat that took effect, or another process."""
+        found = ownership.from_json(row.value, ownership.EntryRow)
+        if found is not None and found.incarnation == self.incarnation_:
+            self.row_version_ = row.version
+            return
+        self.is_registered_ = False
+        self.is_home_valid_ = False
+        self.incarnation_ += 1
+        self.acknowledged_ = self.written_ = 0
+        self.recorder.record("membership.registration-lost")
+        self._notify()
+
+    def _acknowledge(self, now_s: float) -> None:
+        confirmed = self.views.confirmed(self.home)
+        if confirmed > self.acknowledged_ and self.grants.may_acknowledge(
+            confirmed, now_s
+        ):
+            self.acknowledged_ = confirmed
+
+    def own_row(self) -> ownership.EntryRow:
+        """Returns the row that this entry has or would write."""
+        views = self.confirmed_views()
+        views[self.home] = self.acknowledged_
+        return ownership.EntryRow(
+            incarnation=self.incarnation_,
+            availability_zone=self.home,
+            control=self.identity.control,
+            boot_id=self.identity.boot_id,
+            beat=self.beat_,
+            generation=self.generation_,
+            views=views,
+        )
+
+    async def poll_views(self) -> None:
+        """Reads the views that have advanced."""
+        registered = self.is_registered_ and self.incarnation_
+        rows = await self.platform.scan(ownership.VIEW_PREFIX)
+        if isinstance(rows, base.Refusal):
+            return
+        for row in rows:
+            zone = row.key.removeprefix(ownership.VIEW_PREFIX)
+            is_new = row.version > self.views.version(zone)
+            if is_new and self._is_wanted(zone):
+                await self._read_zone(zone, row.version)
+        home_key = ownership.view_key(self.home)
+        versions = {row.key: row.version for row in rows}
+        is_current = self.views.version(self.home) >= versions.get(home_key, 0)
+        if is_current and registered and self._is_same(registered):
+            self.is_home_valid_ = True
+            self._notify()
+
+    def _is_same(self, registered: int) -> bool:
+        return self.is_registered_ and self.incarnation_ == registered
+
+    def _is_wanted(self, availability_zone: str) -> bool:
+        if self.zones_ is None or availability_zone == self.home:
+            return True
+        return availability_zone in self.zones_
+
+    async def _read_zone(self, availability_zone: str, version: int) -> None:
+        # The rows are read after the view row, so they are at least as new.
+        prefix = f"{ownership.VM_PREFIX}{availability_zone}/"
+        rows = await self.platform.scan(prefix)
+        if isinstance(rows, base.Refusal):
+            return
+        self.adopt(
+            availability_zone,
+            version,
+            {row.key.removeprefix(prefix): row.value for row in rows},
+        )
+
+    def adopt(
+        self, availability_zone: str, version: int, values: dict[str, dict]
+    ) -> None:
+        """Takes a zone's rows in force if they are newer."""
+        rows = {}
+        for vm_id, value in values.items():
+            row = ownership.from_json(value, ownership.VmRow)
+            if row is not None:
+                rows[vm_id] = row
+        old = self.views.held_.get(availability_zone)
+        view = ownership.ZoneView(version, rows)
+        if not self.views.adopt(availability_zone, view):
+            return
+        for vm_id, row in rows.items():
+            old_row = old.rows.get(vm_id) if old is not None else None
+            if old_row is not None and _has_returned(old_row, row):
+                self.on_return(vm_id)
+        self._notify()
+
+    async def poll_list(self) -> None:
+        """Reads the platform's list of VMs."""
+        records = await self.platform.list_vms()
+        if isinstance(records, base.Refusal):
+            return
+        self.listed_ = {record.vm_id: record for record in records}
+        self._notify()
+
+    async def poll_entries(self) -> None:
+        """Reads which entries are registered."""
+        rows = await self.platform.scan(ownership.ENTRY_PREFIX)
+        if isinstance(rows, base.Refusal):
+            return
+        addresses = []
+        for row in rows:
+            entry = ownership.from_json(row.value, ownership.EntryRow)
+            if entry is None:
+                continue
+            entry_id = row.key.removeprefix(ownership.ENTRY_PREFIX)
+            addresses.append(
+                membership.PeerAddress(
+                    entry_id, entry.availability_zone, entry.control
+                )
+            )
+        self.peers.observe_table(addresses, self.timers.now_s())
+
+    def close(self) -> None:
+        """Stops using VMs and granting leases."""
+        self.is_closing_ = True
+        self._notify()
+
+    async def leave(self) -> base.Refusal | None:
+        """Deletes the entry's row once nobody uses a lease that it granted."""
+        now_s = self.timers.now_s()
+        self.grants.expire(now_s)
+        if self.grants.grants_:
+            return base.Refusal(base.Reason.NOT_READY, STEP, detail="grants")
+        if not self.is_registered_:
+            return None
+        key = ownership.entry_key(self.identity.entry_id)
+        result = await self.platform.transact(
+            [platform_lib.Condition(key, self.row_version_)],
+            [platform_lib.Write(key, None)],
+        )
+        if isinstance(result, platform_lib.Committed):
+            self.is_registered_ = False
+            return None
+        return base.Refusal(
+            base.Reason.UNKNOWN_RESULT, STEP, "platform", str(result)
+        )
+
+    # Time.
+
+    def tick(self) -> bool:
+        """Notes the passing of time; returns whether the clock jumped."""
+        now_s = self.timers.now_s()
+        jumped = self.jumps.observe(now_s, self.timers.wall_ms())
+        if jumped:
+            self.leases.drop_all()
+            self.recorder.record("membership.clock-jumped")
+        self.peers.expire(now_s)
+        return jumped
+
+    # Exchanges.
+
+    def confirmed_views(self) -> dict[str, int]:
+        """Returns the confirmed view version of each zone held."""
+        return {
+            zone: self.views.confirmed(zone) for zone in self.views.held_
+        }
+
+    def wants_lease(self, availability_zone: str) -> bool:
+        """Returns whether VMs of a zone are only used under a lease."""
+        if self.is_closing_:
+            return False
+        return availability_zone != self.home or not self.is_home_valid_
+
+    def grant(
+        self, sender: str, incarnation: int, exchange: membership.Exchange
+    ) -> int:
+        """Decides on the lease that a request asks for.
+
+        Returns:
+            The view version of the lease; 0 if none is granted.
+        """
+        holder = (sender, incarnation)
+        version = exchange.views.get(self.home, 0)
+        self.grants.confirm(holder, version)
+        may_grant = self.is_home_valid_ and not self.is_closing_
+        if not exchange.wants_lease or not may_grant:
+            return 0
+        granted = self.grants.grant(
+            holder,
+            version,
+            self.views.version(self.home),
+            self.timers.now_s(),
+        )
+        return version if granted else 0
+
+    def zone_rows(
+        self, exchange: membership.Exchange
+    ) -> membership.ZoneRows | None:
+        """Returns the home zone's rows for a peer with an older view."""
+        view = self.views.held_.get(self.home)
+        if view is None or not exchange.wants_lease:
+            return None
+        if exchange.views.get(self.home, 0) >= view.version:
+            return None
+        rows = {
+            vm_id: ownership.to_json(row) for vm_id, row in view.rows.items()
+        }
+        return membership.ZoneRows(version=view.version, rows=rows)
+
+    def receive_answer(
+        self, exchange: membership.Exchange, sent_s: float
+    ) -> None:
+        """Takes the lease and the rows of an answer.
+
+        Args:
+            exchange: Verified answer.
+            sent_s: When the request was sent, in seconds.
+        """
+        zone = exchange.entry.availability_zone
+        rows = exchange.zone_rows
+        if rows is not None and self._is_wanted(zone):
+            self.adopt(zone, rows.version, rows.rows)
+        if 0 < exchange.granted <= self.views.version(zone):
+            was_held = self.leases.is_held(zone, self.timers.now_s())
+            self.leases.observe_grant(zone, sent_s)
+            if not was_held:
+                self._notify()
+
+    # Use of VMs.
+
+    def access(
+        self, availability_zone: str, now_s: float
+    ) -> base.Refusal | None:
+        """Returns why VMs of a zone must not be used now, or None."""
+        if self.is_closing_:
+            return base.Refusal(base.Reason.DRAINING, STEP)
+        if self.refusal_ is not None:
+            return self.refusal_
+        if availability_zone == self.home and self.is_home_valid_:
+            return None
+        if self.jumps.is_overdue(now_s):
+            return base.Refusal(base.Reason.CLOCK_JUMPED, STEP)
+        if not self.leases.is_held(availability_zone, now_s):
+            return base.Refusal(
+                base.Reason.LEASE_LAPSED, STEP, detail=availability_zone
+            )
+        return None
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Calls `callback` after every change of what may be used."""
+        self.subscribers_.append(callback)
+
+    def _notify(self) -> None:
+        for callback in self.subscribers_:
+            callback()
+
+
+def _has_returned(old: ownership.VmRow, new: ownership.VmRow) -> bool:
+    serving = ownership.Phase.SERVING
+    return old.phase is not serving and new.phase is serving
--- /dev/null
+++ b/baobabdoor/membership/__init__.py
@@ -0,0 +1,47 @@
+"""The entries of a deployment: who is known, heard and trusted with views."""
+
+from baobabdoor.membership._jump import ClockJumpDetector
+from baobabdoor.membership._leases import GRANT_HOLD_S
+from baobabdoor.membership._leases import LEASE_S
+from baobabdoor.membership._leases import GrantBook
+from baobabdoor.membership._leases import LeaseBook
+from baobabdoor.membership._messages import MAX_ENTRIES
+from baobabdoor.membership._messages import MAX_MARKS
+from baobabdoor.membership._messages import MAX_MESSAGE_BYTES
+from baobabdoor.membership._messages import Exchange
+from baobabdoor.membership._messages import LeavingMark
+from baobabdoor.membership._messages import PeerEntry
+from baobabdoor.membership._messages import ZoneRows
+from baobabdoor.membership._peers import ExchangeSchedule
+from baobabdoor.membership._peers import Peer
+from baobabdoor.membership._peers import PeerAddress
+from baobabdoor.membership._peers import PeerSource
+from baobabdoor.membership._peers import PeerState
+from baobabdoor.membership._peers import PeerTable
+from baobabdoor.membership._signing import Content
+from baobabdoor.membership._signing import Envelope
+from baobabdoor.membership._signing import PeerSigner
+
+__all__ = [
+    "ClockJumpDetector",
+    "Content",
+    "Envelope",
+    "Exchange",
+    "ExchangeSchedule",
+    "GRANT_HOLD_S",
+    "GrantBook",
+    "LEASE_S",
+    "LeaseBook",
+    "LeavingMark",
+    "MAX_ENTRIES",
+    "MAX_MARKS",
+    "MAX_MESSAGE_BYTES",
+    "Peer",
+    "PeerAddress",
+    "PeerEntry",
+    "PeerSigner",
+    "PeerSource",
+    "PeerState",
+    "PeerTable",
+    "ZoneRows",
+]
--- /dev/null
+++ b/baobabdoor/membership/_jump.py
@@ -0,0 +1,49 @@
+"""Detection of a process or clock that stood still or jumped."""
+
+from baobabdoor import base
+
+MAX_EXTRA_S = 1.0
+
+
+class ClockJumpDetector:
+    """Compares the time between two ticks with the period of the ticks.
+
+    The wall clock is compared too, because the monotonic clock of a VM may
+    stand still while the VM is suspended.
+
+    Args:
+        period_s: Time between ticks in seconds.
+        max_extra_s: Allowed excess in seconds. Default: 1.
+    """
+
+    PARAMETER_CONSTRAINTS = {
+        "period_s": base.Interval(0),
+        "max_extra_s": base.Interval(0),
+    }
+
+    def __init__(self, period_s: float, max_extra_s: float = MAX_EXTRA_S):
+        self.period_s = period_s
+        self.max_extra_s = max_extra_s
+        self.last_s_: float | None = None
+        self.last_wall_ms_ = 0
+
+    def observe(self, now_s: float, wall_ms: int) -> bool:
+        """Notes a tick; returns whether the clock jumped since the last one."""
+        if self.last_s_ is None:
+            base.validate(self)
+            jumped = False
+        else:
+            passed_s = now_s - self.last_s_
+            passed_wall_s = (wall_ms - self.last_wall_ms_) / 1000
+            differs = abs(passed_wall_s - passed_s) > self.max_extra_s
+            jumped = differs or self.is_overdue(now_s)
+        self.last_s_ = now_s
+        self.last_wall_ms_ = wall_ms
+        return jumped
+
+    def is_overdue(self, now_s: float) -> bool:
+        """Returns whether a tick is missing, so that a jump is possible."""
+        if self.last_s_ is None:
+            return True
+        passed_s = now_s - self.last_s_
+        return passed_s < 0 or passed_s > self.period_s + self.max_extra_s
--- /dev/null
+++ b/baobabdoor/membership/_signing.py
@@ -0,0 +1,251 @@
+"""Signatures of messages between entries, and refusal of replays."""
+
+from collections.abc import Mapping
+import enum
+import hashlib
+import hmac
+import json
+import re
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor.membership import _messages
+
+STEP = "membership.verify"
+HEADER_PREFIX = "Baobabdoor-Peer-"
+# Messages of one sender overtake each other on parallel connections by far
+# less than this.
+SEQUENCE_WINDOW = 1024
+MAX_SENDERS = 2 * _messages.MAX_ZONES * 9
+
+_NAME = re.compile(_messages.NAME_PATTERN)
+
+
+class Direction(enum.Enum):
+    """Keeps a request from being replayed as an answer."""
+
+    REQUEST = "request"
+    ANSWER = "answer"
+
+
+@attrs.frozen
+class Envelope:
+    """Who sends a message to whom.
+
+    Attributes:
+        sender: Entry that signs.
+        receiver: Entry that it is meant for.
+        incarnation: Start of the sender's process.
+        receiver_incarnation: Start of the receiver's process; 0 if the sender
+            does not know it yet.
+        sequence: Number of the request; that of the request in an answer.
+        signature: HMAC-SHA256 in hexadecimal.
+    """
+
+    sender: str
+    receiver: str
+    incarnation: int
+    receiver_incarnation: int
+    sequence: int
+    signature: str = ""
+
+    def to_headers(self) -> dict[str, str]:
+        """Returns the HTTP headers that carry the envelope."""
+        return {
+            HEADER_PREFIX + name.title().replace("_", "-"): str(value)
+            for name, value in attrs.asdict(self).items()
+        }
+
+    @classmethod
+    def from_headers(
+        cls, headers: Mapping[str, str]
+    ) -> "Envelope | base.Refusal":
+        """Reads the headers of `to_headers`."""
+        texts = {
+            field.name: headers.get(
+                HEADER_PREFIX + field.name.title().replace("_", "-"), ""
+            )
+            for field in attrs.fields(cls)
+        }
+        numbers = ("incarnation", "receiver_incarnation", "sequence")
+        for name, text in texts.items():
+            is_number = re.fullmatch("[0-9]{1,16}", text) is not None
+            if name in numbers and not is_number:
+                return _refuse("", f"malformed {name}")
+            if name not in numbers and not _NAME.fullmatch(text):
+                return _refuse("", f"malformed {name}")
+        values = {
+            name: int(text) if name in numbers else text
+            for name, text in texts.items()
+        }
+        return cls(**values)
+
+
+@attrs.frozen
+class Content:
+    """What a signature covers beside the envelope.
+
+    Attributes:
+        path: Path of the request.
+        headers: Further headers that must arrive unchanged.
+        body: Body of the message.
+    """
+
+    path: str
+    headers: Mapping[str, str] = attrs.field(factory=dict)
+    body: bytes = b""
+
+    def digest(self) -> str:
+        """Returns a hash over all parts."""
+        headers = sorted(
+            (name.lower(), value) for name, value in self.headers.items()
+        )
+        text = json.dumps([self.path, headers])
+        body_digest = hashlib.sha256(self.body).hexdigest()
+        return hashlib.sha256(f"{text}\n{body_digest}".encode()).hexdigest()
+
+
+@attrs.define
+class _Sender:
+    incarnation: int
+    highest: int = 0
+    seen: set[int] = attrs.field(factory=set)
+
+
+class PeerSigner:
+    """Signs messages of this process and verifies those of peers.
+
+    Args:
+        key: Key shared by all entries.
+        entry_id: Identifier of this entry.
+        incarnation: Start of this process.
+    """
+
+    PARAMETER_CONSTRAINTS = {
+        "incarnation": base.Interval(1, _messages.MAX_INTEGER, integer=True)
+    }
+
+    def __init__(self, key: bytes, entry_id: str, incarnation: int):
+        self.key = key
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.sequence_ = 0
+        self.senders_: dict[str, _Sender] = {}
+        self.known_: dict[str, int] = {}
+
+    def sign_request(self, receiver: str, content: Content) -> Envelope:
+        """Returns the envelope of a new request."""
+        if not self.sequence_:
+            base.validate(self)
+        self.sequence_ += 1
+        envelope = Envelope(
+            self.entry_id,
+            receiver,
+            self.incarnation,
+            self.known_.get(receiver, 0),
+            self.sequence_,
+        )
+        return self._sign(Direction.REQUEST, envelope, content)
+
+    def sign_answer(self, request: Envelope, content: Content) -> Envelope:
+        """Returns the envelope of the answer to a verified request."""
+        envelope = Envelope(
+            self.entry_id,
+            request.sender,
+            self.incarnation,
+            request.incarnation,
+            request.sequence,
+        )
+        return self._sign(Direction.ANSWER, envelope, content)
+
+    def verify_request(
+        self, envelope: Envelope, content: Content
+    ) -> base.Refusal | None:
+        """Returns why a request must not be acted on, or None.
+
+        `Reason.PEER_GONE` means that the sender does not know this process
+        yet; a signed answer tells it.
+        """
+        refusal = self._verify(Direction.REQUEST, envelope, content)
+        if refusal is not None:
+            return refusal
+        if envelope.receiver_incarnation != self.incarnation:
+            detail = f"meant for incarnation {envelope.receiver_incarnation}"
+            return base.Refusal(
+                base.Reason.PEER_GONE, STEP, envelope.sender, detail
+            )
+        return self._check_sequence(envelope)
+
+    def verify_answer(
+        self, request: Envelope, envelope: Envelope, content: Content
+    ) -> base.Refusal | None:
+        """Returns why an answer must not be believed, or None."""
+        refusal = self._verify(Direction.ANSWER, envelope, content)
+        if refusal is not None:
+            return refusal
+        if (
+            envelope.sender != request.receiver
+            or envelope.receiver_incarnation != self.incarnation
+            or envelope.sequence != request.sequence
+        ):
+            return _refuse(envelope.sender, "answer to another request")
+        if envelope.incarnation < self.known_.get(envelope.sender, 0):
+            return _refuse(envelope.sender, "answer of an earlier process")
+        self.known_[envelope.sender] = envelope.incarnation
+        return None
+
+    def _check_sequence(self, envelope: Envelope) -> base.Refusal | None:
+        sender = self.senders_.get(envelope.sender)
+        if sender is None and len(self.senders_) >= MAX_SENDERS:
+            return _refuse(envelope.sender, "too many senders")
+        if sender is None or envelope.incarnation > sender.incarnation:
+            sender = _Sender(envelope.incarnation)
+            self.senders_[envelope.sender] = sender
+        elif envelope.incarnation < sender.incarnation:
+            return _refuse(envelope.sender, "message of an earlier process")
+        lowest = sender.highest - SEQUENCE_WINDOW
+        if envelope.sequence <= lowest or envelope.sequence in sender.seen:
+            return _refuse(envelope.sender, "replayed message")
+        sender.seen.add(envelope.sequence)
+        sender.highest = max(sender.highest, envelope.sequence)
+        if len(sender.seen) > 2 * SEQUENCE_WINDOW:
+            lowest = sender.highest - SEQUENCE_WINDOW
+            sender.seen = {seen for seen in sender.seen if seen > lowest}
+        return None
+
+    def _verify(
+        self, direction: Direction, envelope: Envelope, content: Content
+    ) -> base.Refusal | None:
+        expected = self._signature(direction, envelope, content)
+        if not hmac.compare_digest(expected, envelope.signature):
+            return _refuse(envelope.sender, "wrong signature")
+        if envelope.receiver != self.entry_id:
+            detail = f"meant for {envelope.receiver}"
+            return _refuse(envelope.sender, detail)
+        return None
+
+    def _sign(
+        self, direction: Direction, envelope: Envelope, content: Content
+    ) -> Envelope:
+        signature = self._signature(direction, envelope, content)
+        return attrs.evolve(envelope, signature=signature)
+
+    def _signature(
+        self, direction: Direction, envelope: Envelope, content: Content
+    ) -> str:
+        parts = [
+            direction.value,
+            envelope.sender,
+            envelope.receiver,
+            str(envelope.incarnation),
+            str(envelope.receiver_incarnation),
+            str(envelope.sequence),
+            content.digest(),
+        ]
+        text = "\n".join(parts).encode()
+        return hmac.new(self.key, text, hashlib.sha256).hexdigest()
+
+
+def _refuse(peer: str, detail: str) -> base.Refusal:
+    return base.Refusal(base.Reason.FORGED, STEP, peer, detail)
--- /dev/null
+++ b/baobabdoor/ownership/_steps.py
@@ -0,0 +1,266 @@
+"""Conditional transactions that take VMs from phase to phase."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import platform
+from baobabdoor import settings
+from baobabdoor.ownership import _fleet
+from baobabdoor.ownership import _rows
+from baobabdoor.ownership import _table
+
+STEP = "ownership.start"
+
+
+@attrs.frozen
+class Step:
+    """A transaction that changes the rows of one zone.
+
+    Attributes:
+        kind: Name of the change, for the time line.
+        vm_id: VM concerned; the first one if several are created.
+        transaction: Identifier written into the rows, to read it back.
+        conditions: Control, VM, view and budget rows as they were read.
+        writes: New rows.
+        intent: Planned operation; empty if none.
+    """
+
+    kind: str
+    vm_id: str
+    transaction: str
+    conditions: tuple[platform.Condition, ...]
+    writes: tuple[platform.Write, ...]
+    intent: str = ""
+
+
+def create_vms(
+    table: _table.FleetTable,
+    availability_zone: str,
+    records: Sequence[platform.VmRecord],
+    versions: dict[str, int],
+    wall_ms: int,
+) -> Step:
+    """Writes the first rows of VMs that the platform lists.
+
+    Args:
+        table: Rows read.
+        availability_zone: Zone of all `records`.
+        records: Live VMs without a row.
+        versions: Version of each absent row; not 0 if one was deleted.
+        wall_ms: Wall-clock time in milliseconds.
+    """
+    view = table.views.get(availability_zone, 0)
+    transaction = f"{table.epoch}.{availability_zone}.{view + 1}"
+    conditions = [
+        _control_condition(table),
+        platform.Condition(_rows.view_key(availability_zone), view),
+    ]
+    writes = [_view_write(availability_zone, view + 1)]
+    for record in records:
+        key = _rows.vm_key(availability_zone, record.vm_id)
+        row = _rows.VmRow(
+            pool=record.pool_hint,
+            phase=_fleet.Phase.SERVING,
+            boot_id=record.boot_id,
+            rack=record.rack,
+            address=record.address,
+            transaction=transaction,
+            view=view + 1,
+            phase_since_ms=wall_ms,
+        )
+        conditions.append(platform.Condition(key, versions[key]))
+        writes.append(platform.Write(key, _rows.to_json(row)))
+    return Step(
+        "ownership.created",
+        records[0].vm_id,
+        transaction,
+        tuple(conditions),
+        tuple(writes),
+    )
+
+
+def change_vm(
+    table: _table.FleetTable,
+    vm_id: str,
+    kind: str,
+    wall_ms: int,
+    **changes: object,
+) -> Step:
+    """Changes a VM's row and advances the zone's view.
+
+    A changed intent is charged to, or released from, the budget row of the
+    pool that the VM belonged to.
+
+    Args:
+        table: Rows read.
+        vm_id: VM to change.
+        kind: Name of the change, for the time line.
+        wall_ms: Wall-clock time in milliseconds.
+        **changes: New values of attributes of the VM row.
+    """
+    stored = table.vms[vm_id]
+    zone = stored.availability_zone
+    view = table.views.get(zone, 0)
+    transaction = f"{table.epoch}.{zone}.{view + 1}"
+    if changes.get("phase", stored.row.phase) is not stored.row.phase:
+        changes["phase_since_ms"] = wall_ms
+    row = attrs.evolve(
+        stored.row, transaction=transaction, view=view + 1, **changes
+    )
+    key = _rows.vm_key(zone, vm_id)
+    conditions = [
+        _control_condition(table),
+        platform.Condition(key, stored.version),
+        platform.Condition(_rows.view_key(zone), view),
+    ]
+    writes = [
+        platform.Write(key, _rows.to_json(row)),
+        _view_write(zone, view + 1),
+    ]
+    if row.intent != stored.row.intent:
+        pool = stored.row.pool
+        conditions.append(_budget_condition(table, pool))
+        writes.append(_budget_write(table, pool, vm_id, row.intent))
+    return Step(
+        kind,
+        vm_id,
+        transaction,
+        tuple(conditions),
+        tuple(writes),
+        row.intent or stored.row.intent,
+    )
+
+
+def start_operation(
+    table: _table.FleetTable,
+    vm_id: str,
+    target_pool: str,
+    preset: settings.Preset,
+    wall_ms: int,
+) -> Step | base.Refusal:
+    """Takes a VM out of service, for a move or for maintenance.
+
+    Args:
+        table: Rows read.
+        vm_id: VM to take.
+        target_pool: Pool to move to; the VM's own pool for maintenance.
+        preset: Preset in force.
+        wall_ms: Wall-clock time in milliseconds.
+
+    Returns:
+        The transaction, or why the operation must not start now.
+    """
+    refusal = check_start(table, vm_id, target_pool, preset)
+    if refusal is not None:
+        return refusal
+    stored = table.vms[vm_id]
+    view = table.views.get(stored.availability_zone, 0) + 1
+    is_move = target_pool != stored.row.pool
+    verb = "move" if is_move else "maintain"
+    return change_vm(
+        table,
+        vm_id,
+        f"ownership.{verb}-started",
+        wall_ms,
+        phase=_fleet.Phase.LEAVING,
+        target_pool=target_pool,
+        intent=f"{verb}.{vm_id}.{table.epoch}.{view}",
+    )
+
+
+def check_start(
+    table: _table.FleetTable,
+    vm_id: str,
+    target_pool: str,
+    preset: settings.Preset,
+) -> base.Refusal | None:
+    """Returns why a VM must not be taken out of service now, or None.
+
+    A move to an unknown pool, a VM that is not in service, a pool that would
+    fall below its promise or exceed its budget, and a target pool that is full
+    are refused.
+    """
+    stored = table.vms.get(vm_id)
+    if stored is None:
+        return base.Refusal(base.Reason.NOT_FOUND, STEP, vm_id)
+    snapshot = table.snapshot()
+    pool = stored.row.pool
+    promise = preset.pools.get(pool)
+    target = preset.pools.get(target_pool)
+    if promise is None or target is None:
+        detail = f"no promise for {pool!r} or {target_pool!r}"
+        return base.Refusal(base.Reason.UNKNOWN_POOL, STEP, vm_id, detail)
+    if not snapshot.vms[vm_id].in_service or stored.row.intent:
+        detail = f"the VM is {stored.row.phase.value}"
+        return base.Refusal(base.Reason.CONFLICT, STEP, vm_id, detail)
+    if snapshot.in_service(pool) - 1 < promise.min_workers:
+        detail = f"{pool} keeps {promise.min_workers} VMs in service"
+        return base.Refusal(base.Reason.NO_CAPACITY, STEP, vm_id, detail)
+    out = out_of_service(table, pool)
+    if len(out | {vm_id}) > promise.availability_budget:
+        detail = f"{len(out)} of {promise.availability_budget} VMs are out"
+        return base.Refusal(base.Reason.BUDGET_EXHAUSTED, STEP, vm_id, detail)
+    if target_pool != pool and (
+        future_size(table, target_pool) >= target.max_workers
+    ):
+        detail = f"{target_pool} takes at most {target.max_workers} VMs"
+        return base.Refusal(base.Reason.QUOTA_EXCEEDED, STEP, vm_id, detail)
+    return None
+
+
+def out_of_service(table: _table.FleetTable, pool: str) -> set[str]:
+    """Returns the VMs of a pool that are out for any reason.
+
+    VMs charged in the budget row count even if their rows say otherwise.
+    """
+    snapshot = table.snapshot()
+    out = {vm.vm_id for vm in snapshot.of_pool(pool) if not vm.in_service}
+    budget = table.budgets.get(pool, _table.StoredBudget())
+    return out | set(budget.row.charges)
+
+
+def future_size(table: _table.FleetTable, pool: str) -> int:
+    """Returns the size of a pool once all moves under way are done."""
+    rows = [stored.row for stored in table.vms.values()]
+    return sum((row.target_pool or row.pool) == pool for row in rows)
+
+
+def apply_step(
+    table: _table.FleetTable, step: Step, versions: dict[str, int]
+) -> None:
+    """Takes a committed transaction into the rows already read."""
+    table.observe_rows(
+        platform.Row(write.key, versions[write.key], write.value)
+        for write in step.writes
+    )
+
+
+def _control_condition(table: _table.FleetTable) -> platform.Condition:
+    return platform.Condition(_rows.control_key(table.region), table.epoch)
+
+
+def _budget_condition(
+    table: _table.FleetTable, pool: str
+) -> platform.Condition:
+    version = table.budgets.get(pool, _table.StoredBudget()).version
+    return platform.Condition(_rows.budget_key(pool), version)
+
+
+def _budget_write(
+    table: _table.FleetTable, pool: str, vm_id: str, intent: str
+) -> platform.Write:
+    budget = table.budgets.get(pool, _table.StoredBudget())
+    charges = dict(budget.row.charges)
+    charges.pop(vm_id, None)
+    if intent:
+        charges[vm_id] = intent
+    row = _rows.BudgetRow(charges)
+    return platform.Write(_rows.budget_key(pool), _rows.to_json(row))
+
+
+def _view_write(availability_zone: str, version: int) -> platform.Write:
+    return platform.Write(
+        _rows.view_key(availability_zone), {"version": version}
+    )
--- /dev/null
+++ b/baobabdoor/ownership/_table.py
@@ -0,0 +1,118 @@
+"""What the controller has read of a region's rows and of the VM list."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from baobabdoor import platform
+from baobabdoor.ownership import _fleet
+from baobabdoor.ownership import _rows
+
+
+@attrs.frozen
+class StoredVm:
+    """A VM row with its place in the table."""
+
+    availability_zone: str
+    row: _rows.VmRow
+    version: int
+
+
+@attrs.frozen
+class StoredBudget:
+    """A budget row with its version."""
+
+    row: _rows.BudgetRow = attrs.field(factory=_rows.BudgetRow)
+    version: int = 0
+
+
+@attrs.define
+class FleetTable:
+    """The rows that decide about VMs.
+
+    Attributes:
+        region: Region of the rows.
+        epoch: Version of the control row under which they were read.
+        vms: VM rows by VM.
+        views: Version of each zone's view row.
+        budgets: Budget rows by pool.
+        entries: Entry rows; None for a malformed one.
+        listed: The platform's list by VM.
+        gone: Entries that no longer count, see `GoneEntries`.
+    """
+
+    region: str
+    epoch: int = 0
+    vms: dict[str, StoredVm] = attrs.field(factory=dict)
+    views: dict[str, int] = attrs.field(factory=dict)
+    budgets: dict[str, StoredBudget] = attrs.field(factory=dict)
+    entries: dict[str, _rows.EntryRow | None] = attrs.field(factory=dict)
+    listed: dict[str, platform.VmRecord] = attrs.field(factory=dict)
+    gone: frozenset[str] = frozenset()
+
+    def observe_rows(self, rows: Iterable[platform.Row]) -> None:
+        """Takes in rows of any kind; malformed VM and budget rows are kept out.
+
+        A VM without a readable row gets no operation, and a pool without a
+        readable budget row gets no charge, because the version is missing.
+        """
+        for row in rows:
+            kind, _, name = row.key.partition("/")
+            if kind == "vm":
+                self._observe_vm(row, name)
+            elif kind == "view":
+                self.views[name] = row.version
+            elif kind == "budget":
+                budget = _rows.from_json(row.value, _rows.BudgetRow)
+                if budget is not None:
+                    self.budgets[name] = StoredBudget(budget, row.version)
+            elif kind == "entry":
+                self.entries[name] = _rows.from_json(row.value, _rows.EntryRow)
+
+    def _observe_vm(self, row: platform.Row, name: str) -> None:
+        zone, _, vm_id = name.partition("/")
+        vm_row = _rows.from_json(row.value, _rows.VmRow)
+        if vm_row is not None:
+            self.vms[vm_id] = StoredVm(zone, vm_row, row.version)
+
+    def snapshot(self) -> _fleet.FleetSnapshot:
+        """Returns the VMs as planners see them."""
+        vms = {
+            vm_id: vm_state(
+                vm_id,
+                stored.availability_zone,
+                stored.row,
+                self.listed.get(vm_id),
+                stored.version,
+            )
+            for vm_id, stored in self.vms.items()
+        }
+        return _fleet.FleetSnapshot(vms)
+
+
+def vm_state(
+    vm_id: str,
+    availability_zone: str,
+    row: _rows.VmRow,
+    record: platform.VmRecord | None = None,
+    version: int = 0,
+) -> _fleet.VmState:
+    """Joins a VM row with the platform's record of the same boot."""
+    same_boot = record is not None and record.boot_id == row.boot_id
+    state = record.state if same_boot else platform.VmListState.LIVE
+    return _fleet.VmState(
+        vm_id=vm_id,
+        availability_zone=availability_zone,
+        rack=row.rack,
+        address=row.address,
+        pool=row.pool,
+        phase=row.phase,
+        boot_id=row.boot_id,
+        version=version,
+        target_pool=row.target_pool,
+        intent=row.intent,
+        last_maintained_ms=row.last_maintained_ms,
+        phase_since_ms=row.phase_since_ms,
+        reachable=state is not platform.VmListState.TERMINATED,
+        leaving=state is platform.VmListState.LEAVING,
+    )
