Add ControlService on the control port

Composes membership, views, control lease and controller, answers signed peer requests and the operators' status, pools and vms.

--- /dev/null
+++ b/baobabdoor/control/__init__.py
@@ -0,0 +1,39 @@
+"""Membership, the control lease and the controller of an entry."""
+
+from baobabdoor.control._controller import Controller
+from baobabdoor.control._controller import ControlRound
+from baobabdoor.control._controller import Planners
+from baobabdoor.control._exchanges import ExchangeProvider
+from baobabdoor.control._exchanges import ExchangeState
+from baobabdoor.control._fleet_view import FleetView
+from baobabdoor.control._lease import ControlLease
+from baobabdoor.control._marks import LeavingMarks
+from baobabdoor.control._member import Identity
+from baobabdoor.control._member import Member
+from baobabdoor.control._peer_link import PeerLink
+from baobabdoor.control._service import ControlService
+from baobabdoor.control._status import ControlStatus
+from baobabdoor.control._status import EntryStatus
+from baobabdoor.control._status import PeerStatus
+from baobabdoor.control._status import PoolStatus
+from baobabdoor.control._status import VmStatus
+
+__all__ = [
+    "ControlLease",
+    "ControlRound",
+    "ControlService",
+    "ControlStatus",
+    "Controller",
+    "EntryStatus",
+    "ExchangeProvider",
+    "ExchangeState",
+    "FleetView",
+    "Identity",
+    "LeavingMarks",
+    "Member",
+    "PeerLink",
+    "PeerStatus",
+    "Planners",
+    "PoolStatus",
+    "VmStatus",
+]
--- /dev/null
+++ b/baobabdoor/control/_activity.py
@@ -0,0 +1,47 @@
+"""Periodic coroutines that never overlap with themselves."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+from baobabdoor import observability
+
+Spawn = Callable[[Callable[[], Coroutine[Any, Any, None]]], None]
+
+
+class Activity:
+    """Runs a coroutine when triggered, unless it is still running.
+
+    Args:
+        name: Name for logs.
+        function: Makes the coroutine.
+        spawn: Runs a coroutine function on the loop.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        function: Callable[[], Coroutine[Any, Any, None]],
+        spawn: Spawn,
+    ):
+        self.name = name
+        self.function = function
+        self.spawn = spawn
+        self.is_running_ = False
+
+    def trigger(self) -> None:
+        """Starts a run if none is in progress."""
+        if not self.is_running_:
+            self.is_running_ = True
+            self.spawn(self._run)
+
+    async def _run(self) -> None:
+        try:
+            await self.function()
+        except Exception:
+            # One fault must not end the series: the next run starts afresh.
+            observability.get_logger("control").exception(
+                "activity failed", activity=self.name
+            )
+        finally:
+            self.is_running_ = False
--- a/baobabdoor/control/_controller.py
+++ b/baobabdoor/control/_controller.py
@@ -262,10 +262,17 @@
         rows = await self.platform.read(keys)
         if isinstance(rows, base.Refusal):
             return False
-        if any(row.value is not None for row in rows.values()):
-            self.table_ = None
-            return False
-        versions = {key: row.version for key, row in rows.items()}
+        # A row that is present here but not among the rows read is malformed.
+        versions = {
+            key: row.version for key, row in rows.items() if row.value is None
+        }
+        records = [
+            record
+            for record in records
+            if ownership.vm_key(zone, record.vm_id) in versions
+        ]
+        if not records:
+            return True
         step = ownership.create_vms(
             table, zone, records, versions, self.timers.wall_ms()
         )
--- /dev/null
+++ b/baobabdoor/control/_exchanges.py
@@ -0,0 +1,206 @@
+"""What an entry tells its peers and what it takes from their messages."""
+
+from collections.abc import Callable
+from typing import Any
+from typing import Protocol
+
+from baobabdoor import base
+from baobabdoor import capacity
+from baobabdoor import membership
+from baobabdoor import timeline
+from baobabdoor.control import _marks
+from baobabdoor.control import _member
+
+# Load of an entry that has not been heard for longer does not count.
+LOAD_VALID_S = 15.0
+LOAD = "load"
+
+LoadSource = Callable[[], dict[str, capacity.PoolDemand]]
+
+
+class ExchangeProvider(Protocol):
+    """A part that uses the exchanges of the own zone."""
+
+    def exchange(self, peer_id: str, now_s: float) -> dict[str, Any]:
+        """Returns the payload for a peer."""
+
+    def receive(
+        self, peer_id: str, payload: dict[str, Any], now_s: float
+    ) -> None:
+        """Takes in a peer's payload."""
+
+
+class ExchangeState:
+    """Builds and takes in the messages of exchanges.
+
+    Args:
+        member: This entry's registration, views and leases.
+        peers: Known peers.
+        marks: Boots that take no new work.
+        timers: Timer service.
+        recorder: Time line; its clock follows the peers' clocks.
+    """
+
+    def __init__(
+        self,
+        member: _member.Member,
+        peers: membership.PeerTable,
+        marks: _marks.LeavingMarks,
+        timers: base.TimerService,
+        recorder: timeline.EventRecorder,
+    ):
+        self.member = member
+        self.peers = peers
+        self.marks = marks
+        self.timers = timers
+        self.recorder = recorder
+        self.providers_: dict[str, ExchangeProvider] = {}
+        self.load_source_: LoadSource = dict
+        self.loads_: dict[str, tuple[float, dict[str, capacity.PoolDemand]]] = (
+            {}
+        )
+        self.gossip_cursor_ = 0
+
+    def request(self, peer: membership.PeerAddress) -> membership.Exchange:
+        """Returns the message to a peer."""
+        wants_lease = self.member.wants_lease(peer.availability_zone)
+        return self._message(
+            peer.entry_id, peer.availability_zone, wants_lease=wants_lease
+        )
+
+    def answer(
+        self, sender: str, incarnation: int, exchange: membership.Exchange
+    ) -> membership.Exchange:
+        """Takes in a verified request and returns the answer to it."""
+        self.observe(sender, incarnation, exchange)
+        zone = exchange.entry.availability_zone
+        return self._message(
+            sender,
+            zone,
+            granted=self.member.grant(sender, incarnation, exchange),
+            zone_rows=self.member.zone_rows(exchange),
+        )
+
+    def receive_answer(
+        self,
+        sender: str,
+        incarnation: int,
+        exchange: membership.Exchange,
+        sent_s: float,
+    ) -> None:
+        """Takes in the verified answer to a request sent at `sent_s`."""
+        self.observe(sender, incarnation, exchange)
+        self.member.receive_answer(exchange, sent_s)
+
+    def observe(
+        self, sender: str, incarnation: int, exchange: membership.Exchange
+    ) -> None:
+        """Takes in what requests and answers have in common."""
+        now_s = self.timers.now_s()
+        heard = (exchange.entry, *exchange.entries)
+        for entry in heard:
+            self.peers.observe_address(
+                entry.address(), membership.PeerSource.PEERS, now_s
+            )
+        self.peers.observe_contact(
+            sender,
+            incarnation,
+            exchange.generation,
+            exchange.views,
+            exchange.is_registered,
+            now_s,
+        )
+        self.recorder.clock.observe(base.HybridTime.parse(exchange.clock))
+        self.marks.observe_peer(exchange.leaving, now_s)
+        self._observe_load(sender, exchange.extras.get(LOAD), now_s)
+        for name, provider in self.providers_.items():
+            payload = exchange.extras.get(name)
+            if payload is not None:
+                provider.receive(sender, payload, now_s)
+
+    def demand(self) -> dict[str, capacity.PoolDemand]:
+        """Returns the demand on each pool over all entries heard lately."""
+        now_s = self.timers.now_s()
+        loads = [self.load_source_()]
+        for entry_id, (heard_s, load) in list(self.loads_.items()):
+            if now_s - heard_s > LOAD_VALID_S:
+                del self.loads_[entry_id]
+            else:
+                loads.append(load)
+        total: dict[str, capacity.PoolDemand] = {}
+        for load in loads:
+            for pool, demand in load.items():
+                known = total.get(pool, capacity.PoolDemand(0, 0))
+                total[pool] = capacity.PoolDemand(
+                    known.in_progress + demand.in_progress,
+                    known.queued + demand.queued,
+                )
+        return total
+
+    def _observe_load(
+        self, sender: str, payload: dict[str, Any] | None, now_s: float
+    ) -> None:
+        if payload is None:
+            return
+        load = {}
+        for pool, counts in payload.items():
+            is_pair = isinstance(counts, list) and len(counts) == 2
+            if not is_pair or not all(type(count) is int for count in counts):
+                continue
+            load[pool] = capacity.PoolDemand(
+                max(0, counts[0]), max(0, counts[1])
+            )
+        self.loads_[sender] = (now_s, load)
+
+    def _message(
+        self, peer_id: str, zone: str, **fields: Any
+    ) -> membership.Exchange:
+        member = self.member
+        now_s = self.timers.now_s()
+        extras: dict[str, dict[str, Any]] = {
+            LOAD: {
+                pool: [demand.in_progress, demand.queued]
+                for pool, demand in self.load_source_().items()
+            }
+        }
+        if zone == member.home:
+            for name, provider in self.providers_.items():
+                extras[name] = provider.exchange(peer_id, now_s)
+        identity = member.identity
+        return membership.Exchange(
+            entry=membership.PeerEntry(
+                entry_id=identity.entry_id,
+                availability_zone=identity.availability_zone,
+                control=identity.control,
+            ),
+            is_registered=member.is_registered_,
+            generation=member.generation_,
+            clock=str(self.recorder.clock.now()),
+            views=member.confirmed_views(),
+            entries=self._gossip(),
+            leaving=self.marks.to_share(),
+            extras=extras,
+            **fields,
+        )
+
+    def _gossip(self) -> tuple[membership.PeerEntry, ...]:
+        """Returns some known entries, different ones each time."""
+        peers = [self.peers.peers_[name] for name in sorted(self.peers.peers_)]
+        # Entries never heard here are not passed on, so that a wrong address
+        # does not live on among peers.
+        heard = [peer for peer in peers if peer.seen_s is not None]
+        start = self.gossip_cursor_ if len(heard) > MAX_GOSSIP else 0
+        self.gossip_cursor_ = (start + MAX_GOSSIP) % max(1, len(heard))
+        chosen = (heard + heard)[start : start + min(len(heard), MAX_GOSSIP)]
+        return tuple(
+            membership.PeerEntry(
+                entry_id=peer.address.entry_id,
+                availability_zone=peer.address.availability_zone,
+                control=peer.address.control,
+            )
+            for peer in chosen
+        )
+
+
+# All entries of a deployment today; bounds the size of a message later.
+MAX_GOSSIP = 16
--- a/baobabdoor/control/_lease.py
+++ b/baobabdoor/control/_lease.py
@@ -89,7 +89,10 @@
             await self._acquire(control, beat, incarnation, now_s)
 
     def observe(
-        self, control: platform_lib.Row, beat: platform_lib.Row, incarnation: int
+        self,
+        control: platform_lib.Row,
+        beat: platform_lib.Row,
+        incarnation: int,
     ) -> None:
         """Notes the rows of the lease as they were read."""
         value = control.value or {}
--- a/baobabdoor/control/_member.py
+++ b/baobabdoor/control/_member.py
@@ -289,8 +289,11 @@
             [platform_lib.Condition(key, self.row_version_)],
             [platform_lib.Write(key, None)],
         )
-        if isinstance(result, platform_lib.Committed):
+        if isinstance(result, platform_lib.Conflict):
+            self._settle_beat(result.row)
+        elif isinstance(result, platform_lib.Committed):
             self.is_registered_ = False
+        if not self.is_registered_:
             return None
         return base.Refusal(
             base.Reason.UNKNOWN_RESULT, STEP, "platform", str(result)
@@ -312,9 +315,7 @@
 
     def confirmed_views(self) -> dict[str, int]:
         """Returns the confirmed view version of each zone held."""
-        return {
-            zone: self.views.confirmed(zone) for zone in self.views.held_
-        }
+        return {zone: self.views.confirmed(zone) for zone in self.views.held_}
 
     def wants_lease(self, availability_zone: str) -> bool:
         """Returns whether VMs of a zone are only used under a lease."""
--- /dev/null
+++ b/baobabdoor/control/_peer_configuration.py
@@ -0,0 +1,87 @@
+"""Configurations that entries fetch from each other."""
+
+import json
+import re
+from typing import Any
+
+from baobabdoor import base
+from baobabdoor import configuration
+from baobabdoor.control import _peer_link
+
+CURRENT_PATH = "/peer/v1/configuration"
+OBJECT_PATH = "/peer/v1/object"
+TIMEOUT_S = 2.0
+STEP = "control.configuration"
+
+_DIGEST = re.compile("[0-9a-f]{64}")
+
+
+class PeerConfigurations(configuration.PeerSource):
+    """Gets configurations from other entries by signed requests.
+
+    Args:
+        link: Sends requests to peers.
+    """
+
+    def __init__(self, link: _peer_link.PeerLink):
+        self.link = link
+
+    async def fetch_current(
+        self, peer_id: str
+    ) -> configuration.CurrentRow | base.Refusal:
+        """Returns the row that a peer has in force."""
+        answer = await self.link.post(
+            peer_id, CURRENT_PATH, {}, b"{}", TIMEOUT_S
+        )
+        if isinstance(answer, base.Refusal):
+            return answer
+        try:
+            return configuration.CurrentRow.from_json(json.loads(answer))
+        except (TypeError, ValueError) as error:
+            return base.Refusal(
+                base.Reason.BAD_REQUEST, STEP, peer_id, str(error)[:200]
+            )
+
+    async def fetch_object(
+        self, peer_id: str, digest: str
+    ) -> bytes | base.Refusal:
+        """Returns an object that a peer keeps; its hash is not checked here."""
+        body = json.dumps({"digest": digest}).encode()
+        return await self.link.post(peer_id, OBJECT_PATH, {}, body, TIMEOUT_S)
+
+
+class ConfigurationAnswers:
+    """Answers the requests of `PeerConfigurations`.
+
+    Args:
+        store: A `configuration.ConfigurationStore`.
+    """
+
+    def __init__(self, store: Any):
+        self.store = store
+
+    async def current(
+        self, sender: str, incarnation: int, body: bytes
+    ) -> bytes | base.Refusal:
+        """Returns the row in force."""
+        del incarnation, body
+        current = self.store.current_
+        if current is None:
+            return base.Refusal(base.Reason.NOT_READY, STEP, sender)
+        return json.dumps(current.row.to_json()).encode()
+
+    async def kept_object(
+        self, sender: str, incarnation: int, body: bytes
+    ) -> bytes | base.Refusal:
+        """Returns an object of the configuration in force."""
+        del incarnation
+        try:
+            digest = str(json.loads(body)["digest"])
+        except (KeyError, TypeError, ValueError):
+            return base.Refusal(base.Reason.BAD_REQUEST, STEP, sender)
+        content = None
+        if _DIGEST.fullmatch(digest):
+            content = self.store.kept_object(digest)
+        if content is None:
+            return base.Refusal(base.Reason.NOT_FOUND, STEP, sender, digest)
+        return content
--- /dev/null
+++ b/baobabdoor/control/_peer_link.py
@@ -0,0 +1,225 @@
+"""Signed HTTP requests between entries."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+import json
+import re
+
+from tornado import httpclient
+from tornado import simple_httpclient
+from tornado import web
+
+from baobabdoor import base
+from baobabdoor import membership
+from baobabdoor.control import _wire
+
+STEP = "control.peer"
+SIGNED_HEADER = "Baobabdoor-Peer-Signed"
+CONNECT_TIMEOUT_S = 1.0
+MAX_CONNECTIONS = 64
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+STATUS_DONE = 200
+STATUS_REFUSED = 400
+STATUS_FORGED = 403
+# The sender does not know the incarnation of this process yet.
+STATUS_UNKNOWN_RECEIVER = 409
+
+# Takes sender, its incarnation and the body; returns the answer's body.
+PeerFunction = Callable[[str, int, bytes], Awaitable[bytes | base.Refusal]]
+
+
+class PeerLink:
+    """Sends signed requests to peers.
+
+    The simple client is used because it sends each request once; curl repeats
+    a request by itself when a kept connection turns out to be closed.
+
+    Args:
+        signer: Signs and verifies.
+        peers: Known peers.
+    """
+
+    def __init__(
+        self, signer: membership.PeerSigner, peers: membership.PeerTable
+    ):
+        self.signer = signer
+        self.peers = peers
+        self.client_: simple_httpclient.SimpleAsyncHTTPClient | None = None
+
+    def close(self) -> None:
+        """Ends the client; requests in progress get no answer."""
+        if self.client_ is not None:
+            self.client_.close()
+            self.client_ = None
+
+    async def post(
+        self,
+        entry_id: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes | base.Refusal:
+        """Sends a request, once more if the peer's incarnation was not known.
+
+        Returns:
+            The verified body, or a refusal. Only `Reason.CONNECTION_FAILED`
+            and `Reason.NOT_FOUND` mean that the peer cannot have acted.
+        """
+        result = await self._post(entry_id, path, headers, body, timeout_s)
+        if (
+            isinstance(result, base.Refusal)
+            and result.reason is base.Reason.PEER_GONE
+        ):
+            result = await self._post(entry_id, path, headers, body, timeout_s)
+        return result
+
+    async def _post(
+        self,
+        entry_id: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> bytes | base.Refusal:
+        peer = self.peers.peers_.get(entry_id)
+        if peer is None:
+            return base.Refusal(base.Reason.NOT_FOUND, STEP, entry_id)
+        content = membership.Content(path, headers, body)
+        envelope = self.signer.sign_request(entry_id, content)
+        request = httpclient.HTTPRequest(
+            f"http://{peer.address.control}{path}",
+            method="POST",
+            headers={
+                **headers,
+                **envelope.to_headers(),
+                SIGNED_HEADER: ",".join(headers),
+            },
+            body=body,
+            connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+        )
+        response = await self._client().fetch(request, raise_error=False)
+        return self._read(envelope, path, response)
+
+    def _client(self) -> simple_httpclient.SimpleAsyncHTTPClient:
+        if self.client_ is None:
+            self.client_ = simple_httpclient.SimpleAsyncHTTPClient(
+                force_instance=True,
+                max_clients=MAX_CONNECTIONS,
+                max_body_size=MAX_ANSWER_BYTES,
+            )
+        return self.client_
+
+    def _read(
+        self,
+        request: membership.Envelope,
+        path: str,
+        response: httpclient.HTTPResponse,
+    ) -> bytes | base.Refusal:
+        peer_id = request.receiver
+        if response.code == 599:
+            return _connection_refusal(peer_id, response.error)
+        envelope = membership.Envelope.from_headers(response.headers)
+        if isinstance(envelope, base.Refusal):
+            detail = f"unsigned answer with status {response.code}"
+            return base.Refusal(
+                base.Reason.UNKNOWN_RESULT, STEP, peer_id, detail
+            )
+        body = response.body or b""
+        content = membership.Content(f"{path}#{response.code}", {}, body)
+        refusal = self.signer.verify_answer(request, envelope, content)
+        if refusal is not None:
+            return refusal
+        if response.code == STATUS_DONE:
+            return body
+        if response.code == STATUS_UNKNOWN_RECEIVER:
+            return base.Refusal(base.Reason.PEER_GONE, STEP, peer_id)
+        return base.Refusal(
+            base.Reason.UNKNOWN_RESULT,
+            STEP,
+            peer_id,
+            body[:200].decode(errors="replace"),
+        )
+
+
+def _connection_refusal(
+    peer_id: str, error: BaseException | None
+) -> base.Refusal:
+    nothing_sent = isinstance(error, ConnectionRefusedError)
+    if isinstance(error, simple_httpclient.HTTPTimeoutError):
+        # Tornado's texts for a time-out before anything was written.
+        text = str(error)
+        nothing_sent = "connecting" in text or "request queue" in text
+    reason = (
+        base.Reason.CONNECTION_FAILED
+        if nothing_sent
+        else base.Reason.UNKNOWN_RESULT
+    )
+    return base.Refusal(reason, STEP, peer_id, str(error))
+
+
+class PeerHandler(web.RequestHandler):
+    """Verifies a peer's request and signs the answer."""
+
+    def initialize(
+        self, signer: membership.PeerSigner, function: PeerFunction
+    ) -> None:
+        """Stores the signer and the function that answers."""
+        self.signer = signer
+        self.function = function
+
+    async def post(self) -> None:
+        """Answers a verified request."""
+        envelope = membership.Envelope.from_headers(self.request.headers)
+        if isinstance(envelope, base.Refusal):
+            self._refuse(envelope)
+            return
+        body = self.request.body
+        content = membership.Content(
+            self.request.path, self._signed_headers(), body
+        )
+        refusal = self.signer.verify_request(envelope, content)
+        if refusal is None:
+            result = await self.function(
+                envelope.sender, envelope.incarnation, body
+            )
+            self._answer(envelope, result)
+        elif refusal.reason is base.Reason.PEER_GONE:
+            self._send(envelope, STATUS_UNKNOWN_RECEIVER, b"")
+        else:
+            self._refuse(refusal)
+
+    def _signed_headers(self) -> dict[str, str]:
+        names = self.request.headers.get(SIGNED_HEADER, "")
+        return {
+            name: self.request.headers.get(name, "")
+            for name in re.split(",", names)
+            if name
+        }
+
+    def _answer(
+        self, envelope: membership.Envelope, result: bytes | base.Refusal
+    ) -> None:
+        if isinstance(result, base.Refusal):
+            text = json.dumps(_wire.refusal_to_json(result))
+            self._send(envelope, STATUS_REFUSED, text.encode())
+        else:
+            self._send(envelope, STATUS_DONE, result)
+
+    def _send(
+        self, envelope: membership.Envelope, status: int, body: bytes
+    ) -> None:
+        content = membership.Content(f"{self.request.path}#{status}", {}, body)
+        answer = self.signer.sign_answer(envelope, content)
+        self.set_status(status)
+        for name, value in answer.to_headers().items():
+            self.set_header(name, value)
+        self.set_header("Content-Type", "application/json")
+        self.finish(body)
+
+    def _refuse(self, refusal: base.Refusal) -> None:
+        self.set_status(STATUS_FORGED)
+        self.finish({"refusal": _wire.refusal_to_json(refusal)})
--- /dev/null
+++ b/baobabdoor/control/_service.py
@@ -0,0 +1,516 @@
+"""Membership, views and control of one entry, on its control port."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+from tornado import gen
+from tornado import ioloop
+
+from baobabdoor import base
+from baobabdoor import capacity
+from baobabdoor import maintenance
+from baobabdoor import membership
+from baobabdoor import observability
+from baobabdoor import ownership
+from baobabdoor import platform as platform_lib
+from baobabdoor import settings
+from baobabdoor import timeline
+from baobabdoor.control import _activity
+from baobabdoor.control import _controller
+from baobabdoor.control import _exchanges
+from baobabdoor.control import _fleet_view
+from baobabdoor.control import _lease
+from baobabdoor.control import _marks
+from baobabdoor.control import _member
+from baobabdoor.control import _operator
+from baobabdoor.control import _peer_configuration
+from baobabdoor.control import _peer_link
+from baobabdoor.control import _status
+
+EXCHANGE_PATH = "/peer/v1/exchange"
+EXCHANGE_S = 1.0
+# Shorter than a view lease, so that a slow answer does not delay the next try.
+EXCHANGE_TIMEOUT_S = 1.5
+CONTROL_S = 1.0
+LIST_POLL_S = 2.0
+CONFIGURATION_POLL_S = 2.0
+ENTRIES_POLL_S = 10.0
+# The longest request deadline that callers usually ask for, and some slack.
+PEER_REQUEST_TIMEOUT_S = 35.0
+# Grants end after 4.2 s; the rest is for two calls to a slow platform.
+LEAVE_TIMEOUT_S = 8.0
+LEAVE_RETRY_S = 0.2
+STEP = "control.service"
+
+
+class ControlService:
+    """Keeps an entry's place in the deployment and the view of its VMs.
+
+    The control port must be bound before `start`: binding it proves that an
+    earlier process with the same address is dead.
+
+    Args:
+        entry_settings: Settings of the entry.
+        platform: The platform's service.
+        timers: Timer service.
+        recorder: Time line of the process.
+        metrics: Metrics of the process.
+        configuration: A `configuration.ConfigurationStore`.
+        boot_id: Boot of the entry's VM as the platform lists it. Default:
+            not known.
+        make_capacity: Makes the capacity policy of a name. Default: none.
+        maintenance_policy: Plans maintenance reboots. Default: none.
+    """
+
+    def __init__(
+        self,
+        entry_settings: settings.EntrySettings,
+        platform: platform_lib.Platform,
+        timers: base.TimerService,
+        recorder: timeline.EventRecorder,
+        metrics: observability.Metrics,
+        configuration: Any,
+        boot_id: str = "",
+        make_capacity: (
+            Callable[[str], capacity.CapacityPolicy | None] | None
+        ) = None,
+        maintenance_policy: maintenance.MaintenancePolicy | None = None,
+    ):
+        self.entry_settings = entry_settings
+        self.platform = platform
+        self.timers = timers
+        self.recorder = recorder
+        self.metrics = metrics
+        self.configuration = configuration
+        self.boot_id = boot_id
+        self.make_capacity = make_capacity
+        self.maintenance_policy = maintenance_policy
+        self.is_sending_: Callable[[str], bool] = lambda vm_id: False
+        self.subscriptions_: list[base.Subscription] = []
+        self.peer_functions_: dict[str, _peer_link.PeerFunction] = {}
+        self.exchanging_: set[str] = set()
+        self.neighbours_of_: settings.Deployment | None = None
+        self._compose()
+
+    def _compose(self) -> None:
+        entry = self.entry_settings
+        identity = _member.Identity(
+            entry.entry_id,
+            entry.availability_zone,
+            entry.control.url.removeprefix("http://"),
+            self.boot_id,
+        )
+        self.peers = membership.PeerTable(
+            entry.entry_id, entry.availability_zone
+        )
+        self.schedule = membership.ExchangeSchedule(self.peers)
+        self.marks = _marks.LeavingMarks()
+        self.member = _member.Member(
+            identity,
+            self.platform,
+            self.timers,
+            self.peers,
+            self.recorder,
+            lambda vm_id: self.is_sending_(vm_id),
+        )
+        self.member.begin()
+        self.signer = membership.PeerSigner(
+            entry.peer_key.encode(), entry.entry_id, self.member.incarnation_
+        )
+        self.link = _peer_link.PeerLink(self.signer, self.peers)
+        self.exchanges = _exchanges.ExchangeState(
+            self.member, self.peers, self.marks, self.timers, self.recorder
+        )
+        self.view = _fleet_view.FleetView(self.member, self.marks, self.timers)
+        self.lease = _lease.ControlLease(
+            self.platform, self.timers, entry.region, entry.entry_id
+        )
+        self.controller = _controller.Controller(
+            self.platform,
+            self.timers,
+            self.lease,
+            self.configuration,
+            lambda: self.member.listed_,
+            _controller.Planners(
+                self.make_capacity or (lambda name: None),
+                self.maintenance_policy,
+                self.exchanges.demand,
+            ),
+            self.recorder,
+        )
+        self.configuration.peers = _peer_configuration.PeerConfigurations(
+            self.link
+        )
+
+    # Interface to the entry daemon.
+
+    @property
+    def deployment(self) -> settings.Deployment | None:
+        """Settings in force; None before the first ones."""
+        return self.configuration.deployment
+
+    @property
+    def generation(self) -> int:
+        """Generation in force; 0 before the first one."""
+        return self.configuration.generation
+
+    @property
+    def preset_name(self) -> str:
+        """Name of the preset in force; empty before the first one."""
+        return self.configuration.preset_name
+
+    @property
+    def incarnation(self) -> int:
+        """Start of this process."""
+        return self.member.incarnation_
+
+    async def start(self) -> None:
+        """Starts all activities; the platform need not be reachable."""
+        now_s = self.timers.now_s()
+        for peer in self.entry_settings.peers:
+            address = membership.PeerAddress(
+                peer.entry_id,
+                peer.availability_zone,
+                peer.control.url.removeprefix("http://"),
+            )
+            self.peers.observe_address(
+                address, membership.PeerSource.SEEDS, now_s
+            )
+        periods = (
+            ("tick", _member.TICK_S, self._tick),
+            ("list", LIST_POLL_S, self._poll_list),
+            ("membership", _member.TICK_S, self._keep_membership),
+            ("configuration", CONFIGURATION_POLL_S, self._poll_configuration),
+            ("entries", ENTRIES_POLL_S, self.member.poll_entries),
+            ("exchange", EXCHANGE_S, self._exchange_round),
+            ("lease", _lease.BEAT_S, self._keep_lease),
+            ("control", CONTROL_S, self.controller.act),
+        )
+        for name, period_s, function in periods:
+            activity = _activity.Activity(name, function, self._spawn)
+            activity.trigger()
+            self.subscriptions_.append(
+                self.timers.every(period_s, activity.trigger)
+            )
+
+    async def stop(self) -> None:
+        """Leaves the deployment; the entry must have stopped sending.
+
+        The row is deleted once no grant of this entry can be in use. If the
+        platform does not answer in time, the row stays: the zone's VMs do not
+        move until the platform lists this VM as terminated, or until a
+        process with the same control address replaces it.
+        """
+        for subscription in self.subscriptions_:
+            subscription.cancel()
+        self.member.close()
+        await self._exchange_round()
+        end_s = self.timers.now_s() + LEAVE_TIMEOUT_S
+        refusal = await self.member.leave()
+        while refusal is not None and self.timers.now_s() < end_s:
+            await gen.sleep(LEAVE_RETRY_S)
+            refusal = await self.member.leave()
+        if refusal is not None:
+            self._log("row not deleted", str(refusal))
+        self.link.close()
+
+    def ready(self) -> base.Refusal | None:
+        """Returns why callers should not be sent here, or None."""
+        if self.member.refusal_ is not None:
+            return self.member.refusal_
+        if self.deployment is None:
+            return base.Refusal(
+                base.Reason.NOT_READY, STEP, detail="no configuration yet"
+            )
+        home = self.member.home
+        refusal = self.member.access(home, self.timers.now_s())
+        if refusal is not None:
+            return refusal
+        if not self.member.views.version(home):
+            return base.Refusal(
+                base.Reason.NOT_READY, STEP, detail="no VMs known yet"
+            )
+        return None
+
+    def routes(self) -> list[tuple]:
+        """Returns the tornado routes of the control port."""
+        answers = _peer_configuration.ConfigurationAnswers(self.configuration)
+        functions = {
+            EXCHANGE_PATH: self._answer_exchange,
+            _peer_configuration.CURRENT_PATH: answers.current,
+            _peer_configuration.OBJECT_PATH: answers.kept_object,
+            **self.peer_functions_,
+        }
+        routes: list[tuple] = [
+            (
+                path,
+                _peer_link.PeerHandler,
+                {"signer": self.signer, "function": function},
+            )
+            for path, function in functions.items()
+        ]
+        reports = {
+            "/v1/status": self._report_status,
+            "/v1/pools": self._report_pools,
+            "/v1/vms": self._report_vms,
+        }
+        token = self.entry_settings.operator_token
+        for path, report in reports.items():
+            options = {"token": token, "report": report}
+            routes.append((path, _operator.ReportHandler, options))
+        return routes
+
+    def add_exchange(
+        self, name: str, provider: _exchanges.ExchangeProvider
+    ) -> None:
+        """Carries a part's payloads in the exchanges of the own zone."""
+        self.exchanges.providers_[name] = provider
+
+    def add_peer_function(
+        self, path: str, function: _peer_link.PeerFunction
+    ) -> None:
+        """Answers verified peer requests for a path; call before `routes`.
+
+        Args:
+            path: Path below `/peer/v1/`.
+            function: Takes the sender, its incarnation and the body; returns
+                the body of the answer or a refusal.
+        """
+        self.peer_functions_[path] = function
+
+    def add_control_part(
+        self, act: Callable[[_controller.ControlRound], Any]
+    ) -> None:
+        """Calls the coroutine `act` in each round while this entry controls."""
+        self.controller.add_part(act)
+
+    def set_load_source(self, source: _exchanges.LoadSource) -> None:
+        """Sets the function that returns this entry's demand by pool."""
+        self.exchanges.load_source_ = source
+
+    def set_sending_check(self, check: Callable[[str], bool]) -> None:
+        """Sets the function that says if a send to a VM is under way now."""
+        self.is_sending_ = check
+
+    async def post_peer(
+        self,
+        entry_id: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        timeout_s: float = PEER_REQUEST_TIMEOUT_S,
+    ) -> bytes | base.Refusal:
+        """Sends a signed request to a peer.
+
+        Returns:
+            The verified body of the answer, or a refusal. Only
+            `Reason.CONNECTION_FAILED` and `Reason.NOT_FOUND` mean that the
+            peer cannot have acted.
+        """
+        return await self.link.post(entry_id, path, headers, body, timeout_s)
+
+    # Activities.
+
+    def _spawn(self, function: Callable[[], Any]) -> None:
+        ioloop.IOLoop.current().spawn_callback(function)
+
+    async def _tick(self) -> None:
+        if self.member.tick():
+            self.lease.suspend()
+        self.marks.expire(self.timers.now_s())
+        self.member.generation_ = self.configuration.generation
+        self._follow_deployment()
+        self._measure()
+
+    async def _keep_membership(self) -> None:
+        if not self.member.is_registered_:
+            await self.member.register()
+        self.signer.incarnation = self.member.incarnation_
+        await self.member.poll_views()
+        if self.member.is_registered_ and not self.member.is_closing_:
+            await self.member.beat()
+        self.signer.incarnation = self.member.incarnation_
+
+    async def _poll_list(self) -> None:
+        await self.member.poll_list()
+        self.marks.observe_list(self.member.listed_)
+
+    async def _poll_configuration(self) -> None:
+        await self.configuration.poll()
+
+    async def _keep_lease(self) -> None:
+        if self.member.is_registered_ and not self.member.is_closing_:
+            await self.lease.tick(self.member.incarnation_)
+
+    async def _exchange_round(self) -> None:
+        for peer in self.schedule.plan():
+            if peer.entry_id not in self.exchanging_:
+                self.exchanging_.add(peer.entry_id)
+                self._spawn(lambda peer=peer: self._exchange(peer))
+
+    async def _exchange(self, peer: membership.PeerAddress) -> None:
+        try:
+            sent_s = self.timers.now_s()
+            body = self.exchanges.request(peer).to_bytes()
+            answer = await self.link.post(
+                peer.entry_id, EXCHANGE_PATH, {}, body, EXCHANGE_TIMEOUT_S
+            )
+            if isinstance(answer, base.Refusal):
+                self.metrics.count(
+                    "exchanges_failed_total", {"reason": answer.reason.value}
+                )
+                return
+            exchange = membership.Exchange.from_bytes(answer)
+            if isinstance(exchange, base.Refusal):
+                self._log("malformed answer", str(exchange))
+                return
+            incarnation = self.signer.known_[peer.entry_id]
+            self.exchanges.receive_answer(
+                peer.entry_id, incarnation, exchange, sent_s
+            )
+        finally:
+            self.exchanging_.discard(peer.entry_id)
+        await self.configuration.observe_generation(
+            peer.entry_id, exchange.generation
+        )
+
+    async def _answer_exchange(
+        self, sender: str, incarnation: int, body: bytes
+    ) -> bytes | base.Refusal:
+        exchange = membership.Exchange.from_bytes(body)
+        if isinstance(exchange, base.Refusal):
+            return exchange
+        if exchange.entry.entry_id != sender:
+            return base.Refusal(base.Reason.FORGED, STEP, sender)
+        answer = self.exchanges.answer(sender, incarnation, exchange)
+        if exchange.generation > self.configuration.generation:
+            self._spawn(
+                lambda: self.configuration.observe_generation(
+                    sender, exchange.generation
+                )
+            )
+        return answer.to_bytes()
+
+    def _follow_deployment(self) -> None:
+        deployment = self.configuration.deployment
+        if deployment is None or deployment is self.neighbours_of_:
+            return
+        self.neighbours_of_ = deployment
+        for zone in deployment.availability_zones:
+            if zone.name == self.member.home:
+                self.view.set_neighbours(zone.neighbours)
+
+    def _measure(self) -> None:
+        now_s = self.timers.now_s()
+        states: dict[str, int] = {}
+        for entry_id in self.peers.peers_:
+            state = self.peers.state(entry_id, now_s).value
+            states[state] = states.get(state, 0) + 1
+        for state in membership.PeerState:
+            self.metrics.gauge(
+                "peers", states.get(state.value, 0), {"state": state.value}
+            )
+        self.metrics.gauge("control_acting", self.controller.is_acting())
+
+    def _log(self, event: str, detail: str) -> None:
+        observability.get_logger("control").warning(event, detail=detail)
+
+    # Status.
+
+    def describe(self) -> _status.EntryStatus:
+        """Returns what this entry knows, for status pages."""
+        now_s = self.timers.now_s()
+        refusal = self.ready()
+        return _status.EntryStatus(
+            entry_id=self.entry_settings.entry_id,
+            availability_zone=self.member.home,
+            incarnation=self.member.incarnation_,
+            state="ready" if refusal is None else str(refusal),
+            registered=self.member.is_registered_,
+            generation=self.generation,
+            preset=self.preset_name,
+            views=self.member.confirmed_views(),
+            control=self._describe_control(),
+            peers=self._describe_peers(now_s),
+            pools=self.describe_pools(),
+        )
+
+    def _describe_control(self) -> _status.ControlStatus:
+        holder = self.lease.holder_
+        return _status.ControlStatus(
+            holder.entry_id,
+            holder.incarnation,
+            holder.epoch,
+            self.controller.is_acting(),
+            {
+                vm_id: str(refusal)
+                for vm_id, refusal in self.controller.refusals_.items()
+            },
+        )
+
+    def _describe_peers(self, now_s: float) -> list[_status.PeerStatus]:
+        statuses = []
+        for entry_id, peer in sorted(self.peers.peers_.items()):
+            seen_s = None if peer.seen_s is None else now_s - peer.seen_s
+            statuses.append(
+                _status.PeerStatus(
+                    entry_id,
+                    peer.address.availability_zone,
+                    f"http://{peer.address.control}",
+                    self.peers.state(entry_id, now_s).value,
+                    seen_s,
+                    peer.incarnation,
+                    peer.generation,
+                    peer.views,
+                    peer.is_registered,
+                )
+            )
+        return statuses
+
+    def describe_pools(self) -> list[_status.PoolStatus]:
+        """Returns the pools as this entry's views show them."""
+        return _status.pool_statuses(
+            self._vm_states(), self.deployment, self.preset_name
+        )
+
+    def describe_vms(self) -> list[_status.VmStatus]:
+        """Returns the VMs as this entry's views show them."""
+        now_s = self.timers.now_s()
+        statuses = []
+        for vm in self._vm_states():
+            refusal = self.view.permit(vm.vm_id, now_s)
+            statuses.append(
+                _status.VmStatus(
+                    vm.vm_id,
+                    vm.availability_zone,
+                    vm.rack,
+                    vm.address,
+                    vm.pool,
+                    vm.phase.value,
+                    vm.target_pool,
+                    vm.intent,
+                    vm.boot_id,
+                    vm.last_maintained_ms,
+                    "" if refusal is None else str(refusal),
+                )
+            )
+        return statuses
+
+    def _vm_states(self) -> list[ownership.VmState]:
+        states = [
+            ownership.vm_state(vm_id, zone, row, self.member.listed_.get(vm_id))
+            for zone, view in self.member.views.held_.items()
+            for vm_id, row in view.rows.items()
+        ]
+        return sorted(states, key=lambda vm: vm.vm_id)
+
+    def _report_status(self) -> dict[str, Any]:
+        return attrs.asdict(self.describe())
+
+    def _report_pools(self) -> dict[str, Any]:
+        return {"pools": [attrs.asdict(pool) for pool in self.describe_pools()]}
+
+    def _report_vms(self) -> dict[str, Any]:
+        return {"vms": [attrs.asdict(vm) for vm in self.describe_vms()]}
--- a/baobabdoor/ownership/_progress.py
+++ b/baobabdoor/ownership/_progress.py
@@ -202,9 +202,7 @@
     )
 
 
-def _undo_late_drain(
-    table: _table.FleetTable, vm_id: str
-) -> Operation | None:
+def _undo_late_drain(table: _table.FleetTable, vm_id: str) -> Operation | None:
     """Undrains a serving VM on which a delayed drain call took effect."""
     row = table.vms[vm_id].row
     record = table.listed.get(vm_id)
--- a/baobabdoor/ownership/_rows.py
+++ b/baobabdoor/ownership/_rows.py
@@ -1,6 +1,7 @@
 """Rows of the platform's table that hold VMs, entries and budgets."""
 
-from typing import Any, TypeVar
+from typing import Any
+from typing import TypeVar
 
 import attrs
 import cattrs
