--- a/baobabdoor/control/_activity.py
+++ b/baobabdoor/control/_activity.py
@@ -28,6 +28,7 @@
         self.function = function
         self.spawn = spawn
         self.is_running_ = False
+        self.failures_ = 0
 
     def trigger(self) -> None:
         """Starts a run if none is in progress."""
@@ -40,6 +41,7 @@
             await self.function()
         except Exception:
             # One fault must not end the series: the next run starts afresh.
+            self.failures_ += 1
             observability.get_logger("control").exception(
                 "activity failed", activity=self.name
             )
--- a/baobabdoor/control/_service.py
+++ b/baobabdoor/control/_service.py
@@ -89,6 +89,7 @@
         self.maintenance_policy = maintenance_policy
         self.is_sending_: Callable[[str], bool] = lambda vm_id: False
         self.subscriptions_: list[base.Subscription] = []
+        self.activities_: list[_activity.Activity] = []
         self.peer_functions_: dict[str, _peer_link.PeerFunction] = {}
         self.exchanging_: set[str] = set()
         self.neighbours_of_: settings.Deployment | None = None
@@ -190,6 +191,7 @@
         )
         for name, period_s, function in periods:
             activity = _activity.Activity(name, function, self._spawn)
+            self.activities_.append(activity)
             activity.trigger()
             self.subscriptions_.append(
                 self.timers.every(period_s, activity.trigger)
@@ -210,7 +212,7 @@
         end_s = self.timers.now_s() + LEAVE_TIMEOUT_S
         refusal = await self.member.leave()
         while refusal is not None and self.timers.now_s() < end_s:
-            await gen.sleep(LEAVE_RETRY_S)
+            await self._sleep(LEAVE_RETRY_S)
             refusal = await self.member.leave()
         if refusal is not None:
             self._log("row not deleted", str(refusal))
@@ -316,6 +318,9 @@
     def _spawn(self, function: Callable[[], Any]) -> None:
         ioloop.IOLoop.current().spawn_callback(function)
 
+    async def _sleep(self, delay_s: float) -> None:
+        await gen.sleep(delay_s)
+
     async def _tick(self) -> None:
         if self.member.tick():
             self.lease.suspend()
@@ -413,6 +418,12 @@
                 "peers", states.get(state.value, 0), {"state": state.value}
             )
         self.metrics.gauge("control_acting", self.controller.is_acting())
+        for activity in self.activities_:
+            self.metrics.gauge(
+                "activity_failures",
+                activity.failures_,
+                {"activity": activity.name},
+            )
 
     def _log(self, event: str, detail: str) -> None:
         observability.get_logger("control").warning(event, detail=detail)
--- a/baobabdoor/ownership/_progress.py
+++ b/baobabdoor/ownership/_progress.py
@@ -66,6 +66,8 @@
         )
     if phase is _fleet.Phase.REBOOTING:
         return _continue_reboot(table, vm_id, reboot_s, wall_ms)
+    if phase is _fleet.Phase.FAILED:
+        return _repeat_reboot(table, vm_id)
     kinds = {
         _fleet.Phase.DRAINING: OperationKind.DRAIN,
         _fleet.Phase.JOINING: OperationKind.UNDRAIN,
@@ -186,6 +188,16 @@
     )
 
 
+def _repeat_reboot(table: _table.FleetTable, vm_id: str) -> Operation | None:
+    """Asks again for a reboot that failed because no request arrived."""
+    row = table.vms[vm_id].row
+    record = table.listed.get(vm_id)
+    is_up = record is not None and record.state is not TERMINATED
+    if row.target_pool and not row.is_move and is_up:
+        return Operation(OperationKind.REBOOT, vm_id, row.boot_id)
+    return None
+
+
 def _after_drain(
     table: _table.FleetTable, vm_id: str, wall_ms: int
 ) -> _steps.Step | None:
--- /dev/null
+++ b/tests/control_simulation.py
@@ -0,0 +1,673 @@
+"""Runs control services of several entries over a simulated network.
+
+Time is virtual. Coroutines of the services stop at every call of the platform
+or of a peer, and an event queue decides when, and whether, the call takes
+effect and its answer arrives. `World` checks the properties of ownership at
+the moment of each send and of each change of the table.
+"""
+
+import heapq
+import itertools
+import random
+
+from baobabdoor import base
+from baobabdoor import capacity
+from baobabdoor import control
+from baobabdoor import maintenance
+from baobabdoor import membership
+from baobabdoor import observability
+from baobabdoor import ownership
+from baobabdoor import platform
+from baobabdoor import settings
+from baobabdoor import standin
+from baobabdoor import timeline
+
+CALL_TIMEOUT_S = 2.0
+POOLS = ("p", "q")
+CHANGES = ("transact", "drain_vm", "undrain_vm", "reboot_vm")
+REGION = "luzon"
+
+
+def make_deployment():
+    def preset(minimum, budget, enabled):
+        promise = settings.PoolPromise(
+            min_workers=minimum, availability_budget=budget, max_workers=5
+        )
+        return settings.Preset(
+            pools=dict.fromkeys(POOLS, promise),
+            maintenance=settings.MaintenancePolicy(enabled=enabled),
+        )
+
+    pool = settings.Pool(workers=3, cores=1, memory_gb=1, reboot_s=6.0)
+    return settings.Deployment(
+        deployment="test",
+        region=REGION,
+        availability_zones=[
+            settings.AvailabilityZone(name="a", neighbours=["b"]),
+            settings.AvailabilityZone(name="b", neighbours=["a"]),
+        ],
+        spare_pool="q",
+        pools=dict.fromkeys(POOLS, pool),
+        presets={
+            "ordinary": preset(1, 1, True),
+            "peak": preset(2, 1, False),
+            "maintenance": preset(1, 2, True),
+        },
+        initial_preset="ordinary",
+        weights=settings.Weights(flood=1, buffer_cost=0, moves=0, roll_out=0),
+    )
+
+
+class Suspend:
+    """A point at which a coroutine waits for the simulation."""
+
+    def __init__(self, start):
+        self.start = start
+
+    def __await__(self):
+        return (yield self)
+
+
+class EntryTimers(base.TimerService):
+    """Timers of one entry; they stand still while it is paused."""
+
+    def __init__(self, world, entry):
+        self.world = world
+        self.entry = entry
+
+    def now_s(self):
+        return self.world.now_s
+
+    def wall_ms(self):
+        return 1_700_000_000_000 + int(self.world.now_s * 1000)
+
+    def call_later(self, delay_s, callback):
+        subscription = base.Subscription(callback)
+
+        def fire():
+            if not subscription.cancelled:
+                callback()
+
+        self.world.schedule(delay_s, fire, self.entry)
+        return subscription
+
+
+class EntryPlatform:
+    """The platform as one entry reaches it."""
+
+    def __init__(self, world, entry):
+        self.world = world
+        self.entry = entry
+
+    def __getattr__(self, operation):
+        async def call(*arguments):
+            return await Suspend(
+                lambda resume: self.world.call_platform(
+                    self.entry, operation, arguments, resume
+                )
+            )
+
+        return call
+
+
+class Link(control.PeerLink):
+    """Sends signed messages through the simulated network."""
+
+    def __init__(self, world, entry, service):
+        super().__init__(service.signer, service.peers)
+        self.world = world
+        self.entry = entry
+
+    async def _post(self, entry_id, path, headers, body, timeout_s):
+        content = membership.Content(path, headers, body)
+        envelope = self.signer.sign_request(entry_id, content)
+        answer = await Suspend(
+            lambda resume: self.world.call_peer(
+                self.entry, envelope, content, timeout_s, resume
+            )
+        )
+        if isinstance(answer, base.Refusal):
+            return answer
+        answer_envelope, status, answer_body = answer
+        content = membership.Content(f"{path}#{status}", {}, answer_body)
+        refusal = self.signer.verify_answer(envelope, answer_envelope, content)
+        if refusal is not None:
+            return refusal
+        if status == 409:
+            return base.Refusal(base.Reason.PEER_GONE, "test", entry_id)
+        return answer_body
+
+
+class Configuration:
+    """Reads the preset in force from the simulated table."""
+
+    def __init__(self, world, entry_platform):
+        self.world = world
+        self.platform = entry_platform
+        self.deployment = world.deployment
+        self.preset_name = "ordinary"
+        self.generation = 0
+
+    async def poll(self):
+        rows = await self.platform.read(["config/current"])
+        if not isinstance(rows, base.Refusal):
+            value = rows["config/current"].value
+            if value is not None:
+                self.preset_name = value["preset"]
+                self.generation = value["generation"]
+
+    async def observe_generation(self, peer_id, generation):
+        del peer_id, generation
+
+
+class Mover(capacity.CapacityPolicy):
+    """Plans the moves that the test has asked for, without any check."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def plan(self, snapshot, demand, deployment, preset, now_s):
+        del demand, deployment, preset, now_s
+        return [
+            capacity.Move(vm_id, snapshot.vms[vm_id].pool, pool, "test")
+            for vm_id, pool in sorted(self.world.moves.items())
+            if vm_id in snapshot.vms
+        ]
+
+
+class Maintainer(maintenance.MaintenancePolicy):
+    """Plans the reboots that the test has asked for, without any check."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def plan(self, snapshot, deployment, preset, wall_ms):
+        del deployment, preset, wall_ms
+        return [
+            maintenance.StartMaintenance(vm_id, vm.pool, "test")
+            for vm_id, vm in sorted(snapshot.vms.items())
+            if vm.last_maintained_ms < self.world.maintain_before.get(vm_id, 0)
+        ]
+
+
+class Service(control.ControlService):
+    """A control service whose coroutines the simulation runs."""
+
+    def attach(self, world, entry):
+        self.world = world
+        self.entry = entry
+        self.link = Link(world, entry, self)
+
+    def _spawn(self, function):
+        self.world.run(self.entry, function())
+
+    async def _sleep(self, delay_s):
+        await Suspend(
+            lambda resume: self.world.schedule(
+                delay_s, lambda: resume(None), self.entry
+            )
+        )
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(self, world, entry_id, zone, port, boot_id):
+        self.world = world
+        self.entry_id = entry_id
+        self.zone = zone
+        self.port = port
+        self.boot_id = boot_id
+        self.is_dead = False
+        self.is_paused = False
+        self.is_leaving = False
+        self.held = []
+        self.sending = {}
+        self.timers = EntryTimers(world, self)
+        self.platform = EntryPlatform(world, self)
+        address = {
+            name: settings.Address(host="127.0.0.1", port=number)
+            for name, number in (
+                ("caller", port + 500),
+                ("control", port),
+                ("platform", 1),
+            )
+        }
+        clock = base.HybridClock(self.timers.wall_ms)
+        self.service = Service(
+            settings.EntrySettings(
+                entry_id=entry_id,
+                region=REGION,
+                availability_zone=zone,
+                peer_key="k" * 32,
+                operator_token="t" * 16,
+                peers=[
+                    settings.PeerAddress(
+                        entry_id=name,
+                        availability_zone=peer_zone,
+                        control=settings.Address(
+                            host="127.0.0.1", port=peer_port
+                        ),
+                    )
+                    for name, peer_zone, peer_port in world.seeds
+                    if name != entry_id
+                ],
+                **address,
+            ),
+            self.platform,
+            self.timers,
+            timeline.EventRecorder(entry_id, clock),
+            observability.Metrics(),
+            Configuration(world, self.platform),
+            boot_id=boot_id,
+            make_capacity=lambda name: Mover(world),
+            maintenance_policy=Maintainer(world),
+        )
+        self.service.attach(world, self)
+        self.service.set_sending_check(
+            lambda vm_id: self.sending.get(vm_id, 0) > 0
+        )
+
+    def start(self):
+        self.world.run(self, self.service.start())
+        self.timers.every(0.2, self.choose)
+
+    def choose(self):
+        """Chooses a worker now and sends to it some time later."""
+        if self.is_leaving:
+            return
+        rng = self.world.rng
+        pool = rng.choice(POOLS)
+        workers = self.service.view.workers(pool)
+        if workers:
+            vm = rng.choice(workers)
+            delay_s = rng.choice((0.0, 0.0, 0.1, 1.0))
+            send = lambda: self.send(vm.vm_id, pool)  # noqa: E731
+            self.world.schedule(delay_s, send, self)
+
+    def send(self, vm_id, pool):
+        now_s = self.timers.now_s()
+        if self.service.view.permit(vm_id, now_s, pool) is not None:
+            return
+        self.world.check_send(self, vm_id, pool)
+        self.sending[vm_id] = self.sending.get(vm_id, 0) + 1
+        duration_s = self.world.rng.choice((0.0, 0.05, 0.05, 2.5))
+        self.world.schedule(duration_s, lambda: self.end(vm_id), self)
+
+    def end(self, vm_id):
+        self.sending[vm_id] -= 1
+
+
+class World:
+    """Entries, network, platform and the properties that must hold."""
+
+    def __init__(self, seed=0, entry_zones="aab", vm_zones="aaab"):
+        self.rng = random.Random(seed)
+        self.now_s = 0.0
+        self.queue = []
+        self.sequence = itertools.count()
+        self.deployment = make_deployment()
+        self.moves = {}
+        self.maintain_before = {}
+        self.cut_peers = set()
+        self.cut_platform = set()
+        self.is_down = False
+        self.lose = 0.0
+        self.delay = 0.0
+        self.slow = 0.0
+        self.sends = 0
+        self.boots = itertools.count(1)
+        self.seeds = [
+            (f"e{index}", zone, 23000 + index)
+            for index, zone in enumerate(entry_zones)
+        ]
+        self.core = standin.PlatformCore(_WorldTimers(self))
+        self.entries = {}
+        self.twins = []
+        for index, zone in enumerate(vm_zones * 2):
+            self.core.vms.add(
+                standin.VmSpec(
+                    vm_id=f"vm{index}",
+                    address=f"10.0.0.{index + 1}:80",
+                    availability_zone=zone,
+                    rack=f"{zone}1",
+                    pool_hint=POOLS[index % 2],
+                    reboot_s=6.0,
+                ),
+                listed_at_once=True,
+            )
+        for entry_id, _, _ in self.seeds:
+            self.start_entry(entry_id)
+
+    # Events.
+
+    def schedule(self, delay_s, function, owner=None):
+        event = (self.now_s + delay_s, next(self.sequence), function, owner)
+        heapq.heappush(self.queue, event)
+
+    def advance(self, duration_s):
+        end_s = self.now_s + duration_s
+        while self.queue and self.queue[0][0] <= end_s:
+            due_s, _, function, owner = heapq.heappop(self.queue)
+            self.now_s = max(self.now_s, due_s)
+            if owner is None:
+                function()
+            elif owner.is_dead:
+                continue
+            elif owner.is_paused:
+                owner.held.append(function)
+            else:
+                function()
+        self.now_s = end_s
+        for entry in self.entries.values():
+            for activity in entry.service.activities_:
+                assert not activity.failures_, f"failed: {activity.name}"
+
+    def run(self, entry, coroutine, value=None):
+        """Runs a coroutine of an entry until it waits or ends."""
+        if entry.is_dead:
+            return
+        try:
+            suspend = coroutine.send(value)
+        except StopIteration:
+            return
+        suspend.start(lambda result: self.run(entry, coroutine, result))
+
+    # Platform.
+
+    def call_platform(self, entry, operation, arguments, resume):
+        state = {"answered": False}
+
+        def answer(result):
+            if not state["answered"]:
+                state["answered"] = True
+                resume(result)
+
+        refusal = base.Refusal(
+            base.Reason.PLATFORM_UNAVAILABLE, operation, "platform"
+        )
+        lost = refusal
+        if operation in CHANGES:
+            lost = platform.Unknown(refusal)
+        preset = entry.service.preset_name
+        apply = lambda: self.apply(entry, operation, arguments, preset)  # noqa: E731
+        if self.is_down:
+            self.schedule(0.01, lambda: answer(refusal), entry)
+            return
+        self.schedule(CALL_TIMEOUT_S, lambda: answer(lost), entry)
+        if entry.zone in self.cut_platform:
+            return
+        chance = self.rng.random()
+        if operation in CHANGES and chance < self.delay:
+            self.schedule(self.rng.uniform(0, 20), apply)
+            return
+        latency_s = self.rng.uniform(0, 0.05) + self.rng.random() * self.slow
+        is_lost = self.delay <= chance < self.delay + self.lose
+
+        def deliver():
+            result = apply()
+            if not is_lost:
+                delay_s = self.rng.uniform(0, 0.02) + self.rng.random() * (
+                    self.slow
+                )
+                self.schedule(delay_s, lambda: answer(result), entry)
+
+        self.schedule(latency_s, deliver)
+
+    def apply(self, entry, operation, arguments, preset):
+        before = None
+        if operation == "transact":
+            before = self.rows()
+        elif operation in ("drain_vm", "reboot_vm"):
+            self.check_operation(operation, *arguments)
+        if operation == "list_vms":
+            return self.core.list_vms().records
+        result = getattr(self.core, operation)(*arguments)
+        if isinstance(result, platform.Committed):
+            self.check_commit(entry, arguments[1], preset, before)
+        return result
+
+    # Network between entries.
+
+    def call_peer(self, entry, envelope, content, timeout_s, resume):
+        state = {"answered": False}
+
+        def answer(result):
+            if not state["answered"]:
+                state["answered"] = True
+                resume(result)
+
+        lost = base.Refusal(base.Reason.UNKNOWN_RESULT, "test")
+        self.schedule(timeout_s, lambda: answer(lost), entry)
+        if self.rng.random() < self.lose:
+            return
+        copies = 2 if self.rng.random() < 0.05 else 1
+        for _ in range(copies):
+            late_s = self.rng.uniform(0, 12) if self.rng.random() < 0.03 else 0
+            delay_s = self.rng.uniform(0, 0.02) + late_s
+            delay_s += self.rng.random() * self.slow
+            self.schedule(
+                delay_s,
+                lambda: self.receive(entry, envelope, content, answer),
+            )
+
+    def receive(self, sender, envelope, content, answer):
+        receiver = self.entries.get(envelope.receiver)
+        if receiver is None or receiver.is_dead or sender.is_dead:
+            return
+        cut = {sender.zone, receiver.zone} & self.cut_peers
+        if cut and sender.zone != receiver.zone:
+            return
+        if receiver.is_paused:
+            receiver.held.append(
+                lambda: self.receive(sender, envelope, content, answer)
+            )
+            return
+        signer = receiver.service.signer
+
+        def reply(status, body):
+            path = f"{content.path}#{status}"
+            answer_content = membership.Content(path, {}, body)
+            signed = signer.sign_answer(envelope, answer_content)
+            if self.rng.random() < self.lose:
+                return
+            delay_s = self.rng.uniform(0, 0.02) + self.rng.random() * self.slow
+            delivered = (signed, status, body)
+            self.schedule(delay_s, lambda: answer(delivered), sender)
+
+        refusal = signer.verify_request(envelope, content)
+        if refusal is None:
+
+            async def handle():
+                body = await receiver.service._answer_exchange(
+                    envelope.sender, envelope.incarnation, content.body
+                )
+                reply(200, body)
+
+            self.run(receiver, handle())
+        elif refusal.reason is base.Reason.PEER_GONE:
+            reply(409, b"")
+
+    # Faults and requests.
+
+    def start_entry(self, entry_id, port=None, boot_id=None):
+        """Starts a process; the old one must be dead if the port is its."""
+        known = {name: (zone, seed) for name, zone, seed in self.seeds}
+        zone, seed_port = known[entry_id]
+        if boot_id is None:
+            boot_id = f"{entry_id}.boot{next(self.boots)}"
+            spec = standin.VmSpec(
+                vm_id=entry_id,
+                address=f"127.0.0.1:{seed_port}",
+                availability_zone=zone,
+                rack="",
+                boot_id=boot_id,
+            )
+            self.core.vms.add(spec)
+        entry = Entry(self, entry_id, zone, port or seed_port, boot_id)
+        self.entries[entry_id] = entry
+        entry.start()
+
+    def kill(self, entry_id):
+        """Ends a process; its VM stays."""
+        self.entries[entry_id].is_dead = True
+
+    def restart(self, entry_id):
+        """Starts the process again on the same VM, with empty memory."""
+        self.kill(entry_id)
+        old = self.entries[entry_id]
+        self.start_entry(entry_id, old.port, old.boot_id)
+
+    def replace(self, entry_id):
+        """Ends the VM of an entry and creates another one for it."""
+        self.kill(entry_id)
+        self.core.vms.terminate(entry_id)
+
+    def leave(self, entry_id):
+        """Stops an entry gracefully."""
+        entry = self.entries[entry_id]
+        if entry.is_dead or entry.is_paused or entry.is_leaving:
+            return
+        entry.is_leaving = True
+
+        async def stop():
+            await entry.service.stop()
+            entry.is_dead = True
+
+        # The daemon stops control after its last request has ended.
+        self.schedule(3.0, lambda: self.run(entry, stop()), entry)
+
+    def pause(self, entry_id):
+        self.entries[entry_id].is_paused = True
+
+    def resume(self, entry_id):
+        entry = self.entries[entry_id]
+        entry.is_paused = False
+        held, entry.held = entry.held, []
+        self.rng.shuffle(held)
+        for function in held:
+            if not entry.is_dead:
+                function()
+
+    def switch(self, preset):
+        row = self.core.read(["config/current"])["config/current"]
+        value = {"preset": preset, "generation": row.version + 1}
+        self.core.transact([], [platform.Write("config/current", value)])
+
+    def heal(self):
+        """Ends all faults and lets everything finish."""
+        self.cut_peers.clear()
+        self.cut_platform.clear()
+        self.is_down = False
+        self.lose = self.delay = self.slow = 0.0
+        self.moves.clear()
+        self.maintain_before.clear()
+        for entry_id, entry in list(self.entries.items()):
+            if entry.is_paused:
+                self.resume(entry_id)
+            if entry.is_leaving and not entry.is_dead:
+                self.advance(15.0)
+            if entry.is_dead:
+                self.start_entry(entry_id)
+
+    # Properties.
+
+    def rows(self):
+        """Returns the VM rows of the table, by VM."""
+        rows = {}
+        for row in self.core.scan(ownership.VM_PREFIX):
+            vm_id = row.key.rpartition("/")[2]
+            rows[vm_id] = ownership.from_json(row.value, ownership.VmRow)
+        return rows
+
+    def check_send(self, entry, vm_id, pool):
+        """A VM takes requests of one pool, and none once it may drain."""
+        self.sends += 1
+        row = self.rows()[vm_id]
+        phase = ownership.Phase
+        allowed = row.phase in (phase.SERVING, phase.LEAVING, phase.FAILED)
+        # A VM that failed and comes back stays in its pool.
+        is_back = row.phase is phase.JOINING and not row.target_pool
+        assert row.pool == pool and (allowed or is_back), (
+            f"send: {entry.entry_id} to {vm_id} for {pool} at"
+            f" {self.now_s:.2f} while it is {row}"
+        )
+
+    def check_operation(self, operation, vm_id, boot_id):
+        """A VM is drained idle, and rebooted only for its written intent."""
+        row = self.rows()[vm_id]
+        vm = self.core.vms.get(vm_id)
+        if vm.record.boot_id != boot_id:
+            return
+        phase = ownership.Phase
+        if operation == "reboot_vm":
+            written = row.phase in (phase.REBOOTING, phase.FAILED)
+            assert written and row.boot_id == boot_id, (
+                f"operation: reboot of {vm_id} {boot_id} while it is {row}"
+            )
+        if operation == "drain_vm" and row.phase is phase.DRAINING:
+            # A send under a lease began before the lease ended, so the VM has
+            # it in progress; sends without a lease must have ended.
+            zone = vm.record.availability_zone
+            busy = [
+                entry.entry_id
+                for entry in self.entries.values()
+                if entry.zone == zone
+                and entry.service.member.is_home_valid_
+                and not entry.is_dead
+                and entry.sending.get(vm_id)
+            ]
+            assert not busy, f"drain: {busy} still sends to {vm_id}"
+
+    def check_commit(self, entry, writes, preset_name, before):
+        """Only the holder writes VM rows, within budget and promise."""
+        touched = [
+            write.key.rpartition("/")[2]
+            for write in writes
+            if write.key.startswith(ownership.VM_PREFIX)
+        ]
+        if not touched:
+            return
+        key = ownership.control_key(REGION)
+        holder = self.core.read([key])[key].value
+        assert holder is not None and holder["holder"] == entry.entry_id, (
+            f"epoch: {entry.entry_id} wrote {touched} while {holder} holds"
+        )
+        after = self.rows()
+        promises = self.deployment.presets[preset_name].pools
+        for vm_id in touched:
+            row, old = after[vm_id], before.get(vm_id)
+            started = row.phase is ownership.Phase.LEAVING and (
+                old is not None and old.phase is ownership.Phase.SERVING
+            )
+            if not started:
+                continue
+            members = [vm for vm in after.values() if vm.pool == row.pool]
+            serving = sum(
+                vm.phase is ownership.Phase.SERVING for vm in members
+            )
+            out = len(members) - serving
+            promise = promises[row.pool]
+            assert out <= promise.availability_budget, (
+                f"budget: {out} of {row.pool} are out"
+            )
+            assert serving >= promise.min_workers, (
+                f"promise: {row.pool} has {serving} left"
+            )
+
+
+class _WorldTimers(base.TimerService):
+    """Timers of the platform."""
+
+    def __init__(self, world):
+        self.world = world
+
+    def now_s(self):
+        return self.world.now_s
+
+    def wall_ms(self):
+        return int(self.world.now_s * 1000)
+
+    def call_later(self, delay_s, callback):
+        self.world.schedule(delay_s, callback)
+        return base.Subscription(callback)
