Share one account between callers without settings, with lanes

Cause: a flood of 200 unknown names at urgency 7 filled the accounts of ordinary unknown callers, because their urgency was compared only inside an account. Now urgency is compared in the shared account and lanes are served in turn inside a level.

--- a/baobabdoor/admission/_account.py
+++ b/baobabdoor/admission/_account.py
@@ -1,11 +1,10 @@
 """The queues of one caller in one pool, one per urgency level."""
 
-import collections
-
 import attrs
 
 from baobabdoor import settings
 from baobabdoor.admission import _interface
+from baobabdoor.admission import _lanes
 
 # Service time assumed until the first request of a level has finished.
 FIRST_COST_S = 0.1
@@ -24,7 +23,7 @@
     """Queued items of one urgency level of an account.
 
     Attributes:
-        items: Queued items by identifier, oldest first.
+        items: Queued items.
         queued_bytes: Declared body bytes of the queued items.
         tag: Service of the account at which the level's guarantee next
             entitles it to a slot, in slot-seconds.
@@ -32,9 +31,7 @@
         shortest_s: Slowly growing minimum of the service time; 0 until known.
     """
 
-    items: collections.OrderedDict[int, _interface.WorkItem] = attrs.field(
-        factory=collections.OrderedDict
-    )
+    items: _lanes.Lanes = attrs.field(factory=_lanes.Lanes)
     queued_bytes: int = 0
     tag: float = 0.0
     cost_s: float = FIRST_COST_S
@@ -62,7 +59,6 @@
         urgency: Level that the item came from.
         start_s: Time of the dispatch.
         cost_s: Service time charged in advance.
-        weight: Weight at the dispatch.
         by_guarantee: Whether the level's guarantee was used.
     """
 
@@ -70,7 +66,6 @@
     urgency: int
     start_s: float
     cost_s: float
-    weight: float
     by_guarantee: bool
 
 
@@ -80,7 +75,6 @@
 
     Attributes:
         share: Weight and urgency guarantee.
-        is_default: Whether callers without settings share this account.
         levels: The queues by urgency.
         queued: Number of queued items.
         queued_bytes: Declared body bytes of the queued items.
@@ -92,7 +86,6 @@
     """
 
     share: settings.CallerShare
-    is_default: bool = False
     levels: list[Level] = attrs.field(
         factory=lambda: [Level() for _ in range(_interface.URGENCY_LEVELS)]
     )
@@ -104,7 +97,7 @@
     running_start_sum_s: float = 0.0
     running_cost_sum_s: float = 0.0
 
-    def effective_tag(self, weight: float, now_s: float) -> float:
+    def effective_tag(self, now_s: float) -> float:
         """Returns the tag with what running items used beyond their charge.
 
         Without it, a caller whose requests run far longer than expected would
@@ -112,28 +105,38 @@
         """
         elapsed_s = self.running * now_s - self.running_start_sum_s
         overdue_s = max(0.0, elapsed_s - self.running_cost_sum_s)
-        return self.tag + overdue_s / weight
+        return self.tag + overdue_s / self.share.weight
 
-    def put(self, item: _interface.WorkItem, urgency: int) -> None:
-        """Queues an item at the end of its level."""
+    def put(self, item: _interface.WorkItem, urgency: int, lane: int) -> None:
+        """Queues an item at the end of a lane of its level."""
         level = self.levels[urgency]
         if not level.items:
             level.tag = max(level.tag, self.service)
-        level.items[item.request_id] = item
+        level.items.put(lane, item)
         level.queued_bytes += item.body_bytes
         self.queued += 1
         self.queued_bytes += item.body_bytes
 
-    def take(self, request_id: int, urgency: int) -> _interface.WorkItem | None:
+    def take_next(self, urgency: int) -> _interface.WorkItem:
+        """Removes the next item of a level that has one."""
+        item = self.levels[urgency].items.take_next()
+        self._forget(item, urgency)
+        return item
+
+    def remove(
+        self, request_id: int, urgency: int, lane: int
+    ) -> _interface.WorkItem | None:
         """Removes an item; returns None if it is not queued here."""
-        level = self.levels[urgency]
-        item = level.items.pop(request_id, None)
+        item = self.levels[urgency].items.remove(lane, request_id)
         if item is not None:
-            level.queued_bytes -= item.body_bytes
-            self.queued -= 1
-            self.queued_bytes -= item.body_bytes
+            self._forget(item, urgency)
         return item
 
+    def _forget(self, item: _interface.WorkItem, urgency: int) -> None:
+        self.levels[urgency].queued_bytes -= item.body_bytes
+        self.queued -= 1
+        self.queued_bytes -= item.body_bytes
+
     def choose_level(self) -> tuple[int, bool]:
         """Returns the urgency to serve and whether its guarantee requires it.
 
@@ -155,12 +158,10 @@
             return entitled, True
         return first, False
 
-    def start(
-        self, urgency: int, by_guarantee: bool, weight: float, now_s: float
-    ) -> Dispatch:
+    def start(self, urgency: int, by_guarantee: bool, now_s: float) -> Dispatch:
         """Charges the expected service time of an item that is dispatched."""
         cost_s = self.levels[urgency].cost_s
-        dispatch = Dispatch(self, urgency, now_s, cost_s, weight, by_guarantee)
+        dispatch = Dispatch(self, urgency, now_s, cost_s, by_guarantee)
         self.running += 1
         self.running_start_sum_s += now_s
         self.running_cost_sum_s += cost_s
@@ -177,7 +178,7 @@
         self._charge(dispatch, service_s - dispatch.cost_s)
 
     def _charge(self, dispatch: Dispatch, cost_s: float) -> None:
-        self.tag += cost_s / dispatch.weight
+        self.tag += cost_s / self.share.weight
         self.service += cost_s
         if dispatch.by_guarantee:
             level = self.levels[dispatch.urgency]
--- a/baobabdoor/admission/_fair_share.py
+++ b/baobabdoor/admission/_fair_share.py
@@ -12,9 +12,12 @@
 from baobabdoor.admission import _slow_start
 
 STEP = "admission.queue"
-# Accounts over which callers without settings are spread. Together they have
-# the default share, however many names are invented.
-DEFAULT_ACCOUNTS = 16
+# Key of the account that all callers without settings share, however many
+# names are invented. No caller's name is empty.
+DEFAULT_ACCOUNT = ""
+# Lanes over which those callers are spread by a hash of their name. One of
+# them that floods delays the others by at most a turn of 16.
+DEFAULT_LANES = 16
 # A queue this long serves a pool of 48 slots for about 5 requests a slot, which
 # is as long as most deadlines allow.
 MAX_ITEMS = 256
@@ -67,65 +70,75 @@
     """Accounts of one pool.
 
     Attributes:
-        accounts: The accounts by key; callers with settings by name, the
-            others by the number of their group.
+        accounts: The accounts by the caller's name.
         backlogged: Accounts with queued items.
-        active_default: Default accounts with queued items.
         running: Items in progress.
         queued: Queued items.
         slots: Largest number of slots seen at once.
         virtual_s: Start tag of the last item dispatched.
     """
 
-    def __init__(self, callers: Mapping[str, settings.CallerShare]):
-        self.accounts: dict[str | int, _account.Account] = {
+    def __init__(
+        self,
+        callers: Mapping[str, settings.CallerShare],
+        default_share: settings.CallerShare,
+    ):
+        self.accounts: dict[str, _account.Account] = {
             name: _account.Account(share) for name, share in callers.items()
         }
+        self.accounts[DEFAULT_ACCOUNT] = _account.Account(default_share)
         # A dict keeps the order of arrival, so that ties are broken alike in
         # every run.
         self.backlogged: dict[_account.Account, None] = {}
-        self.active_default = 0
         self.running = 0
         self.queued = 0
         self.slots = 0
         self.virtual_s = 0.0
         self.slow_start = _slow_start.SlowStart()
 
-    def weight(self, account: _account.Account) -> float:
-        """Returns the weight; default accounts divide the default weight."""
-        if account.is_default:
-            return account.share.weight / max(1, self.active_default)
-        return account.share.weight
-
     def put(
-        self, account: _account.Account, item: _interface.WorkItem, urgency: int
+        self,
+        account: _account.Account,
+        item: _interface.WorkItem,
+        urgency: int,
+        lane: int,
     ) -> None:
+        """Queues an item; an account that was idle has saved nothing."""
         if not account.queued:
             account.tag = max(account.tag, self.virtual_s)
             self.backlogged[account] = None
-            self.active_default += account.is_default
-        account.put(item, urgency)
+        account.put(item, urgency, lane)
         self.queued += 1
 
-    def take(
-        self, account: _account.Account, request_id: int, urgency: int
-    ) -> _interface.WorkItem | None:
-        item = account.take(request_id, urgency)
-        if item is None:
-            return None
+    def take_next(
+        self, account: _account.Account, urgency: int
+    ) -> _interface.WorkItem:
+        """Removes the next item of a level that has one."""
+        item = account.take_next(urgency)
+        self._forget(account)
+        return item
+
+    def remove(
+        self,
+        account: _account.Account,
+        request_id: int,
+        urgency: int,
+        lane: int,
+    ) -> None:
+        """Removes an item if it is queued."""
+        if account.remove(request_id, urgency, lane) is not None:
+            self._forget(account)
+
+    def _forget(self, account: _account.Account) -> None:
         self.queued -= 1
         if not account.queued:
             self.backlogged.pop(account, None)
-            self.active_default -= account.is_default
-        return item
 
     def choose(self, now_s: float) -> _account.Account:
         """Returns the backlogged account with the least service by weight."""
         return min(
             self.backlogged,
-            key=lambda account: account.effective_tag(
-                self.weight(account), now_s
-            ),
+            key=lambda account: account.effective_tag(now_s),
         )
 
 
@@ -138,16 +151,19 @@
     account's service; the rest goes to the most urgent level. An item is
     charged its expected service time at dispatch, corrected at its release.
 
+    Callers without settings share one account. Inside each of its levels they
+    are spread over lanes that are served in turn.
+
     Queues are bounded by dynamic thresholds: a level may hold at most as much
     as the account has left free, so one flooded level takes half and always
-    leaves room for the others.
+    leaves room for the others. The same holds for a lane inside a level.
 
     Args:
         callers: Shares of the known callers. All others together have the
             default share.
         default_share: Share of the others. Default: `CallerShare()`.
-        default_accounts: Accounts over which the others are spread by a hash
-            of their name. Default: 16.
+        default_lanes: Lanes over which the others are spread by a hash of
+            their name. Default: 16.
         max_items: Queued items of one account in one pool. Default: 256.
         max_bytes: Declared body bytes queued by one account in one pool.
             Default: 32 MiB.
@@ -167,7 +183,7 @@
     """
 
     PARAMETER_CONSTRAINTS = {
-        "default_accounts": base.Interval(1, integer=True),
+        "default_lanes": base.Interval(1, integer=True),
         "max_items": base.Interval(1, integer=True),
         "max_bytes": base.Interval(1, integer=True),
         "salt": base.Interval(0, integer=True),
@@ -177,14 +193,14 @@
         self,
         callers: Mapping[str, settings.CallerShare],
         default_share: settings.CallerShare | None = None,
-        default_accounts: int = DEFAULT_ACCOUNTS,
+        default_lanes: int = DEFAULT_LANES,
         max_items: int = MAX_ITEMS,
         max_bytes: int = MAX_BYTES,
         salt: int = 0,
     ):
         self.callers = callers
         self.default_share = default_share
-        self.default_accounts = default_accounts
+        self.default_lanes = default_lanes
         self.max_items = max_items
         self.max_bytes = max_bytes
         self.salt = salt
@@ -201,11 +217,11 @@
         pool = self._pool_of(item.pool)
         if pool is None:
             return UNKNOWN_POOL
-        account = self._account_of(pool, item.caller)
+        account, lane = self._place(pool, item.caller)
         urgency = _urgency(item)
-        refusal = self._check(pool, account, item, urgency, now_s)
+        refusal = self._check(pool, account, item, urgency, lane, now_s)
         if refusal is None:
-            pool.put(account, item, urgency)
+            pool.put(account, item, urgency, lane)
         return refusal
 
     def plan(
@@ -233,8 +249,8 @@
         """Removes a queued item; does nothing for any other."""
         pool = self.pools_.get(item.pool)
         if pool is not None:
-            account = self._account_of(pool, item.caller)
-            pool.take(account, item.request_id, _urgency(item))
+            account, lane = self._place(pool, item.caller)
+            pool.remove(account, item.request_id, _urgency(item), lane)
 
     def expire(self, now_s: float) -> list[_interface.WorkItem]:
         """Removes the items whose deadline has passed.
@@ -248,13 +264,13 @@
             for account in list(pool.backlogged):
                 for urgency, level in enumerate(account.levels):
                     late = [
-                        item
-                        for item in level.items.values()
+                        (lane, item)
+                        for lane, item in level.items
                         if item.deadline_s <= now_s
                     ]
-                    for item in late:
-                        pool.take(account, item.request_id, urgency)
-                    dropped.extend(late)
+                    for lane, item in late:
+                        pool.remove(account, item.request_id, urgency, lane)
+                        dropped.append(item)
         return dropped
 
     def queued(self) -> dict[str, int]:
@@ -275,21 +291,20 @@
         if pool is None and len(self.pools_) < MAX_POOLS:
             if not self.pools_:
                 base.validate(self)
-            pool = self.pools_[name] = _PoolQueue(self.callers)
+            pool = self.pools_[name] = _PoolQueue(
+                self.callers, self.default_share or settings.CallerShare()
+            )
         return pool
 
-    def _account_of(self, pool: _PoolQueue, caller: str) -> _account.Account:
+    def _place(
+        self, pool: _PoolQueue, caller: str
+    ) -> tuple[_account.Account, int]:
+        """Returns the account and the lane of a caller."""
         account = pool.accounts.get(caller)
-        if account is not None:
-            return account
+        if account is not None and caller != DEFAULT_ACCOUNT:
+            return account, 0
         digest = zlib.crc32(caller.encode("utf-8", "replace"), self.salt)
-        key = digest % self.default_accounts
-        account = pool.accounts.get(key)
-        if account is None:
-            share = self.default_share or settings.CallerShare()
-            account = _account.Account(share, is_default=True)
-            pool.accounts[key] = account
-        return account
+        return pool.accounts[DEFAULT_ACCOUNT], digest % self.default_lanes
 
     def _check(
         self,
@@ -297,17 +312,16 @@
         account: _account.Account,
         item: _interface.WorkItem,
         urgency: int,
+        lane: int,
         now_s: float,
     ) -> base.Refusal | None:
         level = account.levels[urgency]
-        if len(level.items) >= max(1, self.max_items - account.queued):
-            return FULL
-        if account.queued >= self.max_items:
+        if self._is_full(pool, account, level, lane):
             return FULL
         total_bytes = level.queued_bytes + item.body_bytes
         if total_bytes > self.max_bytes - account.queued_bytes:
             return TOO_MANY_BYTES
-        if item.request_id in level.items:
+        if level.items.holds(lane, item.request_id):
             return DUPLICATE
         # Even with every slot of the pool, the items ahead in the same level
         # take this long at the shortest service time.
@@ -317,6 +331,20 @@
             return TOO_LATE
         return None
 
+    def _is_full(
+        self,
+        pool: _PoolQueue,
+        account: _account.Account,
+        level: _account.Level,
+        lane: int,
+    ) -> bool:
+        free = self.max_items - account.queued
+        queued = len(level.items)
+        if free <= 0 or queued >= max(1, free):
+            return True
+        is_default = account is pool.accounts[DEFAULT_ACCOUNT]
+        return is_default and level.items.size(lane) >= max(1, free - queued)
+
     def _plan_pool(
         self,
         pool: _PoolQueue,
@@ -339,14 +367,13 @@
         """Starts the account's next item, or drops it if it is too late."""
         urgency, by_guarantee = account.choose_level()
         level = account.levels[urgency]
-        weight = pool.weight(account)
-        item = pool.take(account, next(iter(level.items)), urgency)
+        item = pool.take_next(account, urgency)
         if now_s + level.shortest_s > item.deadline_s:
             level.doubt()
             self.dropped_.append(item)
             return None
         pool.virtual_s = max(pool.virtual_s, account.tag)
-        dispatch = account.start(urgency, by_guarantee, weight, now_s)
+        dispatch = account.start(urgency, by_guarantee, now_s)
         self.running_[item.request_id] = dispatch
         pool.running += 1
         return item
@@ -357,9 +384,8 @@
 
 
 def _queued_by_caller(pool: _PoolQueue) -> dict[str, int]:
-    counts: dict[str, int] = {}
-    for key, account in pool.accounts.items():
-        name = "default" if account.is_default else str(key)
-        if account.queued:
-            counts[name] = counts.get(name, 0) + account.queued
-    return counts
+    return {
+        name or "default": account.queued
+        for name, account in pool.accounts.items()
+        if account.queued
+    }
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -91,7 +91,7 @@
     flood = {(f"x{n}", 3): 1 for n in range(200)}
     counts = served(queue, {("a", 3): 4, **flood}, 8, 100)
     assert counts["a", 3] >= 0.9 * 400
-    assert len(queue.pools_[POOL].accounts) <= 1 + 16
+    assert len(queue.pools_[POOL].accounts) == 2
 
 
 def check_urgency_guarantee(make):
@@ -125,6 +125,12 @@
     def test_invented_names_share_one_account(self):
         check_invented_names(admission.FairShareQueue)
 
+    def test_unknown_caller_is_served_beside_one_that_floods(self):
+        """Guards against one unknown name that fills the shared account."""
+        queue = admission.FairShareQueue({})
+        offered = {("x", 3): 100, ("y", 3): 2}
+        assert served(queue, offered, 8, 100)["y", 3] >= 0.95 * 200
+
     def test_urgency_keeps_a_guarantee_for_each_level(self):
         check_urgency_guarantee(admission.FairShareQueue)
 
@@ -145,7 +151,9 @@
 
     def test_weights_ignored(self, monkeypatch):
         monkeypatch.setattr(
-            _fair_share._PoolQueue, "weight", lambda self, account: 1.0
+            _account.Account,
+            "effective_tag",
+            lambda self, now_s: self.tag * self.share.weight,
         )
         with pytest.raises(AssertionError):
             check_max_min(
@@ -174,11 +182,11 @@
             check_idle_caller_saves_nothing(admission.FairShareQueue)
 
     def test_each_invented_name_has_an_account(self, monkeypatch):
-        def account_of(self, pool, caller):
+        def place(self, pool, caller):
             account = _account.Account(SHARE)
-            return pool.accounts.setdefault(caller, account)
+            return pool.accounts.setdefault(caller, account), 0
 
-        monkeypatch.setattr(admission.FairShareQueue, "_account_of", account_of)
+        monkeypatch.setattr(admission.FairShareQueue, "_place", place)
         with pytest.raises(AssertionError):
             check_invented_names(admission.FairShareQueue)
 
