--- a/baobabdoor/admission/_fair_share.py
+++ b/baobabdoor/admission/_fair_share.py
@@ -214,7 +214,7 @@
         """Queues an item, or refuses it in constant time."""
         if item.deadline_s <= now_s:
             return EXPIRED
-        pool = self._pool_of(item.pool)
+        pool = self.pools_.get(item.pool) or self._add_pool(item.pool)
         if pool is None:
             return UNKNOWN_POOL
         account, lane = self._place(pool, item.caller)
@@ -286,14 +286,12 @@
             for name, pool in self.pools_.items()
         }
 
-    def _pool_of(self, name: str) -> _PoolQueue | None:
-        pool = self.pools_.get(name)
-        if pool is None and len(self.pools_) < MAX_POOLS:
-            if not self.pools_:
-                base.validate(self)
-            pool = self.pools_[name] = _PoolQueue(
-                self.callers, self.default_share or settings.CallerShare()
-            )
+    def _add_pool(self, name: str) -> _PoolQueue | None:
+        if len(self.pools_) >= MAX_POOLS:
+            return None
+        base.validate(self)
+        share = self.default_share or settings.CallerShare()
+        pool = self.pools_[name] = _PoolQueue(self.callers, share)
         return pool
 
     def _place(
@@ -380,7 +378,10 @@
 
 
 def _urgency(item: _interface.WorkItem) -> int:
-    return min(max(item.urgency, 0), LEAST_URGENT)
+    urgency = item.urgency
+    if 0 <= urgency <= LEAST_URGENT:
+        return urgency
+    return 0 if urgency < 0 else LEAST_URGENT
 
 
 def _queued_by_caller(pool: _PoolQueue) -> dict[str, int]:
--- a/baobabdoor/slots/__init__.py
+++ b/baobabdoor/slots/__init__.py
@@ -4,6 +4,7 @@
 from baobabdoor.slots._credits import Credits
 from baobabdoor.slots._interface import SlotPolicy
 from baobabdoor.slots._interface import WorkerSlots
+from baobabdoor.slots._policies import POLICIES
 from baobabdoor.slots._policies import make_policy
 from baobabdoor.slots._static import StaticSplit
 from baobabdoor.slots._two_choices import TwoChoices
@@ -11,6 +12,7 @@
 __all__ = [
     "Credits",
     "EntrySlots",
+    "POLICIES",
     "SlotPolicy",
     "StaticSplit",
     "TwoChoices",
