Send early slot exchanges only to peers that can lend

Cause: with 9 entries in a zone an early exchange with every peer cost more than the control budget. early_peers names at most two owners or holders of unused credits, and its rate falls with the number of entries.

--- a/baobabdoor/measure/_demand_zone.py
+++ b/baobabdoor/measure/_demand_zone.py
@@ -265,9 +265,8 @@
                 policy.acquire(worker_id, self.now_s)
                 self._accept(entry, worker_id, item)
         policy.set_demand(entry.queue.queued())
-        wants_exchange = getattr(policy, "wants_exchange", None)
-        if wants_exchange is not None and wants_exchange(self.now_s):
-            self._exchange(entry)
+        for peer_id in policy.early_peers(self.now_s):
+            self._exchange(entry, self.by_id[peer_id])
 
     def _accept(
         self, entry: Entry, worker_id: str, item: admission.WorkItem
@@ -309,23 +308,20 @@
     def _exchange_tick(self, entry: Entry) -> None:
         if entry.alive:
             self.at(self.now_s + EXCHANGE_S, self._exchange_tick, entry)
-            self._exchange(entry)
-
-    def _exchange(self, entry: Entry) -> None:
-        """Exchanges payloads with all peers, in both directions."""
-        for peer in self.entries:
-            if peer is entry or not peer.alive:
-                continue
-            if self.cut(entry.entry_id, peer.entry_id):
-                continue
-            self._send(entry, peer)
-            self._send(peer, entry)
-            for pool in self.pools:
-                if peer.queue.queued().get(pool):
-                    self._dispatch(peer, pool)
-        for pool in self.pools:
-            if entry.queue.queued().get(pool):
-                self._dispatch(entry, pool)
+            for peer in self.entries:
+                if peer is not entry:
+                    self._exchange(entry, peer)
+
+    def _exchange(self, entry: Entry, peer: Entry) -> None:
+        """Exchanges payloads in both directions."""
+        if not peer.alive or self.cut(entry.entry_id, peer.entry_id):
+            return
+        self._send(entry, peer)
+        self._send(peer, entry)
+        for each in (entry, peer):
+            for pool, queued in each.queue.queued().items():
+                if queued:
+                    self._dispatch(each, pool)
 
     def _send(self, source: Entry, target: Entry) -> None:
         payload = source.slots.exchange(target.entry_id, self.now_s)
--- a/baobabdoor/slots/_credits.py
+++ b/baobabdoor/slots/_credits.py
@@ -20,9 +20,11 @@
 # Requests that a silent peer reported may still run for this long after its
 # credits have expired.
 RUN_OUT_S = 2.0
-# Early exchanges of one entry are at least this far apart, which keeps them
-# within a tenth of the control budget.
-EARLY_EXCHANGE_S = 0.5
+# Early exchanges go to at most `EARLY_PEERS` and are this far apart for each
+# entry of the zone, so that they and the regular ones, which also grow with
+# the number of entries, stay within the control budget with 9 entries.
+EARLY_EXCHANGE_S_PER_ENTRY = 0.06
+EARLY_PEERS = 2
 
 
 @attrs.frozen
@@ -103,21 +105,26 @@
         left = self._uncommitted(worker_id, "", now_s)
         return min(left, self.targets_[worker_id][self.entry_id])
 
-    def wants_exchange(self, now_s: float) -> bool:
-        """Returns whether to exchange now instead of at the next second.
+    def early_peers(self, now_s: float) -> list[str]:
+        """Returns who can lend or give back slots of a pool that has none.
 
-        True at most every `EARLY_EXCHANGE_S`, when requests wait for a pool
-        in which this entry has no slot left. The caller then exchanges with
-        the peers of its zone.
+        These are the owners of the pool's workers and the peers that hold more
+        credits of the own workers than they want. At most `EARLY_PEERS` are
+        named at a limited rate, the ones not heard for longest.
         """
-        if now_s - self.early_s_ < EARLY_EXCHANGE_S:
-            return False
+        period_s = EARLY_EXCHANGE_S_PER_ENTRY * len(self.entries_)
+        if now_s - self.early_s_ < period_s:
+            return []
+        peers: set[str] = set()
         for pool, queued in self.queued_.items():
             known = queued and pool in self.pool_slots_
             if known and not self._any_available(pool, now_s):
-                self.early_s_ = now_s
-                return True
-        return False
+                peers.update(self._lenders(pool))
+        if not peers:
+            return []
+        self.early_s_ = now_s
+        order = sorted(peers, key=lambda peer: (self._heard_s(peer), peer))
+        return order[:EARLY_PEERS]
 
     def exchange(self, peer_id: str, now_s: float) -> dict[str, Any]:
         """Returns a report to, and credits for, one peer."""
@@ -271,6 +278,27 @@
             if owner == entry_id
         ]
 
+    def _lenders(self, pool: str) -> set[str]:
+        peers = set()
+        for worker_id, worker in self.workers_.items():
+            if worker.pool != pool:
+                continue
+            owner = self.owners_[worker_id]
+            if owner != self.entry_id:
+                peers.add(owner)
+                continue
+            for peer_id in self.entries_:
+                ledger = self.ledgers_.get(peer_id)
+                if ledger is not None:
+                    lent = ledger.committed(worker_id)
+                    if lent > ledger.in_use.get(worker_id, 0):
+                        peers.add(peer_id)
+        return peers
+
+    def _heard_s(self, peer_id: str) -> float:
+        ledger = self.ledgers_.get(peer_id)
+        return ledger.heard_s if ledger else float("-inf")
+
     def _any_available(self, pool: str, now_s: float) -> bool:
         return any(
             worker.pool == pool and self.available(worker_id, now_s)
--- a/baobabdoor/slots/_interface.py
+++ b/baobabdoor/slots/_interface.py
@@ -70,3 +70,11 @@
         self, peer_id: str, payload: dict[str, Any], now_s: float
     ) -> None:
         """Takes in a peer's payload; ignores malformed parts."""
+
+    def early_peers(self, now_s: float) -> list[str]:
+        """Returns peers to exchange with now, before the next second.
+
+        The entry calls this when requests wait and none can be sent. The
+        policy limits how often it names anyone. Default: none.
+        """
+        return []
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -202,11 +202,11 @@
         entry = slots.make_policy("credits", "entry-1")
         entry.set_workers(WORKERS)
         entry.set_entries(["entry-0", "entry-1"])
-        assert not entry.wants_exchange(0.0)
+        assert entry.early_peers(0.0) == []
         entry.set_demand({"desk": 1})
-        assert entry.wants_exchange(0.0)
-        assert not entry.wants_exchange(0.1)
-        assert entry.wants_exchange(0.6)
+        assert entry.early_peers(0.0) == ["entry-0"]
+        assert entry.early_peers(0.1) == []
+        assert entry.early_peers(0.6) == ["entry-0"]
 
 
 class TestWaterFilling:
