Let an idle urgency level save one slot-second of its guarantee

Cause: one long request used up the guarantee of its level for longer than the deadline of the next ones.

--- a/baobabdoor/admission/_account.py
+++ b/baobabdoor/admission/_account.py
@@ -10,6 +10,9 @@
 FIRST_COST_S = 0.1
 # Weight of the newest service time in the moving average.
 COST_SMOOTHING = 0.1
+# Service that a level may save up while it is idle, in slot-seconds. Without
+# it, one long request uses up the guarantee for longer than short deadlines.
+SAVED_SLOT_S = 1.0
 # Growth of the least service time with each request, so that one
 # exceptionally short request does not count for ever.
 SHORTEST_GROWTH = 1.02
@@ -111,7 +114,9 @@
         """Queues an item at the end of a lane of its level."""
         level = self.levels[urgency]
         if not level.items:
-            level.tag = max(level.tag, self.service)
+            guarantee = self.share.urgency_guarantee or 1.0
+            saved = SAVED_SLOT_S / guarantee
+            level.tag = max(level.tag, self.service - saved)
         level.items.put(lane, item)
         level.queued_bytes += item.body_bytes
         self.queued += 1
