--- a/baobabdoor/admission/_account.py
+++ b/baobabdoor/admission/_account.py
@@ -12,7 +12,7 @@
 COST_SMOOTHING = 0.1
 # Service that a level may save up while it is idle, in slot-seconds. Without
 # it, one long request uses up the guarantee for longer than short deadlines.
-SAVED_SLOT_S = 1.0
+SAVED_SLOT_S = 2.0
 # Growth of the least service time with each request, so that one
 # exceptionally short request does not count for ever.
 SHORTEST_GROWTH = 1.02
@@ -36,7 +36,7 @@
 
     items: _lanes.Lanes = attrs.field(factory=_lanes.Lanes)
     queued_bytes: int = 0
-    tag: float = 0.0
+    tag: float = float("-inf")
     cost_s: float = FIRST_COST_S
     shortest_s: float = 0.0
 
--- a/baobabdoor/admission/_fair_share.py
+++ b/baobabdoor/admission/_fair_share.py
@@ -20,7 +20,7 @@
 DEFAULT_LANES = 16
 # A queue this long serves a pool of 48 slots for about 5 requests a slot, which
 # is as long as most deadlines allow.
-MAX_ITEMS = 256
+MAX_ITEMS = 128
 MAX_BYTES = 33_554_432
 # Pools are named by settings; more means that names were not checked before.
 MAX_POOLS = 1024
