Add static, reactive and predictive capacity policies

The suite capacity compares the policies in a discrete-time model with a mixed-integer program over the same demand.

--- /dev/null
+++ b/baobabdoor/capacity/_factory.py
@@ -0,0 +1,28 @@
+"""Makes the policy that a preset names."""
+
+from baobabdoor.capacity import _interface
+from baobabdoor.capacity import _predictive
+from baobabdoor.capacity import _reactive
+from baobabdoor.capacity import _static
+
+POLICIES = {
+    "static": _static.StaticPolicy,
+    "reactive": _reactive.ReactivePolicy,
+    "predictive": _predictive.PredictivePolicy,
+}
+
+
+def make_policy(name: str, **parameters: float) -> _interface.CapacityPolicy:
+    """Returns a new policy by its name in the settings.
+
+    Args:
+        name: One of `settings.Preset.capacity_policy`.
+        **parameters: Parameters of the policy that differ from its defaults.
+
+    Raises:
+        ValueError: There is no policy of that name.
+    """
+    if name not in POLICIES:
+        names = ", ".join(sorted(POLICIES))
+        raise ValueError(f"capacity policy: expected {names}, found {name!r}")
+    return POLICIES[name](**parameters)
--- /dev/null
+++ b/baobabdoor/capacity/_promises.py
@@ -0,0 +1,50 @@
+"""Moves that every policy makes to keep the promises of the preset."""
+
+from collections.abc import Mapping
+
+from baobabdoor.capacity import _books
+
+
+def restore_promises(book: _books.FleetBook, floors: Mapping[str, int]) -> None:
+    """Plans moves into pools that hold less than they must.
+
+    Uses the buffer of the spare pool first, because it is held for this, and
+    then whatever other pools hold beyond their own floor.
+
+    Args:
+        book: The planning step.
+        floors: VMs that each pool must hold.
+    """
+    for target in book.applications:
+        missing = floors[target.name] - target.heading
+        if missing <= 0:
+            continue
+        lent = min(missing, book.lendable(keep_buffer=False))
+        missing -= book.move(book.spare, target, lent, "restore promise")
+        for source in sorted(book.applications, key=lambda pool: -pool.heading):
+            if missing <= 0:
+                break
+            if source is target:
+                continue
+            surplus = source.serving - floors[source.name]
+            wanted = min(missing, max(0, surplus))
+            missing -= book.move(source, target, wanted, "restore promise")
+
+
+def floors(book: _books.FleetBook) -> dict[str, int]:
+    """Returns how many VMs each pool must hold, whatever its demand.
+
+    While a roll-out is under way a pool with VMs that it still has to reach
+    keeps room for its availability budget: at `min_workers` alone no VM of
+    the pool could be rebooted, and the roll-out would never end.
+    """
+    result = {}
+    rolling_out = book.rolling_out()
+    for pool in book.pools_.values():
+        floor = pool.promise.min_workers
+        if rolling_out is not None and any(
+            rolling_out.is_due(vm) for vm in pool.members
+        ):
+            floor += pool.promise.availability_budget
+        result[pool.name] = min(floor, pool.promise.max_workers)
+    return result
--- a/baobabdoor/maintenance/__init__.py
+++ b/baobabdoor/maintenance/__init__.py
@@ -4,12 +4,14 @@
 from baobabdoor.maintenance._availability import members_by_pool
 from baobabdoor.maintenance._interface import MaintenancePolicy
 from baobabdoor.maintenance._interface import StartMaintenance
+from baobabdoor.maintenance._roll_out import RollOut
 from baobabdoor.maintenance._waves import OneAtATimePlanner
 from baobabdoor.maintenance._waves import WavePlanner
 
 __all__ = [
     "MaintenancePolicy",
     "OneAtATimePlanner",
+    "RollOut",
     "StartMaintenance",
     "WavePlanner",
     "allowance",
--- /dev/null
+++ b/baobabdoor/measure/_capacity.py
@@ -0,0 +1,308 @@
+"""Suite `capacity`: buffer cost, moves and unmet demand of the policies."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import itertools
+
+import attrs
+
+from baobabdoor import capacity
+from baobabdoor import settings
+from baobabdoor.measure import _clairvoyant
+from baobabdoor.measure import _demand
+from baobabdoor.measure import _fleet_model
+from baobabdoor.measure import _result
+
+# Cycles of demand before the measurement starts, in which policies learn, and
+# cycles that are measured.
+LEARNING_CYCLES = 3
+MEASURED_CYCLES = 4
+PRESET = "ordinary"
+# The measurement ends this long after the start of a peak, so that the policy
+# has no moves in flight for demand that the reference does not see.
+TAIL_S = 10
+# Ticks from the plan of a move until the VM serves, given the model's timing.
+MOVE_STEPS = 5
+
+
+@attrs.frozen
+class Candidate:
+    """A policy with parameters.
+
+    Attributes:
+        policy: Name of the policy.
+        parameters: Parameters that differ from the defaults.
+    """
+
+    policy: str
+    parameters: Mapping[str, float] = attrs.field(factory=dict)
+
+    @property
+    def label(self) -> str:
+        """Name in the results."""
+        values = "/".join(f"{value:g}" for value in self.parameters.values())
+        return f"{self.policy} {values}".strip()
+
+
+def candidates() -> list[Candidate]:
+    """Returns the points of the frontier."""
+    points = [Candidate("static")]
+    points.extend(
+        Candidate("reactive", {"hold_s": hold_s}) for hold_s in (5, 20, 60, 180)
+    )
+    points.extend(
+        Candidate("predictive", {"move_cost_s": move_cost_s, "lead_s": lead_s})
+        for move_cost_s, lead_s in itertools.product((20, 60, 120), (0, 2))
+    )
+    return points
+
+
+@attrs.frozen
+class Outcome:
+    """What a policy cost over the measured cycles.
+
+    Attributes:
+        buffer: VM-seconds held in application pools beyond use.
+        moves: Number of moves started.
+        unmet: Demand beyond the VMs in service, in VM-seconds.
+        demand: All demand, in VM-seconds.
+        moves_back: Moves of a VM back to the pool it left less than a peak's
+            length ago.
+        refused: Moves that the controller would have refused.
+    """
+
+    buffer: float
+    moves: int
+    unmet: float
+    demand: float
+    moves_back: int
+    refused: int
+
+
+class CapacityRun:
+    """One policy under one demand.
+
+    Args:
+        deployment: Settings of the deployment.
+        demand: Demand to serve.
+        policy: The policy.
+        seed: Seed of the durations of moves.
+    """
+
+    def __init__(
+        self,
+        deployment: settings.Deployment,
+        demand: _demand.Demand,
+        policy: capacity.CapacityPolicy,
+        seed: int,
+    ):
+        self.deployment = deployment
+        self.demand = demand
+        self.policy = policy
+        self.seed = seed
+        preset = deployment.presets[PRESET]
+        self.model_ = _fleet_model.FleetModel(deployment, preset, seed=seed)
+        self.model_.mark_maintained()
+        pools = len(demand.slots)
+        self.first_ = int(demand.starts_s[LEARNING_CYCLES * pools][0]) - TAIL_S
+        self.last_ = int(demand.starts_s[-1][0]) + TAIL_S
+        self.at_start_: dict[str, int] = {}
+        self.left_: dict[str, tuple[str, float]] = {}
+        self.outcome_ = Outcome(0.0, 0, 0.0, 0.0, 0, 0)
+
+    def run(self) -> Outcome:
+        """Runs to the end and returns what the measured part cost."""
+        for second in range(self.last_):
+            if second == self.first_:
+                self._begin_measurement()
+            self._tick(second)
+        return self.outcome_
+
+    def _begin_measurement(self) -> None:
+        self.outcome_ = Outcome(0.0, 0, 0.0, 0.0, 0, 0)
+        for vm in self.model_.vms_.values():
+            pool = vm.target_pool or vm.pool
+            self.at_start_[pool] = self.at_start_.get(pool, 0) + 1
+
+    def _tick(self, second: int) -> None:
+        model, deployment = self.model_, self.deployment
+        snapshot = model.snapshot()
+        held = unmet = total = 0.0
+        demand = {}
+        for pool, slots in self.demand.slots.items():
+            size = deployment.pools[pool].slots
+            serving = snapshot.in_service(pool)
+            demand[pool] = self.demand.of(pool, second, serving * size)
+            held += len(snapshot.of_pool(pool))
+            unmet += max(0.0, slots[second] / size - serving)
+            total += slots[second] / size
+        moves = self.policy.plan(
+            snapshot, demand, deployment, model.preset, model.now_s_
+        )
+        started = [m for m in moves if model.move(m.vm_id, m.to_pool)]
+        done = self.outcome_
+        self.outcome_ = Outcome(
+            buffer=done.buffer + held - (total - unmet),
+            moves=done.moves + len(started),
+            unmet=done.unmet + unmet,
+            demand=done.demand + total,
+            moves_back=done.moves_back + self._moves_back(started),
+            refused=done.refused + len(moves) - len(started),
+        )
+        model.step()
+
+    def _moves_back(self, moves: list[capacity.Move]) -> int:
+        now_s = self.model_.now_s_
+        count = 0
+        for move in moves:
+            pool, left_s = self.left_.get(move.vm_id, ("", 0.0))
+            back = pool == move.to_pool
+            count += back and now_s - left_s < self.demand.shortest_peak_s
+            self.left_[move.vm_id] = (move.from_pool, now_s)
+        return count
+
+    def problem(self, move_cost_s: float) -> _clairvoyant.Problem:
+        """Returns the same task for the clairvoyant reference."""
+        preset = self.deployment.presets[PRESET]
+        pools = {}
+        for pool, promise in preset.pools.items():
+            spare = pool == self.deployment.spare_pool
+            size = self.deployment.pools[pool].slots
+            slots = self.demand.slots.get(pool, [])
+            measured = slots[self.first_ : self.last_]
+            pools[pool] = _clairvoyant.PoolLimits(
+                at_start=self.at_start_.get(pool, 0),
+                min_workers=promise.min_workers
+                + (preset.buffer_workers if spare else 0),
+                max_workers=promise.max_workers,
+                budget=promise.availability_budget,
+                demand=None if spare else [value / size for value in measured],
+            )
+        return _clairvoyant.Problem(
+            pools=pools,
+            move_steps=MOVE_STEPS,
+            step_s=_fleet_model.TICK_S,
+            unmet=self.outcome_.unmet,
+            move_cost_s=move_cost_s,
+        )
+
+
+def run(
+    deployment: settings.Deployment, seeds: Iterable[int]
+) -> Iterator[_result.Result]:
+    """Measures every candidate and compares the chosen one."""
+    for seed in seeds:
+        yield from _run_seed(deployment, seed)
+
+
+def _run_seed(
+    deployment: settings.Deployment, seed: int
+) -> Iterator[_result.Result]:
+    cycles = LEARNING_CYCLES + MEASURED_CYCLES
+    demand = _demand.generate(deployment, cycles, seed)
+    runs = {}
+    for candidate in candidates():
+        policy = capacity.make_policy(candidate.policy, **candidate.parameters)
+        runs[candidate.label] = CapacityRun(deployment, demand, policy, seed)
+        runs[candidate.label].run()
+    outcomes = {label: one.outcome_ for label, one in runs.items()}
+    for label, outcome in outcomes.items():
+        yield from _frontier(deployment, label, outcome, outcomes, seed)
+    scale = Scale.of(deployment, outcomes)
+    chosen = min(outcomes, key=lambda label: scale.cost(outcomes[label]))
+    yield from _against_clairvoyant(
+        deployment, chosen, runs[chosen], scale.move_cost_s, seed
+    )
+
+
+def _frontier(
+    deployment: settings.Deployment,
+    label: str,
+    outcome: Outcome,
+    outcomes: Mapping[str, Outcome],
+    seed: int,
+) -> Iterator[_result.Result]:
+    static = outcomes["static"]
+    name = deployment.deployment
+    for measure, value, unit, reference in (
+        ("buffer cost", outcome.buffer, "VM-s", static.buffer),
+        ("moves", outcome.moves, "moves", 0.0),
+        ("unmet demand", outcome.unmet, "VM-s", static.unmet),
+        ("moves back within a turn", outcome.moves_back, "moves", 0.0),
+        ("moves refused", outcome.refused, "moves", 0.0),
+    ):
+        yield _result.Result(measure, name, label, value, unit, reference, seed)
+
+
+@attrs.frozen
+class Scale:
+    """Makes the measures comparable under the deployment's weights.
+
+    Attributes:
+        weights: Weights of the deployment.
+        buffer: Buffer cost that counts as 1, that of static pools.
+        moves: Moves that count as 1: two for each VM beyond the promise and
+            peak, there and back.
+        unmet: Unmet demand that counts as 1, that of static pools.
+    """
+
+    weights: settings.Weights
+    buffer: float
+    moves: float
+    unmet: float
+
+    @classmethod
+    def of(
+        cls,
+        deployment: settings.Deployment,
+        outcomes: Mapping[str, Outcome],
+    ) -> "Scale":
+        """Returns the scale that the static policy sets."""
+        promises = deployment.presets[PRESET].pools
+        per_cycle = sum(
+            2 * max(0, 1.4 * pool.workers - promises[name].min_workers)
+            for name, pool in deployment.pools.items()
+            if name != deployment.spare_pool
+        )
+        static = outcomes["static"]
+        return cls(
+            deployment.weights,
+            static.buffer,
+            per_cycle * MEASURED_CYCLES,
+            static.unmet,
+        )
+
+    @property
+    def move_cost_s(self) -> float:
+        """VM-seconds of buffer that the weights make one move worth."""
+        moves = self.weights.moves / self.moves
+        return moves / (self.weights.buffer_cost / self.buffer)
+
+    def cost(self, outcome: Outcome) -> float:
+        """Returns the weighted cost; unmet demand counts as lost service."""
+        return (
+            self.weights.flood * outcome.unmet / self.unmet
+            + self.weights.buffer_cost * outcome.buffer / self.buffer
+            + self.weights.moves * outcome.moves / self.moves
+        )
+
+
+def _against_clairvoyant(
+    deployment: settings.Deployment,
+    label: str,
+    chosen: CapacityRun,
+    move_cost_s: float,
+    seed: int,
+) -> Iterator[_result.Result]:
+    solution = _clairvoyant.solve(chosen.problem(move_cost_s))
+    outcome = chosen.outcome_
+    for measure, value, unit, reference in (
+        ("chosen: buffer cost", outcome.buffer, "VM-s", solution.buffer),
+        ("chosen: moves", outcome.moves, "moves", solution.moves),
+        ("chosen: unmet demand", outcome.unmet, "VM-s", outcome.demand),
+        ("chosen: gap of the reference", solution.gap, "1", 0.0),
+    ):
+        yield _result.Result(
+            measure, deployment.deployment, label, value, unit, reference, seed
+        )
--- a/baobabdoor/measure/_fleet_model.py
+++ b/baobabdoor/measure/_fleet_model.py
@@ -36,6 +36,19 @@
     failed_reboot_factor: float = 2.0
 
 
+@attrs.frozen
+class Reboot:
+    """A reboot that succeeds.
+
+    Attributes:
+        pool: Pool of the VM at that time.
+        duration_s: Time of the reboot in seconds.
+    """
+
+    pool: str
+    duration_s: float
+
+
 class FleetModel:
     """VM rows that change as under a controller which checks every step.
 
@@ -63,7 +76,7 @@
         self.due_s_: dict[str, float] = {}
         self.failing_reboots_: set[str] = set()
         self.repair_s_: dict[str, float] = {}
-        self.rebooted_s_: dict[str, float] = {}
+        self.reboots_: dict[str, Reboot] = {}
         self.moves_ = 0
         self.refused_: list[str] = []
 
@@ -76,6 +89,11 @@
         """Returns all VMs as a planner sees them."""
         return ownership.FleetSnapshot(dict(self.vms_))
 
+    def mark_maintained(self) -> None:
+        """Makes all VMs maintained, so that no roll-out is under way."""
+        for vm_id in self.vms_:
+            self._change(vm_id, last_maintained_ms=self.wall_ms)
+
     def move(self, vm_id: str, to_pool: str) -> bool:
         """Starts a move unless an invariant forbids it."""
         promise = self.preset.pools[to_pool]
@@ -147,7 +165,7 @@
             return expected_s * self.timing.failed_reboot_factor
         spread = self.timing.reboot_spread
         reboot_s = expected_s * self.random_.uniform(1 - spread, 1 + spread)
-        self.rebooted_s_[vm.vm_id] = reboot_s
+        self.reboots_[vm.vm_id] = Reboot(vm.pool, reboot_s)
         return reboot_s
 
     def _finish(self, vm: ownership.VmState) -> None:
--- a/baobabdoor/measure/_rollout.py
+++ b/baobabdoor/measure/_rollout.py
@@ -232,10 +232,11 @@
         """Returns the bound for what was maintained in the run."""
         work_s = dict.fromkeys(self.allowed_, 0.0)
         bound_s = 0.0
-        for vm_id, reboot_s in model.rebooted_s_.items():
-            work_s[model.vms_[vm_id].pool] += reboot_s
+        for vm_id, reboot in model.reboots_.items():
+            work_s[reboot.pool] += reboot.duration_s
             if vm_id in self.available_s_:
-                bound_s = max(bound_s, self.available_s_[vm_id] + reboot_s)
+                end_s = self.available_s_[vm_id] + reboot.duration_s
+                bound_s = max(bound_s, end_s)
         for pool, allowed in self.allowed_.items():
             bound_s = max(bound_s, _reach_s(allowed, work_s[pool]))
         return bound_s
@@ -248,8 +249,8 @@
         """
         reboots_s: dict[str, list[float]] = {}
         bound_s = self.total_s(model)
-        for vm_id, reboot_s in model.rebooted_s_.items():
-            reboots_s.setdefault(model.vms_[vm_id].pool, []).append(reboot_s)
+        for reboot in model.reboots_.values():
+            reboots_s.setdefault(reboot.pool, []).append(reboot.duration_s)
         for pool, durations_s in reboots_s.items():
             end_s = _schedule_s(self.allowed_[pool], durations_s)
             bound_s = max(bound_s, end_s)
