--- a/baobabdoor/capacity/_turns.py
+++ b/baobabdoor/capacity/_turns.py
@@ -25,14 +25,14 @@
     Attributes:
         start_s: When it starts or started, in monotonic seconds.
         end_s: When it is expected to end.
-        level: Demand in workers.
+        levels: Demand in workers; several if one of them is to be expected.
         margin_s: How much earlier it may start than expected.
     """
 
     start_s: float
     end_s: float
-    level: float
-    margin_s: float
+    levels: tuple[float, ...]
+    margin_s: float = 0.0
 
 
 @attrs.define
@@ -95,26 +95,47 @@
         """Whether a peak of the pool is under way."""
         return bool(self.turns_.get(pool, PoolTurns()).samples)
 
-    def forecast(self, pool: str, now_s: float) -> Peak | None:
-        """Returns the pool's present or next peak; None if not known yet."""
+    def forecast(self, pool: str, now_s: float) -> list[Peak]:
+        """Returns the pool's present peak and the next two, if known."""
         turns = self.turns_.get(pool)
-        if turns is None or not turns.durations_s:
-            return self._first_peak(turns)
-        duration_s = statistics.median(turns.durations_s)
+        if turns is None:
+            return []
+        peaks = []
         if turns.samples:
-            start_s = turns.starts_s[-1]
-            level = max(_level(turns.levels), _quantile(turns.samples))
-            return Peak(start_s, start_s + duration_s, level, 0.0)
+            peaks.append(self._present(turns, now_s))
+        if turns.durations_s:
+            peaks.extend(self._coming(turns, now_s))
+        return peaks
+
+    def _present(self, turns: PoolTurns, now_s: float) -> Peak:
+        """Returns the peak that is under way."""
+        length_s = self._length_s(turns)
+        end_s = max(turns.starts_s[-1] + length_s, now_s + 1.0)
+        seen = _quantile(turns.samples)
+        return Peak(turns.starts_s[-1], end_s, (seen,))
+
+    def _coming(self, turns: PoolTurns, now_s: float) -> list[Peak]:
+        length_s = self._length_s(turns)
         start_s, margin_s = self._next_start(turns)
         if start_s is None:
-            return None
+            return []
         # A peak that is overdue is expected at any moment, until it is so late
         # that the habit must have changed.
-        if now_s - start_s > duration_s:
-            return None
-        return Peak(
-            start_s, start_s + duration_s, _level(turns.levels), margin_s
-        )
+        if now_s - start_s > length_s:
+            return []
+        start_s = max(start_s, now_s)
+        levels = tuple(turns.levels)
+        peaks = [Peak(start_s, start_s + length_s, levels, margin_s)]
+        periods_s = _differences(turns.starts_s)
+        if periods_s:
+            later_s = start_s + statistics.median(periods_s)
+            peaks.append(Peak(later_s, later_s + length_s, levels, margin_s))
+        return peaks
+
+    def _length_s(self, turns: PoolTurns) -> float:
+        if turns.durations_s:
+            return statistics.median(turns.durations_s)
+        return self.peak_s() or 0.0
 
     def peak_s(self) -> float | None:
         """Returns the usual length of a peak; None if not known yet."""
@@ -125,15 +146,8 @@
         ]
         return statistics.median(durations_s) if durations_s else None
 
-    def _first_peak(self, turns: PoolTurns | None) -> Peak | None:
-        if turns is None or not turns.samples:
-            return None
-        start_s = turns.starts_s[-1]
-        duration_s = self.peak_s() or 0.0
-        level = _quantile(turns.samples)
-        return Peak(start_s, start_s + duration_s, level, 0.0)
-
     def _next_start(self, turns: PoolTurns) -> tuple[float | None, float]:
+        """Returns the next start, and its error, from the latest news."""
         previous = self.turns_.get(turns.predecessor)
         if previous is not None and turns.lags_s:
             start_s = previous.starts_s[-1] + statistics.median(turns.lags_s)
@@ -180,7 +194,3 @@
 def _quantile(samples: Sequence[float]) -> float:
     ordered = sorted(samples)
     return ordered[int(LEVEL_QUANTILE * (len(ordered) - 1))]
-
-
-def _level(levels: Sequence[float]) -> float:
-    return statistics.median(levels)
