--- a/baobabdoor/capacity/_peak_plan.py
+++ b/baobabdoor/capacity/_peak_plan.py
@@ -10,9 +10,10 @@
 from baobabdoor.capacity import _flow
 from baobabdoor.capacity import _turns
 
-# Rounds of moves, each as many as a budget allows at once, that are told apart
-# by how late they arrive.
-ROUNDS = 4
+# A round is as many moves as a budget allows at once. So many rounds that come
+# late are told apart, and where so many come in time no late ones are needed.
+LATE_ROUNDS = 2
+ENOUGH_ROUNDS = 4
 # What a VM costs that is still in a pool at the end of the horizon, as a part
 # of a move: it may be used again there or have to move.
 END_PART = 0.5
@@ -183,15 +184,20 @@
         until then.
         """
         costs = self.costs
+        budget = self.supplies[pool].budget
         gap_s = peak.start_s - free_s
         wait_s = 0.0 if pool == self.spare else max(0.0, gap_s)
-        for number in range(1, ROUNDS + 1):
-            late_s = max(0.0, number * costs.move_s - gap_s)
-            late_s = min(late_s, peak.end_s - peak.start_s)
-            cost = costs.move + wait_s + costs.unmet * late_s
-            yield self.network_.add_arc(
-                start, enter, self.supplies[pool].budget, cost
-            )
+        cost = costs.move + wait_s
+        in_time = max(0, math.floor(gap_s / costs.move_s))
+        if in_time:
+            yield self.network_.add_arc(start, enter, budget * in_time, cost)
+        if in_time >= ENOUGH_ROUNDS:
+            return
+        for number in range(in_time + 1, in_time + 1 + LATE_ROUNDS):
+            late_s = number * costs.move_s - gap_s
+            if late_s < peak.end_s - max(self.now_s, peak.start_s):
+                late = cost + costs.unmet * late_s
+                yield self.network_.add_arc(start, enter, budget, late)
 
     def _via_spare(
         self, start: int, enter: int, free_s: float, peak: _turns.Peak
