--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -602,9 +602,9 @@
         phase = ownership.Phase
         if operation == "reboot_vm":
             written = row.phase in (phase.REBOOTING, phase.FAILED)
-            assert written and row.boot_id == boot_id, (
-                f"operation: reboot of {vm_id} {boot_id} while it is {row}"
-            )
+            assert (
+                written and row.boot_id == boot_id
+            ), f"operation: reboot of {vm_id} {boot_id} while it is {row}"
         if operation == "drain_vm" and row.phase is phase.DRAINING:
             # A send under a lease began before the lease ended, so the VM has
             # it in progress; sends without a lease must have ended.
@@ -630,9 +630,9 @@
             return
         key = ownership.control_key(REGION)
         holder = self.core.read([key])[key].value
-        assert holder is not None and holder["holder"] == entry.entry_id, (
-            f"epoch: {entry.entry_id} wrote {touched} while {holder} holds"
-        )
+        assert (
+            holder is not None and holder["holder"] == entry.entry_id
+        ), f"epoch: {entry.entry_id} wrote {touched} while {holder} holds"
         after = self.rows()
         promises = self.deployment.presets[preset_name].pools
         for vm_id in touched:
@@ -643,17 +643,15 @@
             if not started:
                 continue
             members = [vm for vm in after.values() if vm.pool == row.pool]
-            serving = sum(
-                vm.phase is ownership.Phase.SERVING for vm in members
-            )
+            serving = sum(vm.phase is ownership.Phase.SERVING for vm in members)
             out = len(members) - serving
             promise = promises[row.pool]
-            assert out <= promise.availability_budget, (
-                f"budget: {out} of {row.pool} are out"
-            )
-            assert serving >= promise.min_workers, (
-                f"promise: {row.pool} has {serving} left"
-            )
+            assert (
+                out <= promise.availability_budget
+            ), f"budget: {out} of {row.pool} are out"
+            assert (
+                serving >= promise.min_workers
+            ), f"promise: {row.pool} has {serving} left"
 
 
 class _WorldTimers(base.TimerService):
--- a/tests/test_fuzz_control.py
+++ b/tests/test_fuzz_control.py
@@ -16,13 +16,7 @@
 from hypothesis import strategies
 import pytest
 
-from baobabdoor import base
-from baobabdoor import control
-from baobabdoor import membership
 from baobabdoor import ownership
-from baobabdoor.control import _member
-from baobabdoor.ownership import _progress
-from baobabdoor.ownership import _steps
 
 ENTRIES = ("e0", "e1", "e2")
 VMS = tuple(f"vm{index}" for index in range(8))
--- a/tests/test_fuzz_control_faults.py
+++ b/tests/test_fuzz_control_faults.py
@@ -4,11 +4,9 @@
 one rule of the design by a plausible mistake.
 """
 
-import control_simulation
 import pytest
 import test_fuzz_control as fuzz
 
-from baobabdoor import base
 from baobabdoor import membership
 from baobabdoor import ownership
 from baobabdoor import platform
