Start credits from the static part and shorten the owner's wait

Cause: after a change of the slot policy, and after a worker changed owner, a worker gave no slots at all for 4 s. Entries now use their static part until they have confirmed credits, keep only what they use when a worker changes owner, and report it; a new owner stops waiting once all have reported. The latency reference refuses nothing any more.

--- a/baobabdoor/measure/_slots.py
+++ b/baobabdoor/measure/_slots.py
@@ -33,6 +33,8 @@
 EVENT_S = 25.0
 CUT_END_S = 45.0
 URGENCY = 3
+# So long that no policy refuses anything, because latencies are compared.
+MAX_ITEMS = 4096
 CONTROL_BUDGET_BYTES = 3000.0
 
 
@@ -105,7 +107,9 @@
     make_slots = functools.partial(slots.make_policy, policy)
     zone = _demand_zone.Zone(
         entry_count,
-        lambda: admission.FairShareQueue(scene.deployment.callers),
+        lambda: admission.FairShareQueue(
+            scene.deployment.callers, max_items=MAX_ITEMS
+        ),
         OneEntry if policy == "one-entry" else make_slots,
         scene.workers,
     )
--- a/baobabdoor/slots/_credits.py
+++ b/baobabdoor/slots/_credits.py
@@ -11,9 +11,12 @@
 
 # Survives the loss of one exchange of the one-second rhythm and a slow one.
 CREDIT_TTL_S = 3.0
-# A new owner waits for the old credits and for a peer that learns of the new
-# view up to a second later.
+# A new owner waits until all entries have reported under the new view, or for
+# the old credits and an entry that learns of the view up to a second later.
 OWNER_WAIT_S = CREDIT_TTL_S + 1.0
+# A new entry gets its first credits in its first exchanges. Until then the
+# other entries may still use everything, so it does not use its static part.
+FIRST_EXCHANGE_S = 1.0
 # An entry that its owner does not answer falls back on the static part this
 # long after its credits; by then the owner has set that part aside.
 FALLBACK_S = 2.0
@@ -52,6 +55,11 @@
     report that the owner answers; the owner counts from the receipt of that
     report, so a credit always expires earlier for its holder.
 
+    An entry that gets no credit in its first second uses its static part,
+    which the owner sets aside until the entry has confirmed credits. When a
+    worker gets another owner, entries keep as credits only what they use at
+    that moment.
+
     Payload fields: `s` number of the payload, `e` number of the latest payload
     of the receiver, `v` digest of workers and entries, `d` slots wanted in each
     pool, `u` requests in progress on the receiver's workers, `g` credits on the
@@ -70,9 +78,8 @@
         self.targets_: dict[str, dict[str, int]] = {}
         self.numbers_: dict[str, int] = {}
         self.sent_: dict[str, dict[int, float]] = {}
-        self.started_ = False
-        self.won_: set[str] = set()
-        self.lost_: set[str] = set()
+        self.start_s_: float | None = None
+        self.moved_: dict[str, str] = {}
         self.wait_until_s_: dict[str, float] = {}
         self.early_s_ = float("-inf")
         super().__init__(entry_id)
@@ -90,7 +97,11 @@
         for worker in self.workers_.values():
             self.pool_slots_[worker.pool] += worker.slots
         for worker_id, owner in self.owners_.items():
-            self._note_owner(worker_id, before, owner)
+            old = before.get(worker_id, owner)
+            if old != owner:
+                self.moved_[worker_id] = old
+        for peer_id, ledger in self.ledgers_.items():
+            ledger.change_view(self.numbers_.get(peer_id, 0))
         self.targets_ = {}
 
     def usable(self, worker_id: str, now_s: float) -> int:
@@ -98,7 +109,7 @@
         self._settle(now_s)
         if self.owners_[worker_id] != self.entry_id:
             return self._held(worker_id, now_s)
-        if now_s < self.wait_until_s_.get(worker_id, now_s):
+        if self._is_waiting(worker_id, now_s):
             return self._held(worker_id, now_s)
         if not self.targets_:
             self._set_targets(now_s)
@@ -144,7 +155,10 @@
             "e": max(0, ledger.heard_number),
             "v": self.view_digest_,
             "d": self.demand(),
-            "u": [self.in_use_.get(w, 0) for w in self._owned_by(peer_id)],
+            "u": [
+                self._reported(worker_id, peer_id, now_s)
+                for worker_id in self._owned_by(peer_id)
+            ],
             "g": self._grant(peer_id, ledger, number, now_s),
         }
 
@@ -162,11 +176,15 @@
             return
         ledger = self.ledgers_.setdefault(peer_id, _ledger.Ledger())
         overtaken = number <= ledger.heard_number
-        # After this silence, a lower number means that the peer has restarted.
-        if overtaken and now_s - ledger.heard_s <= CREDIT_TTL_S:
-            return
+        if overtaken:
+            if now_s - ledger.heard_s <= CREDIT_TTL_S:
+                return
+            # After this silence, a lower number means that it has restarted.
+            ledger = self.ledgers_[peer_id] = _ledger.Ledger()
+            ledger.change_view(self.numbers_.get(peer_id, 0))
         ledger.heard_number = number
         ledger.heard_s = now_s
+        ledger.view = self.view_digest_
         confirmed = _base.read_number(payload, "e")
         ledger.confirm(confirmed)
         own = self._owned_by(self.entry_id)
@@ -192,7 +210,9 @@
     def _held(self, worker_id: str, now_s: float) -> int:
         credit = self.credits_.get(worker_id)
         if credit is None:
-            return 0
+            if now_s < self.start_s_ + FIRST_EXCHANGE_S:
+                return 0
+            return self._static_part(worker_id)
         if now_s < credit.expires_s:
             return credit.count
         if now_s < credit.expires_s + FALLBACK_S:
@@ -211,7 +231,7 @@
             return []
         for worker_id in self._owned_by(self.entry_id):
             counts[worker_id] = 0
-            if now_s >= self.wait_until_s_.get(worker_id, now_s):
+            if not self._is_waiting(worker_id, now_s):
                 left = self._uncommitted(worker_id, peer_id, now_s)
                 left -= self.in_use_.get(worker_id, 0)
                 target = self.targets_[worker_id].get(peer_id, 0)
@@ -239,7 +259,9 @@
         silent_s = now_s - ledger.heard_s
         in_use = ledger.in_use.get(worker_id, 0)
         if silent_s < CREDIT_TTL_S:
-            return max(in_use, ledger.committed(worker_id))
+            if ledger.settled:
+                fallback = 0
+            return max(in_use, ledger.committed(worker_id), fallback)
         if silent_s < CREDIT_TTL_S + RUN_OUT_S:
             return max(in_use, fallback)
         return fallback
@@ -305,36 +327,51 @@
             for worker_id, worker in self.workers_.items()
         )
 
-    def _note_owner(
-        self, worker_id: str, before: dict[str, str], owner: str
-    ) -> None:
-        """Marks a worker that was won or lost; times follow in `_settle`."""
-        old = before.get(worker_id)
-        # A worker that joins a running zone has no old credits to wait for.
-        if not self.started_ or old is None or old == owner:
-            return
-        if owner == self.entry_id:
-            self.won_.add(worker_id)
-        elif old == self.entry_id:
-            self.lost_.add(worker_id)
+    def _reported(self, worker_id: str, owner: str, now_s: float) -> int:
+        """Returns what may be used of a worker without the owner's credit."""
+        used = self.in_use_.get(worker_id, 0)
+        credit = self.credits_.get(worker_id)
+        if credit is None or credit.owner == owner:
+            return used
+        return max(used, credit.count if now_s < credit.expires_s else 0)
+
+    def _is_waiting(self, worker_id: str, now_s: float) -> bool:
+        """Returns whether old credits of a worker may still be in use."""
+        until_s = self.wait_until_s_.get(worker_id)
+        if until_s is None:
+            return False
+        unheard = any(
+            peer_id != self.entry_id and not self._has_reported(peer_id)
+            for peer_id in self.entries_
+        )
+        if unheard and now_s < until_s:
+            return True
+        del self.wait_until_s_[worker_id]
+        return False
+
+    def _has_reported(self, peer_id: str) -> bool:
+        ledger = self.ledgers_.get(peer_id)
+        return ledger is not None and ledger.view == self.view_digest_
 
     def _settle(self, now_s: float) -> None:
-        """Starts the waits that a change of view made necessary."""
-        if not self.started_:
-            self.started_ = True
-            # Before this entry started, another one owned its workers.
-            if len(self.entries_) > 1:
-                self.won_.update(self._owned_by(self.entry_id))
-        for worker_id in self.won_:
+        """Acts on workers that changed owner, now that the time is known."""
+        if self.start_s_ is None:
+            self.start_s_ = now_s
+            for worker_id in self._owned_by(self.entry_id):
+                self.wait_until_s_[worker_id] = now_s + OWNER_WAIT_S
+        for worker_id, old in self.moved_.items():
+            if worker_id not in self.workers_:
+                continue
             self.wait_until_s_[worker_id] = now_s + OWNER_WAIT_S
-        self.won_.clear()
-        for worker_id in self.lost_ & set(self.workers_):
-            # The former owner keeps what it uses as a credit, like its peers.
             used = self.in_use_.get(worker_id, 0)
-            self.credits_[worker_id] = Credit(
-                self.entry_id, used, now_s + CREDIT_TTL_S
-            )
-        self.lost_.clear()
+            credit = self.credits_.get(worker_id)
+            if old == self.entry_id:
+                expires_s = now_s + CREDIT_TTL_S
+                self.credits_[worker_id] = Credit(old, used, expires_s)
+            elif credit is not None:
+                count = min(credit.count, used)
+                self.credits_[worker_id] = attrs.evolve(credit, count=count)
+        self.moved_.clear()
 
 
 def _score(entry_id: str, worker_id: str) -> int:
--- a/baobabdoor/slots/_ledger.py
+++ b/baobabdoor/slots/_ledger.py
@@ -31,6 +31,10 @@
         wanted: Reported demand by pool.
         heard_number: Number of the latest payload; -1 before the first.
         heard_s: Time of its receipt.
+        view: Digest of the view under which it was made.
+        settled_from: Number from which on a confirmed payload shows that the
+            peer knows its credits under the present view.
+        settled: Whether the peer has confirmed such a payload.
     """
 
     promises: list[Promise] = attrs.field(factory=list)
@@ -38,9 +42,18 @@
     wanted: dict[str, int] = attrs.field(factory=dict)
     heard_number: int = -1
     heard_s: float = float("-inf")
+    view: int = -1
+    settled_from: int = 1
+    settled: bool = False
+
+    def change_view(self, last_number: int) -> None:
+        """Awaits the confirmation of a payload after `last_number`."""
+        self.settled_from = last_number + 1
+        self.settled = False
 
     def confirm(self, number: int) -> None:
         """Drops the promises that a confirmed payload has replaced."""
+        self.settled = self.settled or number >= self.settled_from
         self.promises = [
             promise for promise in self.promises if promise.number >= number
         ]
