Compose the entry daemon from control, admission, configuration and jobs

Cause: the parts were built apart; a request and a preset switch must travel through real processes.

--- a/baobabdoor/admission/_fair_share.py
+++ b/baobabdoor/admission/_fair_share.py
@@ -96,6 +96,19 @@
         self.virtual_s = 0.0
         self.slow_start = _slow_start.SlowStart()
 
+    def set_callers(self, callers: Mapping[str, settings.CallerShare]) -> None:
+        """Changes shares; queued items stay where they are.
+
+        An account whose caller left the settings keeps its last share until
+        the process ends; the settings bound the number of accounts.
+        """
+        for name, share in callers.items():
+            account = self.accounts.get(name)
+            if account is None:
+                self.accounts[name] = _account.Account(share)
+            else:
+                account.share = share
+
     def put(
         self,
         account: _account.Account,
@@ -248,8 +261,15 @@
     def cancel(self, item: _interface.WorkItem) -> None:
         """Removes a queued item; does nothing for any other."""
         pool = self.pools_.get(item.pool)
-        if pool is not None:
-            account, lane = self._place(pool, item.caller)
+        if pool is None:
+            return
+        # An item queued before its caller came into the settings is in the
+        # default account.
+        places = {
+            self._place(pool, item.caller),
+            self._default(pool, item.caller),
+        }
+        for account, lane in places:
             pool.remove(account, item.request_id, _urgency(item), lane)
 
     def expire(self, now_s: float) -> list[_interface.WorkItem]:
@@ -273,6 +293,12 @@
                         dropped.append(item)
         return dropped
 
+    def set_callers(self, callers: Mapping[str, settings.CallerShare]) -> None:
+        """Puts changed settings of callers in force."""
+        self.callers = dict(callers)
+        for pool in self.pools_.values():
+            pool.set_callers(self.callers)
+
     def queued(self) -> dict[str, int]:
         """Returns the number of queued items of each pool."""
         return {name: pool.queued for name, pool in self.pools_.items()}
@@ -301,6 +327,12 @@
         account = pool.accounts.get(caller)
         if account is not None and caller != DEFAULT_ACCOUNT:
             return account, 0
+        return self._default(pool, caller)
+
+    def _default(
+        self, pool: _PoolQueue, caller: str
+    ) -> tuple[_account.Account, int]:
+        """Returns the default account and the caller's lane in it."""
         digest = zlib.crc32(caller.encode("utf-8", "replace"), self.salt)
         return pool.accounts[DEFAULT_ACCOUNT], digest % self.default_lanes
 
--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -1,79 +1,111 @@
 """Composition root of the entry daemon, and its life from start to stop."""
 
 import asyncio
-import importlib
 import secrets
 import signal
-from typing import Any
 
+from baobabdoor import admission
 from baobabdoor import base
+from baobabdoor import capacity
+from baobabdoor import configuration
+from baobabdoor import control
 from baobabdoor import idempotency
 from baobabdoor import jobs
+from baobabdoor import maintenance
 from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import settings
+from baobabdoor import slots
 from baobabdoor import timeline
 from baobabdoor.entry import _entry_server
+from baobabdoor.entry import _job_part
 from baobabdoor.entry import _slot_sharing
 
 EXIT_DONE = 0
 SECRET_BYTES = 32
+SALT_BITS = 32
 
 
 def build(entry_settings: settings.EntrySettings) -> _entry_server.EntryServer:
     """Builds an entry out of its parts; opens nothing yet."""
-    # Loaded by name until these packages are in the same branch.
-    control_package = importlib.import_module("baobabdoor.control")
-    admission_package = importlib.import_module("baobabdoor.admission")
-    slots_package = importlib.import_module("baobabdoor.slots")
     timers = observability.LoopTimerService()
     clock = base.HybridClock(timers.wall_ms)
-    recorder = timeline.EventRecorder(entry_settings.entry_id, clock)
+    recorder = timeline.EventRecorder(
+        entry_settings.entry_id, clock, sink=_log_event
+    )
     metrics = observability.Metrics()
     service = platform.HttpPlatform(entry_settings.platform.url)
-    control = control_package.ControlService(
-        entry_settings, service, timers, recorder, metrics
+    store = configuration.ConfigurationStore(service, recorder)
+    committer = configuration.ChangeCommitter(service, timers.wall_ms)
+    control_service = control.ControlService(
+        entry_settings,
+        service,
+        timers,
+        recorder,
+        metrics,
+        store,
+        make_capacity=capacity.make_policy,
+        maintenance_policy=maintenance.WavePlanner(),
+    )
+    job_service = jobs.JobService(
+        service, recorder, timers.wall_ms, lambda: store.deployment
     )
+    _control_jobs(entry_settings, service, timers, recorder, control_service)
+    token = entry_settings.operator_token
+    queue = admission.FairShareQueue({}, salt=secrets.randbits(SALT_BITS))
+    store.subscribe(lambda change: queue.set_callers(change.deployment.callers))
+    incarnation = str(control_service.incarnation)
     return _entry_server.EntryServer(
         _entry_server.Parts(
             entry_settings=entry_settings,
             timers=timers,
-            control=control,
-            admission_policy=admission_package.FairShareQueue({}),
+            control=control_service,
+            admission_policy=queue,
             slot_sharing=_slot_sharing.SlotSharing(
                 entry_settings.entry_id,
                 entry_settings.availability_zone,
-                slots_package.make_policy,
+                slots.make_policy,
             ),
             tickets=idempotency.Tickets(
                 entry_settings.entry_id,
-                str(control.incarnation),
+                incarnation,
                 secrets.token_bytes(SECRET_BYTES),
             ),
             claims=idempotency.Claims(
-                service,
-                timers,
-                entry_settings.entry_id,
-                str(control.incarnation),
+                service, timers, entry_settings.entry_id, incarnation
             ),
             recorder=recorder,
             metrics=metrics,
-            jobs=_job_routes(service, recorder, timers, control),
-            seed=secrets.randbits(32),
+            jobs=jobs.make_routes(job_service, None),
+            operator_routes=[
+                *configuration.make_routes(store, committer, token),
+                *jobs.make_routes(job_service, token),
+            ],
+            seed=secrets.randbits(SALT_BITS),
         )
     )
 
 
-def _job_routes(
+def _control_jobs(
+    entry_settings: settings.EntrySettings,
     service: platform.Platform,
-    recorder: timeline.EventRecorder,
     timers: base.TimerService,
-    control: Any,
-) -> list[tuple]:
-    job_service = jobs.JobService(
-        service, recorder, timers.wall_ms, lambda: control.deployment
+    recorder: timeline.EventRecorder,
+    control_service: control.ControlService,
+) -> None:
+    """Adds the job controller to the rounds of control."""
+    controller = jobs.JobController(
+        service, jobs.PriorityPlanner(), recorder, timers.wall_ms
+    )
+    part = _job_part.JobPart(controller, entry_settings.region, timers)
+    control_service.add_control_part(part.act)
+
+
+def _log_event(event: timeline.Event) -> None:
+    """Writes an event of the time line to the log."""
+    observability.get_logger("timeline").info(
+        event.kind, peer=event.peer, cause=event.cause, **event.fields
     )
-    return jobs.make_routes(job_service, None)
 
 
 async def run(entry_settings: settings.EntrySettings) -> int:
