Compose the entry daemon with its configuration store

ControlService takes the configuration store since it was merged, so the daemon ended at its start. The store is passed in, and the routes of /v1/config and /v1/preset are added to the control port.

--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from baobabdoor import base
+from baobabdoor import configuration
 from baobabdoor import idempotency
 from baobabdoor import jobs
 from baobabdoor import observability
@@ -31,8 +32,10 @@
     recorder = timeline.EventRecorder(entry_settings.entry_id, clock)
     metrics = observability.Metrics()
     service = platform.HttpPlatform(entry_settings.platform.url)
+    store = configuration.ConfigurationStore(service, recorder)
+    committer = configuration.ChangeCommitter(service, timers.wall_ms)
     control = control_package.ControlService(
-        entry_settings, service, timers, recorder, metrics
+        entry_settings, service, timers, recorder, metrics, store
     )
     return _entry_server.EntryServer(
         _entry_server.Parts(
@@ -59,6 +62,9 @@
             recorder=recorder,
             metrics=metrics,
             jobs=_job_routes(service, recorder, timers, control),
+            operator_routes=configuration.make_routes(
+                store, committer, entry_settings.operator_token
+            ),
             seed=secrets.randbits(32),
         )
     )
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -58,6 +58,7 @@
         recorder: Time line of the process.
         metrics: Metrics of the process.
         jobs: Tornado routes of `/v1/jobs`. Default: none.
+        operator_routes: Further routes of the control port. Default: none.
         seed: Seed of routing's choices. Default: 0.
         balancer_wait_s: Time between not being ready and refusing requests.
     """
@@ -72,6 +73,7 @@
     recorder: timeline.EventRecorder
     metrics: observability.Metrics
     jobs: list | None = None
+    operator_routes: list = attrs.field(factory=list)
     seed: int = 0
     balancer_wait_s: float = BALANCER_WAIT_S
 
@@ -290,6 +292,7 @@
         application = web.Application(
             [
                 *parts.control.routes(),
+                *parts.operator_routes,
                 *_control_port.routes(
                     parts.metrics,
                     parts.recorder,
