--- a/baobabdoor/cli/_client.py
+++ b/baobabdoor/cli/_client.py
@@ -92,21 +92,21 @@
         )
         client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
         try:
+            # Still raises if there is no answer at all.
             response = await client.fetch(request, raise_error=False)
+        except ConnectionRefusedError:
+            raise
+        except (httpclient.HTTPError, OSError) as error:
+            # Only the connection phase is certain to have sent nothing.
+            if "connecting" in str(error):
+                raise ConnectionError(str(error)) from error
+            raise AnswerLostError(str(error)) from error
         finally:
             client.close()
         return _read_reply(entry, response)
 
 
 def _read_reply(entry: str, response: httpclient.HTTPResponse) -> Reply:
-    error = response.error
-    if isinstance(error, ConnectionRefusedError):
-        raise error
-    if response.code == 599:
-        # Only the connection phase is certain to have sent nothing.
-        if "connecting" in str(error):
-            raise ConnectionError(str(error))
-        raise AnswerLostError(str(error))
     try:
         body = json.loads(response.body or b"{}")
     except ValueError as parse_error:
--- /dev/null
+++ b/tests/test_no_answer.py
@@ -0,0 +1,81 @@
+"""Tests of HTTP clients whose server does not answer.
+
+Tornado's client raises in this case even when told not to raise errors.
+"""
+
+import asyncio
+
+import pytest
+from tornado import testing
+
+from baobabdoor import base
+from baobabdoor import membership
+from baobabdoor.cli import _client
+from baobabdoor.cli import _exit_codes
+from baobabdoor.control import _peer_link
+
+KEY = b"00112233445566778899aabbccddeeff"
+
+
+def free_port():
+    sock, port = testing.bind_unused_port(address="127.0.0.1")
+    sock.close()
+    return port
+
+
+async def read_and_close(reader, writer):
+    await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+
+
+def run_against(respond, scenario):
+    """Runs `scenario(port)`; nobody listens if `respond` is None."""
+
+    async def whole():
+        if respond is None:
+            return await scenario(free_port())
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        async with server:
+            return await scenario(server.sockets[0].getsockname()[1])
+
+    return asyncio.run(whole())
+
+
+class TestPeerLink:
+
+    @pytest.mark.parametrize(
+        ("respond", "reason"),
+        [
+            (None, base.Reason.CONNECTION_FAILED),
+            (read_and_close, base.Reason.UNKNOWN_RESULT),
+        ],
+    )
+    def test_returns_a_refusal(self, respond, reason):
+        # A ticket of a dead entry left its caller without an answer.
+        async def scenario(port):
+            peers = membership.PeerTable("a", "taal")
+            address = membership.PeerAddress("b", "taal", f"127.0.0.1:{port}")
+            peers.observe_address(address, membership.PeerSource.SEEDS, 0.0)
+            signer = membership.PeerSigner(KEY, "a", 1)
+            link = _peer_link.PeerLink(signer, peers)
+            result = await link.post("b", "/peer/v1/exchange", {}, b"", 1.0)
+            link.close()
+            return result
+
+        assert run_against(respond, scenario).reason is reason
+
+
+class TestOperatorClient:
+
+    def send(self, port):
+        client = _client.OperatorClient([f"http://127.0.0.1:{port}"], "token")
+        return client.send("POST", "/v1/preset", {})
+
+    def test_closed_port_is_unreachable(self):
+        with pytest.raises(_exit_codes.CommandError) as error:
+            run_against(None, self.send)
+        assert error.value.code is _exit_codes.ExitCode.UNREACHABLE
+
+    def test_lost_answer_is_not_taken_for_a_refusal(self):
+        with pytest.raises(_client.AnswerLostError):
+            run_against(read_and_close, self.send)
