Add scenarios over real processes

The excess of an answer of wrong length is now a whole answer, so that a client that reuses the connection would be seen to mix answers up.

--- a/baobabdoor/standin/_backend_server.py
+++ b/baobabdoor/standin/_backend_server.py
@@ -17,10 +17,13 @@
 
 # Parts in which a slow body is sent.
 SLOW_PARTS = 10
-# Bytes beyond the declared length in an answer of wrong length.
-EXCESS = b"-excess-"
-# How long the connection of such an answer stays open, so that a client that
-# reuses it meets the excess.
+# Follows the declared end of an answer of wrong length. It is a whole answer,
+# which a client that reuses the connection would take for that to its next
+# request.
+EXCESS = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 22\r\n\r\n" b'{"request_id":"stale"}'
+)
+# How long the connection of such an answer stays open.
 EXCESS_OPEN_S = 1.0
 
 _Kind = _backend.BackendFault
@@ -319,11 +322,12 @@
 class _StateHandler(_BackendAdminHandler):
 
     def get(self) -> None:
-        """Returns the state of all VMs."""
+        """Returns the state of all VMs and the time they refer to."""
         vms = [vm.describe() for vm in self.server.vms.values()]
         for described in vms:
             described["up"] = described["address"] in self.server.servers_
-        self.answer({"vms": vms})
+        now_s = asyncio.get_running_loop().time()
+        self.answer({"now_s": now_s, "vms": vms})
 
 
 class _LoadHandler(_BackendAdminHandler):
--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,13 @@
+Feature: One configuration everywhere
+  Guards against entries that stay on an old preset or go back to one.
+
+  Scenario: A preset switch reaches every entry
+    When an operator switches to preset peak
+    Then every entry shows preset peak within 9 seconds
+    When an operator switches to preset ordinary
+    Then every entry shows preset ordinary within 9 seconds
+
+  Scenario: A preset switch with a slow platform
+    Given a platform that takes 1 second for each call
+    When an operator switches to preset peak
+    Then every entry shows preset peak within 9 seconds
