Compose the entry daemon

Joins control, configuration, jobs, capacity, maintenance, admission and slots. Shares and slot policies follow the configuration without losing the count of requests in progress.

--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -1,88 +1,103 @@
 """Composition root of the entry daemon, and its life from start to stop."""
 
 import asyncio
-import importlib
 import secrets
 import signal
-from typing import Any
 
+from baobabdoor import admission
 from baobabdoor import base
+from baobabdoor import capacity
+from baobabdoor import configuration
+from baobabdoor import control
 from baobabdoor import idempotency
 from baobabdoor import jobs
+from baobabdoor import maintenance
 from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import settings
+from baobabdoor import slots
 from baobabdoor import timeline
+from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _entry_server
+from baobabdoor.entry import _job_part
 from baobabdoor.entry import _slot_sharing
 
 EXIT_DONE = 0
+EXIT_NOT_STARTED = 1
 SECRET_BYTES = 32
+SEED_BITS = 32
 
 
-def build(entry_settings: settings.EntrySettings) -> _entry_server.EntryServer:
+def build(
+    entry_settings: settings.EntrySettings, service: platform.Platform
+) -> _entry_server.EntryServer:
     """Builds an entry out of its parts; opens nothing yet."""
-    # Loaded by name until these packages are in the same branch.
-    control_package = importlib.import_module("baobabdoor.control")
-    admission_package = importlib.import_module("baobabdoor.admission")
-    slots_package = importlib.import_module("baobabdoor.slots")
+    entry_id = entry_settings.entry_id
     timers = observability.LoopTimerService()
-    clock = base.HybridClock(timers.wall_ms)
-    recorder = timeline.EventRecorder(entry_settings.entry_id, clock)
+    recorder = timeline.EventRecorder(
+        entry_id, base.HybridClock(timers.wall_ms)
+    )
     metrics = observability.Metrics()
-    service = platform.HttpPlatform(entry_settings.platform.url)
-    control = control_package.ControlService(
-        entry_settings, service, timers, recorder, metrics
+    store = configuration.ConfigurationStore(service, recorder)
+    control_service = control.ControlService(
+        entry_settings,
+        service,
+        timers,
+        recorder,
+        metrics,
+        store,
+        make_capacity=capacity.make_policy,
+        maintenance_policy=maintenance.WavePlanner(),
+    )
+    job_controller = jobs.JobController(
+        service, jobs.PriorityPlanner(), recorder, timers.wall_ms
     )
+    job_part = _job_part.JobPart(job_controller, entry_settings.region, timers)
+    control_service.add_control_part(job_part.act)
+    job_service = jobs.JobService(
+        service, recorder, timers.wall_ms, lambda: control_service.deployment
+    )
+    committer = configuration.ChangeCommitter(service, timers.wall_ms)
+    token = entry_settings.operator_token
+    incarnation = str(control_service.incarnation)
+    salt = secrets.randbits(SEED_BITS)
     return _entry_server.EntryServer(
         _entry_server.Parts(
             entry_settings=entry_settings,
             timers=timers,
-            control=control,
-            admission_policy=admission_package.FairShareQueue({}),
+            control=control_service,
+            admission_sharing=_admission_sharing.AdmissionSharing(
+                lambda shares: admission.FairShareQueue(shares, salt=salt)
+            ),
             slot_sharing=_slot_sharing.SlotSharing(
-                entry_settings.entry_id,
-                entry_settings.availability_zone,
-                slots_package.make_policy,
+                entry_id, entry_settings.availability_zone, slots.make_policy
             ),
             tickets=idempotency.Tickets(
-                entry_settings.entry_id,
-                str(control.incarnation),
-                secrets.token_bytes(SECRET_BYTES),
-            ),
-            claims=idempotency.Claims(
-                service,
-                timers,
-                entry_settings.entry_id,
-                str(control.incarnation),
+                entry_id, incarnation, secrets.token_bytes(SECRET_BYTES)
             ),
+            claims=idempotency.Claims(service, timers, entry_id, incarnation),
             recorder=recorder,
             metrics=metrics,
-            jobs=_job_routes(service, recorder, timers, control),
-            seed=secrets.randbits(32),
+            job_routes=jobs.make_routes(job_service, None),
+            operator_routes=[
+                *configuration.make_routes(store, committer, token),
+                *jobs.make_routes(job_service, token),
+            ],
+            seed=secrets.randbits(SEED_BITS),
         )
     )
 
 
-def _job_routes(
-    service: platform.Platform,
-    recorder: timeline.EventRecorder,
-    timers: base.TimerService,
-    control: Any,
-) -> list[tuple]:
-    job_service = jobs.JobService(
-        service, recorder, timers.wall_ms, lambda: control.deployment
-    )
-    return jobs.make_routes(job_service, None)
-
-
 async def run(entry_settings: settings.EntrySettings) -> int:
     """Serves until SIGTERM or SIGINT; returns the exit code."""
     observability.configure_logs(
         entry_settings.entry_id, entry_settings.log_level
     )
-    server = build(entry_settings)
-    return await serve(server)
+    service = platform.HttpPlatform(entry_settings.platform.url)
+    try:
+        return await serve(build(entry_settings, service))
+    finally:
+        service.close()
 
 
 async def serve(server: _entry_server.EntryServer) -> int:
@@ -91,7 +106,12 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    await server.start()
+    try:
+        await server.start()
+    except OSError as error:
+        log = observability.get_logger("entry")
+        log.error("not-started", detail=str(error))
+        return EXIT_NOT_STARTED
     await stopping.wait()
     await server.stop()
     return EXIT_DONE
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -9,7 +9,6 @@
 from tornado import httputil
 from tornado import web
 
-from baobabdoor import admission
 from baobabdoor import base
 from baobabdoor import idempotency
 from baobabdoor import observability
@@ -18,6 +17,7 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
+from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _caller_server
 from baobabdoor.entry import _control_port
@@ -51,13 +51,15 @@
         entry_settings: Settings of the entry.
         timers: Timer service.
         control: The `control.ControlService`.
-        admission_policy: Queues requests.
+        admission_sharing: Queues requests by the shares in force.
         slot_sharing: Shares slots with the entries of the zone.
         tickets: Tickets of this incarnation.
         claims: Claims on callers' own keys.
         recorder: Time line of the process.
         metrics: Metrics of the process.
-        jobs: Tornado routes of `/v1/jobs`. Default: none.
+        job_routes: Tornado routes of `/v1/jobs` for callers; without them such
+            requests get 404. Default: none.
+        operator_routes: Further routes of the control port. Default: none.
         seed: Seed of routing's choices. Default: 0.
         balancer_wait_s: Time between not being ready and refusing requests.
     """
@@ -65,13 +67,14 @@
     entry_settings: settings.EntrySettings
     timers: base.TimerService
     control: Any
-    admission_policy: admission.AdmissionPolicy
+    admission_sharing: _admission_sharing.AdmissionSharing
     slot_sharing: _slot_sharing.SlotSharing
     tickets: idempotency.Tickets
     claims: idempotency.Claims
     recorder: timeline.EventRecorder
     metrics: observability.Metrics
-    jobs: list | None = None
+    job_routes: list | None = None
+    operator_routes: list = attrs.field(factory=list)
     seed: int = 0
     balancer_wait_s: float = BALANCER_WAIT_S
 
@@ -194,7 +197,7 @@
         )
         return _request_path.RequestPath(
             parts.timers,
-            parts.admission_policy,
+            parts.admission_sharing,
             parts.slot_sharing,
             self.router_,
             forwarder,
@@ -202,7 +205,7 @@
 
     def _make_caller_server(self) -> _caller_server.CallerServer:
         local = _local_paths.LocalPaths(
-            self.ready, self._issue_ticket, self.parts.jobs
+            self.ready, self._issue_ticket, self.parts.job_routes
         )
         return _caller_server.CallerServer(
             self.parts.timers,
@@ -243,6 +246,9 @@
         deployment = control.deployment
         if deployment is None:
             return
+        self.parts.admission_sharing.use(
+            deployment.callers, self.parts.timers.now_s()
+        )
         sharing = self.parts.slot_sharing
         preset = deployment.presets.get(control.preset_name)
         if preset is not None:
@@ -290,6 +296,7 @@
         application = web.Application(
             [
                 *parts.control.routes(),
+                *parts.operator_routes,
                 *_control_port.routes(
                     parts.metrics,
                     parts.recorder,
--- a/baobabdoor/measure/_lone_entry.py
+++ b/baobabdoor/measure/_lone_entry.py
@@ -10,6 +10,7 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
+from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _entry_server
 from baobabdoor.entry import _slot_sharing
 
@@ -84,8 +85,8 @@
             entry_settings=entry_settings,
             timers=timers,
             control=control,
-            admission_policy=admission.FairShareQueue(
-                control.deployment.callers
+            admission_sharing=_admission_sharing.AdmissionSharing(
+                admission.FairShareQueue
             ),
             slot_sharing=_slot_sharing.SlotSharing(
                 ENTRY_ID, ZONE, slots.make_policy
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -15,6 +15,7 @@
 from baobabdoor import requests
 from baobabdoor import settings
 from baobabdoor import timeline
+from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _caller_request
 from baobabdoor.entry import _caller_server
 from baobabdoor.entry import _entry_server
@@ -73,7 +74,9 @@
                 ),
                 timers=self.timers,
                 control=self.control,
-                admission_policy=self.queue,
+                admission_sharing=_admission_sharing.AdmissionSharing(
+                    lambda shares: self.queue
+                ),
                 slot_sharing=_slot_sharing.SlotSharing(
                     "entry-1",
                     "taal",
