--- a/baobabdoor/entry/_forwarder.py
+++ b/baobabdoor/entry/_forwarder.py
@@ -47,7 +47,7 @@
         outgoing = self._outgoing(work)
         excluded: list[str] = []
         while True:
-            result = await self._attempt(vm, outgoing, exchange)
+            result = await self._attempt(work, vm, outgoing, exchange)
             excluded.append(vm.vm_id)
             leaving = self._leaving(result)
             if result and not leaving:
@@ -59,6 +59,7 @@
 
     async def _attempt(
         self,
+        work: _work.Work,
         vm: ownership.VmState,
         outgoing: _backend_client.OutgoingRequest,
         exchange: requests.Exchange,
@@ -71,7 +72,9 @@
                 vm.address,
                 outgoing,
                 exchange,
-                lambda: self.router.view.permit(vm.vm_id, self.timers.now_s()),
+                lambda: self.router.view.permit(
+                    vm.vm_id, self.timers.now_s(), work.info.pool
+                ),
             )
         finally:
             now_s = self.timers.now_s()
@@ -88,6 +91,7 @@
     ) -> None:
         if self._leaving(result):
             self.router.observe_leaving(vm, now_s)
+            self.router.view.observe_leaving(vm.vm_id)
         elif isinstance(result, requests.Reply):
             self.router.observe(vm, True, now_s)
         elif self._server_failed(result.reason, taken_s):
@@ -125,15 +129,17 @@
         return self.router.admit(work.info.pool, now_s, excluded)
 
     def _outgoing(self, work: _work.Work) -> _backend_client.OutgoingRequest:
-        headers = work.headers.copy()
-        for name in _backend_client.connection_headers(work.headers):
-            headers.pop(name, None)
-        for name in NOT_FORWARDED:
-            headers.pop(name, None)
+        dropped = _backend_client.connection_headers(work.headers)
+        headers = [
+            pair
+            for pair in work.headers.get_all()
+            if pair[0] not in NOT_FORWARDED and pair[0] not in dropped
+        ]
         left_s = work.info.deadline_s - self.timers.now_s()
-        headers["Baobabdoor-Deadline-Ms"] = str(max(0, int(left_s * 1000)))
+        left_ms = max(0, int(left_s * 1000))
+        headers.append(("Baobabdoor-Deadline-Ms", str(left_ms)))
         if work.body or work.info.body_bytes:
-            headers["Content-Length"] = str(len(work.body))
+            headers.append(("Content-Length", str(len(work.body))))
         return _backend_client.OutgoingRequest(
             method=work.method,
             target=work.target,
