--- a/baobabdoor/capacity/_flow.py
+++ b/baobabdoor/capacity/_flow.py
@@ -1,6 +1,7 @@
 """Minimum-cost flow on a small acyclic network."""
 
 import collections
+import heapq
 import math
 
 import attrs
@@ -9,28 +10,30 @@
 EPSILON = 1e-6
 
 
-@attrs.define
+@attrs.frozen
 class Arc:
-    """An arc of the residual network.
+    """An arc of the network; its flow can be read after `send`.
 
     Attributes:
-        target: Node that it leads to.
-        capacity: Units that it can still carry.
-        cost: Cost of a unit.
-        flow: Units that it carries; negative on the reverse arc.
+        network: Network that it belongs to.
+        index: Number of the arc in the residual network.
     """
 
-    target: int
-    capacity: int
-    cost: float
-    flow: int = 0
+    network: "FlowNetwork"
+    index: int
+
+    @property
+    def flow(self) -> int:
+        """Units that the arc carries."""
+        return self.network.capacities_[self.index ^ 1]
 
 
 class FlowNetwork:
     """Finds the cheapest flow by successive shortest paths.
 
-    Costs may be negative as long as the network has no cycle. See Ahuja,
-    Magnanti and Orlin, Network Flows, 1993, section 9.7.
+    Costs may be negative as long as the network has no cycle. Shortest paths
+    are found with node potentials; see Ahuja, Magnanti and Orlin, Network
+    Flows, 1993, section 9.7.
 
     Example:
         >>> network = FlowNetwork()
@@ -43,7 +46,10 @@
     """
 
     def __init__(self):
-        self.arcs_: list[Arc] = []
+        # Arc 2n and its reverse 2n + 1 are neighbours in these lists.
+        self.targets_: list[int] = []
+        self.capacities_: list[int] = []
+        self.costs_: list[float] = []
         self.leaving_: list[list[int]] = []
 
     def add_node(self) -> int:
@@ -54,53 +60,81 @@
     def add_arc(
         self, source: int, target: int, capacity: int, cost: float
     ) -> Arc:
-        """Adds an arc and returns it; its flow can be read after `send`."""
-        arc = Arc(target, capacity, cost)
-        self.leaving_[source].append(len(self.arcs_))
-        self.arcs_.append(arc)
-        self.leaving_[target].append(len(self.arcs_))
-        self.arcs_.append(Arc(source, 0, -cost))
-        return arc
+        """Adds an arc and returns it."""
+        index = len(self.targets_)
+        self.targets_.extend((target, source))
+        self.capacities_.extend((capacity, 0))
+        self.costs_.extend((cost, -cost))
+        self.leaving_[source].append(index)
+        self.leaving_[target].append(index + 1)
+        return Arc(self, index)
 
     def send(self, source: int, target: int, count: int) -> None:
         """Sends up to `count` units at the least cost."""
+        potentials = self._first_potentials(source)
         while count > 0:
-            path = self._shortest_path(source, target)
-            if not path:
+            distances, reached_by = self._distances(source, potentials)
+            if distances[target] == math.inf:
                 return
-            units = min(
-                count, min(self.arcs_[index].capacity for index in path)
-            )
+            # Nodes out of reach stay out of reach: a path only changes arcs
+            # between nodes within reach.
+            potentials = [
+                potential if distance == math.inf else potential + distance
+                for potential, distance in zip(
+                    potentials, distances, strict=True
+                )
+            ]
+            path = self._path(reached_by, source, target)
+            units = min(count, min(self.capacities_[index] for index in path))
             for index in path:
-                self._push(index, units)
+                self.capacities_[index] -= units
+                self.capacities_[index ^ 1] += units
             count -= units
 
-    def _push(self, index: int, units: int) -> None:
-        for change, number in ((units, index), (-units, index ^ 1)):
-            self.arcs_[number].capacity -= change
-            self.arcs_[number].flow += change
-
-    def _shortest_path(self, source: int, target: int) -> list[int]:
-        """Returns the arcs of the cheapest path by the Bellman-Ford method."""
-        distance = [math.inf] * len(self.leaving_)
-        reached_by = [-1] * len(self.leaving_)
-        distance[source] = 0.0
+    def _first_potentials(self, source: int) -> list[float]:
+        """Returns the cost of the cheapest paths by the Bellman-Ford method."""
+        distances = [math.inf] * len(self.leaving_)
+        distances[source] = 0.0
         queue = collections.deque([source])
         queued = {source}
         while queue:
             node = queue.popleft()
             queued.discard(node)
             for index in self.leaving_[node]:
-                arc = self.arcs_[index]
-                cost = distance[node] + arc.cost
-                if not arc.capacity or cost >= distance[arc.target] - EPSILON:
+                target = self.targets_[index]
+                cost = distances[node] + self.costs_[index]
+                if self.capacities_[index] and cost < distances[target]:
+                    distances[target] = cost
+                    if target not in queued:
+                        queued.add(target)
+                        queue.append(target)
+        return [0.0 if cost == math.inf else cost for cost in distances]
+
+    def _distances(
+        self, source: int, potentials: list[float]
+    ) -> tuple[list[float], list[int]]:
+        """Returns reduced distances and the arc that reached each node."""
+        distances = [math.inf] * len(self.leaving_)
+        reached_by = [-1] * len(self.leaving_)
+        distances[source] = 0.0
+        heap = [(0.0, source)]
+        while heap:
+            distance, node = heapq.heappop(heap)
+            if distance > distances[node]:
+                continue
+            base = distance + potentials[node]
+            for index in self.leaving_[node]:
+                if not self.capacities_[index]:
                     continue
-                distance[arc.target] = cost
-                reached_by[arc.target] = index
-                if arc.target not in queued:
-                    queued.add(arc.target)
-                    queue.append(arc.target)
-        return self._path(reached_by, source, target)
+                target = self.targets_[index]
+                reduced = base + self.costs_[index] - potentials[target]
+                # Rounding may make a reduced cost slightly negative.
+                reduced = max(reduced, distance)
+                if reduced < distances[target] - EPSILON:
+                    distances[target] = reduced
+                    reached_by[target] = index
+                    heapq.heappush(heap, (reduced, target))
+        return distances, reached_by
 
     def _path(
         self, reached_by: list[int], source: int, target: int
@@ -109,8 +143,6 @@
         node = target
         while node != source:
             index = reached_by[node]
-            if index < 0:
-                return []
             path.append(index)
-            node = self.arcs_[index ^ 1].target
+            node = self.targets_[index ^ 1]
         return path
--- a/baobabdoor/capacity/_predictive.py
+++ b/baobabdoor/capacity/_predictive.py
@@ -33,7 +33,7 @@
         move_cost_s: VM-seconds of buffer that one saved move is worth if the
             deployment weighs both equally. Default: 80.
         unmet_cost: VM-seconds of buffer that a VM-second of unmet demand is
-            worth. Default: 10.
+            worth. Default: 20.
         lead_s: Time that VMs arrive before the expected start of a peak, in
             seconds, in addition to the learned error. Default: 1.
         error_factor: Multiple of the learned error of the start by which VMs
@@ -54,7 +54,7 @@
     def __init__(
         self,
         move_cost_s: float = 80.0,
-        unmet_cost: float = 10.0,
+        unmet_cost: float = 20.0,
         lead_s: float = 1.0,
         error_factor: float = 1.0,
         move_s: float = 6.0,
--- a/baobabdoor/capacity/_reactive.py
+++ b/baobabdoor/capacity/_reactive.py
@@ -90,14 +90,28 @@
             if lasted_s < self.grow_after_s or left_s <= move_s:
                 continue
             missing = load.needed - pool.heading
-            for source in book.applications:
-                surplus = source.serving - self.pools_[source.name].held
-                if source is not pool and min(missing, surplus) > 0:
-                    missing -= self._move(
-                        book, source, pool, min(missing, surplus), now_s
-                    )
-            wanted = min(missing, book.lendable())
-            self._move(book, book.spare, pool, wanted, now_s)
+            missing -= self._take(book, pool, missing, "held", now_s)
+            lent = min(missing, book.lendable())
+            missing -= self._move(book, book.spare, pool, lent, now_s)
+            self._take(book, pool, missing, "needed", now_s)
+
+    def _take(
+        self,
+        book: _books.FleetBook,
+        target: _books.PoolBook,
+        missing: int,
+        kept: str,
+        now_s: float,
+    ) -> int:
+        """Takes what other pools have beyond what they held or need now."""
+        taken = 0
+        for source in book.applications:
+            if source is target:
+                continue
+            surplus = source.serving - getattr(self.pools_[source.name], kept)
+            wanted = min(missing - taken, surplus)
+            taken += self._move(book, source, target, wanted, now_s)
+        return taken
 
     def _shrink(self, book: _books.FleetBook, now_s: float) -> None:
         for pool in book.applications:
@@ -137,6 +151,7 @@
         # Needs that no later need exceeds, oldest and highest first.
         self.highs_: collections.deque = collections.deque()
         self.peak_since_s_: float | None = None
+        self.peak_needed_ = 0
 
     def observe(
         self, needed: int, heading: int, hold_s: float, now_s: float
