--- a/baobabdoor/measure/_capacity.py
+++ b/baobabdoor/measure/_capacity.py
@@ -1,11 +1,13 @@
 """Suite `capacity`: buffer cost, moves and unmet demand of the policies."""
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 
 import attrs
 
 from baobabdoor import capacity
+from baobabdoor import ownership
 from baobabdoor import settings
 from baobabdoor.measure import _clairvoyant
 from baobabdoor.measure import _demand
@@ -20,6 +22,8 @@
 # VM-seconds of buffer that one move counts if the weights are equal, for the
 # reference; the same as the default of the predictive policy.
 MOVE_COST_S = 80.0
+# How often the loss of a failure domain is tried.
+EXPOSURE_PERIOD_S = 5
 # Part of the demand that the reference may leave unmet beyond the policy. It
 # favours the reference a little; without it the solver takes a minute to find
 # a first solution where a policy meets nearly all demand.
@@ -95,6 +99,10 @@
         moves_back: Moves of a VM back to the pool it left less than a peak's
             length ago.
         refused: Moves that the controller would have refused.
+        rack_loss: VMs missing to the promises after the worst loss of a rack,
+            once the spare pool has given what is left of it; the largest
+            number seen.
+        zone_loss: The same for a zone.
     """
 
     buffer: float
@@ -103,6 +111,8 @@
     demand: float
     moves_back: int
     refused: int
+    rack_loss: int = 0
+    zone_loss: int = 0
 
 
 class CapacityRun:
@@ -174,6 +184,10 @@
             demand=done.demand + total,
             moves_back=done.moves_back + self._moves_back(started),
             refused=done.refused + len(moves) - len(started),
+            rack_loss=max(done.rack_loss, self._missing_after("rack", second)),
+            zone_loss=max(
+                done.zone_loss, self._missing_after("availability_zone", second)
+            ),
         )
         model.step()
 
@@ -187,6 +201,13 @@
             self.left_[move.vm_id] = (move.from_pool, now_s)
         return count
 
+    def _missing_after(self, domain: str, second: int) -> int:
+        if second % EXPOSURE_PERIOD_S:
+            return 0
+        return missing_after_loss(
+            self.model_.snapshot(), self.deployment, self.model_.preset, domain
+        )
+
     def problem(self, move_cost_s: float) -> _clairvoyant.Problem:
         """Returns the same task for the clairvoyant reference."""
         preset = self.deployment.presets[PRESET]
@@ -212,6 +233,38 @@
         )
 
 
+def missing_after_loss(
+    snapshot: ownership.FleetSnapshot,
+    deployment: settings.Deployment,
+    preset: settings.Preset,
+    domain: str,
+) -> int:
+    """Returns the VMs missing to the promises after the worst loss.
+
+    Args:
+        snapshot: All VMs; those on their way count for the pool they join.
+        deployment: Settings of the deployment.
+        preset: Preset in force.
+        domain: Field of a VM that names its failure domain.
+    """
+    held: collections.Counter = collections.Counter()
+    lost: dict[str, collections.Counter] = {}
+    for vm in snapshot.vms.values():
+        pool = vm.target_pool or vm.pool
+        held[pool] += 1
+        of_domain = lost.setdefault(getattr(vm, domain), collections.Counter())
+        of_domain[pool] += 1
+    worst = 0
+    for of_domain in lost.values():
+        missing = 0
+        for pool, promise in preset.pools.items():
+            left = held[pool] - of_domain[pool] - promise.min_workers
+            spare = pool == deployment.spare_pool
+            missing -= left if spare else min(0, left)
+        worst = max(worst, missing)
+    return worst
+
+
 def run(
     deployment: settings.Deployment, seeds: Iterable[int]
 ) -> Iterator[_result.Result]:
@@ -262,6 +315,8 @@
         ("unmet demand", outcome.unmet, "VM-s", outcome.demand),
         ("moves back within a turn", outcome.moves_back, "moves", 0.0),
         ("moves refused", outcome.refused, "moves", 0.0),
+        ("missing after rack loss", outcome.rack_loss, "VMs", 0.0),
+        ("missing after zone loss", outcome.zone_loss, "VMs", 0.0),
     ):
         yield _result.Result(measure, name, label, value, unit, reference, seed)
 
