--- /dev/null
+++ b/baobabdoor/admission/_fair_share.py
@@ -0,0 +1,392 @@
+"""Weighted max-min sharing of slots over callers and urgency levels."""
+
+from collections.abc import Mapping
+import zlib
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import settings
+from baobabdoor.admission import _account
+from baobabdoor.admission import _interface
+from baobabdoor.admission import _slow_start
+
+STEP = "admission.queue"
+# Key of the account that all callers without settings share, however many
+# names are invented. No caller's name is empty.
+DEFAULT_ACCOUNT = ""
+# Lanes over which those callers are spread by a hash of their name. One of
+# them that floods delays the others by at most a turn of 16.
+DEFAULT_LANES = 16
+# A queue this long serves a pool of 48 slots for about 5 requests a slot, which
+# is as long as most deadlines allow.
+MAX_ITEMS = 128
+MAX_BYTES = 33_554_432
+# Pools are named by settings; more means that names were not checked before.
+MAX_POOLS = 1024
+LEAST_URGENT = _interface.URGENCY_LEVELS - 1
+
+# Refusals are shared objects, so that one costs neither memory nor formatting.
+EXPIRED = base.Refusal(
+    base.Reason.DEADLINE_EXPIRED, STEP, detail="the deadline has passed"
+)
+TOO_LATE = base.Refusal(
+    base.Reason.DEADLINE_EXPIRED,
+    STEP,
+    detail="the deadline would pass in the queue",
+)
+FULL = base.Refusal(
+    base.Reason.SHARE_EXCEEDED, STEP, detail="the caller's queue is full"
+)
+TOO_MANY_BYTES = base.Refusal(
+    base.Reason.SHARE_EXCEEDED,
+    STEP,
+    detail="the bodies of the caller's queued requests are too large",
+)
+UNKNOWN_POOL = base.Refusal(base.Reason.UNKNOWN_POOL, STEP)
+DUPLICATE = base.Refusal(
+    base.Reason.BAD_REQUEST, STEP, detail="the request is already queued"
+)
+
+
+@attrs.frozen
+class PoolSnapshot:
+    """State of one pool's queues for status pages.
+
+    Attributes:
+        queued: Queued items by caller; `default` sums callers without
+            settings.
+        running: Items in progress.
+        slow_start_limit: Limit on items in progress after an outage; None if
+            there is none.
+    """
+
+    queued: dict[str, int]
+    running: int
+    slow_start_limit: int | None
+
+
+class _PoolQueue:
+    """Accounts of one pool.
+
+    Attributes:
+        accounts: The accounts by the caller's name.
+        backlogged: Accounts with queued items.
+        running: Items in progress.
+        queued: Queued items.
+        slots: Largest number of slots seen at once.
+        virtual_s: Start tag of the last item dispatched.
+    """
+
+    def __init__(
+        self,
+        callers: Mapping[str, settings.CallerShare],
+        default_share: settings.CallerShare,
+    ):
+        self.accounts: dict[str, _account.Account] = {
+            name: _account.Account(share) for name, share in callers.items()
+        }
+        self.accounts[DEFAULT_ACCOUNT] = _account.Account(default_share)
+        # A dict keeps the order of arrival, so that ties are broken alike in
+        # every run.
+        self.backlogged: dict[_account.Account, None] = {}
+        self.running = 0
+        self.queued = 0
+        self.slots = 0
+        self.virtual_s = 0.0
+        self.slow_start = _slow_start.SlowStart()
+
+    def put(
+        self,
+        account: _account.Account,
+        item: _interface.WorkItem,
+        urgency: int,
+        lane: int,
+    ) -> None:
+        """Queues an item; an account that was idle has saved nothing."""
+        if not account.queued:
+            account.tag = max(account.tag, self.virtual_s)
+            self.backlogged[account] = None
+        account.put(item, urgency, lane)
+        self.queued += 1
+
+    def take_next(
+        self, account: _account.Account, urgency: int
+    ) -> _interface.WorkItem:
+        """Removes the next item of a level that has one."""
+        item = account.take_next(urgency)
+        self._forget(account)
+        return item
+
+    def remove(
+        self,
+        account: _account.Account,
+        request_id: int,
+        urgency: int,
+        lane: int,
+    ) -> None:
+        """Removes an item if it is queued."""
+        if account.remove(request_id, urgency, lane) is not None:
+            self._forget(account)
+
+    def _forget(self, account: _account.Account) -> None:
+        self.queued -= 1
+        if not account.queued:
+            self.backlogged.pop(account, None)
+
+    def choose(self, now_s: float) -> _account.Account:
+        """Returns the backlogged account with the least service by weight."""
+        return min(
+            self.backlogged,
+            key=lambda account: account.effective_tag(now_s),
+        )
+
+
+class FairShareQueue(_interface.AdmissionPolicy):
+    """Start-time fair queueing over callers, then urgency with guarantees.
+
+    Each caller has an account in each pool. The backlogged account with the
+    least slot-seconds per weight is served next, which gives weighted max-min
+    shares. Inside an account each urgency level is guaranteed a part of the
+    account's service; the rest goes to the most urgent level. An item is
+    charged its expected service time at dispatch, corrected at its release.
+
+    Callers without settings share one account. Inside each of its levels they
+    are spread over lanes that are served in turn.
+
+    Queues are bounded by dynamic thresholds: a level may hold at most as much
+    as the account has left free, so one flooded level takes half and always
+    leaves room for the others. The same holds for a lane inside a level.
+
+    Args:
+        callers: Shares of the known callers. All others together have the
+            default share.
+        default_share: Share of the others. Default: `CallerShare()`.
+        default_lanes: Lanes over which the others are spread by a hash of
+            their name. Default: 16.
+        max_items: Queued items of one account in one pool. Default: 256.
+        max_bytes: Declared body bytes queued by one account in one pool.
+            Default: 32 MiB.
+        salt: Mixed into the hash of unknown names, so that a caller cannot
+            choose a name that falls together with another one. Default: 0.
+
+    Source: Goyal, Vin, Cheng, "Start-time Fair Queuing", 1996; Choudhury,
+    Hahne, "Dynamic Queue Length Thresholds for Shared-Memory Packet Switches",
+    1998.
+
+    Example:
+        >>> queue = FairShareQueue({"clubs": settings.CallerShare(weight=2)})
+        >>> item = _interface.WorkItem(1, "results-desk", "clubs", 3, 30.0)
+        >>> queue.admit(item, now_s=0.0)
+        >>> [item.request_id for item in queue.plan({"results-desk": 1}, 0.0)]
+        [1]
+    """
+
+    PARAMETER_CONSTRAINTS = {
+        "default_lanes": base.Interval(1, integer=True),
+        "max_items": base.Interval(1, integer=True),
+        "max_bytes": base.Interval(1, integer=True),
+        "salt": base.Interval(0, integer=True),
+    }
+
+    def __init__(
+        self,
+        callers: Mapping[str, settings.CallerShare],
+        default_share: settings.CallerShare | None = None,
+        default_lanes: int = DEFAULT_LANES,
+        max_items: int = MAX_ITEMS,
+        max_bytes: int = MAX_BYTES,
+        salt: int = 0,
+    ):
+        self.callers = callers
+        self.default_share = default_share
+        self.default_lanes = default_lanes
+        self.max_items = max_items
+        self.max_bytes = max_bytes
+        self.salt = salt
+        self.pools_: dict[str, _PoolQueue] = {}
+        self.running_: dict[int, _account.Dispatch] = {}
+        self.dropped_: list[_interface.WorkItem] = []
+
+    def admit(
+        self, item: _interface.WorkItem, now_s: float
+    ) -> base.Refusal | None:
+        """Queues an item, or refuses it in constant time."""
+        if item.deadline_s <= now_s:
+            return EXPIRED
+        pool = self.pools_.get(item.pool) or self._add_pool(item.pool)
+        if pool is None:
+            return UNKNOWN_POOL
+        account, lane = self._place(pool, item.caller)
+        urgency = _urgency(item)
+        refusal = self._check(pool, account, item, urgency, lane, now_s)
+        if refusal is None:
+            pool.put(account, item, urgency, lane)
+        return refusal
+
+    def plan(
+        self, free_slots: Mapping[str, int], now_s: float
+    ) -> list[_interface.WorkItem]:
+        """Takes the items to dispatch now, least-served callers first."""
+        chosen: list[_interface.WorkItem] = []
+        for name, free in free_slots.items():
+            pool = self.pools_.get(name)
+            if pool is not None:
+                self._plan_pool(pool, free, now_s, chosen)
+        return chosen
+
+    def release(self, item: _interface.WorkItem, now_s: float) -> None:
+        """Corrects the account by the time that the item held its slot."""
+        dispatch = self.running_.pop(item.request_id, None)
+        if dispatch is None:
+            return
+        dispatch.account.finish(dispatch, now_s)
+        pool = self.pools_[item.pool]
+        pool.running -= 1
+        pool.slow_start.release()
+
+    def cancel(self, item: _interface.WorkItem) -> None:
+        """Removes a queued item; does nothing for any other."""
+        pool = self.pools_.get(item.pool)
+        if pool is not None:
+            account, lane = self._place(pool, item.caller)
+            pool.remove(account, item.request_id, _urgency(item), lane)
+
+    def expire(self, now_s: float) -> list[_interface.WorkItem]:
+        """Removes the items whose deadline has passed.
+
+        Also returns the items that `plan` dropped because their deadline was
+        closer than the shortest service time.
+        """
+        dropped = self.dropped_
+        self.dropped_ = []
+        for pool in self.pools_.values():
+            for account in list(pool.backlogged):
+                for urgency, level in enumerate(account.levels):
+                    late = [
+                        (lane, item)
+                        for lane, item in level.items
+                        if item.deadline_s <= now_s
+                    ]
+                    for lane, item in late:
+                        pool.remove(account, item.request_id, urgency, lane)
+                        dropped.append(item)
+        return dropped
+
+    def queued(self) -> dict[str, int]:
+        """Returns the number of queued items of each pool."""
+        return {name: pool.queued for name, pool in self.pools_.items()}
+
+    def describe(self) -> dict[str, PoolSnapshot]:
+        """Returns a snapshot of each pool for status pages."""
+        return {
+            name: PoolSnapshot(
+                _queued_by_caller(pool), pool.running, pool.slow_start.limit_
+            )
+            for name, pool in self.pools_.items()
+        }
+
+    def _add_pool(self, name: str) -> _PoolQueue | None:
+        if len(self.pools_) >= MAX_POOLS:
+            return None
+        base.validate(self)
+        share = self.default_share or settings.CallerShare()
+        pool = self.pools_[name] = _PoolQueue(self.callers, share)
+        return pool
+
+    def _place(
+        self, pool: _PoolQueue, caller: str
+    ) -> tuple[_account.Account, int]:
+        """Returns the account and the lane of a caller."""
+        account = pool.accounts.get(caller)
+        if account is not None and caller != DEFAULT_ACCOUNT:
+            return account, 0
+        digest = zlib.crc32(caller.encode("utf-8", "replace"), self.salt)
+        return pool.accounts[DEFAULT_ACCOUNT], digest % self.default_lanes
+
+    def _check(
+        self,
+        pool: _PoolQueue,
+        account: _account.Account,
+        item: _interface.WorkItem,
+        urgency: int,
+        lane: int,
+        now_s: float,
+    ) -> base.Refusal | None:
+        level = account.levels[urgency]
+        if self._is_full(pool, account, level, lane):
+            return FULL
+        total_bytes = level.queued_bytes + item.body_bytes
+        if total_bytes > self.max_bytes - account.queued_bytes:
+            return TOO_MANY_BYTES
+        if level.items.holds(lane, item.request_id):
+            return DUPLICATE
+        # Even with every slot of the pool, the items ahead in the same level
+        # take this long at the shortest service time.
+        ahead_s = len(level.items) * level.shortest_s / max(1, pool.slots)
+        if now_s + ahead_s + level.shortest_s > item.deadline_s:
+            level.doubt()
+            return TOO_LATE
+        return None
+
+    def _is_full(
+        self,
+        pool: _PoolQueue,
+        account: _account.Account,
+        level: _account.Level,
+        lane: int,
+    ) -> bool:
+        free = self.max_items - account.queued
+        queued = len(level.items)
+        if free <= 0 or queued >= max(1, free):
+            return True
+        is_default = account is pool.accounts[DEFAULT_ACCOUNT]
+        return is_default and level.items.size(lane) >= max(1, free - queued)
+
+    def _plan_pool(
+        self,
+        pool: _PoolQueue,
+        free: int,
+        now_s: float,
+        chosen: list[_interface.WorkItem],
+    ) -> None:
+        pool.slots = max(pool.slots, free + pool.running)
+        count = pool.slow_start.allowed(free, pool.running, now_s)
+        while count > 0 and pool.backlogged:
+            account = pool.choose(now_s)
+            item = self._dispatch(pool, account, now_s)
+            if item is not None:
+                chosen.append(item)
+                count -= 1
+
+    def _dispatch(
+        self, pool: _PoolQueue, account: _account.Account, now_s: float
+    ) -> _interface.WorkItem | None:
+        """Starts the account's next item, or drops it if it is too late."""
+        urgency, by_guarantee = account.choose_level()
+        level = account.levels[urgency]
+        item = pool.take_next(account, urgency)
+        if now_s + level.shortest_s > item.deadline_s:
+            level.doubt()
+            self.dropped_.append(item)
+            return None
+        pool.virtual_s = max(pool.virtual_s, account.tag)
+        dispatch = account.start(urgency, by_guarantee, now_s)
+        self.running_[item.request_id] = dispatch
+        pool.running += 1
+        return item
+
+
+def _urgency(item: _interface.WorkItem) -> int:
+    urgency = item.urgency
+    if 0 <= urgency <= LEAST_URGENT:
+        return urgency
+    return 0 if urgency < 0 else LEAST_URGENT
+
+
+def _queued_by_caller(pool: _PoolQueue) -> dict[str, int]:
+    return {
+        name or "default": account.queued
+        for name, account in pool.accounts.items()
+        if account.queued
+    }
--- a/baobabdoor/measure/_capacity.py
+++ b/baobabdoor/measure/_capacity.py
@@ -10,8 +10,8 @@
 from baobabdoor import ownership
 from baobabdoor import settings
 from baobabdoor.measure import _clairvoyant
-from baobabdoor.measure import _demand
 from baobabdoor.measure import _fleet_model
+from baobabdoor.measure import _pool_demand
 from baobabdoor.measure import _result
 
 # Cycles of demand before the measurement starts, in which policies learn, and
@@ -128,7 +128,7 @@
     def __init__(
         self,
         deployment: settings.Deployment,
-        demand: _demand.Demand,
+        demand: _pool_demand.Demand,
         policy: capacity.CapacityPolicy,
         seed: int,
     ):
@@ -291,7 +291,7 @@
     deployment: settings.Deployment, seed: int
 ) -> dict[Candidate, CapacityRun]:
     cycles = LEARNING_CYCLES + MEASURED_CYCLES
-    demand = _demand.generate(deployment, cycles, seed)
+    demand = _pool_demand.generate(deployment, cycles, seed)
     runs = {}
     for candidate in candidates():
         parameters = dict(candidate.parameters)
--- a/baobabdoor/measure/_demand.py
+++ b/baobabdoor/measure/_demand.py
@@ -1,119 +1,138 @@
-"""Generated demand: queues that peak in turn."""
+"""Generated demand, shared by the suites of admission and slots."""
 
+from collections.abc import Mapping
 import random
 
 import attrs
 
-from baobabdoor import capacity
 from baobabdoor import settings
 
-# A peak is five times the mean and the demand between peaks a twentieth of it.
-PEAK_TO_MEAN = 5.0
-IDLE_TO_MEAN = 0.05
-# Part of the time that a pool peaks so that its mean comes out.
-PEAK_PART = (1 - IDLE_TO_MEAN) / (PEAK_TO_MEAN - IDLE_TO_MEAN)
+# Service times are exponential around this mean, cut off so that one request
+# cannot decide the result of a run.
+MEAN_SERVICE_S = 0.25
+LONGEST_SERVICE_S = 2.0
+DEFAULT_CALLER = "default"
 
 
 @attrs.frozen
-class Shape:
-    """How demand varies; each value is drawn uniformly.
+class Arrival:
+    """One request as a caller sends it.
 
     Attributes:
-        peak_s: Length of a peak, drawn once a run.
-        level: Peak demand as a multiple of the pool's own workers, drawn once
-            for each pool; above 1, so that a peak exceeds its pool.
-        level_error: Largest deviation of one peak from its pool's level.
-        length_error: The same of its length.
-        lag_error: The same of the time between two starts.
-        noise: Standard deviation of what the entries report in a second, as
-            a part of the demand; the demand itself is constant in a peak.
+        number: Identifier, unique in the run.
+        at_s: Time of its arrival.
+        entry: Number of the entry that it reaches.
+        pool: Pool that it is for.
+        caller: Name of the caller.
+        urgency: RFC 9218 urgency.
+        patience_s: Time to the deadline.
+        service_s: Time that it holds a slot.
+        flood: Whether it is part of a flood.
+        repeats: How often the caller repeats it after a refusal.
     """
 
-    peak_s: tuple[float, float] = (20.0, 40.0)
-    level: tuple[float, float] = (1.25, 1.5)
-    level_error: float = 0.05
-    length_error: float = 0.1
-    lag_error: float = 0.05
-    noise: float = 0.03
+    number: int
+    at_s: float
+    entry: int
+    pool: str
+    caller: str
+    urgency: int
+    patience_s: float
+    service_s: float
+    flood: bool = False
+    repeats: int = 0
 
 
 @attrs.frozen
-class Demand:
-    """Demand of each application pool for every second.
+class Kind:
+    """Work of one kind, sent as a Poisson process.
 
     Attributes:
-        workers: Demand by pool, in workers.
-        reported: Demand as the entries see it, in slots.
-        starts_s: Start of every peak with its pool, in order.
-        shortest_peak_s: Least length of a peak.
+        caller: Name of the caller.
+        urgency: RFC 9218 urgency.
+        slots: Mean number of slots that it needs.
+        patience_s: Time to the deadline.
     """
 
-    workers: dict[str, list[float]]
-    reported: dict[str, list[int]]
-    starts_s: list[tuple[float, str]]
-    shortest_peak_s: float
+    caller: str
+    urgency: int
+    slots: float
+    patience_s: float
 
-    def of(
-        self, pool: str, second: int, capacity_slots: int
-    ) -> capacity.PoolDemand:
-        """Returns the demand on a pool as the entries report it."""
-        slots = self.reported[pool][second]
-        in_progress = min(slots, capacity_slots)
-        return capacity.PoolDemand(in_progress, slots - in_progress)
 
+# Parts of a caller's ordinary work by urgency, with the time to the deadline:
+# answers on race day, updates, and archive or audit work.
+URGENCY_MIX = ((1, 0.2, 3.0), (3, 0.6, 5.0), (5, 0.2, 15.0))
 
-def generate(
-    deployment: settings.Deployment,
-    cycles: int,
-    seed: int,
-    shape: Shape | None = None,
-) -> Demand:
-    """Returns demand in which every pool peaks once a cycle, in turn.
+
+def ordinary_kinds(
+    callers: Mapping[str, settings.CallerShare], slots: float
+) -> list[Kind]:
+    """Divides `slots` of ordinary work over the callers by their weights.
+
+    One default share of callers without settings is included, so that every
+    caller stays within what its weight guarantees.
+    """
+    shares = {**callers, DEFAULT_CALLER: settings.CallerShare()}
+    total = sum(share.weight for share in shares.values())
+    return [
+        Kind(caller, urgency, slots * part * share.weight / total, patience_s)
+        for caller, share in shares.items()
+        for urgency, part, patience_s in URGENCY_MIX
+    ]
+
+
+def service_time(rng: random.Random) -> float:
+    """Returns one service time in seconds."""
+    return min(rng.expovariate(1 / MEAN_SERVICE_S), LONGEST_SERVICE_S)
+
+
+def mean_service_s() -> float:
+    """Returns the mean of the service times that are cut off."""
+    cut = LONGEST_SERVICE_S / MEAN_SERVICE_S
+    return MEAN_SERVICE_S * (1 - 2.718281828**-cut)
+
+
+def poisson(
+    rng: random.Random, rate: float, start_s: float, end_s: float
+) -> list[float]:
+    """Returns the times of a Poisson process of `rate` per second."""
+    times = []
+    now_s = start_s
+    while rate > 0:
+        now_s += rng.expovariate(rate)
+        if now_s >= end_s:
+            break
+        times.append(now_s)
+    return times
+
+
+def peaks(
+    rng: random.Random,
+    pools: list[str],
+    mean_slots: float,
+    period_s: float,
+    end_s: float,
+) -> list[tuple[float, str]]:
+    """Returns arrival times of pools that peak in turn.
+
+    Each pool in its turn has five times its mean demand, and a twentieth of
+    it otherwise.
 
     Args:
-        deployment: Whose pools and sizes.
-        cycles: Number of cycles.
-        seed: Seed of all that is drawn.
-        shape: How demand varies. Default: `Shape()`.
+        rng: Random source.
+        pools: The pools, in the order of their turns.
+        mean_slots: Slots that a pool needs on average.
+        period_s: Length of a turn in seconds.
+        end_s: End of the demand in seconds.
     """
-    shape = shape or Shape()
-    rng = random.Random(f"demand {deployment.deployment} {seed}")
-    pools = [name for name in deployment.pools if name != deployment.spare_pool]
-    rng.shuffle(pools)
-    peak_s = rng.uniform(*shape.peak_s)
-    lag_s = peak_s / PEAK_PART / len(pools)
-    levels = {
-        name: rng.uniform(*shape.level) * deployment.pools[name].workers
-        for name in pools
-    }
-    seconds = int(cycles * len(pools) * lag_s * (1 + shape.lag_error))
-    workers = {
-        name: [levels[name] / PEAK_TO_MEAN * IDLE_TO_MEAN] * seconds
-        for name in pools
-    }
-    starts_s = []
-    start_s = lag_s / 2
-    for turn in range(cycles * len(pools)):
-        name = pools[turn % len(pools)]
-        length_s = peak_s * _around(rng, shape.length_error)
-        level = levels[name] * _around(rng, shape.level_error)
-        starts_s.append((start_s, name))
-        for second in range(int(start_s), int(start_s + length_s)):
-            if second < seconds:
-                workers[name][second] = level
-        start_s += lag_s * _around(rng, shape.lag_error)
-    reported = {
-        name: [
-            max(0, round(value * size * rng.gauss(1.0, shape.noise)))
-            for value in values
-        ]
-        for name, values in workers.items()
-        for size in [deployment.pools[name].slots]
-    }
-    return Demand(
-        workers, reported, starts_s, peak_s * (1 - shape.length_error)
-    )
-
-
-def _around(rng: random.Random, error: float) -> float:
-    return rng.uniform(1 - error, 1 + error)
+    arrivals = []
+    rate = mean_slots / mean_service_s()
+    turns = int(end_s / period_s)
+    for turn in range(turns):
+        start_s = turn * period_s
+        for index, pool in enumerate(pools):
+            factor = 5.0 if turn % len(pools) == index else 0.05
+            times = poisson(rng, rate * factor, start_s, start_s + period_s)
+            arrivals.extend((at_s, pool) for at_s in times)
+    return sorted(arrivals)
