Measure the cost of planning by fleet size; lighten the planners

Cause: at 3,500 workers and 241 pools a step of the predictive policy took 80 ms (moves were chosen by a search over all VMs, and each VM of a peak was an arc of its own), the first wave of a roll-out 59 ms.

--- a/baobabdoor/capacity/_books.py
+++ b/baobabdoor/capacity/_books.py
@@ -1,6 +1,7 @@
 """What one planning step knows of the pools and what it may still move."""
 
 import collections
+from collections.abc import Iterable
 
 from baobabdoor import maintenance
 from baobabdoor import ownership
@@ -26,14 +27,14 @@
         self.name = name
         self.members = members
         self.promise = promise
-        self.serving_ = [vm for vm in members if vm.in_service]
-        # Those that can leave; a VM with an intent belongs to an operation.
-        self.movable_ = [vm for vm in self.serving_ if not vm.intent]
+        self.serving_ = {vm.vm_id: vm for vm in members if vm.in_service}
         self.allowance_ = maintenance.allowance(members, promise)
         self.zones_ = collections.Counter(
-            vm.availability_zone for vm in self.serving_
+            vm.availability_zone for vm in self.serving_.values()
+        )
+        self.racks_ = collections.Counter(
+            vm.rack for vm in self.serving_.values()
         )
-        self.racks_ = collections.Counter(vm.rack for vm in self.serving_)
         self.incoming_ = 0
         self.away_ = sum(
             vm.target_pool not in ("", name)
@@ -65,8 +66,7 @@
 
     def leave(self, vm: ownership.VmState) -> None:
         """Counts a VM that starts to leave."""
-        self.serving_.remove(vm)
-        self.movable_.remove(vm)
+        del self.serving_[vm.vm_id]
         self.zones_[vm.availability_zone] -= 1
         self.racks_[vm.rack] -= 1
         self.allowance_ -= 1
@@ -161,11 +161,17 @@
             barred: VMs that must stay. Default: none.
         """
         count = min(count, source.allowance_, target.room)
-        candidates = [vm for vm in source.movable_ if vm.vm_id not in barred]
+        if count <= 0:
+            return 0
+        # A VM with an intent belongs to an operation already.
+        candidates = _Candidates(
+            vm
+            for vm in source.serving_.values()
+            if not vm.intent and vm.vm_id not in barred
+        )
         moved = 0
         while moved < count and candidates:
-            vm = min(candidates, key=lambda vm: _spread_key(vm, source, target))
-            candidates.remove(vm)
+            vm = candidates.take(source, target)
             source.leave(vm)
             target.join(vm)
             self.moves_.append(
@@ -175,17 +181,44 @@
         return moved
 
 
+class _Candidates:
+    """VMs that may move, by zone and rack.
+
+    Args:
+        vms: The VMs.
+    """
+
+    def __init__(self, vms: Iterable[ownership.VmState]):
+        self.zones_: dict[str, dict[str, list[ownership.VmState]]] = {}
+        for vm in sorted(vms, key=_vm_id, reverse=True):
+            racks = self.zones_.setdefault(vm.availability_zone, {})
+            racks.setdefault(vm.rack, []).append(vm)
+
+    def __bool__(self) -> bool:
+        return bool(self.zones_)
+
+    def take(self, source: PoolBook, target: PoolBook) -> ownership.VmState:
+        """Removes the VM that keeps both pools best spread."""
+        zone = min(
+            self.zones_,
+            key=lambda name: (target.zones_[name] - source.zones_[name], name),
+        )
+        racks = self.zones_[zone]
+        rack = min(
+            racks,
+            key=lambda name: (target.racks_[name] - source.racks_[name], name),
+        )
+        vm = racks[rack].pop()
+        if not racks[rack]:
+            del racks[rack]
+        if not racks:
+            del self.zones_[zone]
+        return vm
+
+
 def _arrives(vm: ownership.VmState) -> bool:
     return vm.phase is not ownership.Phase.FAILED and vm.reachable
 
 
-def _spread_key(
-    vm: ownership.VmState, source: PoolBook, target: PoolBook
-) -> tuple:
-    """Orders VMs so that both pools stay spread over zones and racks."""
-    zone, rack = vm.availability_zone, vm.rack
-    return (
-        target.zones_[zone] - source.zones_[zone],
-        target.racks_[rack] - source.racks_[rack],
-        vm.vm_id,
-    )
+def _vm_id(vm: ownership.VmState) -> str:
+    return vm.vm_id
--- a/baobabdoor/capacity/_peak_plan.py
+++ b/baobabdoor/capacity/_peak_plan.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 from collections.abc import Sequence
+import itertools
 import math
 
 import attrs
@@ -132,9 +133,11 @@
                 leave = self.network_.add_node()
                 nodes.append((pool, peak, enter, leave))
                 left_s = peak.end_s - max(self.now_s, peak.start_s)
-                for part in _parts(peak, supply.floor, supply.limit):
+                parts = _parts(peak, supply.floor, supply.limit)
+                for part, alike in itertools.groupby(parts):
                     worth = part * max(0.0, left_s) * self.costs.unmet
-                    self.network_.add_arc(enter, leave, 1, -worth)
+                    count = len(list(alike))
+                    self.network_.add_arc(enter, leave, count, -worth)
         return nodes
 
     def _add_supply(self, pool: str, start: int, sink: int, nodes) -> None:
--- a/baobabdoor/maintenance/_domains.py
+++ b/baobabdoor/maintenance/_domains.py
@@ -13,23 +13,29 @@
 class DomainCounts:
     """Total and lost VMs for each rack and zone, of the fleet and of pools.
 
+    Only VMs that are out of service are counted at first; the members of a
+    pool follow when VMs of it are to be chosen.
+
     Args:
-        vms: All VMs at the start; `take` counts further ones as lost.
+        out: All VMs that are out of service; `take` adds further ones.
     """
 
-    def __init__(self, vms: Iterable[ownership.VmState]):
+    def __init__(self, out: Iterable[ownership.VmState]):
         self.total_: collections.Counter = collections.Counter()
         self.lost_: collections.Counter = collections.Counter()
         self.whole_: dict[str, set] = {}
-        for vm in vms:
-            for key in _keys(vm):
+        for vm in out:
+            self.lost_.update(_keys(vm))
+
+    def add_pool(self, members: Iterable[ownership.VmState]) -> None:
+        """Counts the members of a pool before VMs of it are chosen."""
+        keys = set()
+        for vm in members:
+            for key in _pool_keys(vm):
                 self.total_[key] += 1
-                if not vm.in_service:
-                    self.lost_[key] += 1
-            if not vm.in_service:
-                self.whole_.setdefault(vm.pool, set())
-        for key, lost in self.lost_.items():
-            self._note_whole(key, lost)
+                keys.add(key)
+        for key in keys:
+            self._note_whole(key, self.lost_[key])
 
     def take(self, vm: ownership.VmState) -> None:
         """Counts a VM that is in service as lost from now on."""
@@ -57,12 +63,11 @@
         and zones are counted separately.
         """
         whole = self.whole_.get(vm.pool, set())
-        for key in _keys(vm):
-            kind, _, pool = key
-            if not pool or self.total_[key] < MIN_DOMAIN_VMS:
+        for key in _pool_keys(vm):
+            if self.total_[key] < MIN_DOMAIN_VMS:
                 continue
             completes = self.lost_[key] + 1 == self.total_[key]
-            if completes and any(other[0] == kind for other in whole):
+            if completes and any(other[0] == key[0] for other in whole):
                 return True
         return False
 
@@ -75,8 +80,14 @@
 def _keys(vm: ownership.VmState) -> tuple[tuple[str, str, str], ...]:
     """Returns (kind, domain, pool); an empty pool stands for all pools."""
     return (
-        ("rack", vm.rack, vm.pool),
-        ("zone", vm.availability_zone, vm.pool),
+        *_pool_keys(vm),
         ("rack", vm.rack, ""),
         ("zone", vm.availability_zone, ""),
     )
+
+
+def _pool_keys(vm: ownership.VmState) -> tuple[tuple[str, str, str], ...]:
+    return (
+        ("rack", vm.rack, vm.pool),
+        ("zone", vm.availability_zone, vm.pool),
+    )
--- a/baobabdoor/maintenance/_waves.py
+++ b/baobabdoor/maintenance/_waves.py
@@ -39,7 +39,9 @@
         if not any(roll_out.is_due(vm) for vm in vms):
             return []
         wave = _Wave(
-            _domains.DomainCounts(vms), roll_out, deployment.workers_per_rack
+            _domains.DomainCounts(vm for vm in vms if not vm.in_service),
+            roll_out,
+            deployment.workers_per_rack,
         )
         starts = []
         members_by_pool = _availability.members_by_pool(vms)
@@ -94,7 +96,11 @@
         self, members: Sequence[ownership.VmState], count: int
     ) -> list[_interface.StartMaintenance]:
         """Returns up to `count` VMs of one pool, spread over its domains."""
+        if not count:
+            return []
         candidates = [vm for vm in members if _eligible(vm, self.roll_out)]
+        if candidates:
+            self.domains.add_pool(members)
         starts = []
         while candidates and len(starts) < count:
             vm = min(candidates, key=self._preference)
--- /dev/null
+++ b/baobabdoor/measure/_slopes.py
@@ -0,0 +1,230 @@
+"""Suite `capacity-slopes`: cost of planning and rows as the fleet grows."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import statistics
+import time
+import tracemalloc
+
+import attrs
+
+from baobabdoor import capacity
+from baobabdoor import maintenance
+from baobabdoor import ownership
+from baobabdoor import platform
+from baobabdoor import settings
+from baobabdoor.measure import _fleet_model
+from baobabdoor.measure import _result
+
+WORKERS = (500, 1000, 2000, 3500)
+POOLS = 241
+ZONES = 30
+# Steps before the measurement, in which the predictive policy sees two peaks
+# of every pool, and steps that are measured.
+LEARNING_STEPS = 50
+MEASURED_STEPS = 10
+# Every pool peaks for `PEAK_STEPS` of `CYCLE_STEPS` steps.
+CYCLE_STEPS = 25
+PEAK_STEPS = 5
+# Targets of a daemon: 1.1% of a core with a plan every second, and memory.
+TARGET_MS = 11.0
+TARGET_MB = 64.0
+SPARE = "spare"
+POLICIES = ("static", "reactive", "predictive")
+
+
+@attrs.frozen
+class Cost:
+    """Cost of one step.
+
+    Attributes:
+        step: What was done.
+        milliseconds: Processor time, the median of several runs.
+        megabytes: Memory that it allocated at its peak.
+    """
+
+    step: str
+    milliseconds: float
+    megabytes: float
+
+
+def run(
+    deployment: settings.Deployment, seeds: Iterable[int]
+) -> Iterator[_result.Result]:
+    """Measures every step at every size, on a fleet of generated pools."""
+    for seed in seeds:
+        for workers in WORKERS:
+            for cost in measure(workers, seed):
+                for value, unit, target in (
+                    (cost.milliseconds, "ms", TARGET_MS),
+                    (cost.megabytes, "MB", TARGET_MB),
+                ):
+                    yield _result.Result(
+                        f"{cost.step}, {workers} workers",
+                        deployment.deployment,
+                        "processor" if unit == "ms" else "memory",
+                        value,
+                        unit,
+                        target,
+                        seed,
+                    )
+
+
+def measure(workers: int, seed: int) -> list[Cost]:
+    """Returns the cost of every step at one size."""
+    deployment = generate(workers)
+    preset = deployment.presets["ordinary"]
+    model = _fleet_model.FleetModel(deployment, preset, seed=seed)
+    costs = _measure_rows(model)
+    costs.extend(_measure_waves(model))
+    for name in POLICIES:
+        costs.append(_measure_policy(name, model, seed))
+    return costs
+
+
+def generate(workers: int) -> settings.Deployment:
+    """Returns a deployment with `POOLS` pools in `ZONES` zones."""
+    each = workers // POOLS
+    rest = workers - each * (POOLS - 1)
+    sizes = {f"pool-{number}": each for number in range(POOLS - 1)}
+    sizes[SPARE] = rest
+    promises = {
+        name: settings.PoolPromise(
+            min_workers=size // 2, availability_budget=max(1, size // 4)
+        )
+        for name, size in sizes.items()
+    }
+    preset = settings.Preset(
+        pools=promises,
+        maintenance=settings.MaintenancePolicy(enabled=True),
+        capacity_policy="predictive",
+    )
+    return settings.Deployment(
+        deployment="generated",
+        region="generated",
+        availability_zones=[
+            settings.AvailabilityZone(name=f"zone-{number}")
+            for number in range(ZONES)
+        ],
+        spare_pool=SPARE,
+        pools={
+            name: settings.Pool(workers=size, cores=16, memory_gb=32)
+            for name, size in sizes.items()
+        },
+        presets={"ordinary": preset},
+        initial_preset="ordinary",
+        weights=settings.Weights(
+            flood=0.25, buffer_cost=0.25, moves=0.25, roll_out=0.25
+        ),
+    )
+
+
+def _measure_rows(model: _fleet_model.FleetModel) -> list[Cost]:
+    rows = [
+        platform.Row(
+            ownership.vm_key(vm.availability_zone, vm.vm_id),
+            1,
+            ownership.to_json(
+                ownership.VmRow(
+                    pool=vm.pool,
+                    phase=vm.phase,
+                    boot_id=vm.boot_id,
+                    rack=vm.rack,
+                    address=vm.address,
+                    last_maintained_ms=vm.last_maintained_ms,
+                )
+            ),
+        )
+        for vm in model.vms_.values()
+    ]
+
+    def read() -> ownership.FleetTable:
+        table = ownership.FleetTable("generated")
+        table.observe_rows(rows)
+        return table
+
+    table = read()
+    return [_cost("read all rows", read), _cost("snapshot", table.snapshot)]
+
+
+def _measure_waves(model: _fleet_model.FleetModel) -> list[Cost]:
+    """Measures the first plan of a roll-out and one with all budgets in use."""
+    planner = maintenance.WavePlanner()
+
+    def plan(
+        snapshot: ownership.FleetSnapshot,
+    ) -> list[maintenance.StartMaintenance]:
+        return planner.plan(
+            snapshot, model.deployment, model.preset, model.wall_ms
+        )
+
+    first = model.snapshot()
+    vms = dict(first.vms)
+    for start in plan(first):
+        vms[start.vm_id] = attrs.evolve(
+            vms[start.vm_id],
+            phase=ownership.Phase.REBOOTING,
+            target_pool=start.pool,
+            intent="reboot",
+            phase_since_ms=model.wall_ms,
+        )
+    later = ownership.FleetSnapshot(vms)
+    return [
+        _cost("plan maintenance, first wave", lambda: plan(first)),
+        _cost("plan maintenance, budgets in use", lambda: plan(later)),
+    ]
+
+
+def _measure_policy(
+    name: str, model: _fleet_model.FleetModel, seed: int
+) -> Cost:
+    """Measures a policy while pools peak in turn; moves are done at once."""
+    policy = capacity.make_policy(name)
+    vms = {
+        vm_id: attrs.evolve(vm, last_maintained_ms=model.wall_ms)
+        for vm_id, vm in model.vms_.items()
+    }
+    now_s = [0.0]
+
+    def step() -> None:
+        demand = _demand(model.deployment, int(now_s[0]), seed)
+        moves = policy.plan(
+            ownership.FleetSnapshot(vms),
+            demand,
+            model.deployment,
+            model.preset,
+            now_s[0],
+        )
+        for move in moves:
+            vms[move.vm_id] = attrs.evolve(vms[move.vm_id], pool=move.to_pool)
+        now_s[0] += 1.0
+
+    for _ in range(LEARNING_STEPS if name == "predictive" else 1):
+        step()
+    return _cost(f"plan capacity, {name}", step)
+
+
+def _demand(
+    deployment: settings.Deployment, second: int, seed: int
+) -> dict[str, capacity.PoolDemand]:
+    demand = {}
+    for number, (name, pool) in enumerate(deployment.pools.items()):
+        peaks = (second + number * PEAK_STEPS + seed) % CYCLE_STEPS < PEAK_STEPS
+        slots = int(1.3 * pool.workers * pool.slots) if peaks else 0
+        demand[name] = capacity.PoolDemand(slots, 0)
+    return demand
+
+
+def _cost(step: str, action: Callable[[], object]) -> Cost:
+    durations_s = []
+    for _ in range(MEASURED_STEPS):
+        start_s = time.process_time()
+        action()
+        durations_s.append(time.process_time() - start_s)
+    # Tracing slows the action, so it is not timed.
+    tracemalloc.start()
+    action()
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return Cost(step, statistics.median(durations_s) * 1000, peak_bytes / 2**20)
--- /dev/null
+++ b/tests/test_measure_capacity.py
@@ -0,0 +1,136 @@
+"""Tests of the models behind the capacity and roll-out measurements."""
+
+import itertools
+
+import attrs
+import fleets
+import pytest
+
+from baobabdoor import capacity
+from baobabdoor.measure import _capacity
+from baobabdoor.measure import _clairvoyant
+from baobabdoor.measure import _pool_demand
+from baobabdoor.measure import _rollout
+from baobabdoor.measure import _slopes
+
+FEDERATION = fleets.deployment()
+
+
+def tiny_problem(unmet):
+    """Two pools of one VM, one spare VM, and one peak in each pool."""
+    first = [0.0, 0.0, 2.0, 2.0, 0.0, 0.0, 0.0, 0.0]
+    second = [0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 2.0, 2.0]
+    limits = {"at_start": 1, "min_workers": 1, "max_workers": 3, "budget": 1}
+    pools = {
+        "first": _clairvoyant.PoolLimits(**limits, demand=first),
+        "second": _clairvoyant.PoolLimits(**limits, demand=second),
+        "spare": _clairvoyant.PoolLimits(
+            **{**limits, "min_workers": 0, "max_workers": 9}
+        ),
+    }
+    return _clairvoyant.Problem(pools, 2, 1.0, unmet, 3.0)
+
+
+def cost_by_enumeration(problem):
+    """Tries every path of the single spare VM through the pools.
+
+    Returns the cost of held VMs and moves, less what is used of them.
+    """
+    best = float("inf")
+    steps = 8
+    names = list(problem.pools)
+    for plan in itertools.product([None, *names], repeat=steps):
+        place, arrives, target, held, moves = "spare", -1, "", 2 * steps, 0
+        unmet = used = 0.0
+        for step, wish in enumerate(plan):
+            if step == arrives:
+                place, target = target, ""
+            held += place != "spare"
+            for name in ("first", "second"):
+                serving = 1 + (place == name and not target)
+                demand = problem.pools[name].demand[step]
+                used += min(serving, demand)
+                unmet += max(0.0, demand - serving)
+            if wish is not None and not target and wish != place:
+                target, arrives, moves = wish, step + 2, moves + 1
+        if unmet <= problem.unmet:
+            best = min(best, held - used + moves * problem.move_cost_s)
+    return best
+
+
+class TestClairvoyant:
+
+    @pytest.mark.parametrize("unmet", [0.0, 2.0, 4.0])
+    def test_agrees_with_enumeration(self, unmet):
+        problem = tiny_problem(unmet)
+        solution = _clairvoyant.solve(problem)
+        cost = solution.buffer + solution.moves * problem.move_cost_s
+        assert cost == pytest.approx(cost_by_enumeration(problem))
+        assert solution.unmet <= unmet
+
+    def test_no_policy_is_better_at_equal_unmet_demand(self):
+        demand = _pool_demand.generate(FEDERATION, 5, 1)
+        policy = capacity.make_policy("predictive")
+        one = _capacity.CapacityRun(FEDERATION, demand, policy, 1)
+        outcome = one.run()
+        problem = one.problem(80.0)
+        solution = _clairvoyant.solve(problem)
+        cost = outcome.buffer + 80.0 * outcome.moves
+        reference = solution.buffer + 80.0 * solution.moves
+        assert reference <= cost * (1 + _clairvoyant.GAP)
+
+
+class TestDemand:
+
+    def test_peaks_are_five_times_the_mean_and_exceed_the_pool(self):
+        demand = _pool_demand.generate(FEDERATION, 20, 3)
+        for pool, workers in demand.workers.items():
+            mean = sum(workers) / len(workers)
+            peaks = [value for value in workers if value > mean]
+            assert 4 < sum(peaks) / len(peaks) / mean < 6
+            assert min(peaks) > FEDERATION.pools[pool].workers
+            assert min(workers) == pytest.approx(mean / 20, rel=0.2)
+
+
+class TestLowerBound:
+
+    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize("scenario", _rollout.SCENARIOS)
+    def test_no_roll_out_is_faster(self, scenario, seed):
+        planner = _rollout.POLICIES["waves"]
+        one = _rollout.RollOutRun(FEDERATION, scenario, planner, seed)
+        time_s = one.run()
+        assert one.bound_.total_s(one.model_) <= time_s
+
+    def test_follows_its_formula(self):
+        bound = _rollout.LowerBound(FEDERATION)
+        preset = FEDERATION.presets["ordinary"]
+        assert bound.plain_s(preset) == 6 * 90 / 2
+
+
+class TestMissingAfterLoss:
+
+    def test_counts_promises_that_the_buffer_cannot_restore(self):
+        preset = FEDERATION.presets["ordinary"]
+        whole = fleets.snapshot(FEDERATION)
+        assert not _capacity.missing_after_loss(
+            whole, FEDERATION, preset, "availability_zone"
+        )
+        # Without the spare pool the buffer is gone.
+        vms = {
+            vm_id: attrs.evolve(vm, rack="one")
+            for vm_id, vm in whole.vms.items()
+        }
+        lost = _capacity.missing_after_loss(
+            attrs.evolve(whole, vms=vms), FEDERATION, preset, "rack"
+        )
+        assert lost == 4 * 4 + 1
+
+
+class TestSlopes:
+
+    def test_generated_fleet_has_the_size_asked_for(self):
+        deployment = _slopes.generate(500)
+        sizes = [pool.workers for pool in deployment.pools.values()]
+        assert sum(sizes) == 500
+        assert len(sizes) == 241
