Count urgent jobs against their team's urgent use only

Cause: an urgent job waited until its own team's background jobs left room in the quota. Ruled out: full pools (throttling frees them) and failing workers.

--- a/baobabdoor/jobs/_controller.py
+++ b/baobabdoor/jobs/_controller.py
@@ -41,7 +41,7 @@
     def __init__(
         self,
         platform: platform_lib.Platform,
-        planner: _planner.PriorityPlanner,
+        planner: _planner.JobPlanner,
         recorder: timeline.EventRecorder,
         wall_ms: Callable[[], int],
     ):
@@ -52,6 +52,7 @@
         self.jobs_: dict[str, _types.Job] | None = None
         self.updates_: dict[str, _types.Job] = {}
         self.usage_cursor_ = 0
+        self.in_service_: set[str] = set()
 
     def reset(self) -> None:
         """Forgets the cache; called when the control lease is lost."""
@@ -76,8 +77,9 @@
         refusal = await self._refresh(fence)
         if refusal is not None:
             return refusal
+        self.in_service_ = {worker.worker_id for worker in workers}
         await self._follow_tasks(now_s)
-        await self._observe_usage(workers)
+        await self._observe_usage()
         refusal = await self._commit_updates(fence)
         if refusal is not None:
             return refusal
@@ -163,6 +165,9 @@
                 job.spec.job_id, job.worker_id
             )
             self._update(job, state=_types.JobState.SUCCEEDED)
+        elif state is task.FAILED and job.worker_id not in self.in_service_:
+            # A worker that went away says nothing about the job or itself.
+            self._take_loss(job)
         elif state is task.FAILED:
             self.planner.evidence.observe_failure(
                 job.spec.job_id, job.worker_id, now_s
@@ -201,12 +206,11 @@
             reason=reason,
         )
 
-    async def _observe_usage(self, workers: Sequence[_planner.Worker]) -> None:
+    async def _observe_usage(self) -> None:
         """Reads the usage of some workers that run jobs, in turn."""
         placed = [job for job in self.jobs_.values() if job.state.placed]
         by_task = {job.task_id: job for job in placed}
-        known = {worker.worker_id for worker in workers}
-        busy = sorted({job.worker_id for job in placed} & known)
+        busy = sorted({job.worker_id for job in placed} & self.in_service_)
         count = min(USAGE_READS_PER_STEP, len(busy))
         start = self.usage_cursor_ % len(busy) if busy else 0
         self.usage_cursor_ = start + count
--- a/baobabdoor/jobs/_planner.py
+++ b/baobabdoor/jobs/_planner.py
@@ -18,8 +18,19 @@
 Worker = _room.Worker
 
 
+@attrs.define
 class JobPlanner(abc.ABC):
-    """Plans the next actions on jobs."""
+    """Plans the next actions on jobs.
+
+    Attributes:
+        estimator: Learned sizes.
+        evidence: Failures of workers and jobs.
+    """
+
+    estimator: _sizes.SizeEstimator = attrs.field(factory=_sizes.SizeEstimator)
+    evidence: _evidence.FailureEvidence = attrs.field(
+        factory=_evidence.FailureEvidence
+    )
 
     @abc.abstractmethod
     def plan(
@@ -41,6 +52,7 @@
         """
 
 
+@attrs.define
 class FirstFitPlanner(JobPlanner):
     """Naive policy: oldest job first, declared sizes, no preemption."""
 
@@ -71,8 +83,6 @@
     """Urgent jobs first, learned sizes, team quotas, preemption.
 
     Attributes:
-        estimator: Learned sizes.
-        evidence: Failures of workers and jobs.
         aging_s: A waiting job gains one urgency level in this time, so that
             long background work finishes. Default: 600.
         preemption: How room is made for urgent jobs.
@@ -140,7 +150,7 @@
         waited_s = max(0, wall_ms - job.submitted_ms) / 1000
         gained = int(waited_s / self.aging_s)
         # Aging never makes a job urgent: it must not stop others.
-        lowest = min(job.spec.urgency, _preemption.URGENT_LEVEL + 1)
+        lowest = min(job.spec.urgency, _room.URGENT_LEVEL + 1)
         return max(lowest, job.spec.urgency - gained)
 
     def _park(
--- a/baobabdoor/jobs/_preemption.py
+++ b/baobabdoor/jobs/_preemption.py
@@ -11,8 +11,6 @@
 from baobabdoor.jobs import _sizes
 from baobabdoor.jobs import _types
 
-# Jobs up to this urgency may make others give way.
-URGENT_LEVEL = 1
 # Only jobs that are this much less urgent give way, so that jobs of nearly the
 # same urgency do not displace each other in turn.
 URGENCY_GAP = 2
@@ -50,7 +48,7 @@
     ) -> list[_actions.Action]:
         """Returns the actions that make room for the urgent jobs."""
         base.validate(self)
-        urgent = [job for job in unplaced if _is_urgent(job)]
+        urgent = [job for job in unplaced if _room.is_urgent(job)]
         if not urgent:
             return []
         running = _by_worker(jobs)
@@ -176,10 +174,6 @@
     return total
 
 
-def _is_urgent(job: _types.Job) -> bool:
-    return job.spec.urgency <= URGENT_LEVEL
-
-
 def _by_worker(
     jobs: Sequence[_types.Job],
 ) -> dict[str, list[_types.Job]]:
@@ -194,12 +188,18 @@
 def _victims(
     job: _types.Job, running: Iterable[_types.Job]
 ) -> list[_types.Job]:
-    """Returns the jobs that may give way, least urgent and youngest first."""
+    """Returns the jobs that may give way.
+
+    The least urgent come first, then those of the same team, then the youngest.
+    """
     level = job.spec.urgency + URGENCY_GAP
     victims = [other for other in running if other.spec.urgency >= level]
-    return sorted(
-        victims, key=lambda other: (-other.spec.urgency, -other.state_since_ms)
-    )
+
+    def key(other: _types.Job) -> tuple:
+        is_other_team = other.spec.team != job.spec.team
+        return -other.spec.urgency, is_other_team, -other.state_since_ms
+
+    return sorted(victims, key=key)
 
 
 def _cost(actions: Iterable[_actions.Action]) -> tuple[int, int, int]:
--- a/baobabdoor/jobs/_room.py
+++ b/baobabdoor/jobs/_room.py
@@ -10,12 +10,19 @@
 from baobabdoor.jobs import _sizes
 from baobabdoor.jobs import _types
 
+# Jobs up to this urgency may make others give way.
+URGENT_LEVEL = 1
 # Part of its processors that a throttled job keeps.
 THROTTLED_SHARE = 0.25
 
 Estimate = Callable[[_types.JobSpec], _sizes.Size]
 
 
+def is_urgent(job: _types.Job) -> bool:
+    """Returns whether others may have to give way to a job."""
+    return job.spec.urgency <= URGENT_LEVEL
+
+
 @attrs.frozen
 class Worker:
     """A worker as the job planner sees it.
@@ -138,6 +145,11 @@
 class TeamUsage:
     """What each team holds, against its quota.
 
+    An urgent job is only counted against the team's urgent jobs: otherwise a
+    team's own background work would keep its urgent work from starting in time.
+    A team can thus hold at most twice its quota for a short time, and its less
+    urgent jobs start again only when it is below the quota.
+
     Args:
         jobs: All jobs; the placed ones count.
         quotas: Quota of each team.
@@ -156,21 +168,27 @@
             for team, quota in quotas.items()
         }
         self.used_: dict[str, _sizes.Size] = {}
+        self.urgent_: dict[str, _sizes.Size] = {}
         for job in jobs:
             if job.state.placed:
                 self.add(job)
 
     def add(self, job: _types.Job) -> None:
         """Counts a job against its team's quota."""
-        used = self.used_.get(job.spec.team, _sizes.Size())
-        self.used_[job.spec.team] = used + self._size(job)
+        counters = [self.used_]
+        if is_urgent(job):
+            counters.append(self.urgent_)
+        for counter in counters:
+            used = counter.get(job.spec.team, _sizes.Size())
+            counter[job.spec.team] = used + self._size(job)
 
     def allows(self, job: _types.Job) -> bool:
         """Returns whether the team's quota has room for a job."""
         quota = self.quotas_.get(job.spec.team)
         if quota is None:
             return False
-        used = self.used_.get(job.spec.team, _sizes.Size())
+        counter = self.urgent_ if is_urgent(job) else self.used_
+        used = counter.get(job.spec.team, _sizes.Size())
         return (used + self._size(job)).fits(quota)
 
     def share(self, team: str) -> float:
