--- a/features/harness.py
+++ b/features/harness.py
@@ -250,6 +250,11 @@
         except (OSError, http.client.HTTPException, ValueError):
             return {}
 
+    def pools(self, entry_id: str) -> list[dict[str, Any]]:
+        """Returns the pools as an entry reports them."""
+        url = f"{self.entries[entry_id].control_url}/v1/pools"
+        return call_json(url, token=TOKEN)["pools"]
+
     def send(
         self,
         entry_id: str,
--- a/features/traffic.py
+++ b/features/traffic.py
@@ -84,6 +84,8 @@
                 problem = problem if runs[sent.request_id] else ""
             if problem:
                 found.append(f"{sent.entry_id} {sent.request_id}: {problem}")
+        vms = self.fleet.backend("state")["vms"]
+        found += [f"{vm['vm_id']}: cut off" for vm in vms if vm["cut_off"]]
         return found
 
     def count(self, outcome: str, entry_ids: list[str] | None = None) -> int:
--- a/scripts/run.sh
+++ b/scripts/run.sh
@@ -48,6 +48,13 @@
     exit 1
 }
 
+# A port that is taken ends a process, and another one answers in its place.
+check_running() {
+    for pid in $standins $entries; do
+        kill -0 "$pid" 2>/dev/null || fail "a process has ended"
+    done
+}
+
 # Polls a URL until it answers with a status below 400.
 wait_for() {
     tries=0
@@ -69,6 +76,7 @@
 standins="$standins $!"
 wait_for "$backend_admin/admin/load"
 wait_for "$platform_admin/admin/state"
+check_running
 
 for zone in $zones; do
     baobabdoor-entry --config "examples/run/entry-$zone.yaml" \
@@ -76,6 +84,7 @@
     entries="$entries $!"
 done
 for url in $callers; do wait_for "$url/healthz"; done
+check_running
 
 baobabdoor config apply "$deployment" || fail "the configuration was refused"
 for url in $callers; do wait_for "$url/readyz"; done
