--- a/baobabdoor/entry/_request_path.py
+++ b/baobabdoor/entry/_request_path.py
@@ -46,9 +46,10 @@
         self.forwarder = forwarder
         self.numbers_ = itertools.count(1)
         self.queued_: dict[int, _work.Work] = {}
-        self.waiting_: collections.Counter[str] = collections.Counter()
+        # Holds only pools with queued requests, so that `pump` is short.
+        self.waiting_: dict[str, int] = {}
         self.running_: collections.Counter[str] = collections.Counter()
-        self.tasks_: set[asyncio.Task] = set()
+        self.tasks_: dict[int, asyncio.Task] = {}
         self.ended_: collections.Counter[str] = collections.Counter()
 
     def item(self, info: requests.RequestInfo) -> admission.WorkItem:
@@ -69,7 +70,8 @@
             return refusal
         work.stage = _work.Stage.QUEUED
         self.queued_[work.item.request_id] = work
-        self.waiting_[work.item.pool] += 1
+        pool = work.item.pool
+        self.waiting_[pool] = self.waiting_.get(pool, 0) + 1
         return None
 
     def make_ready(self, work: _work.Work) -> None:
@@ -114,7 +116,9 @@
     def load(self) -> dict[str, capacity.PoolDemand]:
         """Returns the requests in progress and waiting for each pool."""
         return {
-            pool: capacity.PoolDemand(self.running_[pool], self.waiting_[pool])
+            pool: capacity.PoolDemand(
+                self.running_[pool], self.waiting_.get(pool, 0)
+            )
             for pool in self.running_.keys() | self.waiting_.keys()
         }
 
@@ -131,7 +135,7 @@
             if work is not None:
                 self._expire(work)
         self.forwarder.client.expire(now_s)
-        self.slot_policy.set_demand(+self.waiting_)
+        self.slot_policy.set_demand(dict(self.waiting_))
         self.pump()
 
     def pump(self) -> None:
@@ -139,10 +143,9 @@
         now_s = self.timers.now_s()
         free = {}
         for pool, waiting in self.waiting_.items():
-            if waiting:
-                free_count = self.router.free_slots(pool, waiting, now_s)
-                if free_count > 0:
-                    free[pool] = free_count
+            free_count = self.router.free_slots(pool, waiting, now_s)
+            if free_count > 0:
+                free[pool] = free_count
         if not free:
             return
         for item in self.admission_policy.plan(free, now_s):
@@ -163,9 +166,9 @@
             return
         work.stage = _work.Stage.DISPATCHED
         self.running_[work.info.pool] += 1
-        task = asyncio.ensure_future(self._run(work, vm))
-        self.tasks_.add(task)
-        task.add_done_callback(self.tasks_.discard)
+        self.tasks_[work.item.request_id] = asyncio.ensure_future(
+            self._run(work, vm)
+        )
 
     async def _run(self, work: _work.Work, vm: ownership.VmState) -> None:
         try:
@@ -179,10 +182,11 @@
                 str(error),
             )
             result = requests.Failure(requests.Outcome.UNKNOWN, refusal)
+        del self.tasks_[work.item.request_id]
         self.running_[work.info.pool] -= 1
         self.admission_policy.release(work.item, self.timers.now_s())
         self.end(work, result)
-        if self.waiting_[work.info.pool]:
+        if work.info.pool in self.waiting_:
             self.pump()
 
     def _expire(self, work: _work.Work) -> None:
@@ -193,7 +197,12 @@
 
     def _unqueue(self, work: _work.Work) -> None:
         del self.queued_[work.item.request_id]
-        self.waiting_[work.item.pool] -= 1
+        pool = work.item.pool
+        left = self.waiting_[pool] - 1
+        if left:
+            self.waiting_[pool] = left
+        else:
+            del self.waiting_[pool]
 
 
 def not_run(refusal: base.Refusal) -> requests.Failure:
--- a/baobabdoor/routing/_health.py
+++ b/baobabdoor/routing/_health.py
@@ -62,6 +62,14 @@
             return slots
         return max(1, int(slots * warm_s / SLOW_START_S))
 
+    def limited(self, now_s: float) -> bool:
+        """Returns whether `limit` may be less than the slots."""
+        return (
+            self.state is not HealthState.HEALTHY
+            or now_s < self.leaving_until_s
+            or now_s - self.recovered_s < SLOW_START_S
+        )
+
     def observe_success(self, now_s: float) -> None:
         """Notes a whole answer."""
         if self.state is not HealthState.HEALTHY:
--- a/baobabdoor/routing/_router.py
+++ b/baobabdoor/routing/_router.py
@@ -154,14 +154,13 @@
     ) -> ownership.VmState | None:
         # Source: Mitzenmacher, "The Power of Two Choices in Randomized Load
         # Balancing", 2001.
-        usable = self._usable(self._two(workers), now_s, excluded)
-        if not usable:
-            usable = self._usable(workers, now_s, excluded)
-        while usable:
-            vm = min(usable[:2], key=self._outstanding)
-            if self._acquire(vm, now_s):
-                return vm
-            usable.remove(vm)
+        for group in (self._two(workers), workers):
+            usable = self._usable(group, now_s, excluded)
+            while usable:
+                vm = min(usable[:2], key=self._outstanding)
+                if self._acquire(vm, now_s):
+                    return vm
+                usable.remove(vm)
         return None
 
     def _two(self, workers: list[ownership.VmState]) -> list[ownership.VmState]:
@@ -181,9 +180,19 @@
         return [
             vm
             for vm in workers
-            if vm.vm_id not in excluded and self.free(vm, now_s) > 0
+            if vm.vm_id not in excluded and self._may_admit(vm, now_s)
         ]
 
+    def _may_admit(self, vm: ownership.VmState, now_s: float) -> bool:
+        if vm.availability_zone != self.zone or self.health(vm).limited(now_s):
+            return self.free(vm, now_s) > 0
+        # The slot policy is asked once, by `acquire`.
+        return (
+            vm.reachable
+            and not vm.leaving
+            and self.view.permit(vm.vm_id, now_s) is None
+        )
+
     def _outstanding(self, vm: ownership.VmState) -> int:
         return self.health_[vm.vm_id].outstanding
 
