--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -35,7 +35,7 @@
     entry_id = entry_settings.entry_id
     timers = observability.LoopTimerService()
     recorder = timeline.EventRecorder(
-        entry_id, base.HybridClock(timers.wall_ms)
+        entry_id, base.HybridClock(timers.wall_ms), sink=_log_event
     )
     metrics = observability.Metrics()
     store = configuration.ConfigurationStore(service, recorder)
@@ -88,6 +88,13 @@
     )
 
 
+def _log_event(event: timeline.Event) -> None:
+    """Writes an event of the time line to the log."""
+    observability.get_logger("timeline").info(
+        event.kind, peer=event.peer, cause=event.cause, **event.fields
+    )
+
+
 async def run(entry_settings: settings.EntrySettings) -> int:
     """Serves until SIGTERM or SIGINT; returns the exit code."""
     observability.configure_logs(
--- a/baobabdoor/entry/_job_part.py
+++ b/baobabdoor/entry/_job_part.py
@@ -1,18 +1,24 @@
-"""The part of the controller that places jobs."""
+"""Runs the job controller in the rounds of the entry that holds control."""
 
 from baobabdoor import base
 from baobabdoor import control
 from baobabdoor import jobs
 from baobabdoor import observability
+from baobabdoor import ownership
 from baobabdoor import platform
+from baobabdoor import settings
+
+# Part of a worker that jobs may use; the rest serves requests, so that archive
+# and audit work does not slow down race-day answers.
+JOB_SHARE = 0.5
 
 
 class JobPart:
-    """Runs the job controller in each round while this entry controls.
+    """Adapts `jobs.JobController` to the rounds of control.
 
     Args:
-        controller: Places jobs and follows their tasks.
-        region: Region, whose control row fences every write.
+        controller: The job controller.
+        region: Region whose control lease fences the writes.
         timers: Timer service.
     """
 
@@ -26,36 +32,39 @@
         self.region = region
         self.timers = timers
         self.epoch_ = 0
+        self.log_ = observability.get_logger("jobs")
 
     async def act(self, control_round: control.ControlRound) -> None:
-        """Follows tasks and carries out the planner's actions."""
+        """Carries out one round of job control."""
         if control_round.epoch != self.epoch_:
-            # Another entry may have controlled in between.
             self.controller.reset()
             self.epoch_ = control_round.epoch
-        if not control_round.is_acting():
-            return
         fence = platform.Condition(
-            f"control/{self.region}", control_round.epoch
+            ownership.control_key(self.region), control_round.epoch
         )
         refusal = await self.controller.step(
             fence,
-            self._workers(control_round),
+            job_workers(control_round.snapshot, control_round.deployment),
             control_round.deployment.teams,
             self.timers.now_s(),
         )
         if refusal is not None:
-            observability.get_logger("jobs").warning(
-                "round not completed", refusal=str(refusal)
-            )
-
-    def _workers(
-        self, control_round: control.ControlRound
-    ) -> list[jobs.Worker]:
-        workers = []
-        for vm in control_round.snapshot.vms.values():
-            pool = control_round.deployment.pools.get(vm.pool)
-            if pool is not None and vm.in_service:
-                size = jobs.Size(pool.cores, pool.memory_gb, pool.accelerators)
-                workers.append(jobs.Worker(vm.vm_id, vm.pool, size))
-        return workers
+            self.log_.warning("round ended early", refusal=str(refusal))
+
+
+def job_workers(
+    snapshot: ownership.FleetSnapshot, deployment: settings.Deployment
+) -> list[jobs.Worker]:
+    """Returns the VMs in service as workers for jobs."""
+    workers = []
+    for vm in snapshot.vms.values():
+        pool = deployment.pools.get(vm.pool)
+        if pool is None or not vm.in_service:
+            continue
+        size = jobs.Size(
+            pool.cores * JOB_SHARE,
+            pool.memory_gb * JOB_SHARE,
+            pool.accelerators,
+        )
+        workers.append(jobs.Worker(vm.vm_id, vm.pool, size))
+    return workers
