Answer repeats of started tickets without the queue

A repeat that was refused under load or while draining was told not-run, from which its caller could conclude that the first request had not run either. Deadlines are checked over exchanges in progress only, and idle connections once a second, so the cost does not grow with the number of workers.

--- a/baobabdoor/entry/_backend_client.py
+++ b/baobabdoor/entry/_backend_client.py
@@ -244,6 +244,8 @@
         self.idle: list[BackendConnection] = []
         self.busy: set[BackendConnection] = set()
         self.connecting = 0
+        # Set once the worker has another address.
+        self.retired = False
 
     @property
     def open(self) -> int:
@@ -278,6 +280,8 @@
         self.connection_limit = connection_limit
         self.max_body_bytes = max_body_bytes
         self.pools_: dict[str, BackendPool] = {}
+        # All connections in use, so that `expire` need not visit the pools.
+        self.busy_: set[BackendConnection] = set()
 
     async def send(
         self,
@@ -305,10 +309,12 @@
             self._park(pool, connection)
             return refusal
         pool.busy.add(connection)
+        self.busy_.add(connection)
         try:
             answer = await connection.send(request, exchange)
         finally:
             pool.busy.discard(connection)
+            self.busy_.discard(connection)
             self._park(pool, connection)
         if isinstance(answer, base.Refusal):
             return attrs.evolve(answer, peer=vm_id)
@@ -322,14 +328,19 @@
         )
 
     def expire(self, now_s: float) -> None:
-        """Abandons late exchanges and closes connections idle for long."""
+        """Abandons the exchanges whose deadline has passed."""
+        late = [c for c in self.busy_ if now_s >= c.deadline_s]
+        for connection in late:
+            refusal = base.Refusal(
+                base.Reason.DEADLINE_EXPIRED, "entry.receive"
+            )
+            connection.abandon(refusal)
+
+    def expire_idle(self, now_s: float) -> None:
+        """Closes connections that have been idle for long."""
         for pool in self.pools_.values():
-            for connection in list(pool.busy):
-                if now_s >= connection.deadline_s:
-                    reason = base.Reason.DEADLINE_EXPIRED
-                    refusal = base.Refusal(reason, "entry.receive")
-                    connection.abandon(refusal)
-            self._expire_idle(pool, now_s)
+            if pool.idle:
+                self._expire_idle(pool, now_s)
 
     def retain(self, vm_ids: set[str]) -> None:
         """Closes the idle connections of workers that are not in `vm_ids`."""
@@ -344,14 +355,15 @@
         """Closes all idle connections and abandons those in use."""
         for pool in self.pools_.values():
             self._close_idle(pool)
-            for connection in list(pool.busy):
-                reason = base.Reason.DRAINING
-                connection.abandon(base.Refusal(reason, "entry.stop"))
+        for connection in list(self.busy_):
+            reason = base.Reason.DRAINING
+            connection.abandon(base.Refusal(reason, "entry.stop"))
 
     def _pool(self, vm_id: str, address: str) -> BackendPool:
         pool = self.pools_.get(vm_id)
         if pool is None or pool.address != address:
             if pool is not None:
+                pool.retired = True
                 self._close_idle(pool)
             pool = self.pools_[vm_id] = BackendPool(address)
         return pool
@@ -389,7 +401,8 @@
         return connection
 
     def _park(self, pool: BackendPool, connection: BackendConnection) -> None:
-        if connection.closed or connection.exchange is not None:
+        in_use = connection.exchange is not None
+        if connection.closed or in_use or pool.retired:
             connection.close()
             return
         connection.idle_since_s = self.timers.now_s()
--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -140,12 +140,13 @@
 
     def refuse(self, refusal: base.Refusal) -> None:
         """Answers that the request was not run."""
-        failure = requests.Failure(requests.Outcome.NOT_RUN, refusal)
         if self.work is not None:
             # Ends the request wherever it is; the answer comes back here.
+            failure = self.server.keys.refuse(self.work, refusal)
             self.server.path.end(self.work, failure)
         else:
-            self._write_failure(failure)
+            not_run = requests.Outcome.NOT_RUN
+            self._write_failure(requests.Failure(not_run, refusal))
 
     def answer_plain(self, answer: PlainAnswer) -> None:
         """Writes an answer of the entry itself."""
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -97,15 +97,15 @@
             info = requests.classify(method, headers, now_s)
         except requests.HeaderError as error:
             return _failure(error.refusal)
-        refusal = self._refuse_early(info, now_s)
-        if refusal is not None:
-            return _failure(refusal)
         item = self.path.item(info)
         work = _work.Work(method, target, headers, info, item, finish)
         failure = self.keys.check_headers(work, now_s)
-        if failure is None and not self.keys.elsewhere(work):
-            failure = _failure(self.path.admit(work))
-        return work if failure is None else failure
+        if failure is not None:
+            return failure
+        refusal = self._refuse_early(info, now_s)
+        if refusal is None and not self.keys.needs_no_slot(work):
+            refusal = self.path.admit(work)
+        return work if refusal is None else self.keys.refuse(work, refusal)
 
     def body_arrived(
         self, request: _caller_request.CallerRequest, body: bytes
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -89,6 +89,7 @@
     def __init__(self, parts: Parts):
         self.parts = parts
         self.draining_ = False
+        self.in_force_: tuple[int, str] | None = None
         self.log_ = observability.get_logger("entry")
         self.client_ = _backend_client.BackendClient(
             parts.timers,
@@ -278,8 +279,15 @@
         self.caller_.close_idle()
         self.parts.slot_sharing.expire(now_s)
         self.parts.tickets.expire(now_s)
-        # A change of the preset alone does not change the view.
-        self._on_view_changed()
+        self.client_.expire_idle(now_s)
+        in_force = (
+            self.parts.control.generation,
+            self.parts.control.preset_name,
+        )
+        if in_force != self.in_force_:
+            # A change of the preset alone does not change the view.
+            self.in_force_ = in_force
+            self._on_view_changed()
         metrics = self.parts.metrics
         # Counted on the request path as plain numbers, which costs less.
         for outcome, count in self.path_.ended_.items():
--- a/baobabdoor/entry/_keys.py
+++ b/baobabdoor/entry/_keys.py
@@ -54,6 +54,24 @@
         ticket = work.ticket
         return ticket is not None and ticket.entry_id != self.tickets.entry_id
 
+    def needs_no_slot(self, work: _work.Work) -> bool:
+        """Returns whether the request is run elsewhere or was started."""
+        if work.ticket is None:
+            return False
+        return self.elsewhere(work) or self.tickets.started(work.ticket)
+
+    def refuse(
+        self, work: _work.Work, refusal: base.Refusal
+    ) -> requests.Failure:
+        """Returns the failure of a request whose key is not settled yet.
+
+        A repeat of a started ticket is never told `not-run`: the caller would
+        take it for the first request and use another ticket.
+        """
+        if self.needs_no_slot(work):
+            return requests.Failure(requests.Outcome.UNKNOWN, refusal)
+        return _request_path.not_run(refusal)
+
     def settle(self, work: _work.Work) -> None:
         """Settles the key of a request whose body is whole."""
         if work.info.idempotent or not work.info.key:
--- a/baobabdoor/idempotency/_tickets.py
+++ b/baobabdoor/idempotency/_tickets.py
@@ -152,6 +152,10 @@
             return _stored.unknown(base.Reason.TICKET_EXPIRED, step=STEP)
         return None
 
+    def started(self, ticket: Ticket) -> bool:
+        """Returns whether a checked ticket has been started."""
+        return ticket.number in self.records_
+
     def begin(
         self, ticket: Ticket, fingerprint: str, now_s: float
     ) -> Started | requests.Reply | requests.Failure:
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -1,7 +1,6 @@
 """Small fakes of the parts that the request path depends on."""
 
 import asyncio
-import collections
 
 from tornado import iostream
 from tornado import tcpserver
@@ -47,82 +46,51 @@
         self.callbacks.append(callback)
 
 
-class FifoQueue(admission.AdmissionPolicy):
+class Queue(admission.FifoQueue):
+    """Checks that every dispatched item is released once."""
 
-    def __init__(self, limit=1000):
-        self.limit = limit
-        self.items = []
+    def __init__(self, limit):
+        super().__init__(max(1, limit))
+        self.closed = limit == 0
         self.running = set()
 
     def admit(self, item, now_s):
-        if len(self.items) >= self.limit:
+        if self.closed:
             return base.Refusal(base.Reason.QUEUE_FULL, "admission.queue")
-        self.items.append(item)
-        return None
+        return super().admit(item, now_s)
 
     def plan(self, free_slots, now_s):
-        left = collections.Counter(free_slots)
-        taken = []
-        for item in list(self.items):
-            if left[item.pool] > 0:
-                left[item.pool] -= 1
-                self.items.remove(item)
-                self.running.add(item)
-                taken.append(item)
-        return taken
+        items = super().plan(free_slots, now_s)
+        self.running.update(items)
+        return items
 
     def release(self, item, now_s):
         self.running.remove(item)
 
-    def cancel(self, item):
-        self.items.remove(item)
-
-    def expire(self, now_s):
-        late = [item for item in self.items if item.deadline_s <= now_s]
-        self.items = [item for item in self.items if item not in late]
-        return late
-
-    def queued(self):
-        return collections.Counter(item.pool for item in self.items)
+    @property
+    def length(self):
+        return sum(self.queued().values())
 
 
-class StaticSlots(slots.SlotPolicy):
+class StaticSlots(slots.StaticSplit):
+    """Gives this entry the same number of slots of every worker."""
 
     def __init__(self, per_worker=8):
+        super().__init__("entry-1")
         self.per_worker = per_worker
-        self.used = collections.Counter()
-
-    def set_workers(self, workers):
-        self.workers = workers
-
-    def set_entries(self, entry_ids):
-        self.entry_ids = entry_ids
-
-    def set_demand(self, queued):
-        self.demand = queued
 
     def available(self, worker_id, now_s):
-        return self.per_worker - self.used[worker_id]
+        return self.per_worker - self.in_use_.get(worker_id, 0)
 
     def acquire(self, worker_id, now_s):
         if not self.available(worker_id, now_s):
             return base.Refusal(base.Reason.NO_CAPACITY, "slots.acquire")
-        self.used[worker_id] += 1
+        self.in_use_[worker_id] = self.in_use_.get(worker_id, 0) + 1
         return None
 
-    def release(self, worker_id, now_s):
-        assert self.used[worker_id] > 0
-        self.used[worker_id] -= 1
-
     def connection_limit(self, worker_id):
         return self.per_worker
 
-    def exchange(self, peer_id, now_s):
-        return {"used": dict(self.used)}
-
-    def receive(self, peer_id, payload, now_s):
-        self.received = payload
-
 
 class FakeControl:
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -53,7 +53,7 @@
 
     def __init__(self, per_worker=8, queue_limit=1000, **options):
         self.view = fakes.FakeView()
-        self.queue = fakes.FifoQueue(queue_limit)
+        self.queue = fakes.Queue(queue_limit)
         self.timers = observability.LoopTimerService()
         deployment = settings.load_deployment(str(EXAMPLE))
         self.control = fakes.FakeControl(self.view, deployment)
@@ -420,14 +420,21 @@
         async def scenario():
             issued = await bench.fetch("/v1/tickets", "POST", body=b"")
             key = {"Idempotency-Key": json.loads(issued.body)["ticket"]}
-            return [
+            responses = [
                 await bench.fetch("/x", "POST", key, body=body)
                 for body in (b"a", b"a", b"b")
             ]
-
-        first, repeat, other = bench.run(scenario)
-        assert (first.body, repeat.body) == (b"1", b"1")
+            # A repeat must not be told that its request was not run.
+            bench.queue.closed = True
+            responses.append(await bench.fetch("/x", "POST", key, body=b"a"))
+            bench.server.caller_.draining = True
+            responses.append(await bench.fetch("/x", "POST", key, body=b"a"))
+            return responses
+
+        first, repeat, other, full, draining = bench.run(scenario)
+        assert (first.body, repeat.body, full.body) == (b"1", b"1", b"1")
         assert (other.code, outcome(other)) == (422, "not-run")
+        assert outcome(draining) == "unknown"
         assert len(backend.received) == 1
 
     @pytest.mark.parametrize("alive", [True, False])
@@ -593,7 +600,7 @@
 
         bench.run(scenario)
         assert backend.received == []
-        assert bench.queue.items == []
+        assert not bench.queue.length
         assert bench.server.caller_.buffered_ == 0
 
     def test_refusal_comes_before_the_body_and_keeps_the_connection(self):
@@ -648,9 +655,9 @@
         async def scenario():
             _, writer = await bench.connect()
             writer.write(head_of("GET"))
-            await until(lambda: bench.queue.items)
+            await until(lambda: bench.queue.length)
             writer.close()
-            await until(lambda: not bench.queue.items)
+            await until(lambda: not bench.queue.length)
 
         bench.run(scenario)
         assert backend.received == []
@@ -685,7 +692,7 @@
             queued = asyncio.ensure_future(bench.fetch("/queued"))
             reader, writer = await bench.connect()
             writer.write(head_of(path="/body", Content_Length="4") + b"ab")
-            await until(lambda: len(bench.queue.items) == 2)
+            await until(lambda: bench.queue.length == 2)
             stopping = asyncio.ensure_future(bench.server.stop())
             await asyncio.sleep(0.02)
             ready = await bench.fetch("/readyz")
