--- a/baobabdoor/entry/_main.py
+++ b/baobabdoor/entry/_main.py
@@ -13,7 +13,14 @@
 EXIT_SETTINGS = 2
 
 
-def _run(argv: list[str]) -> int:
+def define_flags() -> None:
+    """Defines the command's flags; called once, before they are parsed."""
+    flags.DEFINE_string("config", None, "Settings file of this entry.")
+    flags.mark_flag_as_required("config")
+
+
+def run(argv: list[str]) -> int:
+    """Reads the settings and serves; returns the exit code."""
     if len(argv) > 1:
         raise app.UsageError(f"unexpected argument {argv[1]!r}")
     try:
@@ -26,6 +33,5 @@
 
 def main() -> None:
     """Entry point of `baobabdoor-entry`."""
-    flags.DEFINE_string("config", None, "Settings file of this entry.")
-    flags.mark_flag_as_required("config")
-    app.run(_run)
+    define_flags()
+    app.run(run)
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -9,6 +9,7 @@
 from baobabdoor import admission
 from baobabdoor import base
 from baobabdoor import ownership
+from baobabdoor import settings
 from baobabdoor import slots
 
 
@@ -25,6 +26,28 @@
     )
 
 
+def entry_settings(port, control_port, **options):
+    values = dict(
+        entry_id="entry-1",
+        region="luzon",
+        availability_zone="taal",
+        caller=settings.Address(host="127.0.0.1", port=port),
+        control=settings.Address(host="127.0.0.1", port=control_port),
+        platform=settings.Address(host="127.0.0.1", port=1),
+        peer_key="k" * 32,
+        operator_token="t" * 16,
+        drain_s=5.0,
+        max_body_bytes=100_000,
+    )
+    return settings.EntrySettings(**{**values, **options})
+
+
+def free_port():
+    listener, port = testing.bind_unused_port()
+    listener.close()
+    return port
+
+
 class FakeView:
 
     def __init__(self, vms=()):
--- /dev/null
+++ b/tests/test_entry_daemon.py
@@ -0,0 +1,115 @@
+"""Tests the composed daemon against the in-process platform."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+
+import request_fakes as fakes
+from tornado import httpclient
+
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor import settings
+from baobabdoor import standin
+from baobabdoor.entry import _daemon
+from baobabdoor.entry import _main
+
+EXAMPLE = pathlib.Path(__file__).parents[1] / "examples" / "federation.yaml"
+OPERATOR = {"Authorization": "Bearer " + "t" * 16}
+
+
+async def fetch(port, path, **options):
+    client = httpclient.AsyncHTTPClient(force_instance=True)
+    url = f"http://127.0.0.1:{port}{path}"
+    return await client.fetch(url, raise_error=False, **options)
+
+
+async def until_ready(port):
+    for _ in range(200):
+        if (await fetch(port, "/readyz")).code == 200:
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError("not ready after 10 s")
+
+
+def write_row(core, key, value):
+    assert core.transact([], [platform.Write(key, value)])
+
+
+class TestDaemon:
+
+    def test_life_from_start_to_sigterm(self):
+        # Guards against parts that do not fit together: configuration, VM
+        # rows, views, slots, routing, claims, and the row deleted at the end.
+        async def scenario():
+            timers = observability.LoopTimerService()
+            service = standin.MemoryPlatform(timers)
+            backend = fakes.RawServer(lambda *_: fakes.http_answer(b"times"))
+            backend.start()
+            port, control_port = fakes.free_port(), fakes.free_port()
+            entry_settings = fakes.entry_settings(port, control_port)
+            server = _daemon.build(entry_settings, service)
+            server.parts.balancer_wait_s = 0.05
+            serving = asyncio.ensure_future(_daemon.serve(server))
+            await asyncio.sleep(0.1)
+            assert (await fetch(port, "/healthz")).code == 200
+            assert (await fetch(port, "/readyz")).code == 503
+            deployment = settings.load_deployment(str(EXAMPLE))
+            change = {
+                "change_id": "change-1",
+                "operator": "test",
+                "document": settings.unstructure(deployment),
+            }
+            applied = await fetch(
+                control_port,
+                "/v1/config",
+                method="POST",
+                headers=OPERATOR,
+                body=json.dumps(change),
+            )
+            assert applied.code == 200, applied.body
+            spec = standin.VmSpec(
+                "vm-1",
+                backend.address,
+                "taal",
+                "r1",
+                cores=16,
+                pool_hint="jury-desk",
+            )
+            service.core.vms.add(spec, listed_at_once=True)
+            await until_ready(port)
+            answers = []
+            for _ in range(2):
+                answers.append(
+                    await fetch(
+                        port,
+                        "/x",
+                        method="POST",
+                        body=b"charge",
+                        headers={
+                            "Baobabdoor-Pool": "jury-desk",
+                            "Baobabdoor-Caller": "sailors",
+                            "Idempotency-Key": "order-1",
+                        },
+                    )
+                )
+            os.kill(os.getpid(), signal.SIGTERM)
+            code = await asyncio.wait_for(serving, 20)
+            rows = service.core.read(["entry/entry-1", "claim/sailors/order-1"])
+            return code, answers, rows, len(backend.received)
+
+        code, answers, rows, received = asyncio.run(scenario())
+        assert [r.body for r in answers] == [b"times", b"times"]
+        assert (code, received) == (0, 1)
+        assert rows["entry/entry-1"].value is None
+        assert rows["claim/sailors/order-1"].value["state"] == "done"
+
+    def test_bad_settings_are_one_clear_error(self, tmp_path, capsys):
+        path = tmp_path / "entry.yaml"
+        path.write_text("entry_id: entry-1\ncaller: 7\n")
+        _main.define_flags()
+        _main.FLAGS(["baobabdoor-entry", f"--config={path}"])
+        assert _main.run(["baobabdoor-entry"]) == 2
+        assert f"{path}:2: caller: expected" in capsys.readouterr().err
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -7,7 +7,6 @@
 import pytest
 import request_fakes as fakes
 from tornado import httpclient
-from tornado import testing
 
 from baobabdoor import base
 from baobabdoor import idempotency
@@ -25,29 +24,6 @@
 HEADERS = {"Baobabdoor-Pool": "jury-desk", "Baobabdoor-Caller": "sailors"}
 
 
-def entry_settings(**options):
-    address = {"host": "127.0.0.1", "port": 1}
-    values = dict(
-        entry_id="entry-1",
-        region="luzon",
-        availability_zone="taal",
-        caller=settings.Address(**address),
-        control=settings.Address(**address),
-        platform=settings.Address(**address),
-        peer_key="k" * 32,
-        operator_token="t" * 16,
-        drain_s=5.0,
-        max_body_bytes=100_000,
-    )
-    return settings.EntrySettings(**{**values, **options})
-
-
-def free_port():
-    listener, port = testing.bind_unused_port()
-    listener.close()
-    return port
-
-
 class Bench:
     """One entry server and its fakes on loopback."""
 
@@ -58,19 +34,15 @@
         deployment = settings.load_deployment(str(EXAMPLE))
         self.control = fakes.FakeControl(self.view, deployment)
         self.service = None
-        self.port = free_port()
-        self.control_port = free_port()
+        self.port = fakes.free_port()
+        self.control_port = fakes.free_port()
         recorder = timeline.EventRecorder(
             "entry-1", base.HybridClock(self.timers.wall_ms)
         )
         self.server = _entry_server.EntryServer(
             _entry_server.Parts(
-                entry_settings=entry_settings(
-                    caller=settings.Address(host="127.0.0.1", port=self.port),
-                    control=settings.Address(
-                        host="127.0.0.1", port=self.control_port
-                    ),
-                    **options,
+                entry_settings=fakes.entry_settings(
+                    self.port, self.control_port, **options
                 ),
                 timers=self.timers,
                 control=self.control,
