Accept waiting connections before the caller port closes

Under load from clients that connect for each request, closing the listening socket reset one connection of 5,069 that the kernel had completed. They are now accepted first and answered. The test fails without the change.

--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -1,9 +1,12 @@
 """The caller port: decides on requests from their headers."""
 
 from collections.abc import Callable
+import contextlib
 
 from tornado import httpserver
 from tornado import httputil
+from tornado import iostream
+from tornado import netutil
 
 from baobabdoor import base
 from baobabdoor import requests
@@ -182,6 +185,26 @@
 class CallerHttpServer(httpserver.HTTPServer):
     """Tells the `CallerServer` of closed connections; tornado does not."""
 
+    def listen_on(self, port: int, host: str) -> None:
+        """Listens, and keeps the sockets for `stop_accepting`."""
+        self.sockets_ = netutil.bind_sockets(port, host)
+        self.add_sockets(self.sockets_)
+
+    def stop_accepting(self) -> None:
+        """Accepts what is already connected, then closes the sockets.
+
+        Connections that wait to be accepted would be reset by the close.
+        """
+        listeners, self.sockets_ = self.sockets_, []
+        for listener in listeners:
+            with contextlib.suppress(OSError):
+                while True:
+                    connection, address = listener.accept()
+                    connection.setblocking(False)
+                    stream = iostream.IOStream(connection)
+                    self.handle_stream(stream, address)
+        self.stop()
+
     def on_close(self, server_conn: object) -> None:
         """Forgets a closed connection."""
         super().on_close(server_conn)
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -137,7 +137,7 @@
         await control.start()
         self._on_view_changed()
         address = parts.entry_settings.caller
-        self.caller_http_.listen(address.port, address.host)
+        self.caller_http_.listen_on(address.port, address.host)
         every = parts.timers.every
         self.subscriptions_ = [
             every(_request_path.TICK_S, self._tick),
@@ -155,8 +155,8 @@
         await asyncio.sleep(
             min(parts.balancer_wait_s, parts.entry_settings.drain_s)
         )
-        self.caller_http_.stop()
         self.caller_.draining = True
+        self.caller_http_.stop_accepting()
         drained = await self._drain(end_s)
         if not drained:
             await self._abandon()
@@ -179,6 +179,8 @@
         return self.parts.control.ready()
 
     async def _drain(self, end_s: float) -> bool:
+        # Connections accepted last have not been read from yet.
+        await asyncio.sleep(DRAIN_POLL_S)
         while self.path_.active or self.caller_.open_:
             if self.parts.timers.now_s() >= end_s:
                 return False
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import pathlib
+import socket
 
 import pytest
 import request_fakes as fakes
@@ -689,6 +690,22 @@
         assert body_answer[2] == b"/body"
         assert body_answer[1]["Connection"] == "close"
 
+    def test_connection_not_yet_accepted_is_answered(self):
+        bench = Bench()
+
+        async def scenario():
+            # The connection is complete, but the loop has not accepted it.
+            with socket.create_connection(("127.0.0.1", bench.port)) as client:
+                client.sendall(head_of("GET"))
+                bench.server.caller_.draining = True
+                bench.server.caller_http_.stop_accepting()
+                await asyncio.sleep(0.1)
+                return client.recv(1000)
+
+        answer = bench.run(scenario)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"Baobabdoor-Outcome: not-run" in answer
+
     def test_drain_that_takes_too_long_answers_unknown(self):
         bench = Bench(drain_s=0.3)
         bench.add_backend(lambda *_: None)
