--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -140,13 +140,12 @@
 
     def refuse(self, refusal: base.Refusal) -> None:
         """Answers that the request was not run."""
+        failure = requests.Failure(requests.Outcome.NOT_RUN, refusal)
         if self.work is not None:
             # Ends the request wherever it is; the answer comes back here.
-            failure = self.server.keys.refuse(self.work, refusal)
             self.server.path.end(self.work, failure)
         else:
-            not_run = requests.Outcome.NOT_RUN
-            self._write_failure(requests.Failure(not_run, refusal))
+            self._write_failure(failure)
 
     def answer_plain(self, answer: PlainAnswer) -> None:
         """Writes an answer of the entry itself."""
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -108,7 +108,7 @@
         refusal = self._refuse_early(info, now_s)
         if refusal is None and not self.keys.needs_no_slot(work):
             refusal = self.path.admit(work)
-        return work if refusal is None else self.keys.refuse(work, refusal)
+        return work if refusal is None else work.truthful(_failure(refusal))
 
     def body_arrived(
         self, request: _caller_request.CallerRequest, body: bytes
--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -1,6 +1,7 @@
 """Composition root of the entry daemon, and its life from start to stop."""
 
 import asyncio
+import logging
 import secrets
 import signal
 
@@ -100,6 +101,9 @@
     observability.configure_logs(
         entry_settings.entry_id, entry_settings.log_level
     )
+    # Tornado logs a line for each malformed message, which a flood of bad
+    # input would turn into a flood of lines.
+    logging.getLogger("tornado").setLevel(logging.ERROR)
     service = platform.HttpPlatform(entry_settings.platform.url)
     try:
         return await serve(build(entry_settings, service))
--- a/baobabdoor/entry/_keys.py
+++ b/baobabdoor/entry/_keys.py
@@ -42,11 +42,17 @@
         self, work: _work.Work, now_s: float
     ) -> requests.Failure | None:
         """Returns why a key can never run, as far as headers tell."""
-        if work.info.idempotent or not work.info.key:
+        info = work.info
+        if info.idempotent or not info.key:
+            return None
+        work.ticket = idempotency.parse_ticket(info.key)
+        if work.ticket is None:
+            work.may_have_run = self.claims.started(info.caller, info.key)
             return None
-        work.ticket = idempotency.parse_ticket(work.info.key)
-        if work.ticket is None or self.elsewhere(work):
+        if self.elsewhere(work):
+            work.may_have_run = True
             return None
+        work.may_have_run = self.tickets.started(work.ticket)
         return self.tickets.check(work.ticket, now_s)
 
     def elsewhere(self, work: _work.Work) -> bool:
@@ -56,21 +62,7 @@
 
     def needs_no_slot(self, work: _work.Work) -> bool:
         """Returns whether the request is run elsewhere or was started."""
-        if work.ticket is None:
-            return False
-        return self.elsewhere(work) or self.tickets.started(work.ticket)
-
-    def refuse(
-        self, work: _work.Work, refusal: base.Refusal
-    ) -> requests.Failure:
-        """Returns the failure of a request whose key is not settled yet.
-
-        A repeat of a started ticket is never told `not-run`: the caller would
-        take it for the first request and use another ticket.
-        """
-        if self.needs_no_slot(work):
-            return requests.Failure(requests.Outcome.UNKNOWN, refusal)
-        return _request_path.not_run(refusal)
+        return work.ticket is not None and work.may_have_run
 
     def settle(self, work: _work.Work) -> None:
         """Settles the key of a request whose body is whole."""
@@ -94,9 +86,13 @@
 
     async def _claim(self, work: _work.Work) -> None:
         info = work.info
+        # Until the table has answered, another entry may have run it.
+        may_have_run, work.may_have_run = work.may_have_run, True
         begun = await self.claims.begin(
             info.caller, info.key, self._fingerprint(work)
         )
+        # A refusal of the claim itself says what it knows.
+        work.may_have_run = may_have_run
         self._begun(work, begun, self.claims)
 
     def _begun(self, work: _work.Work, begun: Any, keeper: Any) -> None:
@@ -104,6 +100,7 @@
             self.path.end(work, begun)
             return
         work.settle = functools.partial(keeper.settle, begun)
+        work.may_have_run = False
         if work.stage is _work.Stage.ENDED:
             # Its deadline passed or its caller left before it was sent.
             refusal = base.Refusal(base.Reason.CANCELLED, "entry.keys")
--- a/baobabdoor/entry/_request_path.py
+++ b/baobabdoor/entry/_request_path.py
@@ -102,6 +102,7 @@
             self._unqueue(work)
             self.admission_policy.cancel(work.item)
         work.stage = _work.Stage.ENDED
+        result = work.truthful(result)
         self.ended_[result.outcome.value] += 1
         if work.settle is not None:
             work.settle(result)
--- a/baobabdoor/entry/_work.py
+++ b/baobabdoor/entry/_work.py
@@ -7,6 +7,7 @@
 from tornado import httputil
 
 from baobabdoor import admission
+from baobabdoor import base
 from baobabdoor import idempotency
 from baobabdoor import requests
 
@@ -39,6 +40,9 @@
         settle: Called with the result before `finish`, to keep the outcome
             of an idempotency key.
         ticket: The ticket that the idempotency key is, if it is one.
+        may_have_run: Whether an earlier request with the same key may have
+            run. A repeat is never told `not-run`, because its caller would
+            take that for the first request and send it under another key.
         abandoned: Whether nobody waits for the result any more.
     """
 
@@ -53,4 +57,15 @@
     stage: Stage = Stage.PARKED
     settle: Callable[[Result], None] | None = None
     ticket: idempotency.Ticket | None = None
+    may_have_run: bool = False
     abandoned: bool = False
+
+    def truthful(self, result: Result) -> Result:
+        """Returns the result with an outcome that holds for all repeats."""
+        if (
+            not self.may_have_run
+            or result.outcome is not requests.Outcome.NOT_RUN
+            or result.refusal.reason is base.Reason.FINGERPRINT_MISMATCH
+        ):
+            return result
+        return requests.Failure(requests.Outcome.UNKNOWN, result.refusal)
--- a/baobabdoor/idempotency/_claims.py
+++ b/baobabdoor/idempotency/_claims.py
@@ -1,6 +1,7 @@
 """Claims on callers' own keys, durable in the platform's table."""
 
 import asyncio
+import collections
 from collections.abc import Sequence
 from typing import Any
 
@@ -25,6 +26,8 @@
 MAX_ABANDON_ROUNDS = 30
 # Larger answers are not stored in the table.
 MAX_STORED_BODY = 16_384
+# Keys remembered, about 250 bytes each.
+MAX_KNOWN = 4096
 
 CLAIMED = "claimed"
 DONE = "done"
@@ -114,10 +117,18 @@
         self.incarnation = incarnation
         self.sequence_ = 0
         self.in_progress_: dict[str, str] = {}
+        # Keys known to be claimed, the latest last; for `started` only.
+        self.known_: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self.pending_: list[_Pending] = []
         self.updates_: list[_Update] = []
         self.tasks_: set[asyncio.Task] = set()
 
+    def started(self, caller: str, key: str) -> bool:
+        """Returns whether this entry knows that a key was claimed before."""
+        return f"claim/{caller}/{key}" in self.known_
+
     async def begin(self, caller: str, key: str, fingerprint: str) -> Begun:
         """Claims a key, or returns the result of its first request."""
         row_key = f"claim/{caller}/{key}"
@@ -145,6 +156,8 @@
     ) -> None:
         """Stores the outcome; a request that was not run frees the key."""
         self.in_progress_.pop(claim.row_key, None)
+        if result.outcome is not requests.Outcome.NOT_RUN:
+            self._know(claim.row_key)
         if not self.updates_:
             self.timers.call_later(GROUP_S, self._flush_updates)
         self.updates_.append(_Update(claim, self._settled(claim, result)))
@@ -161,6 +174,11 @@
                 task.cancel()
             await asyncio.sleep(0)
 
+    def _know(self, row_key: str) -> None:
+        self.known_[row_key] = None
+        if len(self.known_) > MAX_KNOWN:
+            self.known_.popitem(last=False)
+
     def _value(self, fingerprint: str) -> dict[str, Any]:
         self.sequence_ += 1
         return {
@@ -263,6 +281,7 @@
     def _existing(
         self, pending: _Pending, value: dict[str, Any]
     ) -> requests.Reply | requests.Failure:
+        self._know(pending.row_key)
         same = value["fingerprint"] == pending.value["fingerprint"]
         if not same or value["state"] == CLAIMED:
             return self._in_use(same, value["entry"])
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -81,7 +81,8 @@
             service.core.vms.add(spec, listed_at_once=True)
             await until_ready(port)
             answers = []
-            for _ in range(2):
+            # The last is refused at once, but must not be told `not-run`.
+            for deadline_ms in ("5000", "5000", "0"):
                 answers.append(
                     await fetch(
                         port,
@@ -92,6 +93,7 @@
                             "Baobabdoor-Pool": "jury-desk",
                             "Baobabdoor-Caller": "sailors",
                             "Idempotency-Key": "order-1",
+                            "Baobabdoor-Deadline-Ms": deadline_ms,
                         },
                     )
                 )
@@ -101,7 +103,8 @@
             return code, answers, rows, len(backend.received)
 
         code, answers, rows, received = asyncio.run(scenario())
-        assert [r.body for r in answers] == [b"times", b"times"]
+        assert [r.body for r in answers[:2]] == [b"times", b"times"]
+        assert answers[2].headers["Baobabdoor-Outcome"] == "unknown"
         assert (code, received) == (0, 1)
         assert rows["entry/entry-1"].value is None
         assert rows["claim/sailors/order-1"].value["state"] == "done"
