--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -89,6 +89,7 @@
     def __init__(self, parts: Parts):
         self.parts = parts
         self.draining_ = False
+        self.in_force_: tuple[int, str] | None = None
         self.log_ = observability.get_logger("entry")
         self.client_ = _backend_client.BackendClient(
             parts.timers,
@@ -136,7 +137,7 @@
         await control.start()
         self._on_view_changed()
         address = parts.entry_settings.caller
-        self.caller_http_.listen(address.port, address.host)
+        self.caller_http_.listen_on(address.port, address.host)
         every = parts.timers.every
         self.subscriptions_ = [
             every(_request_path.TICK_S, self._tick),
@@ -154,8 +155,8 @@
         await asyncio.sleep(
             min(parts.balancer_wait_s, parts.entry_settings.drain_s)
         )
-        self.caller_http_.stop()
         self.caller_.draining = True
+        self.caller_http_.stop_accepting()
         drained = await self._drain(end_s)
         if not drained:
             await self._abandon()
@@ -178,6 +179,8 @@
         return self.parts.control.ready()
 
     async def _drain(self, end_s: float) -> bool:
+        # Connections accepted last have not been read from yet.
+        await asyncio.sleep(DRAIN_POLL_S)
         while self.path_.active or self.caller_.open_:
             if self.parts.timers.now_s() >= end_s:
                 return False
@@ -278,8 +281,15 @@
         self.caller_.close_idle()
         self.parts.slot_sharing.expire(now_s)
         self.parts.tickets.expire(now_s)
-        # A change of the preset alone does not change the view.
-        self._on_view_changed()
+        self.client_.expire_idle(now_s)
+        in_force = (
+            self.parts.control.generation,
+            self.parts.control.preset_name,
+        )
+        if in_force != self.in_force_:
+            # A change of the preset alone does not change the view.
+            self.in_force_ = in_force
+            self._on_view_changed()
         metrics = self.parts.metrics
         # Counted on the request path as plain numbers, which costs less.
         for outcome, count in self.path_.ended_.items():
