--- a/baobabdoor/control/_controller.py
+++ b/baobabdoor/control/_controller.py
@@ -55,14 +55,15 @@
     """What a further part of the controller may use in one round.
 
     Attributes:
-        epoch: Every write must be conditional on this control row version.
+        fence: Every write must have this condition; it holds only while this
+            entry has the control lease, and differs between tenures.
         snapshot: The VMs.
         deployment: Settings in force.
         preset: Preset in force.
         is_acting: Must be true immediately before each write or operation.
     """
 
-    epoch: int
+    fence: platform_lib.Condition
     snapshot: ownership.FleetSnapshot
     deployment: settings.Deployment
     preset: settings.Preset
@@ -80,8 +81,12 @@
         listed: Returns the platform's list as last read.
         planners: Sources of planned operations.
         recorder: Time line of the process.
+        forget_failed_s: Time in seconds after which a VM that failed and did
+            not come back is forgotten. Default: 3,600.
     """
 
+    PARAMETER_CONSTRAINTS = {"forget_failed_s": base.Interval(0)}
+
     def __init__(
         self,
         platform: platform_lib.Platform,
@@ -91,6 +96,7 @@
         listed: Callable[[], Mapping[str, platform_lib.VmRecord]],
         planners: Planners,
         recorder: timeline.EventRecorder,
+        forget_failed_s: float = ownership.FORGET_FAILED_S,
     ):
         self.platform = platform
         self.timers = timers
@@ -99,6 +105,7 @@
         self.listed = listed
         self.planners = planners
         self.recorder = recorder
+        self.forget_failed_s = forget_failed_s
         self.gone = ownership.GoneEntries(membership.GRANT_HOLD_S)
         self.table_: ownership.FleetTable | None = None
         self.pending_: ownership.Step | None = None
@@ -108,7 +115,7 @@
         self.refusals_: dict[str, base.Refusal] = {}
 
     def add_part(self, act: Callable[[ControlRound], Any]) -> None:
-        """Calls the coroutine `act` in each round, after the VM rows."""
+        """Calls the coroutine `act` in each round of `act_parts`."""
         self.parts_.append(act)
 
     def is_acting(self) -> bool:
@@ -133,9 +140,7 @@
                 return
         # Started last: the entry rows that allow a VM to drain must have been
         # read after its leaving row was written, that is, in a later round.
-        if not await self._start(table, deployment):
-            return
-        await self._act_parts(table)
+        await self._start(table, deployment)
 
     # Reading.
 
@@ -143,8 +148,11 @@
         """Reads the rows; those that only this epoch writes are kept."""
         table = self.table_
         if table is None or table.epoch != self.lease.epoch_:
+            base.validate(self)
             table = ownership.FleetTable(
-                self.lease.region, epoch=self.lease.epoch_
+                self.lease.region,
+                epoch=self.lease.epoch_,
+                forget_failed_s=self.forget_failed_s,
             )
             prefixes = (
                 ownership.VIEW_PREFIX,
@@ -296,6 +304,8 @@
                 return True
             if not await self._commit(table, action):
                 return False
+            if vm_id not in table.vms:
+                return True
             if table.vms[vm_id].row.phase is ownership.Phase.LEAVING:
                 # Its acknowledgements must be read after this write.
                 return True
@@ -325,7 +335,7 @@
         self,
         table: ownership.FleetTable,
         deployment: settings.Deployment,
-    ) -> bool:
+    ) -> None:
         self.refusals_ = {}
         planned = self.plan(table, deployment, self._preset())
         for vm_id, target_pool in planned:
@@ -337,8 +347,7 @@
             if isinstance(step, base.Refusal):
                 self.refusals_[vm_id] = step
             elif not await self._commit(table, step):
-                return False
-        return True
+                return
 
     def plan(
         self,
@@ -382,13 +391,22 @@
         deployment = self.configuration.deployment
         return deployment.presets[self.configuration.preset_name]
 
-    async def _act_parts(self, table: ownership.FleetTable) -> None:
+    async def act_parts(self) -> None:
+        """Lets the further parts act on the rows of the last round.
+
+        It runs beside `act`, so that slow parts do not hold up VMs.
+        """
         for act in self.parts_:
-            if not self.is_acting():
+            table = self.table_
+            if table is None or not self.is_acting():
+                return
+            if table.epoch != self.lease.epoch_:
                 return
             await act(
                 ControlRound(
-                    table.epoch,
+                    platform_lib.Condition(
+                        ownership.control_key(table.region), table.epoch
+                    ),
                     table.snapshot(),
                     self.configuration.deployment,
                     self._preset(),
--- a/baobabdoor/control/_peer_link.py
+++ b/baobabdoor/control/_peer_link.py
@@ -101,7 +101,10 @@
             request_timeout=timeout_s,
             follow_redirects=False,
         )
-        response = await self._client().fetch(request, raise_error=False)
+        try:
+            response = await self._client().fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            return _connection_refusal(entry_id, error)
         return self._read(envelope, path, response)
 
     def _client(self) -> simple_httpclient.SimpleAsyncHTTPClient:
@@ -120,8 +123,6 @@
         response: httpclient.HTTPResponse,
     ) -> bytes | base.Refusal:
         peer_id = request.receiver
-        if response.code == 599:
-            return _connection_refusal(peer_id, response.error)
         envelope = membership.Envelope.from_headers(response.headers)
         if isinstance(envelope, base.Refusal):
             detail = f"unsigned answer with status {response.code}"
@@ -145,9 +146,7 @@
         )
 
 
-def _connection_refusal(
-    peer_id: str, error: BaseException | None
-) -> base.Refusal:
+def _connection_refusal(peer_id: str, error: Exception) -> base.Refusal:
     nothing_sent = isinstance(error, ConnectionRefusedError)
     if isinstance(error, simple_httpclient.HTTPTimeoutError):
         # Tornado's texts for a time-out before anything was written.
--- a/baobabdoor/control/_service.py
+++ b/baobabdoor/control/_service.py
@@ -188,6 +188,7 @@
             ("exchange", EXCHANGE_S, self._exchange_round),
             ("lease", _lease.BEAT_S, self._keep_lease),
             ("control", CONTROL_S, self.controller.act),
+            ("control-parts", CONTROL_S, self.controller.act_parts),
         )
         for name, period_s, function in periods:
             activity = _activity.Activity(name, function, self._spawn)
--- a/baobabdoor/ownership/__init__.py
+++ b/baobabdoor/ownership/__init__.py
@@ -33,6 +33,7 @@
 from baobabdoor.ownership._steps import create_vms
 from baobabdoor.ownership._steps import out_of_service
 from baobabdoor.ownership._steps import start_operation
+from baobabdoor.ownership._table import FORGET_FAILED_S
 from baobabdoor.ownership._table import FleetTable
 from baobabdoor.ownership._table import StoredBudget
 from baobabdoor.ownership._table import StoredVm
@@ -45,6 +46,7 @@
     "BudgetRow",
     "ENTRY_PREFIX",
     "EntryRow",
+    "FORGET_FAILED_S",
     "FleetSnapshot",
     "FleetTable",
     "GoneEntries",
--- a/baobabdoor/ownership/_progress.py
+++ b/baobabdoor/ownership/_progress.py
@@ -67,7 +67,7 @@
     if phase is _fleet.Phase.REBOOTING:
         return _continue_reboot(table, vm_id, reboot_s, wall_ms)
     if phase is _fleet.Phase.FAILED:
-        return _repeat_reboot(table, vm_id)
+        return _follow_failed(table, vm_id, wall_ms)
     kinds = {
         _fleet.Phase.DRAINING: OperationKind.DRAIN,
         _fleet.Phase.JOINING: OperationKind.UNDRAIN,
@@ -188,13 +188,24 @@
     )
 
 
-def _repeat_reboot(table: _table.FleetTable, vm_id: str) -> Operation | None:
-    """Asks again for a reboot that failed because no request arrived."""
+def _follow_failed(
+    table: _table.FleetTable, vm_id: str, wall_ms: int
+) -> _steps.Step | Operation | None:
+    """Repeats a reboot whose request was lost, or forgets the VM.
+
+    It is forgotten only once every entry of its zone knows that it failed,
+    because a VM with the same id may return in another pool.
+    """
     row = table.vms[vm_id].row
     record = table.listed.get(vm_id)
-    is_up = record is not None and record.state is not TERMINATED
-    if row.target_pool and not row.is_move and is_up:
-        return Operation(OperationKind.REBOOT, vm_id, row.boot_id)
+    if record is not None and record.state is not TERMINATED:
+        if row.target_pool and not row.is_move:
+            return Operation(OperationKind.REBOOT, vm_id, row.boot_id)
+        return None
+    failed_s = (wall_ms - row.phase_since_ms) / 1000
+    is_final = failed_s >= table.forget_failed_s and bool(table.listed)
+    if is_final and all_acknowledged(table, vm_id):
+        return _steps.delete_vm(table, vm_id)
     return None
 
 
--- a/baobabdoor/ownership/_rows.py
+++ b/baobabdoor/ownership/_rows.py
@@ -129,7 +129,14 @@
 
 def from_json(value: Any, row_type: type[_RowType]) -> _RowType | None:
     """Returns the row of a stored form; None if it is malformed."""
+    if not isinstance(value, dict):
+        return None
     try:
         return _CONVERTER.structure(value, row_type)
-    except (cattrs.BaseValidationError, TypeError, ValueError):
+    except (
+        cattrs.BaseValidationError,
+        AttributeError,
+        TypeError,
+        ValueError,
+    ):
         return None
--- a/baobabdoor/ownership/_steps.py
+++ b/baobabdoor/ownership/_steps.py
@@ -133,6 +133,32 @@
     )
 
 
+def delete_vm(table: _table.FleetTable, vm_id: str) -> Step:
+    """Deletes the row of a VM that is gone for good, and its charge."""
+    stored = table.vms[vm_id]
+    zone = stored.availability_zone
+    view = table.views.get(zone, 0)
+    key = _rows.vm_key(zone, vm_id)
+    conditions = [
+        _control_condition(table),
+        platform.Condition(key, stored.version),
+        platform.Condition(_rows.view_key(zone), view),
+    ]
+    writes = [platform.Write(key, None), _view_write(zone, view + 1)]
+    if stored.row.intent:
+        pool = stored.row.pool
+        conditions.append(_budget_condition(table, pool))
+        writes.append(_budget_write(table, pool, vm_id, ""))
+    return Step(
+        "ownership.deleted",
+        vm_id,
+        f"{table.epoch}.{zone}.{view + 1}",
+        tuple(conditions),
+        tuple(writes),
+        stored.row.intent,
+    )
+
+
 def start_operation(
     table: _table.FleetTable,
     vm_id: str,
--- a/baobabdoor/ownership/_table.py
+++ b/baobabdoor/ownership/_table.py
@@ -8,6 +8,10 @@
 from baobabdoor.ownership import _fleet
 from baobabdoor.ownership import _rows
 
+# A VM that has failed and has not come back for this time is forgotten, so that
+# it does not use up the budget of its pool; its id may return as a new VM.
+FORGET_FAILED_S = 3600.0
+
 
 @attrs.frozen
 class StoredVm:
@@ -39,6 +43,7 @@
         entries: Entry rows; None for a malformed one.
         listed: The platform's list by VM.
         gone: Entries that no longer count, see `GoneEntries`.
+        forget_failed_s: Time after which a failed VM is forgotten.
     """
 
     region: str
@@ -49,6 +54,7 @@
     entries: dict[str, _rows.EntryRow | None] = attrs.field(factory=dict)
     listed: dict[str, platform.VmRecord] = attrs.field(factory=dict)
     gone: frozenset[str] = frozenset()
+    forget_failed_s: float = FORGET_FAILED_S
 
     def observe_rows(self, rows: Iterable[platform.Row]) -> None:
         """Takes in rows of any kind; malformed VM and budget rows are kept out.
@@ -71,6 +77,9 @@
 
     def _observe_vm(self, row: platform.Row, name: str) -> None:
         zone, _, vm_id = name.partition("/")
+        if row.value is None:
+            self.vms.pop(vm_id, None)
+            return
         vm_row = _rows.from_json(row.value, _rows.VmRow)
         if vm_row is not None:
             self.vms[vm_id] = StoredVm(zone, vm_row, row.version)
