--- a/baobabdoor/control/_controller.py
+++ b/baobabdoor/control/_controller.py
@@ -55,15 +55,14 @@
     """What a further part of the controller may use in one round.
 
     Attributes:
-        fence: Every write must have this condition; it holds only while this
-            entry has the control lease, and differs between tenures.
+        epoch: Every write must be conditional on this control row version.
         snapshot: The VMs.
         deployment: Settings in force.
         preset: Preset in force.
         is_acting: Must be true immediately before each write or operation.
     """
 
-    fence: platform_lib.Condition
+    epoch: int
     snapshot: ownership.FleetSnapshot
     deployment: settings.Deployment
     preset: settings.Preset
@@ -404,9 +403,7 @@
                 return
             await act(
                 ControlRound(
-                    platform_lib.Condition(
-                        ownership.control_key(table.region), table.epoch
-                    ),
+                    table.epoch,
                     table.snapshot(),
                     self.configuration.deployment,
                     self._preset(),
--- a/baobabdoor/control/_peer_link.py
+++ b/baobabdoor/control/_peer_link.py
@@ -102,8 +102,9 @@
             follow_redirects=False,
         )
         try:
+            # Still raises if there is no answer at all.
             response = await self._client().fetch(request, raise_error=False)
-        except (OSError, httpclient.HTTPError) as error:
+        except (httpclient.HTTPError, OSError) as error:
             return _connection_refusal(entry_id, error)
         return self._read(envelope, path, response)
 
