Keep the loss of any zone covered by the spare pool

A move for demand is now dropped if it would leave more missing than the worst loss does already. The reactive policy bars moves back for a learned excess.

--- a/baobabdoor/capacity/_books.py
+++ b/baobabdoor/capacity/_books.py
@@ -1,76 +1,13 @@
 """What one planning step knows of the pools and what it may still move."""
 
-import collections
 from collections.abc import Iterable
 
 from baobabdoor import maintenance
 from baobabdoor import ownership
 from baobabdoor import settings
 from baobabdoor.capacity import _interface
-
-
-class PoolBook:
-    """VMs of one pool and what may still leave or join it in this step.
-
-    Args:
-        name: Name of the pool.
-        members: VMs whose row names the pool.
-        promise: What the preset in force promises for the pool.
-    """
-
-    def __init__(
-        self,
-        name: str,
-        members: list[ownership.VmState],
-        promise: settings.PoolPromise,
-    ):
-        self.name = name
-        self.members = members
-        self.promise = promise
-        self.serving_ = {vm.vm_id: vm for vm in members if vm.in_service}
-        self.allowance_ = maintenance.allowance(members, promise)
-        self.zones_ = collections.Counter(
-            vm.availability_zone for vm in self.serving_.values()
-        )
-        self.racks_ = collections.Counter(
-            vm.rack for vm in self.serving_.values()
-        )
-        self.incoming_ = 0
-        self.away_ = sum(
-            vm.target_pool not in ("", name)
-            and vm.phase is not ownership.Phase.FAILED
-            for vm in members
-        )
-
-    @property
-    def serving(self) -> int:
-        """VMs in service that no move of this step takes away."""
-        return len(self.serving_)
-
-    @property
-    def heading(self) -> int:
-        """VMs in service once the moves under way are done."""
-        return len(self.serving_) + self.incoming_
-
-    @property
-    def room(self) -> int:
-        """VMs that may still join under the pool's maximum."""
-        staying = len(self.members) - self.away_
-        return max(0, self.promise.max_workers - staying - self.incoming_)
-
-    def join(self, vm: ownership.VmState) -> None:
-        """Counts a VM that is on its way to this pool."""
-        self.incoming_ += 1
-        self.zones_[vm.availability_zone] += 1
-        self.racks_[vm.rack] += 1
-
-    def leave(self, vm: ownership.VmState) -> None:
-        """Counts a VM that starts to leave."""
-        del self.serving_[vm.vm_id]
-        self.zones_[vm.availability_zone] -= 1
-        self.racks_[vm.rack] -= 1
-        self.allowance_ -= 1
-        self.away_ += 1
+from baobabdoor.capacity import _pool_book
+from baobabdoor.capacity import _zone_cover
 
 
 class FleetBook:
@@ -92,9 +29,10 @@
         self.deployment = deployment
         self.preset = preset
         self.moves_: list[_interface.Move] = []
+        self.cover_: _zone_cover.ZoneCover | None = None
         members = maintenance.members_by_pool(snapshot.vms.values())
         self.pools_ = {
-            name: PoolBook(name, members.get(name, []), promise)
+            name: _pool_book.PoolBook(name, members.get(name, []), promise)
             for name, promise in preset.pools.items()
         }
         for vm in snapshot.vms.values():
@@ -104,12 +42,12 @@
                 self.pools_[vm.target_pool].join(vm)
 
     @property
-    def spare(self) -> PoolBook:
+    def spare(self) -> _pool_book.PoolBook:
         """The pool that lends VMs to the others."""
         return self.pools_[self.deployment.spare_pool]
 
     @property
-    def applications(self) -> list[PoolBook]:
+    def applications(self) -> list[_pool_book.PoolBook]:
         """All pools but the spare one."""
         spare = self.deployment.spare_pool
         return [book for book in self.pools_.values() if book.name != spare]
@@ -145,11 +83,12 @@
 
     def move(
         self,
-        source: PoolBook,
-        target: PoolBook,
+        source: _pool_book.PoolBook,
+        target: _pool_book.PoolBook,
         count: int,
         reason: str,
         barred: frozenset[str] | set[str] = frozenset(),
+        keep_cover: bool = True,
     ) -> int:
         """Plans up to `count` moves and returns how many were possible.
 
@@ -159,10 +98,13 @@
             count: Number of VMs wanted.
             reason: Why, for the time line.
             barred: VMs that must stay. Default: none.
+            keep_cover: Whether the loss of any zone must stay covered by the
+                spare pool. Default: True.
         """
         count = min(count, source.allowance_, target.room)
         if count <= 0:
             return 0
+        cover = self._cover()
         # A VM with an intent belongs to an operation already.
         candidates = _Candidates(
             vm
@@ -172,6 +114,11 @@
         moved = 0
         while moved < count and candidates:
             vm = candidates.take(source, target)
+            zone = vm.availability_zone
+            if keep_cover and not cover.allows(source, target, zone):
+                candidates.drop(zone)
+                continue
+            cover.note(source, target, zone)
             source.leave(vm)
             target.join(vm)
             self.moves_.append(
@@ -180,6 +127,14 @@
             moved += 1
         return moved
 
+    def _cover(self) -> _zone_cover.ZoneCover:
+        """Returns the cover, made at the first move since it takes a while."""
+        if self.cover_ is None:
+            self.cover_ = _zone_cover.ZoneCover(
+                self.pools_.values(), self.spare
+            )
+        return self.cover_
+
 
 class _Candidates:
     """VMs that may move, by zone and rack.
@@ -197,7 +152,13 @@
     def __bool__(self) -> bool:
         return bool(self.zones_)
 
-    def take(self, source: PoolBook, target: PoolBook) -> ownership.VmState:
+    def drop(self, zone: str) -> None:
+        """Removes the VMs of a zone."""
+        self.zones_.pop(zone, None)
+
+    def take(
+        self, source: _pool_book.PoolBook, target: _pool_book.PoolBook
+    ) -> ownership.VmState:
         """Removes the VM that keeps both pools best spread."""
         zone = min(
             self.zones_,
--- a/baobabdoor/capacity/_predictive.py
+++ b/baobabdoor/capacity/_predictive.py
@@ -12,6 +12,7 @@
 from baobabdoor.capacity import _history
 from baobabdoor.capacity import _interface
 from baobabdoor.capacity import _peak_plan
+from baobabdoor.capacity import _pool_book
 from baobabdoor.capacity import _promises
 from baobabdoor.capacity import _reactive
 from baobabdoor.capacity import _turns
@@ -167,7 +168,7 @@
         ).transfers()
 
     def _supply(
-        self, book: _books.FleetBook, pool: _books.PoolBook, floor: int
+        self, book: _books.FleetBook, pool: _pool_book.PoolBook, floor: int
     ) -> _peak_plan.PoolSupply:
         if pool is book.spare:
             floor = pool.promise.min_workers + book.preset.buffer_workers
--- a/baobabdoor/capacity/_promises.py
+++ b/baobabdoor/capacity/_promises.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from baobabdoor.capacity import _books
+from baobabdoor.capacity import _pool_book
 
 
 def restore_promises(book: _books.FleetBook, floors: Mapping[str, int]) -> None:
@@ -28,7 +29,17 @@
                 continue
             surplus = source.serving - floors[source.name]
             wanted = min(missing, max(0, surplus))
-            missing -= book.move(source, target, wanted, "restore promise")
+            missing -= _restore(book, source, target, wanted)
+
+
+def _restore(
+    book: _books.FleetBook,
+    source: _pool_book.PoolBook,
+    target: _pool_book.PoolBook,
+    count: int,
+) -> int:
+    # The buffer is held for this, so the next loss need not be covered.
+    return book.move(source, target, count, "restore promise", keep_cover=False)
 
 
 def floors(book: _books.FleetBook) -> dict[str, int]:
--- a/baobabdoor/capacity/_reactive.py
+++ b/baobabdoor/capacity/_reactive.py
@@ -11,6 +11,7 @@
 from baobabdoor.capacity import _books
 from baobabdoor.capacity import _history
 from baobabdoor.capacity import _interface
+from baobabdoor.capacity import _pool_book
 from baobabdoor.capacity import _promises
 
 # Lengths of excess kept for each pool.
@@ -62,7 +63,7 @@
         """Returns moves after the demand of now; see the base class."""
         base.validate(self)
         self.history_.observe(snapshot, now_s)
-        self.history_.expire(now_s, self.hold_s)
+        self.history_.expire(now_s, self._turn_s())
         book = _books.FleetBook(snapshot, deployment, preset)
         floors = _promises.floors(book)
         _promises.restore_promises(book, floors)
@@ -79,6 +80,13 @@
         self.history_.note(book.moves_, now_s)
         return book.moves_
 
+    def _turn_s(self) -> float:
+        """Returns the time in which no VM moves back."""
+        lengths_s = [
+            load.expected_s(self.excess_s) for load in self.pools_.values()
+        ]
+        return max(self.hold_s, *lengths_s, self.excess_s)
+
     def _grow(self, book: _books.FleetBook, now_s: float) -> None:
         move_s = self.history_.move_s(self.move_s)
         for pool in book.applications:
@@ -98,7 +106,7 @@
     def _take(
         self,
         book: _books.FleetBook,
-        target: _books.PoolBook,
+        target: _pool_book.PoolBook,
         missing: int,
         kept: str,
         now_s: float,
@@ -121,14 +129,14 @@
     def _move(
         self,
         book: _books.FleetBook,
-        source: _books.PoolBook,
-        target: _books.PoolBook,
+        source: _pool_book.PoolBook,
+        target: _pool_book.PoolBook,
         count: int,
         now_s: float,
     ) -> int:
         if count <= 0:
             return 0
-        barred = self.history_.barred(target.name, self.hold_s, now_s)
+        barred = self.history_.barred(target.name, self._turn_s(), now_s)
         return book.move(source, target, count, "follow demand", barred)
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,6 +13,7 @@
 from baobabdoor import ownership
 from baobabdoor.capacity import _flow
 from baobabdoor.capacity import _turns
+from baobabdoor.measure import _capacity
 from baobabdoor.measure import _fleet_model
 
 FEDERATION = fleets.deployment()
@@ -287,6 +288,18 @@
 
 class TestSpread:
 
+    @pytest.mark.parametrize("name", ["reactive", "predictive"])
+    @hypothesis.settings(max_examples=10, deadline=None, derandomize=True)
+    @hypothesis.given(levels)
+    def test_the_loss_of_any_zone_or_rack_stays_covered(self, name, peaks):
+        checker = Checker(lambda: capacity.make_policy(name))
+        for second in range(120):
+            checker.tick(second, *peaks[second // 20])
+            for domain in ("availability_zone", "rack"):
+                assert not _capacity.missing_after_loss(
+                    checker.model.snapshot(), FEDERATION, ORDINARY, domain
+                )
+
     def test_moves_take_vms_from_the_fullest_zone(self):
         lost = {"phase": ownership.Phase.FAILED}
         snapshot = fleets.snapshot(
