--- a/baobabdoor/jobs/_controller.py
+++ b/baobabdoor/jobs/_controller.py
@@ -78,8 +78,8 @@
         if refusal is not None:
             return refusal
         self.in_service_ = {worker.worker_id for worker in workers}
-        await self._follow_tasks(now_s)
-        await self._observe_usage()
+        # Together, because each call may take a second on a slow platform.
+        await asyncio.gather(self._follow_tasks(now_s), self._observe_usage())
         refusal = await self._commit_updates(fence)
         if refusal is not None:
             return refusal
@@ -87,8 +87,7 @@
         actions = self.planner.plan(
             jobs, workers, quotas, now_s, self.wall_ms()
         )
-        for action in actions:
-            await self._carry_out(action)
+        await asyncio.gather(*(self._carry_out(each) for each in actions))
         refusal = await self._commit_updates(fence)
         if refusal is not None:
             return refusal
@@ -214,9 +213,11 @@
         count = min(USAGE_READS_PER_STEP, len(busy))
         start = self.usage_cursor_ % len(busy) if busy else 0
         self.usage_cursor_ = start + count
-        for offset in range(count):
-            worker_id = busy[(start + offset) % len(busy)]
-            usage = await self.platform.task_usage(worker_id)
+        chosen = [busy[(start + offset) % len(busy)] for offset in range(count)]
+        readings = await asyncio.gather(
+            *(self.platform.task_usage(worker_id) for worker_id in chosen)
+        )
+        for usage in readings:
             if not isinstance(usage, base.Refusal):
                 self._learn(by_task, usage)
 
