Let admission follow configuration changes

FairShareQueue.set_callers replaces the shares and loses nothing queued; items are found by identifier, deadlines by a heap, so cancel and expire no longer scan the queues. A request that gives its slot back in the step of its dispatch, because its body is still arriving, no longer counts as a very short one.

--- a/baobabdoor/admission/_account.py
+++ b/baobabdoor/admission/_account.py
@@ -179,7 +179,9 @@
         self.running -= 1
         self.running_start_sum_s -= dispatch.start_s
         self.running_cost_sum_s -= dispatch.cost_s
-        self.levels[dispatch.urgency].learn(service_s)
+        # Released in the step of its dispatch, it has not run.
+        if service_s > 0:
+            self.levels[dispatch.urgency].learn(service_s)
         self._charge(dispatch, service_s - dispatch.cost_s)
 
     def _charge(self, dispatch: Dispatch, cost_s: float) -> None:
--- a/baobabdoor/admission/_fair_share.py
+++ b/baobabdoor/admission/_fair_share.py
@@ -1,6 +1,7 @@
 """Weighted max-min sharing of slots over callers and urgency levels."""
 
 from collections.abc import Mapping
+import heapq
 import zlib
 
 import attrs
@@ -22,6 +23,9 @@
 # is as long as most deadlines allow.
 MAX_ITEMS = 128
 MAX_BYTES = 33_554_432
+# The heap of deadlines is rebuilt once it holds this many items more than twice
+# those queued, since items leave the queues without leaving the heap.
+SPARE_DEADLINES = 1024
 # Pools are named by settings; more means that names were not checked before.
 MAX_POOLS = 1024
 LEAST_URGENT = _interface.URGENCY_LEVELS - 1
@@ -49,6 +53,25 @@
 )
 
 
+@attrs.frozen
+class _Place:
+    """Where an item is queued.
+
+    Attributes:
+        pool: Queues of the pool.
+        account: Account of the caller.
+        urgency: Level.
+        lane: Lane inside the level.
+        deadline_s: Deadline of the item.
+    """
+
+    pool: "_PoolQueue"
+    account: _account.Account
+    urgency: int
+    lane: int
+    deadline_s: float
+
+
 @attrs.frozen
 class PoolSnapshot:
     """State of one pool's queues for status pages.
@@ -118,16 +141,20 @@
         self._forget(account)
         return item
 
-    def remove(
-        self,
-        account: _account.Account,
-        request_id: int,
-        urgency: int,
-        lane: int,
-    ) -> None:
-        """Removes an item if it is queued."""
-        if account.remove(request_id, urgency, lane) is not None:
-            self._forget(account)
+    def remove(self, request_id: int, place: _Place) -> _interface.WorkItem:
+        """Removes a queued item."""
+        account = place.account
+        item = account.remove(request_id, place.urgency, place.lane)
+        self._forget(account)
+        return item
+
+    def set_callers(self, callers: Mapping[str, settings.CallerShare]) -> None:
+        """Replaces the shares; items that are queued keep their account."""
+        for name in self.accounts.keys() - callers.keys() - {DEFAULT_ACCOUNT}:
+            del self.accounts[name]
+        for name, share in callers.items():
+            account = self.accounts.setdefault(name, _account.Account(share))
+            account.share = share
 
     def _forget(self, account: _account.Account) -> None:
         self.queued -= 1
@@ -205,6 +232,8 @@
         self.max_bytes = max_bytes
         self.salt = salt
         self.pools_: dict[str, _PoolQueue] = {}
+        self.places_: dict[int, _Place] = {}
+        self.deadlines_: list[tuple[float, int]] = []
         self.running_: dict[int, _account.Dispatch] = {}
         self.dropped_: list[_interface.WorkItem] = []
 
@@ -220,9 +249,15 @@
         account, lane = self._place(pool, item.caller)
         urgency = _urgency(item)
         refusal = self._check(pool, account, item, urgency, lane, now_s)
-        if refusal is None:
-            pool.put(account, item, urgency, lane)
-        return refusal
+        if refusal is not None:
+            return refusal
+        pool.put(account, item, urgency, lane)
+        deadline_s = item.deadline_s
+        place = _Place(pool, account, urgency, lane, deadline_s)
+        self.places_[item.request_id] = place
+        heapq.heappush(self.deadlines_, (deadline_s, item.request_id))
+        self._compact()
+        return None
 
     def plan(
         self, free_slots: Mapping[str, int], now_s: float
@@ -247,30 +282,25 @@
 
     def cancel(self, item: _interface.WorkItem) -> None:
         """Removes a queued item; does nothing for any other."""
-        pool = self.pools_.get(item.pool)
-        if pool is not None:
-            account, lane = self._place(pool, item.caller)
-            pool.remove(account, item.request_id, _urgency(item), lane)
+        place = self.places_.pop(item.request_id, None)
+        if place is not None:
+            place.pool.remove(item.request_id, place)
 
     def expire(self, now_s: float) -> list[_interface.WorkItem]:
-        """Removes the items whose deadline has passed.
+        """Removes the items whose deadline has passed, in O(log n) each.
 
         Also returns the items that `plan` dropped because their deadline was
         closer than the shortest service time.
         """
         dropped = self.dropped_
         self.dropped_ = []
-        for pool in self.pools_.values():
-            for account in list(pool.backlogged):
-                for urgency, level in enumerate(account.levels):
-                    late = [
-                        (lane, item)
-                        for lane, item in level.items
-                        if item.deadline_s <= now_s
-                    ]
-                    for lane, item in late:
-                        pool.remove(account, item.request_id, urgency, lane)
-                        dropped.append(item)
+        while self.deadlines_ and self.deadlines_[0][0] <= now_s:
+            _, request_id = heapq.heappop(self.deadlines_)
+            place = self.places_.get(request_id)
+            # An identifier may be queued again with a later deadline.
+            if place is not None and place.deadline_s <= now_s:
+                del self.places_[request_id]
+                dropped.append(place.pool.remove(request_id, place))
         return dropped
 
     def queued(self) -> dict[str, int]:
@@ -286,6 +316,20 @@
             for name, pool in self.pools_.items()
         }
 
+    def set_callers(self, callers: Mapping[str, settings.CallerShare]) -> None:
+        """Replaces the shares; nothing that is queued is lost."""
+        self.callers = callers
+        for pool in self.pools_.values():
+            pool.set_callers(callers)
+
+    def _compact(self) -> None:
+        if len(self.deadlines_) > 2 * len(self.places_) + SPARE_DEADLINES:
+            self.deadlines_ = [
+                (place.deadline_s, request_id)
+                for request_id, place in self.places_.items()
+            ]
+            heapq.heapify(self.deadlines_)
+
     def _add_pool(self, name: str) -> _PoolQueue | None:
         if len(self.pools_) >= MAX_POOLS:
             return None
@@ -319,7 +363,7 @@
         total_bytes = level.queued_bytes + item.body_bytes
         if total_bytes > self.max_bytes - account.queued_bytes:
             return TOO_MANY_BYTES
-        if level.items.holds(lane, item.request_id):
+        if item.request_id in self.places_:
             return DUPLICATE
         # Even with every slot of the pool, the items ahead in the same level
         # take this long at the shortest service time.
@@ -366,6 +410,7 @@
         urgency, by_guarantee = account.choose_level()
         level = account.levels[urgency]
         item = pool.take_next(account, urgency)
+        del self.places_[item.request_id]
         if now_s + level.shortest_s > item.deadline_s:
             level.doubt()
             self.dropped_.append(item)
--- a/baobabdoor/admission/_fifo.py
+++ b/baobabdoor/admission/_fifo.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 
 from baobabdoor import base
+from baobabdoor import settings
 from baobabdoor.admission import _interface
 
 FULL = base.Refusal(base.Reason.QUEUE_FULL, "admission.fifo")
@@ -70,3 +71,6 @@
     def queued(self) -> dict[str, int]:
         """Returns the number of queued items of each pool."""
         return {pool: len(queue) for pool, queue in self.pools_.items()}
+
+    def set_callers(self, callers: Mapping[str, settings.CallerShare]) -> None:
+        """Ignores the shares."""
--- a/baobabdoor/admission/_interface.py
+++ b/baobabdoor/admission/_interface.py
@@ -6,6 +6,7 @@
 import attrs
 
 from baobabdoor import base
+from baobabdoor import settings
 
 URGENCY_LEVELS = 8
 
@@ -64,3 +65,10 @@
     @abc.abstractmethod
     def queued(self) -> dict[str, int]:
         """Returns the number of queued items of each pool."""
+
+    @abc.abstractmethod
+    def set_callers(self, callers: Mapping[str, settings.CallerShare]) -> None:
+        """Replaces the shares after a change of the configuration.
+
+        Policies without shares ignore it.
+        """
--- a/baobabdoor/admission/_lanes.py
+++ b/baobabdoor/admission/_lanes.py
@@ -1,7 +1,6 @@
 """The queued items of one urgency level, in lanes by groups of names."""
 
 import collections
-from collections.abc import Iterator
 
 import attrs
 
@@ -25,19 +24,10 @@
     def __len__(self) -> int:
         return self.count
 
-    def __iter__(self) -> Iterator[tuple[int, _interface.WorkItem]]:
-        for number, lane in self.lanes.items():
-            for item in lane.values():
-                yield number, item
-
     def size(self, number: int) -> int:
         """Returns the number of items in a lane."""
         return len(self.lanes.get(number, ()))
 
-    def holds(self, number: int, request_id: int) -> bool:
-        """Returns whether an item is queued in a lane."""
-        return request_id in self.lanes.get(number, ())
-
     def put(self, number: int, item: _interface.WorkItem) -> None:
         """Queues an item at the end of a lane."""
         lane = self.lanes.get(number)
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -82,6 +82,9 @@
         self.items = [item for item in self.items if item not in late]
         return late
 
+    def set_callers(self, callers):
+        pass
+
     def queued(self):
         return collections.Counter(item.pool for item in self.items)
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -309,6 +309,35 @@
         ]
         assert None in refusals
 
+    def test_item_of_a_removed_caller_can_be_cancelled(self):
+        """Guards against items lost when the configuration changes."""
+        queue = POLICIES["fair"]()
+        for number in (1, 2, 3):
+            queue.admit(item(number, "a", deadline_s=5.0), 0.0)
+        queue.set_callers({"b": settings.CallerShare(weight=3)})
+        queue.cancel(item(2, "a"))
+        assert [i.request_id for i in queue.plan({POOL: 1}, 0.0)] == [1]
+        assert [i.request_id for i in queue.expire(9.0)] == [3]
+        assert queue.queued() == {POOL: 0}
+        assert queue.pools_[POOL].accounts["b"].share.weight == 3
+
+    def test_heap_of_deadlines_is_bounded(self):
+        queue = POLICIES["fair"]()
+        for number in range(5000):
+            queue.admit(item(number), 0.0)
+            queue.cancel(item(number))
+        assert len(queue.deadlines_) <= 2 * _fair_share.SPARE_DEADLINES
+
+    def test_item_released_at_once_teaches_nothing(self):
+        """A request whose body is still arriving gives its slot back."""
+        queue = POLICIES["fair"]()
+        queue.admit(item(1), 0.0)
+        queue.plan({POOL: 1}, 0.0)
+        queue.release(item(1), 0.0)
+        level = queue.pools_[POOL].accounts["a"].levels[3]
+        assert level.cost_s == _account.FIRST_COST_S
+        assert queue.admit(item(1), 0.0) is None
+
     def test_late_item_is_dropped_and_not_dispatched(self):
         queue = POLICIES["fair"]()
         queue.admit(item(1, deadline_s=1.0), 0.0)
