--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -18,7 +18,6 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
-from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _entry_server
 from baobabdoor.entry import _job_part
 from baobabdoor.entry import _slot_sharing
@@ -67,9 +66,7 @@
             entry_settings=entry_settings,
             timers=timers,
             control=control_service,
-            admission_sharing=_admission_sharing.AdmissionSharing(
-                lambda shares: admission.FairShareQueue(shares, salt=salt)
-            ),
+            admission_policy=admission.FairShareQueue({}, salt=salt),
             slot_sharing=_slot_sharing.SlotSharing(
                 entry_id, entry_settings.availability_zone, slots.make_policy
             ),
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -17,7 +17,6 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
-from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _caller_server
 from baobabdoor.entry import _control_port
@@ -51,7 +50,7 @@
         entry_settings: Settings of the entry.
         timers: Timer service.
         control: The `control.ControlService`.
-        admission_sharing: Queues requests by the shares in force.
+        admission_policy: Queues requests.
         slot_sharing: Shares slots with the entries of the zone.
         tickets: Tickets of this incarnation.
         claims: Claims on callers' own keys.
@@ -67,7 +66,7 @@
     entry_settings: settings.EntrySettings
     timers: base.TimerService
     control: Any
-    admission_sharing: _admission_sharing.AdmissionSharing
+    admission_policy: admission.AdmissionPolicy
     slot_sharing: _slot_sharing.SlotSharing
     tickets: idempotency.Tickets
     claims: idempotency.Claims
@@ -200,7 +199,7 @@
         )
         return _request_path.RequestPath(
             parts.timers,
-            parts.admission_sharing,
+            parts.admission_policy,
             parts.slot_sharing,
             self.router_,
             forwarder,
@@ -249,9 +248,7 @@
         deployment = control.deployment
         if deployment is None:
             return
-        self.parts.admission_sharing.use(
-            deployment.callers, self.parts.timers.now_s()
-        )
+        self.parts.admission_policy.set_callers(deployment.callers)
         sharing = self.parts.slot_sharing
         preset = deployment.presets.get(control.preset_name)
         if preset is not None:
--- a/baobabdoor/measure/_lone_entry.py
+++ b/baobabdoor/measure/_lone_entry.py
@@ -10,7 +10,6 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
-from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _entry_server
 from baobabdoor.entry import _slot_sharing
 
@@ -85,9 +84,7 @@
             entry_settings=entry_settings,
             timers=timers,
             control=control,
-            admission_sharing=_admission_sharing.AdmissionSharing(
-                admission.FairShareQueue
-            ),
+            admission_policy=admission.FairShareQueue({}),
             slot_sharing=_slot_sharing.SlotSharing(
                 ENTRY_ID, ZONE, slots.make_policy
             ),
