--- a/baobabdoor/entry/_keys.py
+++ b/baobabdoor/entry/_keys.py
@@ -42,11 +42,17 @@
         self, work: _work.Work, now_s: float
     ) -> requests.Failure | None:
         """Returns why a key can never run, as far as headers tell."""
-        if work.info.idempotent or not work.info.key:
+        info = work.info
+        if info.idempotent or not info.key:
             return None
-        work.ticket = idempotency.parse_ticket(work.info.key)
-        if work.ticket is None or self.elsewhere(work):
+        work.ticket = idempotency.parse_ticket(info.key)
+        if work.ticket is None:
+            work.may_have_run = self.claims.started(info.caller, info.key)
             return None
+        if self.elsewhere(work):
+            work.may_have_run = True
+            return None
+        work.may_have_run = self.tickets.started(work.ticket)
         return self.tickets.check(work.ticket, now_s)
 
     def elsewhere(self, work: _work.Work) -> bool:
@@ -54,6 +60,10 @@
         ticket = work.ticket
         return ticket is not None and ticket.entry_id != self.tickets.entry_id
 
+    def needs_no_slot(self, work: _work.Work) -> bool:
+        """Returns whether the request is run elsewhere or was started."""
+        return work.ticket is not None and work.may_have_run
+
     def settle(self, work: _work.Work) -> None:
         """Settles the key of a request whose body is whole."""
         if work.info.idempotent or not work.info.key:
@@ -76,9 +86,13 @@
 
     async def _claim(self, work: _work.Work) -> None:
         info = work.info
+        # Until the table has answered, another entry may have run it.
+        may_have_run, work.may_have_run = work.may_have_run, True
         begun = await self.claims.begin(
             info.caller, info.key, self._fingerprint(work)
         )
+        # A refusal of the claim itself says what it knows.
+        work.may_have_run = may_have_run
         self._begun(work, begun, self.claims)
 
     def _begun(self, work: _work.Work, begun: Any, keeper: Any) -> None:
@@ -86,6 +100,7 @@
             self.path.end(work, begun)
             return
         work.settle = functools.partial(keeper.settle, begun)
+        work.may_have_run = False
         if work.stage is _work.Stage.ENDED:
             # Its deadline passed or its caller left before it was sent.
             refusal = base.Refusal(base.Reason.CANCELLED, "entry.keys")
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -3,11 +3,11 @@
 import asyncio
 import json
 import pathlib
+import socket
 
 import pytest
 import request_fakes as fakes
 from tornado import httpclient
-from tornado import testing
 
 from baobabdoor import base
 from baobabdoor import idempotency
@@ -15,7 +15,6 @@
 from baobabdoor import requests
 from baobabdoor import settings
 from baobabdoor import timeline
-from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _caller_request
 from baobabdoor.entry import _caller_server
 from baobabdoor.entry import _entry_server
@@ -25,58 +24,29 @@
 HEADERS = {"Baobabdoor-Pool": "jury-desk", "Baobabdoor-Caller": "sailors"}
 
 
-def entry_settings(**options):
-    address = {"host": "127.0.0.1", "port": 1}
-    values = dict(
-        entry_id="entry-1",
-        region="luzon",
-        availability_zone="taal",
-        caller=settings.Address(**address),
-        control=settings.Address(**address),
-        platform=settings.Address(**address),
-        peer_key="k" * 32,
-        operator_token="t" * 16,
-        drain_s=5.0,
-        max_body_bytes=100_000,
-    )
-    return settings.EntrySettings(**{**values, **options})
-
-
-def free_port():
-    listener, port = testing.bind_unused_port()
-    listener.close()
-    return port
-
-
 class Bench:
     """One entry server and its fakes on loopback."""
 
     def __init__(self, per_worker=8, queue_limit=1000, **options):
         self.view = fakes.FakeView()
-        self.queue = fakes.FifoQueue(queue_limit)
+        self.queue = fakes.Queue(queue_limit)
         self.timers = observability.LoopTimerService()
         deployment = settings.load_deployment(str(EXAMPLE))
         self.control = fakes.FakeControl(self.view, deployment)
         self.service = None
-        self.port = free_port()
-        self.control_port = free_port()
+        self.port = fakes.free_port()
+        self.control_port = fakes.free_port()
         recorder = timeline.EventRecorder(
             "entry-1", base.HybridClock(self.timers.wall_ms)
         )
         self.server = _entry_server.EntryServer(
             _entry_server.Parts(
-                entry_settings=entry_settings(
-                    caller=settings.Address(host="127.0.0.1", port=self.port),
-                    control=settings.Address(
-                        host="127.0.0.1", port=self.control_port
-                    ),
-                    **options,
+                entry_settings=fakes.entry_settings(
+                    self.port, self.control_port, **options
                 ),
                 timers=self.timers,
                 control=self.control,
-                admission_sharing=_admission_sharing.AdmissionSharing(
-                    lambda shares: self.queue
-                ),
+                admission_policy=self.queue,
                 slot_sharing=_slot_sharing.SlotSharing(
                     "entry-1",
                     "taal",
@@ -420,14 +390,21 @@
         async def scenario():
             issued = await bench.fetch("/v1/tickets", "POST", body=b"")
             key = {"Idempotency-Key": json.loads(issued.body)["ticket"]}
-            return [
+            responses = [
                 await bench.fetch("/x", "POST", key, body=body)
                 for body in (b"a", b"a", b"b")
             ]
-
-        first, repeat, other = bench.run(scenario)
-        assert (first.body, repeat.body) == (b"1", b"1")
+            # A repeat must not be told that its request was not run.
+            bench.queue.closed = True
+            responses.append(await bench.fetch("/x", "POST", key, body=b"a"))
+            bench.server.caller_.draining = True
+            responses.append(await bench.fetch("/x", "POST", key, body=b"a"))
+            return responses
+
+        first, repeat, other, full, draining = bench.run(scenario)
+        assert (first.body, repeat.body, full.body) == (b"1", b"1", b"1")
         assert (other.code, outcome(other)) == (422, "not-run")
+        assert outcome(draining) == "unknown"
         assert len(backend.received) == 1
 
     @pytest.mark.parametrize("alive", [True, False])
@@ -593,7 +570,7 @@
 
         bench.run(scenario)
         assert backend.received == []
-        assert bench.queue.items == []
+        assert not bench.queue.length
         assert bench.server.caller_.buffered_ == 0
 
     def test_refusal_comes_before_the_body_and_keeps_the_connection(self):
@@ -648,9 +625,9 @@
         async def scenario():
             _, writer = await bench.connect()
             writer.write(head_of("GET"))
-            await until(lambda: bench.queue.items)
+            await until(lambda: bench.queue.length)
             writer.close()
-            await until(lambda: not bench.queue.items)
+            await until(lambda: not bench.queue.length)
 
         bench.run(scenario)
         assert backend.received == []
@@ -685,7 +662,7 @@
             queued = asyncio.ensure_future(bench.fetch("/queued"))
             reader, writer = await bench.connect()
             writer.write(head_of(path="/body", Content_Length="4") + b"ab")
-            await until(lambda: len(bench.queue.items) == 2)
+            await until(lambda: bench.queue.length == 2)
             stopping = asyncio.ensure_future(bench.server.stop())
             await asyncio.sleep(0.02)
             ready = await bench.fetch("/readyz")
@@ -710,6 +687,22 @@
         assert body_answer[2] == b"/body"
         assert body_answer[1]["Connection"] == "close"
 
+    def test_connection_not_yet_accepted_is_answered(self):
+        bench = Bench()
+
+        async def scenario():
+            # The connection is complete, but the loop has not accepted it.
+            with socket.create_connection(("127.0.0.1", bench.port)) as client:
+                client.sendall(head_of("GET"))
+                bench.server.caller_.draining = True
+                bench.server.caller_http_.stop_accepting()
+                await asyncio.sleep(0.1)
+                return client.recv(1000)
+
+        answer = bench.run(scenario)
+        assert answer.startswith(b"HTTP/1.1 503")
+        assert b"Baobabdoor-Outcome: not-run" in answer
+
     def test_drain_that_takes_too_long_answers_unknown(self):
         bench = Bench(drain_s=0.3)
         bench.add_backend(lambda *_: None)
