--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -82,6 +82,12 @@
             **options,
         )
 
+    def allow_retries(self):
+        self.server.path_.forwarder.retry_budget.saved_ = 5.0
+
+    def once(self, *arguments, **options):
+        return self.run(lambda: self.fetch(*arguments, **options))
+
     def run(self, scenario):
         async def whole():
             for backend in self.backends:
@@ -153,15 +159,12 @@
             )
         )
 
-        async def scenario():
-            return await bench.fetch(
-                "/results?x=1",
-                "POST",
-                {"X-Hop": "h", "Connection": "X-Hop", "X-End": "e"},
-                body=b"data",
-            )
-
-        response = bench.run(scenario)
+        response = bench.once(
+            "/results?x=1",
+            "POST",
+            {"X-Hop": "h", "Connection": "X-Hop", "X-End": "e"},
+            body=b"data",
+        )
         assert (response.code, response.reason) == (201, "Created")
         assert (outcome(response), response.body) == ("done", b"times")
         assert response.headers.get_list("X-A") == ["1", "2"]
@@ -293,12 +296,9 @@
         for _ in range(3):
             bench.add_backend(lambda *_: BROKEN[name])
 
-        async def scenario():
-            # Nothing but the rule itself may prevent a second attempt.
-            bench.server.path_.forwarder.retry_budget.saved_ = 5.0
-            return await bench.fetch(method="POST", body=b"charge")
-
-        response = bench.run(scenario)
+        # Nothing but the rule itself may prevent a second attempt.
+        bench.allow_retries()
+        response = bench.once(method="POST", body=b"charge")
         assert (response.code, outcome(response)) == (502, "unknown")
         assert json.loads(response.body)["reason"] == "incomplete-answer"
         assert sum(len(b.received) for b in bench.backends) == 1
@@ -309,13 +309,8 @@
         bench.add_backend(lambda *_: BROKEN[name])
         bench.add_backend(echo, zone="subic")
 
-        async def scenario():
-            # The retry budget starts empty.
-            await asyncio.sleep(0)
-            bench.server.path_.forwarder.retry_budget.saved_ = 1.0
-            return await bench.fetch("/again")
-
-        response = bench.run(scenario)
+        bench.allow_retries()
+        response = bench.once("/again")
         assert (response.code, response.body) == (200, b"/again")
         assert len(bench.backends[0].received) == 1
 
@@ -468,8 +463,9 @@
         )
         bench.add_backend(echo, zone="subic")
 
+        bench.allow_retries()
+
         async def scenario():
-            bench.server.path_.forwarder.retry_budget.saved_ = 5.0
             return [(await bench.fetch(f"/{n}")).body for n in range(5)]
 
         assert bench.run(scenario) == [f"/{n}".encode() for n in range(5)]
