--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -60,13 +60,14 @@
     committer = configuration.ChangeCommitter(service, timers.wall_ms)
     token = entry_settings.operator_token
     incarnation = str(control_service.incarnation)
-    salt = secrets.randbits(SEED_BITS)
     return _entry_server.EntryServer(
         _entry_server.Parts(
             entry_settings=entry_settings,
             timers=timers,
             control=control_service,
-            admission_policy=admission.FairShareQueue({}, salt=salt),
+            admission_policy=admission.FairShareQueue(
+                {}, salt=secrets.randbits(SEED_BITS)
+            ),
             slot_sharing=_slot_sharing.SlotSharing(
                 entry_id, entry_settings.availability_zone, slots.make_policy
             ),
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 from tornado import web
 
+from baobabdoor import admission
 from baobabdoor import base
 from baobabdoor import idempotency
 from baobabdoor import observability
@@ -134,7 +135,7 @@
         )
         self._listen_control()
         await control.start()
-        self._on_view_changed()
+        self._follow_configuration()
         address = parts.entry_settings.caller
         self.caller_http_.listen_on(address.port, address.host)
         every = parts.timers.every
@@ -243,16 +244,24 @@
         # The policy knows the own zone's workers only.
         return max(limit, routing.FOREIGN_SLOTS)
 
+    def _follow_configuration(self) -> None:
+        control = self.parts.control
+        in_force = (control.generation, control.preset_name)
+        if control.deployment is None or in_force == self.in_force_:
+            return
+        self.in_force_ = in_force
+        self.parts.admission_policy.set_callers(control.deployment.callers)
+        preset = control.deployment.presets.get(control.preset_name)
+        if preset is not None:
+            self.parts.slot_sharing.use(preset.slot_policy)
+        self._on_view_changed()
+
     def _on_view_changed(self) -> None:
         control = self.parts.control
         deployment = control.deployment
         if deployment is None:
             return
-        self.parts.admission_policy.set_callers(deployment.callers)
         sharing = self.parts.slot_sharing
-        preset = deployment.presets.get(control.preset_name)
-        if preset is not None:
-            sharing.use(preset.slot_policy)
         workers = []
         listed = set()
         for name, pool in deployment.pools.items():
@@ -279,14 +288,7 @@
         self.parts.slot_sharing.expire(now_s)
         self.parts.tickets.expire(now_s)
         self.client_.expire_idle(now_s)
-        in_force = (
-            self.parts.control.generation,
-            self.parts.control.preset_name,
-        )
-        if in_force != self.in_force_:
-            # A change of the preset alone does not change the view.
-            self.in_force_ = in_force
-            self._on_view_changed()
+        self._follow_configuration()
         metrics = self.parts.metrics
         # Counted on the request path as plain numbers, which costs less.
         for outcome, count in self.path_.ended_.items():
