Reduce what exchanges and polls transfer; take the boot id from settings

Known entries are named every ten seconds, views only for the zones of sender and receiver, a peer that was just heard is not contacted again, entries follow their own zone and its neighbours, and all entry rows are read once a minute.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 check: $(VENV)/.installed
 	$(BIN)/pyink --check --quiet .
 	$(BIN)/ruff check .
+
+# Prints the seed of the first walk; `--seed N` repeats one.
+fuzz: $(VENV)/.installed
+	$(BIN)/python tests/test_fuzz_control.py --seconds 600
--- a/baobabdoor/control/_exchanges.py
+++ b/baobabdoor/control/_exchanges.py
@@ -13,6 +13,10 @@
 
 # Load of an entry that has not been heard for longer does not count.
 LOAD_VALID_S = 15.0
+# Known entries change rarely and take most of a message's bytes.
+GOSSIP_S = 10.0
+# Other entries named in a message; all entries of a deployment today.
+MAX_GOSSIP = 16
 LOAD = "load"
 
 LoadSource = Callable[[], dict[str, capacity.PoolDemand]]
@@ -60,6 +64,7 @@
             {}
         )
         self.gossip_cursor_ = 0
+        self.gossiped_s_: dict[str, float] = {}
 
     def request(self, peer: membership.PeerAddress) -> membership.Exchange:
         """Returns the message to a peer."""
@@ -176,15 +181,21 @@
             is_registered=member.is_registered_,
             generation=member.generation_,
             clock=str(self.recorder.clock.now()),
-            views=member.confirmed_views(),
-            entries=self._gossip(),
+            views=member.confirmed_views((zone, member.home)),
+            entries=self._gossip(peer_id, now_s),
             leaving=self.marks.to_share(),
             extras=extras,
             **fields,
         )
 
-    def _gossip(self) -> tuple[membership.PeerEntry, ...]:
-        """Returns some known entries, different ones each time."""
+    def _gossip(
+        self, peer_id: str, now_s: float
+    ) -> tuple[membership.PeerEntry, ...]:
+        """Returns some known entries from time to time, in turn."""
+        gossiped_s = self.gossiped_s_.get(peer_id)
+        if gossiped_s is not None and now_s - gossiped_s < GOSSIP_S:
+            return ()
+        self.gossiped_s_[peer_id] = now_s
         peers = [self.peers.peers_[name] for name in sorted(self.peers.peers_)]
         # Entries never heard here are not passed on, so that a wrong address
         # does not live on among peers.
@@ -200,7 +211,3 @@
             )
             for peer in chosen
         )
-
-
-# All entries of a deployment today; bounds the size of a message later.
-MAX_GOSSIP = 16
--- a/baobabdoor/control/_member.py
+++ b/baobabdoor/control/_member.py
@@ -1,6 +1,8 @@
 """One entry's registration, views, leases, grants and acknowledgements."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
@@ -79,6 +81,9 @@
         self.acknowledged_ = 0
         self.written_ = 0
         self.listed_: dict[str, platform_lib.VmRecord] = {}
+        # Zones whose VMs this entry may use beside its own; None for all. An
+        # entry that followed all zones of a large region would read more than
+        # a daemon's 3 KB/s.
         self.zones_: frozenset[str] | None = None
         self.subscribers_: list[Callable[[], None]] = []
         self.on_return: Callable[[str], None] = lambda vm_id: None
@@ -199,7 +204,7 @@
     async def poll_views(self) -> None:
         """Reads the views that have advanced."""
         registered = self.is_registered_ and self.incarnation_
-        rows = await self.platform.scan(ownership.VIEW_PREFIX)
+        rows = await self._read_views()
         if isinstance(rows, base.Refusal):
             return
         for row in rows:
@@ -214,6 +219,15 @@
             self.is_home_valid_ = True
             self._notify()
 
+    async def _read_views(self) -> Sequence[platform_lib.Row] | base.Refusal:
+        if self.zones_ is None:
+            return await self.platform.scan(ownership.VIEW_PREFIX)
+        zones = sorted(self.zones_ | {self.home})
+        rows = await self.platform.read(
+            [ownership.view_key(zone) for zone in zones]
+        )
+        return rows if isinstance(rows, base.Refusal) else list(rows.values())
+
     def _is_same(self, registered: int) -> bool:
         return self.is_registered_ and self.incarnation_ == registered
 
@@ -261,11 +275,11 @@
         self.listed_ = {record.vm_id: record for record in records}
         self._notify()
 
-    async def poll_entries(self) -> None:
-        """Reads which entries are registered."""
+    async def poll_entries(self) -> bool:
+        """Reads which entries are registered; returns whether it could."""
         rows = await self.platform.scan(ownership.ENTRY_PREFIX)
         if isinstance(rows, base.Refusal):
-            return
+            return False
         addresses = []
         for row in rows:
             entry = ownership.from_json(row.value, ownership.EntryRow)
@@ -278,6 +292,7 @@
                 )
             )
         self.peers.observe_table(addresses, self.timers.now_s())
+        return True
 
     def close(self) -> None:
         """Stops using VMs and granting leases."""
@@ -321,9 +336,17 @@
 
     # Exchanges.
 
-    def confirmed_views(self) -> dict[str, int]:
-        """Returns the confirmed view version of each zone held."""
-        return {zone: self.views.confirmed(zone) for zone in self.views.held_}
+    def confirmed_views(
+        self, zones: Iterable[str] | None = None
+    ) -> dict[str, int]:
+        """Returns the confirmed view version of each zone held.
+
+        Args:
+            zones: Which zones. Default: all.
+        """
+        held = self.views.held_
+        wanted = held if zones is None else [z for z in zones if z in held]
+        return {zone: self.views.confirmed(zone) for zone in wanted}
 
     def wants_lease(self, availability_zone: str) -> bool:
         """Returns whether VMs of a zone are only used under a lease."""
--- a/baobabdoor/control/_service.py
+++ b/baobabdoor/control/_service.py
@@ -31,12 +31,17 @@
 
 EXCHANGE_PATH = "/peer/v1/exchange"
 EXCHANGE_S = 1.0
+# A peer heard more recently than this has begun this round's exchange.
+SKIP_HEARD_S = 0.9
 # Shorter than a view lease, so that a slow answer does not delay the next try.
 EXCHANGE_TIMEOUT_S = 1.5
 CONTROL_S = 1.0
 LIST_POLL_S = 2.0
 CONFIGURATION_POLL_S = 2.0
 ENTRIES_POLL_S = 10.0
+# New entries announce themselves by exchanges; reading all rows more often
+# would cost a daemon of a large region more than its 3 KB/s.
+ENTRIES_VALID_S = 60.0
 # The longest request deadline that callers usually ask for, and some slack.
 PEER_REQUEST_TIMEOUT_S = 35.0
 # Grants end after 4.2 s; the rest is for two calls to a slow platform.
@@ -58,8 +63,6 @@
         recorder: Time line of the process.
         metrics: Metrics of the process.
         configuration: A `configuration.ConfigurationStore`.
-        boot_id: Boot of the entry's VM as the platform lists it. Default:
-            not known.
         make_capacity: Makes the capacity policy of a name. Default: none.
         maintenance_policy: Plans maintenance reboots. Default: none.
     """
@@ -72,7 +75,6 @@
         recorder: timeline.EventRecorder,
         metrics: observability.Metrics,
         configuration: Any,
-        boot_id: str = "",
         make_capacity: (
             Callable[[str], capacity.CapacityPolicy | None] | None
         ) = None,
@@ -84,7 +86,6 @@
         self.recorder = recorder
         self.metrics = metrics
         self.configuration = configuration
-        self.boot_id = boot_id
         self.make_capacity = make_capacity
         self.maintenance_policy = maintenance_policy
         self.is_sending_: Callable[[str], bool] = lambda vm_id: False
@@ -92,6 +93,7 @@
         self.activities_: list[_activity.Activity] = []
         self.peer_functions_: dict[str, _peer_link.PeerFunction] = {}
         self.exchanging_: set[str] = set()
+        self.entries_read_s_: float | None = None
         self.neighbours_of_: settings.Deployment | None = None
         self._compose()
 
@@ -101,7 +103,7 @@
             entry.entry_id,
             entry.availability_zone,
             entry.control.url.removeprefix("http://"),
-            self.boot_id,
+            entry.boot_id,
         )
         self.peers = membership.PeerTable(
             entry.entry_id, entry.availability_zone
@@ -184,7 +186,7 @@
             ("list", LIST_POLL_S, self._poll_list),
             ("membership", _member.TICK_S, self._keep_membership),
             ("configuration", CONFIGURATION_POLL_S, self._poll_configuration),
-            ("entries", ENTRIES_POLL_S, self.member.poll_entries),
+            ("entries", ENTRIES_POLL_S, self._poll_entries),
             ("exchange", EXCHANGE_S, self._exchange_round),
             ("lease", _lease.BEAT_S, self._keep_lease),
             ("control", CONTROL_S, self.controller.act),
@@ -343,6 +345,14 @@
         await self.member.poll_list()
         self.marks.observe_list(self.member.listed_)
 
+    async def _poll_entries(self) -> None:
+        read_s = self.entries_read_s_
+        now_s = self.timers.now_s()
+        if read_s is not None and now_s - read_s < ENTRIES_VALID_S:
+            return
+        if await self.member.poll_entries():
+            self.entries_read_s_ = now_s
+
     async def _poll_configuration(self) -> None:
         await self.configuration.poll()
 
@@ -352,10 +362,23 @@
 
     async def _exchange_round(self) -> None:
         for peer in self.schedule.plan():
-            if peer.entry_id not in self.exchanging_:
+            if peer.entry_id not in self.exchanging_ and self._is_due(peer):
                 self.exchanging_.add(peer.entry_id)
                 self._spawn(lambda peer=peer: self._exchange(peer))
 
+    def _is_due(self, peer: membership.PeerAddress) -> bool:
+        """Returns False if the peer has begun an exchange lately itself.
+
+        An exchange carries the state both ways; only a lease needs a request
+        of its own.
+        """
+        if self.member.wants_lease(peer.availability_zone):
+            return True
+        known = self.peers.peers_.get(peer.entry_id)
+        if known is None or known.seen_s is None:
+            return True
+        return self.timers.now_s() - known.seen_s >= SKIP_HEARD_S
+
     async def _exchange(self, peer: membership.PeerAddress) -> None:
         try:
             sent_s = self.timers.now_s()
@@ -407,6 +430,7 @@
         for zone in deployment.availability_zones:
             if zone.name == self.member.home:
                 self.view.set_neighbours(zone.neighbours)
+                self.member.zones_ = frozenset(zone.neighbours)
 
     def _measure(self) -> None:
         now_s = self.timers.now_s()
--- a/baobabdoor/settings/_entry.py
+++ b/baobabdoor/settings/_entry.py
@@ -58,6 +58,10 @@
             messages.
         operator_token: Bearer token for the operators' interface.
         peers: Other entries known in advance. Default: none.
+        boot_id: Boot of the entry VM as the platform lists it under
+            `entry_id`. If it is not known, the zone's VMs do not move after
+            the VM is lost until an entry with the same control address
+            replaces it. Default: not known.
         drain_s: Longest graceful shutdown in seconds. Default: 30.
         max_body_bytes: Largest request or answer body. Default: 4 MiB.
         log_level: Lowest level logged. Default: `info`.
@@ -76,6 +80,7 @@
         16, "a token of at least 16 characters", repr=False
     )
     peers: list[PeerAddress] = attrs.field(factory=list)
+    boot_id: str = ""
     drain_s: float = _fields.number(0, 3600, unit="seconds", default=30.0)
     max_body_bytes: int = _fields.number(1024, unit="bytes", default=4_194_304)
     log_level: str = _fields.one_of(
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -243,6 +243,7 @@
                 availability_zone=zone,
                 peer_key="k" * 32,
                 operator_token="t" * 16,
+                boot_id=boot_id,
                 peers=[
                     settings.PeerAddress(
                         entry_id=name,
@@ -261,7 +262,6 @@
             timeline.EventRecorder(entry_id, clock),
             observability.Metrics(),
             Configuration(world, self.platform),
-            boot_id=boot_id,
             make_capacity=lambda name: Mover(world),
             maintenance_policy=Maintainer(world),
         )
