--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -1,6 +1,7 @@
 """Composition root of the entry daemon, and its life from start to stop."""
 
 import asyncio
+import logging
 import secrets
 import signal
 
@@ -17,7 +18,6 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
-from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _entry_server
 from baobabdoor.entry import _job_part
 from baobabdoor.entry import _slot_sharing
@@ -66,9 +66,7 @@
             entry_settings=entry_settings,
             timers=timers,
             control=control_service,
-            admission_sharing=_admission_sharing.AdmissionSharing(
-                lambda shares: admission.FairShareQueue(shares, salt=salt)
-            ),
+            admission_policy=admission.FairShareQueue({}, salt=salt),
             slot_sharing=_slot_sharing.SlotSharing(
                 entry_id, entry_settings.availability_zone, slots.make_policy
             ),
@@ -100,6 +98,9 @@
     observability.configure_logs(
         entry_settings.entry_id, entry_settings.log_level
     )
+    # Tornado logs a line for each malformed message, which a flood of bad
+    # input would turn into a flood of lines.
+    logging.getLogger("tornado").setLevel(logging.ERROR)
     service = platform.HttpPlatform(entry_settings.platform.url)
     try:
         return await serve(build(entry_settings, service))
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -17,7 +17,6 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
-from baobabdoor.entry import _admission_sharing
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _caller_server
 from baobabdoor.entry import _control_port
@@ -51,7 +50,7 @@
         entry_settings: Settings of the entry.
         timers: Timer service.
         control: The `control.ControlService`.
-        admission_sharing: Queues requests by the shares in force.
+        admission_policy: Queues requests.
         slot_sharing: Shares slots with the entries of the zone.
         tickets: Tickets of this incarnation.
         claims: Claims on callers' own keys.
@@ -67,7 +66,7 @@
     entry_settings: settings.EntrySettings
     timers: base.TimerService
     control: Any
-    admission_sharing: _admission_sharing.AdmissionSharing
+    admission_policy: admission.AdmissionPolicy
     slot_sharing: _slot_sharing.SlotSharing
     tickets: idempotency.Tickets
     claims: idempotency.Claims
@@ -89,6 +88,7 @@
     def __init__(self, parts: Parts):
         self.parts = parts
         self.draining_ = False
+        self.in_force_: tuple[int, str] | None = None
         self.log_ = observability.get_logger("entry")
         self.client_ = _backend_client.BackendClient(
             parts.timers,
@@ -136,7 +136,7 @@
         await control.start()
         self._on_view_changed()
         address = parts.entry_settings.caller
-        self.caller_http_.listen(address.port, address.host)
+        self.caller_http_.listen_on(address.port, address.host)
         every = parts.timers.every
         self.subscriptions_ = [
             every(_request_path.TICK_S, self._tick),
@@ -154,8 +154,8 @@
         await asyncio.sleep(
             min(parts.balancer_wait_s, parts.entry_settings.drain_s)
         )
-        self.caller_http_.stop()
         self.caller_.draining = True
+        self.caller_http_.stop_accepting()
         drained = await self._drain(end_s)
         if not drained:
             await self._abandon()
@@ -178,6 +178,8 @@
         return self.parts.control.ready()
 
     async def _drain(self, end_s: float) -> bool:
+        # Connections accepted last have not been read from yet.
+        await asyncio.sleep(DRAIN_POLL_S)
         while self.path_.active or self.caller_.open_:
             if self.parts.timers.now_s() >= end_s:
                 return False
@@ -197,7 +199,7 @@
         )
         return _request_path.RequestPath(
             parts.timers,
-            parts.admission_sharing,
+            parts.admission_policy,
             parts.slot_sharing,
             self.router_,
             forwarder,
@@ -246,9 +248,7 @@
         deployment = control.deployment
         if deployment is None:
             return
-        self.parts.admission_sharing.use(
-            deployment.callers, self.parts.timers.now_s()
-        )
+        self.parts.admission_policy.set_callers(deployment.callers)
         sharing = self.parts.slot_sharing
         preset = deployment.presets.get(control.preset_name)
         if preset is not None:
@@ -278,8 +278,15 @@
         self.caller_.close_idle()
         self.parts.slot_sharing.expire(now_s)
         self.parts.tickets.expire(now_s)
-        # A change of the preset alone does not change the view.
-        self._on_view_changed()
+        self.client_.expire_idle(now_s)
+        in_force = (
+            self.parts.control.generation,
+            self.parts.control.preset_name,
+        )
+        if in_force != self.in_force_:
+            # A change of the preset alone does not change the view.
+            self.in_force_ = in_force
+            self._on_view_changed()
         metrics = self.parts.metrics
         # Counted on the request path as plain numbers, which costs less.
         for outcome, count in self.path_.ended_.items():
