--- a/baobabdoor/slots/_credits.py
+++ b/baobabdoor/slots/_credits.py
@@ -17,6 +17,9 @@
 # A new entry gets its first credits in its first exchanges. Until then the
 # other entries may still use everything, so it does not use its static part.
 FIRST_EXCHANGE_S = 1.0
+# Slots are divided anew at most this often; once for each payload took half of
+# the time of an exchange.
+TARGETS_S = 0.1
 # An entry that its owner does not answer falls back on the static part this
 # long after its credits; by then the owner has set that part aside.
 FALLBACK_S = 2.0
@@ -76,6 +79,7 @@
         self.ledgers_: dict[str, _ledger.Ledger] = {}
         self.credits_: dict[str, Credit] = {}
         self.targets_: dict[str, dict[str, int]] = {}
+        self.targets_s_ = float("-inf")
         self.numbers_: dict[str, int] = {}
         self.sent_: dict[str, dict[int, float]] = {}
         self.start_s_: float | None = None
@@ -111,8 +115,7 @@
             return self._held(worker_id, now_s)
         if self._is_waiting(worker_id, now_s):
             return self._held(worker_id, now_s)
-        if not self.targets_:
-            self._set_targets(now_s)
+        self._set_targets(now_s)
         left = self._uncommitted(worker_id, "", now_s)
         return min(left, self.targets_[worker_id][self.entry_id])
 
@@ -193,7 +196,6 @@
         ledger.wanted = dict(zip(self.pools_, wanted, strict=False))
         ledger.in_use = dict(zip(own, in_use, strict=False))
         self._take_credits(peer_id, payload, confirmed)
-        self._set_targets(now_s)
 
     def _take_credits(
         self, peer_id: str, payload: dict[str, Any], confirmed: int
@@ -268,6 +270,9 @@
 
     def _set_targets(self, now_s: float) -> None:
         """Divides the slots of the own workers by the demand of the entries."""
+        if self.targets_ and now_s - self.targets_s_ < TARGETS_S:
+            return
+        self.targets_s_ = now_s
         wanted = {entry: self._wanted(entry, now_s) for entry in self.entries_}
         self.targets_ = {}
         for index, worker_id in enumerate(self._owned_by(self.entry_id)):
