--- a/baobabdoor/capacity/_reactive.py
+++ b/baobabdoor/capacity/_reactive.py
@@ -11,6 +11,7 @@
 from baobabdoor.capacity import _books
 from baobabdoor.capacity import _history
 from baobabdoor.capacity import _interface
+from baobabdoor.capacity import _pool_book
 from baobabdoor.capacity import _promises
 
 # Lengths of excess kept for each pool.
@@ -62,7 +63,7 @@
         """Returns moves after the demand of now; see the base class."""
         base.validate(self)
         self.history_.observe(snapshot, now_s)
-        self.history_.expire(now_s, self.hold_s)
+        self.history_.expire(now_s, self._turn_s())
         book = _books.FleetBook(snapshot, deployment, preset)
         floors = _promises.floors(book)
         _promises.restore_promises(book, floors)
@@ -79,6 +80,13 @@
         self.history_.note(book.moves_, now_s)
         return book.moves_
 
+    def _turn_s(self) -> float:
+        """Returns the time in which no VM moves back."""
+        lengths_s = [
+            load.expected_s(self.excess_s) for load in self.pools_.values()
+        ]
+        return max(self.hold_s, *lengths_s, self.excess_s)
+
     def _grow(self, book: _books.FleetBook, now_s: float) -> None:
         move_s = self.history_.move_s(self.move_s)
         for pool in book.applications:
@@ -90,14 +98,28 @@
             if lasted_s < self.grow_after_s or left_s <= move_s:
                 continue
             missing = load.needed - pool.heading
-            for source in book.applications:
-                surplus = source.serving - self.pools_[source.name].held
-                if source is not pool and min(missing, surplus) > 0:
-                    missing -= self._move(
-                        book, source, pool, min(missing, surplus), now_s
-                    )
-            wanted = min(missing, book.lendable())
-            self._move(book, book.spare, pool, wanted, now_s)
+            missing -= self._take(book, pool, missing, "held", now_s)
+            lent = min(missing, book.lendable())
+            missing -= self._move(book, book.spare, pool, lent, now_s)
+            self._take(book, pool, missing, "needed", now_s)
+
+    def _take(
+        self,
+        book: _books.FleetBook,
+        target: _pool_book.PoolBook,
+        missing: int,
+        kept: str,
+        now_s: float,
+    ) -> int:
+        """Takes what other pools have beyond what they held or need now."""
+        taken = 0
+        for source in book.applications:
+            if source is target:
+                continue
+            surplus = source.serving - getattr(self.pools_[source.name], kept)
+            wanted = min(missing - taken, surplus)
+            taken += self._move(book, source, target, wanted, now_s)
+        return taken
 
     def _shrink(self, book: _books.FleetBook, now_s: float) -> None:
         for pool in book.applications:
@@ -107,14 +129,14 @@
     def _move(
         self,
         book: _books.FleetBook,
-        source: _books.PoolBook,
-        target: _books.PoolBook,
+        source: _pool_book.PoolBook,
+        target: _pool_book.PoolBook,
         count: int,
         now_s: float,
     ) -> int:
         if count <= 0:
             return 0
-        barred = self.history_.barred(target.name, self.hold_s, now_s)
+        barred = self.history_.barred(target.name, self._turn_s(), now_s)
         return book.move(source, target, count, "follow demand", barred)
 
 
@@ -137,6 +159,7 @@
         # Needs that no later need exceeds, oldest and highest first.
         self.highs_: collections.deque = collections.deque()
         self.peak_since_s_: float | None = None
+        self.peak_needed_ = 0
 
     def observe(
         self, needed: int, heading: int, hold_s: float, now_s: float
