--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -9,6 +9,7 @@
 from tornado import httputil
 from tornado import web
 
+from baobabdoor import admission
 from baobabdoor import base
 from baobabdoor import idempotency
 from baobabdoor import observability
