--- a/baobabdoor/capacity/_books.py
+++ b/baobabdoor/capacity/_books.py
@@ -53,20 +53,23 @@
         return [book for book in self.pools_.values() if book.name != spare]
 
     def rolling_out(self) -> maintenance.RollOut | None:
-        """Returns the roll-out of the present period; None if there is none.
+        """Returns the roll-out of the present period; None if it is stopped.
 
         Planners get no wall clock here; the newest time in the rows is close
         to it while VMs are moved or maintained.
         """
-        policy = self.preset.maintenance
-        if not policy.enabled:
-            return None
-        vms = self.snapshot.vms.values()
         newest_ms = max(
-            (max(vm.phase_since_ms, vm.last_maintained_ms) for vm in vms),
+            (
+                max(vm.phase_since_ms, vm.last_maintained_ms)
+                for vm in self.snapshot.vms.values()
+            ),
             default=0,
         )
-        return maintenance.RollOut.at(policy, newest_ms)
+        if maintenance.is_stopped(
+            self.snapshot, self.deployment, self.preset, newest_ms
+        ):
+            return None
+        return maintenance.RollOut.at(self.preset.maintenance, newest_ms)
 
     def lendable(self, keep_buffer: bool = True) -> int:
         """Returns how many VMs the spare pool may give away now.
--- a/baobabdoor/maintenance/__init__.py
+++ b/baobabdoor/maintenance/__init__.py
@@ -7,6 +7,7 @@
 from baobabdoor.maintenance._roll_out import RollOut
 from baobabdoor.maintenance._waves import OneAtATimePlanner
 from baobabdoor.maintenance._waves import WavePlanner
+from baobabdoor.maintenance._waves import is_stopped
 
 __all__ = [
     "MaintenancePolicy",
@@ -15,5 +16,6 @@
     "StartMaintenance",
     "WavePlanner",
     "allowance",
+    "is_stopped",
     "members_by_pool",
 ]
--- a/baobabdoor/maintenance/_waves.py
+++ b/baobabdoor/maintenance/_waves.py
@@ -32,7 +32,7 @@
         wall_ms: int,
     ) -> list[_interface.StartMaintenance]:
         """Returns the VMs to take out of service now; see the base class."""
-        if _stopped(snapshot, deployment, preset, wall_ms):
+        if is_stopped(snapshot, deployment, preset, wall_ms):
             return []
         roll_out = _roll_out.RollOut.at(preset.maintenance, wall_ms)
         vms = list(snapshot.vms.values())
@@ -63,7 +63,7 @@
         wall_ms: int,
     ) -> list[_interface.StartMaintenance]:
         """Returns the next VM if none is out for maintenance."""
-        if _stopped(snapshot, deployment, preset, wall_ms):
+        if is_stopped(snapshot, deployment, preset, wall_ms):
             return []
         vms = list(snapshot.vms.values())
         if any(_in_progress(vm) for vm in vms):
@@ -124,12 +124,20 @@
         )
 
 
-def _stopped(
+def is_stopped(
     snapshot: ownership.FleetSnapshot,
     deployment: settings.Deployment,
     preset: settings.Preset,
     wall_ms: int,
 ) -> bool:
+    """Whether maintenance is disabled or failed reboots stop it.
+
+    Args:
+        snapshot: All VMs.
+        deployment: Settings in force.
+        preset: Preset in force.
+        wall_ms: Wall-clock time in milliseconds.
+    """
     policy = preset.maintenance
     if not policy.enabled:
         return True
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -170,6 +170,17 @@
                 snapshot, {}, FEDERATION, ORDINARY, float(second)
             )
 
+    def test_a_stopped_roll_out_keeps_no_room(self):
+        # It may stay stopped for days, until an operator repairs the VMs.
+        policy = capacity.make_policy("predictive")
+        snapshot = fleets.snapshot(
+            FEDERATION,
+            jury_desk_0=fleets.failed_reboot("jury-desk"),
+            backoffice_0=fleets.failed_reboot("backoffice"),
+        )
+        moves = policy.plan(snapshot, {}, FEDERATION, ORDINARY, 0.0)
+        assert {move.to_pool for move in moves} == {"backoffice"}
+
     def test_unknown_names_and_bad_parameters_are_refused(self):
         with pytest.raises(ValueError, match="expected predictive, reactive"):
             capacity.make_policy("guess")
