Do not replace VMs that are out for maintenance

Cause: the room that a pool keeps for a roll-out was compared with its VMs in service, so VMs in maintenance were replaced from the spare pool, which used up its budget.

--- a/baobabdoor/capacity/_promises.py
+++ b/baobabdoor/capacity/_promises.py
@@ -43,11 +43,11 @@
 
 
 def floors(book: _books.FleetBook) -> dict[str, int]:
-    """Returns how many VMs each pool must hold, whatever its demand.
+    """Returns how many VMs in service each pool must hold, whatever its demand.
 
-    While a roll-out is under way a pool with VMs that it still has to reach
-    keeps room for its availability budget: at `min_workers` alone no VM of
-    the pool could be rebooted, and the roll-out would never end.
+    While a roll-out has VMs of a pool to reach, the pool keeps room for what is
+    left of its availability budget: at `min_workers` alone none of its VMs
+    could be rebooted, and the roll-out would never end.
     """
     result = {}
     rolling_out = book.rolling_out()
@@ -56,6 +56,8 @@
         if rolling_out is not None and any(
             rolling_out.is_due(vm) for vm in pool.members
         ):
-            floor += pool.promise.availability_budget
+            unavailable = sum(not vm.in_service for vm in pool.members)
+            budget = pool.promise.availability_budget
+            floor += max(0, budget - unavailable)
         result[pool.name] = min(floor, pool.promise.max_workers)
     return result
--- a/baobabdoor/measure/_capacity.py
+++ b/baobabdoor/measure/_capacity.py
@@ -155,6 +155,7 @@
             if second == self.first_:
                 self.begin_measurement()
             self.tick(second)
+            self.model_.step()
         return self.outcome_
 
     def begin_measurement(self) -> None:
@@ -194,7 +195,6 @@
                 done.zone_loss, self._missing_after("availability_zone", second)
             ),
         )
-        model.step()
 
     def _moves_back(self, moves: list[capacity.Move]) -> int:
         now_s = self.model_.now_s_
--- a/baobabdoor/measure/_rollout_under_demand.py
+++ b/baobabdoor/measure/_rollout_under_demand.py
@@ -64,6 +64,9 @@
         if second == start:
             model.mark_due()
             run.begin_measurement()
+        # In the controller, too, moves come before maintenance: they hold a
+        # budget for seconds, a reboot for minutes.
+        run.tick(second)
         if second >= start:
             for vm in planner.plan(
                 model.snapshot(), run.deployment, model.preset, model.wall_ms
@@ -71,7 +74,7 @@
                 refused += not model.maintain(vm.vm_id)
             if _is_over(model.snapshot()):
                 return second - start, refused
-        run.tick(second)
+        model.step()
     return run.last_ - start, refused
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -170,6 +170,20 @@
                 snapshot, {}, FEDERATION, ORDINARY, float(second)
             )
 
+    @pytest.mark.parametrize("name", NAMES)
+    def test_vms_in_maintenance_are_not_replaced(self, name):
+        # Replacements would use up the budget of the spare pool, whose own
+        # VMs then wait for their maintenance.
+        out = {
+            "phase": ownership.Phase.REBOOTING,
+            "target_pool": "jury-desk",
+            "intent": "reboot",
+            "phase_since_ms": fleets.WALL_MS,
+        }
+        snapshot = fleets.snapshot(FEDERATION, jury_desk_0=out, jury_desk_1=out)
+        policy = capacity.make_policy(name)
+        assert not policy.plan(snapshot, {}, FEDERATION, ORDINARY, 0.0)
+
     def test_a_stopped_roll_out_keeps_no_room(self):
         # It may stay stopped for days, until an operator repairs the VMs.
         policy = capacity.make_policy("predictive")
