--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -9,7 +9,6 @@
 from tornado import httputil
 from tornado import web
 
-from baobabdoor import admission
 from baobabdoor import base
 from baobabdoor import idempotency
 from baobabdoor import observability
@@ -57,7 +56,9 @@
         claims: Claims on callers' own keys.
         recorder: Time line of the process.
         metrics: Metrics of the process.
-        jobs: Tornado routes of `/v1/jobs`. Default: none.
+        job_routes: Tornado routes of `/v1/jobs` for callers; without them such
+            requests get 404. Default: none.
+        operator_routes: Further routes of the control port. Default: none.
         seed: Seed of routing's choices. Default: 0.
         balancer_wait_s: Time between not being ready and refusing requests.
     """
@@ -71,7 +72,8 @@
     claims: idempotency.Claims
     recorder: timeline.EventRecorder
     metrics: observability.Metrics
-    jobs: list | None = None
+    job_routes: list | None = None
+    operator_routes: list = attrs.field(factory=list)
     seed: int = 0
     balancer_wait_s: float = BALANCER_WAIT_S
 
@@ -86,6 +88,7 @@
     def __init__(self, parts: Parts):
         self.parts = parts
         self.draining_ = False
+        self.in_force_: tuple[int, str] | None = None
         self.log_ = observability.get_logger("entry")
         self.client_ = _backend_client.BackendClient(
             parts.timers,
@@ -133,7 +136,7 @@
         await control.start()
         self._on_view_changed()
         address = parts.entry_settings.caller
-        self.caller_http_.listen(address.port, address.host)
+        self.caller_http_.listen_on(address.port, address.host)
         every = parts.timers.every
         self.subscriptions_ = [
             every(_request_path.TICK_S, self._tick),
@@ -151,8 +154,8 @@
         await asyncio.sleep(
             min(parts.balancer_wait_s, parts.entry_settings.drain_s)
         )
-        self.caller_http_.stop()
         self.caller_.draining = True
+        self.caller_http_.stop_accepting()
         drained = await self._drain(end_s)
         if not drained:
             await self._abandon()
@@ -175,6 +178,8 @@
         return self.parts.control.ready()
 
     async def _drain(self, end_s: float) -> bool:
+        # Connections accepted last have not been read from yet.
+        await asyncio.sleep(DRAIN_POLL_S)
         while self.path_.active or self.caller_.open_:
             if self.parts.timers.now_s() >= end_s:
                 return False
@@ -202,7 +207,7 @@
 
     def _make_caller_server(self) -> _caller_server.CallerServer:
         local = _local_paths.LocalPaths(
-            self.ready, self._issue_ticket, self.parts.jobs
+            self.ready, self._issue_ticket, self.parts.job_routes
         )
         return _caller_server.CallerServer(
             self.parts.timers,
@@ -243,6 +248,7 @@
         deployment = control.deployment
         if deployment is None:
             return
+        self.parts.admission_policy.set_callers(deployment.callers)
         sharing = self.parts.slot_sharing
         preset = deployment.presets.get(control.preset_name)
         if preset is not None:
@@ -272,8 +278,15 @@
         self.caller_.close_idle()
         self.parts.slot_sharing.expire(now_s)
         self.parts.tickets.expire(now_s)
-        # A change of the preset alone does not change the view.
-        self._on_view_changed()
+        self.client_.expire_idle(now_s)
+        in_force = (
+            self.parts.control.generation,
+            self.parts.control.preset_name,
+        )
+        if in_force != self.in_force_:
+            # A change of the preset alone does not change the view.
+            self.in_force_ = in_force
+            self._on_view_changed()
         metrics = self.parts.metrics
         # Counted on the request path as plain numbers, which costs less.
         for outcome, count in self.path_.ended_.items():
@@ -290,6 +303,7 @@
         application = web.Application(
             [
                 *parts.control.routes(),
+                *parts.operator_routes,
                 *_control_port.routes(
                     parts.metrics,
                     parts.recorder,
