--- a/tests/test_jobs_controller.py
+++ b/tests/test_jobs_controller.py
@@ -223,6 +223,12 @@
         self.control({}, False, 1)
         self.act_after_losing_control()
 
+    @stateful.rule()
+    def lose_the_leases_of_tasks(self):
+        self.control({}, False, 1)
+        self.wait(40.0)
+        self.control({}, False, 1)
+
     @stateful.rule(worker_id=st.sampled_from(WORKERS))
     def restart_worker(self, worker_id):
         self.bench.core.vms.restart(worker_id)
