Count no lease across a clock that stood still

While a VM is suspended its monotonic clock stands still, so a lease looked valid after it, and an answer read after it gave one. The wall clock is now compared at each use, and an answer to a request sent before a jump gives no lease. Two broken variants show that the simulation rejects both faults.

--- a/baobabdoor/control/_exchanges.py
+++ b/baobabdoor/control/_exchanges.py
@@ -91,11 +91,11 @@
         sender: str,
         incarnation: int,
         exchange: membership.Exchange,
-        sent_s: float,
+        mark: _member.SendMark,
     ) -> None:
-        """Takes in the verified answer to a request sent at `sent_s`."""
+        """Takes in the verified answer to a request with a send mark."""
         self.observe(sender, incarnation, exchange)
-        self.member.receive_answer(exchange, sent_s)
+        self.member.receive_answer(exchange, mark)
 
     def observe(
         self, sender: str, incarnation: int, exchange: membership.Exchange
--- a/baobabdoor/control/_member.py
+++ b/baobabdoor/control/_member.py
@@ -36,6 +36,19 @@
     boot_id: str = ""
 
 
+@attrs.frozen
+class SendMark:
+    """When a request was sent.
+
+    Attributes:
+        sent_s: Monotonic time in seconds.
+        jumps: Number of clock jumps noticed before.
+    """
+
+    sent_s: float
+    jumps: int
+
+
 class Member:
     """Keeps an entry's place in the deployment.
 
@@ -68,6 +81,7 @@
         self.grants = membership.GrantBook()
         self.leases = membership.LeaseBook()
         self.jumps = membership.ClockJumpDetector(TICK_S)
+        self.jump_count_ = 0
         self.incarnation_ = 0
         self.generation_ = 0
         self.is_registered_ = False
@@ -329,6 +343,7 @@
         now_s = self.timers.now_s()
         jumped = self.jumps.observe(now_s, self.timers.wall_ms())
         if jumped:
+            self.jump_count_ += 1
             self.leases.drop_all()
             self.recorder.record("membership.clock-jumped")
         self.peers.expire(now_s)
@@ -390,25 +405,38 @@
         }
         return membership.ZoneRows(version=view.version, rows=rows)
 
+    def mark_send(self) -> SendMark:
+        """Returns the mark of a request that is sent now."""
+        return SendMark(self.timers.now_s(), self.jump_count_)
+
     def receive_answer(
-        self, exchange: membership.Exchange, sent_s: float
+        self, exchange: membership.Exchange, mark: SendMark
     ) -> None:
         """Takes the lease and the rows of an answer.
 
         Args:
             exchange: Verified answer.
-            sent_s: When the request was sent, in seconds.
+            mark: When the request was sent.
         """
         zone = exchange.entry.availability_zone
         rows = exchange.zone_rows
         if rows is not None and self._is_wanted(zone):
             self.adopt(zone, rows.version, rows.rows)
+        if not self._may_count(mark):
+            return
         if 0 < exchange.granted <= self.views.version(zone):
             was_held = self.leases.is_held(zone, self.timers.now_s())
-            self.leases.observe_grant(zone, sent_s)
+            self.leases.observe_grant(zone, mark.sent_s)
             if not was_held:
                 self._notify()
 
+    def _may_count(self, mark: SendMark) -> bool:
+        """Returns whether the clock can be trusted since a request was sent."""
+        overdue = self.jumps.is_overdue(
+            self.timers.now_s(), self.timers.wall_ms()
+        )
+        return mark.jumps == self.jump_count_ and not overdue
+
     # Use of VMs.
 
     def access(
@@ -421,7 +449,7 @@
             return self.refusal_
         if availability_zone == self.home and self.is_home_valid_:
             return None
-        if self.jumps.is_overdue(now_s):
+        if self.jumps.is_overdue(now_s, self.timers.wall_ms()):
             return base.Refusal(base.Reason.CLOCK_JUMPED, STEP)
         if not self.leases.is_held(availability_zone, now_s):
             return base.Refusal(
--- a/baobabdoor/control/_service.py
+++ b/baobabdoor/control/_service.py
@@ -381,7 +381,7 @@
 
     async def _exchange(self, peer: membership.PeerAddress) -> None:
         try:
-            sent_s = self.timers.now_s()
+            mark = self.member.mark_send()
             body = self.exchanges.request(peer).to_bytes()
             answer = await self.link.post(
                 peer.entry_id, EXCHANGE_PATH, {}, body, EXCHANGE_TIMEOUT_S
@@ -397,7 +397,7 @@
                 return
             incarnation = self.signer.known_[peer.entry_id]
             self.exchanges.receive_answer(
-                peer.entry_id, incarnation, exchange, sent_s
+                peer.entry_id, incarnation, exchange, mark
             )
         finally:
             self.exchanging_.discard(peer.entry_id)
--- a/baobabdoor/membership/_jump.py
+++ b/baobabdoor/membership/_jump.py
@@ -33,17 +33,17 @@
             base.validate(self)
             jumped = False
         else:
-            passed_s = now_s - self.last_s_
-            passed_wall_s = (wall_ms - self.last_wall_ms_) / 1000
-            differs = abs(passed_wall_s - passed_s) > self.max_extra_s
-            jumped = differs or self.is_overdue(now_s)
+            jumped = self.is_overdue(now_s, wall_ms)
         self.last_s_ = now_s
         self.last_wall_ms_ = wall_ms
         return jumped
 
-    def is_overdue(self, now_s: float) -> bool:
+    def is_overdue(self, now_s: float, wall_ms: int) -> bool:
         """Returns whether a tick is missing, so that a jump is possible."""
         if self.last_s_ is None:
             return True
         passed_s = now_s - self.last_s_
+        passed_wall_s = (wall_ms - self.last_wall_ms_) / 1000
+        if abs(passed_wall_s - passed_s) > self.max_extra_s:
+            return True
         return passed_s < 0 or passed_s > self.period_s + self.max_extra_s
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -71,14 +71,15 @@
 
 
 class EntryTimers(base.TimerService):
-    """Timers of one entry; they stand still while it is paused."""
+    """Timers of one entry; its monotonic clock stops with a suspended VM."""
 
     def __init__(self, world, entry):
         self.world = world
         self.entry = entry
+        self.suspended_s = 0.0
 
     def now_s(self):
-        return self.world.now_s
+        return self.world.now_s - self.suspended_s
 
     def wall_ms(self):
         return 1_700_000_000_000 + int(self.world.now_s * 1000)
--- a/tests/test_fuzz_control.py
+++ b/tests/test_fuzz_control.py
@@ -97,6 +97,15 @@
     )
 
 
+def suspend(world, choose):
+    """Suspends the VM of an entry; its monotonic clock stands still."""
+    duration_s = choose((1.5, 2.5, 3.5, 9.0))
+    entry = world.entries[choose(ENTRIES)]
+    if not entry.is_paused and not entry.is_dead:
+        entry.timers.suspended_s += duration_s
+        stop_for_a_while(world, entry, duration_s)
+
+
 def stall_holder(world, choose):
     """Delays the writes of the control lease's holder, then pauses it."""
     entry = world.holder()
@@ -170,6 +179,7 @@
     leave: 1,
     start: 2,
     pause: 6,
+    suspend: 2,
     stall_holder: 2,
     isolate: 4,
     cut_zone: 3,
--- a/tests/test_fuzz_control_faults.py
+++ b/tests/test_fuzz_control_faults.py
@@ -51,12 +51,24 @@
 def count_lease_from_answer(patch):
     receive = _member.Member.receive_answer
 
-    def receive_answer(member, exchange, sent_s):
-        receive(member, exchange, member.timers.now_s())
+    def receive_answer(member, exchange, mark):
+        receive(member, exchange, member.mark_send())
 
     patch.setattr(_member.Member, "receive_answer", receive_answer)
 
 
+def trust_monotonic_clock(patch):
+    """Ignores that the clock stands still while a VM is suspended."""
+    patch.setattr(
+        membership.ClockJumpDetector, "is_overdue", lambda *arguments: False
+    )
+
+
+def keep_answers_over_jumps(patch):
+    """Counts a lease from a time before the clock stood still."""
+    patch.setattr(_member.Member, "_may_count", lambda *arguments: True)
+
+
 def use_lease_without_end(patch):
     patch.setattr(
         membership.LeaseBook,
@@ -368,6 +380,22 @@
         world.advance(6.0)
 
 
+def send_after_suspension(world, rng):
+    """The VM of an entry is suspended while it holds a lease."""
+    world.long_sends = 0.0
+    world.slow = rng.choice((0.0, 0.8))
+    world.advance(rng.uniform(0.0, 1.0))
+    move_all(world)
+    entry = isolate_holder_of_lease(world)
+    world.isolated.clear()
+    entry.timers.suspended_s += 6.0
+    world.pause(entry.entry_id)
+    world.advance(6.0)
+    world.isolated.add(entry.entry_id)
+    world.resume(entry.entry_id)
+    world.advance(4.0)
+
+
 VARIANTS = (
     (acknowledge_before_grants_expired, bursts(fuzz.isolate)),
     (
@@ -376,6 +404,8 @@
     ),
     (grant_for_older_view, bursts(fuzz.cut_platform)),
     (count_lease_from_answer, answer_after_pause),
+    (trust_monotonic_clock, send_after_suspension),
+    (keep_answers_over_jumps, send_after_suspension),
     (use_lease_without_end, bursts(fuzz.isolate)),
     (use_other_zones_without_lease, bursts(fuzz.isolate)),
     (write_without_epoch, delay_writes_of_old_holder),
