--- a/features/harness.py
+++ b/features/harness.py
@@ -157,6 +157,7 @@
                 first + 70 + index,
                 self.platform_ports[zone],
             )
+        self.boot_ids = {entry_id: f"{entry_id}.1" for entry_id in self.entries}
         self.processes: dict[str, subprocess.Popen] = {}
 
     def start(self) -> None:
@@ -210,12 +211,13 @@
     def replace(self, entry_id: str) -> None:
         """Starts a killed entry again on a new VM with the same address."""
         entry = self.entries[entry_id]
+        self.boot_ids[entry_id] = f"{entry_id}.{time.monotonic_ns()}"
         spec = {
             "vm_id": entry_id,
             "address": "",
             "availability_zone": entry.zone,
             "rack": f"{entry.zone}-entries",
-            "boot_id": f"{entry_id}.{time.monotonic_ns()}",
+            "boot_id": self.boot_ids[entry_id],
         }
         self.platform("vms/add", spec)
         self.start_entry(entry_id)
@@ -293,6 +295,7 @@
         ]
         return {
             "entry_id": entry.entry_id,
+            "boot_id": self.boot_ids[entry.entry_id],
             "region": "luzon",
             "availability_zone": entry.zone,
             "caller": {"host": HOST, "port": entry.caller},
