--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -5,7 +5,9 @@
 import time
 
 import pytest
+from tornado import httpclient
 from tornado import testing
+from tornado import web
 
 from baobabdoor import base
 from baobabdoor import observability
@@ -232,3 +234,54 @@
                 _wire.decode_result(
                     platform.OPERATIONS["list_vms"], json.dumps(plain).encode()
                 )
+
+
+class TestAdmin:
+
+    async def post(self, server, path, value):
+        application = web.Application(server.admin_routes())
+        http_server = application.listen(0, "127.0.0.1")
+        (sock,) = http_server._sockets.values()
+        port = sock.getsockname()[1]
+        client = httpclient.AsyncHTTPClient()
+        answer = await client.fetch(
+            f"http://127.0.0.1:{port}/admin/{path}",
+            method="POST",
+            body=json.dumps(value),
+            raise_error=False,
+        )
+        http_server.stop()
+        return answer.code
+
+    @pytest.mark.parametrize(
+        ("path", "value"),
+        [
+            ("faults", {"down": "yes"}),
+            ("faults", {"unheard": 1}),
+            ("faults", {"port": 1, "down": True}),
+            ("vms/add", {"vm_id": "x"}),
+            ("vms/terminate", {"vm_id": "x"}),
+            ("failing", {"jobs": ["x"], "unheard": []}),
+            ("failing", []),
+        ],
+    )
+    def test_wrong_input_changes_nothing(self, path, value):
+        async def scenario(h):
+            assert await self.post(h.server, path, value) == 400
+            assert h.faults == standin.PlatformFaults()
+            assert not h.core.tasks.failing_jobs
+            assert len(await h.client.list_vms()) == 1
+
+        run(scenario)
+
+    def test_switches_faults_and_vms(self):
+        async def scenario(h):
+            assert await self.post(h.server, "faults", {"down": True}) == 200
+            assert not await h.client.list_vms()
+            assert await self.post(h.server, "faults", {"down": False}) == 200
+            vm = {"vm_id": "vm-1"}
+            assert await self.post(h.server, "vms/leave", vm) == 200
+            (record,) = await h.client.list_vms()
+            assert record.state is platform.VmListState.LEAVING
+
+        run(scenario)
