Bound the memory of answers

Answers being received wait above 16 MiB, one at a time excepted, and callers that leave more than 16 MiB of answers unread lose their connections, slowest first. Only single bodies were bounded before.

--- a/baobabdoor/entry/_backend_client.py
+++ b/baobabdoor/entry/_backend_client.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import socket
 
@@ -15,6 +16,7 @@
 
 from baobabdoor import base
 from baobabdoor import requests
+from baobabdoor.entry import _answer_memory
 
 STEP = "entry.send"
 CONNECT_TIMEOUT_S = 2.0
@@ -95,12 +97,14 @@
         self.reason = start_line.reason
         self.headers = headers
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Keeps a part of the body, up to the limit."""
         self.length += len(chunk)
+        waiting = self.connection.memory.add(self.connection, len(chunk))
         if self.length > self.connection.max_body_bytes:
             raise httputil.HTTPInputError("answer too large")
         self.chunks.append(chunk)
+        return waiting
 
     def finish(self) -> None:
         """Notes the end of the message."""
@@ -128,15 +132,22 @@
     Args:
         stream: Connected stream.
         max_body_bytes: Largest body of an answer in bytes.
+        memory: Memory of all answers.
     """
 
     PARAMETERS = http1connection.HTTP1ConnectionParameters(
         max_header_size=MAX_HEADER_BYTES, chunk_size=READ_CHUNK_BYTES
     )
 
-    def __init__(self, stream: iostream.IOStream, max_body_bytes: int):
+    def __init__(
+        self,
+        stream: iostream.IOStream,
+        max_body_bytes: int,
+        memory: _answer_memory.AnswerMemory,
+    ):
         self.stream = stream
         self.max_body_bytes = max_body_bytes
+        self.memory = memory
         self.exchange: requests.Exchange | None = None
         self.method = ""
         self.answer_: asyncio.Future | None = None
@@ -193,6 +204,7 @@
         """Closes the connection."""
         self.reusable = False
         self.stream.close()
+        self.memory.wake(self)
 
     async def _read_answers(self) -> None:
         more = True
@@ -213,6 +225,7 @@
             return False
 
     def _finish_exchange(self, reader: AnswerReader) -> None:
+        self.memory.release(self, reader.length)
         exchange = self.exchange
         if exchange is None:
             return
@@ -280,6 +293,7 @@
         self.connection_limit = connection_limit
         self.max_body_bytes = max_body_bytes
         self.pools_: dict[str, BackendPool] = {}
+        self.memory_ = _answer_memory.AnswerMemory()
         # All connections in use, so that `expire` need not visit the pools.
         self.busy_: set[BackendConnection] = set()
 
@@ -394,7 +408,9 @@
             return base.Refusal(reason, "entry.connect", vm_id, detail)
         finally:
             pool.connecting -= 1
-        connection = BackendConnection(stream, self.max_body_bytes)
+        connection = BackendConnection(
+            stream, self.max_body_bytes, self.memory_
+        )
         connection.start()
         # The read must be pending before the first request is written.
         await asyncio.sleep(0)
--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -55,6 +55,8 @@
         "work",
         "chunks",
         "length",
+        "answer_bytes",
+        "unread",
         "body_whole",
         "answered",
         "finished",
@@ -72,6 +74,8 @@
         self.work: _work.Work | None = None
         self.chunks: list[bytes] = []
         self.length = 0
+        self.answer_bytes = 0
+        self.unread = 0
         self.body_whole = False
         self.answered = False
         self.finished = False
@@ -211,6 +215,7 @@
         # A head encoded here costs a third of one checked again; the parser
         # of the backend server's answer has checked its headers.
         head = "\r\n".join(lines).encode("latin-1")
+        self.answer_bytes = len(body)
         self.connection.write(head + body)
         if self.body_whole:
             self._finish_connection()
@@ -237,12 +242,17 @@
         self.connection.finish()
         if stream.closed() or not stream.writing():
             self.forget()
+        else:
+            self.unread = self.answer_bytes
+            self.server.unread_ += self.unread
 
     def forget(self) -> None:
         """Gives back the memory of a request that has ended."""
         if self in self.server.open_:
             self.server.open_.discard(self)
             self.server.unreserve(sum(map(len, self.chunks)))
+            self.server.unread_ -= self.unread
+            self.unread = 0
             self.chunks = []
 
 
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -18,6 +18,9 @@
 
 # All bodies held in memory, a third of the process's 64 MB.
 MAX_BUFFERED_BYTES = 20 * 1024 * 1024
+# Answers that callers have not read yet; above it, the slowest readers lose
+# their connections.
+MAX_UNREAD_BYTES = 16 * 1024 * 1024
 STEP = "entry.read"
 
 
@@ -52,6 +55,7 @@
         self.open_: set[_caller_request.CallerRequest] = set()
         self.connections_: dict[object, _caller_request.CallerRequest] = {}
         self.buffered_ = 0
+        self.unread_ = 0
         self.refused_ = 0
 
     def start_request(
@@ -141,6 +145,17 @@
                 request.forget()
             else:
                 request.expire(now_s)
+        if self.unread_ > MAX_UNREAD_BYTES:
+            self._close_slow_readers()
+
+    def _close_slow_readers(self) -> None:
+        unread = [request for request in self.open_ if request.unread]
+        # The one that has had the most time to read its answer goes first.
+        for request in sorted(unread, key=lambda request: request.limit_s):
+            if self.unread_ <= MAX_UNREAD_BYTES:
+                return
+            request.connection.close()
+            request.forget()
 
     def close_idle(self) -> None:
         """Closes connections that have brought no headers for long."""
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -614,6 +614,44 @@
 
         assert bench.run(scenario) <= 150_000
 
+    def test_large_answers_wait_for_memory_and_all_arrive(self):
+        # Guards against memory without bound, and against answers that are
+        # each half received and wait for each other.
+        bench = Bench()
+        body = b"x" * 90_000
+        bench.add_backend(lambda *_: fakes.http_answer(body))
+        memory = bench.server.client_.memory_
+        memory.limit_bytes = 100_000
+
+        async def scenario():
+            return await asyncio.gather(*(bench.fetch() for _ in range(24)))
+
+        assert all(r.body == body for r in bench.run(scenario))
+        assert (memory.used_, memory.waiting_) == (0, {})
+
+    def test_slowest_reader_is_cut_off_when_answers_pile_up(self, monkeypatch):
+        monkeypatch.setattr(_caller_server, "MAX_UNREAD_BYTES", 5_000_000)
+        bench = Bench(max_body_bytes=4_000_000)
+        body = b"x" * 4_000_000
+        bench.add_backend(lambda *_: fakes.http_answer(body))
+
+        async def scenario():
+            slow = []
+            for _ in range(2):
+                reader, writer = await bench.connect()
+                writer.transport.pause_reading()
+                writer.write(head_of("GET"))
+                slow.append((reader, writer))
+                await until(lambda: len(bench.server.caller_.open_))
+                await asyncio.sleep(0.2)
+            await until(lambda: bench.server.caller_.unread_ < 5_000_000)
+            for _, writer in slow:
+                writer.transport.resume_reading()
+            return [len(await reader.read()) for reader, _ in slow[:1]]
+
+        (received,) = bench.run(scenario)
+        assert received < 4_000_000
+
     def test_caller_that_leaves_the_queue_is_not_served(self):
         bench = Bench(per_worker=0)
         backend = bench.add_backend(echo)
