--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -586,6 +586,26 @@
         refused, following = bench.run(scenario)
         assert (refused[0], following[0]) == (429, 429)
 
+    def test_held_refusal_comes_late_and_keeps_the_connection(self):
+        """Guards against callers that repeat refused requests at once."""
+        bench = Bench(queue_limit=0)
+        delays = [0.2, 0.0]
+        bench.queue.refusal_delay_s = lambda item, now_s: delays.pop(0)
+
+        async def scenario():
+            reader, writer = await bench.connect()
+            start_s = bench.timers.now_s()
+            writer.write(head_of(Content_Length="10") + b"x" * 10)
+            refused = await read_answer(reader)
+            held_s = bench.timers.now_s() - start_s
+            writer.write(head_of("GET"))
+            return held_s, refused, await read_answer(reader)
+
+        held_s, refused, following = bench.run(scenario)
+        assert held_s >= 0.2
+        assert (refused[0], following[0]) == (429, 429)
+        assert bench.server.caller_.buffered_ == 0
+
     def test_refused_caller_that_expects_100_sends_no_body(self):
         bench = Bench(queue_limit=0)
 
