--- a/baobabdoor/measure/_rollout.py
+++ b/baobabdoor/measure/_rollout.py
@@ -220,7 +220,8 @@
             lost = 0
             running = 0
             for vm in members:
-                running += vm.phase is ownership.Phase.REBOOTING
+                rebooting = vm.phase is ownership.Phase.REBOOTING
+                running += rebooting and vm.vm_id not in model.failing_reboots_
                 if _lost_otherwise(vm, model.failing_reboots_):
                     lost += 1
                     if vm.last_maintained_ms < _fleet_model.START_WALL_MS:
