--- a/baobabdoor/slots/_ledger.py
+++ b/baobabdoor/slots/_ledger.py
@@ -66,9 +66,7 @@
         """
         oldest_s = now_s - run_out_s
         self.promises = [
-            promise
-            for promise in self.promises
-            if promise.expires_s > oldest_s
+            promise for promise in self.promises if promise.expires_s > oldest_s
         ]
 
     def committed(self, worker_id: str) -> int:
