--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test format check fuzz
+.PHONY: run test format check fuzz properties
 
 $(VENV)/.installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -26,3 +26,7 @@
 # Prints the seed of the first walk; `--seed N` repeats one.
 fuzz: $(VENV)/.installed
 	$(BIN)/python tests/test_fuzz_control.py --seconds 600
+
+# Lists each property with the planted faults that it rejects.
+properties: $(VENV)/.installed
+	$(BIN)/python -m pytest -n 4 -v -k "planted or variant or property_rejects" tests
