--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -158,7 +158,8 @@
     """A backend server whose answers are bytes chosen by the test.
 
     `answer(number, head, body)` returns the bytes to send, or None to send
-    nothing; it may be a coroutine. Returning `(bytes,)` closes afterwards.
+    nothing; it may be a coroutine. Returning `(bytes,)` closes afterwards, a
+    list sends its parts with pauses.
     """
 
     def __init__(self, answer):
@@ -196,6 +197,10 @@
         if isinstance(result, tuple):
             await stream.write(result[0])
             stream.close()
+        elif isinstance(result, list):
+            for part in result:
+                await stream.write(part)
+                await asyncio.sleep(0.1)
         elif result is not None:
             await stream.write(result)
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -619,7 +619,9 @@
         # each half received and wait for each other.
         bench = Bench()
         body = b"x" * 90_000
-        bench.add_backend(lambda *_: fakes.http_answer(body))
+        whole = fakes.http_answer(body)
+        # All are half received at the same time.
+        bench.add_backend(lambda *_: [whole[:60_000], whole[60_000:]])
         memory = bench.server.client_.memory_
         memory.limit_bytes = 100_000
 
