--- a/baobabdoor/control/_service.py
+++ b/baobabdoor/control/_service.py
@@ -126,6 +126,10 @@
         self.exchanges = _exchanges.ExchangeState(
             self.member, self.peers, self.marks, self.timers, self.recorder
         )
+        # Before the view, whose subscribers must see the new marks.
+        self.member.subscribe(
+            lambda: self.marks.observe_list(self.member.listed_)
+        )
         self.view = _fleet_view.FleetView(self.member, self.marks, self.timers)
         self.lease = _lease.ControlLease(
             self.platform, self.timers, entry.region, entry.entry_id
@@ -183,7 +187,7 @@
             )
         periods = (
             ("tick", _member.TICK_S, self._tick),
-            ("list", LIST_POLL_S, self._poll_list),
+            ("list", LIST_POLL_S, self.member.poll_list),
             ("membership", _member.TICK_S, self._keep_membership),
             ("configuration", CONFIGURATION_POLL_S, self._poll_configuration),
             ("entries", ENTRIES_POLL_S, self._poll_entries),
@@ -213,6 +217,9 @@
         self.member.close()
         await self._exchange_round()
         end_s = self.timers.now_s() + LEAVE_TIMEOUT_S
+        # A registration still under way would write the row again.
+        while self._is_busy() and self.timers.now_s() < end_s:
+            await self._sleep(LEAVE_RETRY_S)
         refusal = await self.member.leave()
         while refusal is not None and self.timers.now_s() < end_s:
             await self._sleep(LEAVE_RETRY_S)
@@ -318,6 +325,13 @@
 
     # Activities.
 
+    def _is_busy(self) -> bool:
+        return any(
+            activity.is_running_
+            for activity in self.activities_
+            if activity.function == self._keep_membership
+        )
+
     def _spawn(self, function: Callable[[], Any]) -> None:
         ioloop.IOLoop.current().spawn_callback(function)
 
@@ -341,10 +355,6 @@
             await self.member.beat()
         self.signer.incarnation = self.member.incarnation_
 
-    async def _poll_list(self) -> None:
-        await self.member.poll_list()
-        self.marks.observe_list(self.member.listed_)
-
     async def _poll_entries(self) -> None:
         read_s = self.entries_read_s_
         now_s = self.timers.now_s()
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -194,6 +194,30 @@
         answer = await first.post_peer("e1", "/peer/v1/echo", {}, b"x")
         assert answer.reason is base.Reason.CONNECTION_FAILED
 
+    @testing.gen_test(timeout=20)
+    async def test_leaving_vm_is_no_worker(self):
+        """Guards against subscribers that still see a VM that is leaving."""
+        service = self.services[0]
+        seen = []
+        service.view.subscribe(lambda: seen.append(self.workers(service)))
+        await service.start()
+        await self.settle(lambda: self.workers(service) > 0)
+        count = self.workers(service)
+        self.core.vms.leave("taal-vm-001")
+        await self.settle(lambda: seen[-1] == count - 1)
+        refusal = service.view.permit("taal-vm-001", self.timers.now_s())
+        assert refusal.reason is base.Reason.DRAINING
+
+    @testing.gen_test(timeout=20)
+    async def test_stop_during_registration(self):
+        """Guards against a row that is written after the entry has left."""
+        service = self.services[0]
+        service.platform.faults.slow_s = 0.4
+        await service.start()
+        await service.stop()
+        await service._sleep(1.0)
+        assert not self.core.scan("entry/")
+
     @testing.gen_test(timeout=20)
     async def test_stop_deletes_the_row(self):
         """Guards against a zone that waits for an entry that has left."""
