--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -582,6 +582,26 @@
         refused, following = bench.run(scenario)
         assert (refused[0], following[0]) == (429, 429)
 
+    def test_held_refusal_comes_late_and_keeps_the_connection(self):
+        """Guards against callers that repeat refused requests at once."""
+        bench = Bench(queue_limit=0)
+        delays = [0.2, 0.0]
+        bench.queue.refusal_delay_s = lambda item, now_s: delays.pop(0)
+
+        async def scenario():
+            reader, writer = await bench.connect()
+            start_s = bench.timers.now_s()
+            writer.write(head_of(Content_Length="10") + b"x" * 10)
+            refused = await read_answer(reader)
+            held_s = bench.timers.now_s() - start_s
+            writer.write(head_of("GET"))
+            return held_s, refused, await read_answer(reader)
+
+        held_s, refused, following = bench.run(scenario)
+        assert held_s >= 0.2
+        assert (refused[0], following[0]) == (429, 429)
+        assert bench.server.caller_.buffered_ == 0
+
     def test_refused_caller_that_expects_100_sends_no_body(self):
         bench = Bench(queue_limit=0)
 
@@ -614,6 +634,44 @@
 
         assert bench.run(scenario) <= 150_000
 
+    def test_large_answers_wait_for_memory_and_all_arrive(self):
+        # Guards against memory without bound, and against answers that are
+        # each half received and wait for each other.
+        bench = Bench()
+        body = b"x" * 90_000
+        bench.add_backend(lambda *_: fakes.http_answer(body))
+        memory = bench.server.client_.memory_
+        memory.limit_bytes = 100_000
+
+        async def scenario():
+            return await asyncio.gather(*(bench.fetch() for _ in range(24)))
+
+        assert all(r.body == body for r in bench.run(scenario))
+        assert (memory.used_, memory.waiting_) == (0, {})
+
+    def test_slowest_reader_is_cut_off_when_answers_pile_up(self, monkeypatch):
+        monkeypatch.setattr(_caller_server, "MAX_UNREAD_BYTES", 5_000_000)
+        bench = Bench(max_body_bytes=4_000_000)
+        body = b"x" * 4_000_000
+        bench.add_backend(lambda *_: fakes.http_answer(body))
+
+        async def scenario():
+            slow = []
+            for _ in range(2):
+                reader, writer = await bench.connect()
+                writer.transport.pause_reading()
+                writer.write(head_of("GET"))
+                slow.append((reader, writer))
+                await until(lambda: len(bench.server.caller_.open_))
+                await asyncio.sleep(0.2)
+            await until(lambda: bench.server.caller_.unread_ < 5_000_000)
+            for _, writer in slow:
+                writer.transport.resume_reading()
+            return [len(await reader.read()) for reader, _ in slow[:1]]
+
+        (received,) = bench.run(scenario)
+        assert received < 4_000_000
+
     def test_caller_that_leaves_the_queue_is_not_served(self):
         bench = Bench(per_worker=0)
         backend = bench.add_backend(echo)
