Let a caller's urgent requests run ahead of its share by a bound

Cause: callers with a small weight missed deadlines of ordinary requests while their own flood of the least urgent work held the few slots of their share. The lead is at most 4 slot-seconds, less for less urgent levels.

--- a/baobabdoor/admission/_account.py
+++ b/baobabdoor/admission/_account.py
@@ -14,6 +14,11 @@
 # Service that a level may save up while it is idle, in slot-seconds. Without
 # it, one long request uses up the guarantee for longer than short deadlines.
 SAVED_SLOT_S = 2.0
+# Service by which a caller's most urgent requests may run ahead of its share,
+# in slot-seconds; the least urgent ones may not. Otherwise a long request of
+# the least urgent work keeps its caller's urgent ones waiting past their
+# deadline. The lead is bounded, so the share in the long run is unchanged.
+LEAD_SLOT_S = 4.0
 # Growth of the least service time with each request, so that one
 # exceptionally short request does not count for ever.
 SHORTEST_GROWTH = 1.02
@@ -113,6 +118,13 @@
         overdue_s = max(0.0, elapsed_s - self.running_cost_sum_s)
         return self.tag + overdue_s / self.share.weight
 
+    def start_tag(self, now_s: float) -> float:
+        """Returns the tag by which the account is compared with others."""
+        urgency, _ = self.choose_level()
+        part = 1.0 - urgency / (_interface.URGENCY_LEVELS - 1)
+        lead = part * LEAD_SLOT_S / self.share.weight
+        return self.effective_tag(now_s) - lead
+
     def put(self, item: _interface.WorkItem, urgency: int, lane: int) -> None:
         """Queues an item at the end of a lane of its level."""
         level = self.levels[urgency]
--- a/baobabdoor/admission/_fair_share.py
+++ b/baobabdoor/admission/_fair_share.py
@@ -166,7 +166,7 @@
         """Returns the backlogged account with the least service by weight."""
         return min(
             self.backlogged,
-            key=lambda account: account.effective_tag(now_s),
+            key=lambda account: account.start_tag(now_s),
         )
 
 
@@ -417,6 +417,7 @@
         self, pool: _PoolQueue, account: _account.Account, now_s: float
     ) -> _interface.WorkItem | None:
         """Starts the account's next item, or drops it if it is too late."""
+        start_tag = account.start_tag(now_s)
         urgency, by_guarantee = account.choose_level()
         level = account.levels[urgency]
         item = pool.take_next(account, urgency)
@@ -425,7 +426,7 @@
             level.doubt()
             self.dropped_.append(item)
             return None
-        pool.virtual_s = max(pool.virtual_s, account.tag)
+        pool.virtual_s = max(pool.virtual_s, start_tag)
         dispatch = account.start(urgency, by_guarantee, now_s)
         self.running_[item.request_id] = dispatch
         pool.running += 1
