Check the cover of zones once for each move

Cause: with 241 pools the check was made twice a move and the turn of the reactive policy anew for each attempt.

--- a/baobabdoor/capacity/_books.py
+++ b/baobabdoor/capacity/_books.py
@@ -118,10 +118,9 @@
         while moved < count and candidates:
             vm = candidates.take(source, target)
             zone = vm.availability_zone
-            if keep_cover and not cover.allows(source, target, zone):
+            if not cover.count(source, target, zone, not keep_cover):
                 candidates.drop(zone)
                 continue
-            cover.note(source, target, zone)
             source.leave(vm)
             target.join(vm)
             self.moves_.append(
--- a/baobabdoor/capacity/_reactive.py
+++ b/baobabdoor/capacity/_reactive.py
@@ -51,6 +51,7 @@
         self.excess_s = excess_s
         self.history_ = _history.MoveHistory()
         self.pools_: dict[str, PoolLoad] = {}
+        self.turn_s_ = excess_s
 
     def plan(
         self,
@@ -63,7 +64,7 @@
         """Returns moves after the demand of now; see the base class."""
         base.validate(self)
         self.history_.observe(snapshot, now_s)
-        self.history_.expire(now_s, self._turn_s())
+        self.history_.expire(now_s, self.turn_s_)
         book = _books.FleetBook(snapshot, deployment, preset)
         floors = _promises.floors(book)
         _promises.restore_promises(book, floors)
@@ -75,6 +76,7 @@
                 max(floor, math.ceil(workers)), pool.promise.max_workers
             )
             load.observe(needed, pool.heading, self.hold_s, now_s)
+        self.turn_s_ = self._turn_s()
         self._grow(book, now_s)
         self._shrink(book, now_s)
         self.history_.note(book.moves_, now_s)
@@ -136,7 +138,7 @@
     ) -> int:
         if count <= 0:
             return 0
-        barred = self.history_.barred(target.name, self._turn_s(), now_s)
+        barred = self.history_.barred(target.name, self.turn_s_, now_s)
         return book.move(source, target, count, "follow demand", barred)
 
 
