--- a/baobabdoor/control/_member.py
+++ b/baobabdoor/control/_member.py
@@ -1,6 +1,8 @@
 """One entry's registration, views, leases, grants and acknowledgements."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
@@ -34,6 +36,19 @@
     boot_id: str = ""
 
 
+@attrs.frozen
+class SendMark:
+    """When a request was sent.
+
+    Attributes:
+        sent_s: Monotonic time in seconds.
+        jumps: Number of clock jumps noticed before.
+    """
+
+    sent_s: float
+    jumps: int
+
+
 class Member:
     """Keeps an entry's place in the deployment.
 
@@ -66,6 +81,7 @@
         self.grants = membership.GrantBook()
         self.leases = membership.LeaseBook()
         self.jumps = membership.ClockJumpDetector(TICK_S)
+        self.jump_count_ = 0
         self.incarnation_ = 0
         self.generation_ = 0
         self.is_registered_ = False
@@ -79,6 +95,9 @@
         self.acknowledged_ = 0
         self.written_ = 0
         self.listed_: dict[str, platform_lib.VmRecord] = {}
+        # Zones whose VMs this entry may use beside its own; None for all. An
+        # entry that followed all zones of a large region would read more than
+        # a daemon's 3 KB/s.
         self.zones_: frozenset[str] | None = None
         self.subscribers_: list[Callable[[], None]] = []
         self.on_return: Callable[[str], None] = lambda vm_id: None
@@ -199,7 +218,7 @@
     async def poll_views(self) -> None:
         """Reads the views that have advanced."""
         registered = self.is_registered_ and self.incarnation_
-        rows = await self.platform.scan(ownership.VIEW_PREFIX)
+        rows = await self._read_views()
         if isinstance(rows, base.Refusal):
             return
         for row in rows:
@@ -214,6 +233,15 @@
             self.is_home_valid_ = True
             self._notify()
 
+    async def _read_views(self) -> Sequence[platform_lib.Row] | base.Refusal:
+        if self.zones_ is None:
+            return await self.platform.scan(ownership.VIEW_PREFIX)
+        zones = sorted(self.zones_ | {self.home})
+        rows = await self.platform.read(
+            [ownership.view_key(zone) for zone in zones]
+        )
+        return rows if isinstance(rows, base.Refusal) else list(rows.values())
+
     def _is_same(self, registered: int) -> bool:
         return self.is_registered_ and self.incarnation_ == registered
 
@@ -261,11 +289,11 @@
         self.listed_ = {record.vm_id: record for record in records}
         self._notify()
 
-    async def poll_entries(self) -> None:
-        """Reads which entries are registered."""
+    async def poll_entries(self) -> bool:
+        """Reads which entries are registered; returns whether it could."""
         rows = await self.platform.scan(ownership.ENTRY_PREFIX)
         if isinstance(rows, base.Refusal):
-            return
+            return False
         addresses = []
         for row in rows:
             entry = ownership.from_json(row.value, ownership.EntryRow)
@@ -278,6 +306,7 @@
                 )
             )
         self.peers.observe_table(addresses, self.timers.now_s())
+        return True
 
     def close(self) -> None:
         """Stops using VMs and granting leases."""
@@ -314,6 +343,7 @@
         now_s = self.timers.now_s()
         jumped = self.jumps.observe(now_s, self.timers.wall_ms())
         if jumped:
+            self.jump_count_ += 1
             self.leases.drop_all()
             self.recorder.record("membership.clock-jumped")
         self.peers.expire(now_s)
@@ -321,9 +351,17 @@
 
     # Exchanges.
 
-    def confirmed_views(self) -> dict[str, int]:
-        """Returns the confirmed view version of each zone held."""
-        return {zone: self.views.confirmed(zone) for zone in self.views.held_}
+    def confirmed_views(
+        self, zones: Iterable[str] | None = None
+    ) -> dict[str, int]:
+        """Returns the confirmed view version of each zone held.
+
+        Args:
+            zones: Which zones. Default: all.
+        """
+        held = self.views.held_
+        wanted = held if zones is None else [z for z in zones if z in held]
+        return {zone: self.views.confirmed(zone) for zone in wanted}
 
     def wants_lease(self, availability_zone: str) -> bool:
         """Returns whether VMs of a zone are only used under a lease."""
@@ -367,25 +405,38 @@
         }
         return membership.ZoneRows(version=view.version, rows=rows)
 
+    def mark_send(self) -> SendMark:
+        """Returns the mark of a request that is sent now."""
+        return SendMark(self.timers.now_s(), self.jump_count_)
+
     def receive_answer(
-        self, exchange: membership.Exchange, sent_s: float
+        self, exchange: membership.Exchange, mark: SendMark
     ) -> None:
         """Takes the lease and the rows of an answer.
 
         Args:
             exchange: Verified answer.
-            sent_s: When the request was sent, in seconds.
+            mark: When the request was sent.
         """
         zone = exchange.entry.availability_zone
         rows = exchange.zone_rows
         if rows is not None and self._is_wanted(zone):
             self.adopt(zone, rows.version, rows.rows)
+        if not self._may_count(mark):
+            return
         if 0 < exchange.granted <= self.views.version(zone):
             was_held = self.leases.is_held(zone, self.timers.now_s())
-            self.leases.observe_grant(zone, sent_s)
+            self.leases.observe_grant(zone, mark.sent_s)
             if not was_held:
                 self._notify()
 
+    def _may_count(self, mark: SendMark) -> bool:
+        """Returns whether the clock can be trusted since a request was sent."""
+        overdue = self.jumps.is_overdue(
+            self.timers.now_s(), self.timers.wall_ms()
+        )
+        return mark.jumps == self.jump_count_ and not overdue
+
     # Use of VMs.
 
     def access(
@@ -398,7 +449,7 @@
             return self.refusal_
         if availability_zone == self.home and self.is_home_valid_:
             return None
-        if self.jumps.is_overdue(now_s):
+        if self.jumps.is_overdue(now_s, self.timers.wall_ms()):
             return base.Refusal(base.Reason.CLOCK_JUMPED, STEP)
         if not self.leases.is_held(availability_zone, now_s):
             return base.Refusal(
--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -55,6 +55,8 @@
         "work",
         "chunks",
         "length",
+        "answer_bytes",
+        "unread",
         "body_whole",
         "answered",
         "finished",
@@ -64,6 +66,7 @@
         "start_line",
         "headers",
         "idle_limit_s",
+        "held",
     )
 
     def __init__(self, server: Any, connection: httputil.HTTPConnection):
@@ -72,10 +75,13 @@
         self.work: _work.Work | None = None
         self.chunks: list[bytes] = []
         self.length = 0
+        self.answer_bytes = 0
+        self.unread = 0
         self.body_whole = False
         self.answered = False
         self.finished = False
         self.gone = False
+        self.held = False
         self.limit_s = float("inf")
         self.local: Callable | None = None
         self.start_line: httputil.RequestStartLine | None = None
@@ -96,6 +102,13 @@
         failure = server.accept(self, now_s)
         if failure is not None:
             server.refused_ += 1
+            delay_s = server.hold_s_
+            if delay_s > 0 and "Expect" not in headers:
+                self.held = True
+                server.timers.call_later(
+                    delay_s, functools.partial(self._answer_held, failure)
+                )
+                return
             self.answer(failure)
             if "Expect" in headers:
                 # The caller has not sent the body yet and need not.
@@ -104,7 +117,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Keeps a part of the body, or drops it after a refusal."""
         self.length += len(chunk)
-        if self.answered or self.finished:
+        if self.answered or self.finished or self.held:
             if self.length > MAX_DROPPED_BYTES:
                 self._finish_connection()
             return
@@ -121,6 +134,9 @@
         if self.answered:
             self._finish_connection()
             return
+        if self.held:
+            self.connection.set_close_callback(self.on_connection_close)
+            return
         self.connection.set_close_callback(self.on_connection_close)
         self.server.body_arrived(self, self._take_body())
 
@@ -147,6 +163,11 @@
         else:
             self._write_failure(failure)
 
+    def _answer_held(self, failure: requests.Failure) -> None:
+        """Writes a refusal that was held back."""
+        if not self.answered and not self.gone:
+            self.answer(failure)
+
     def answer_plain(self, answer: PlainAnswer) -> None:
         """Writes an answer of the entry itself."""
         headers = [("Content-Type", answer.content_type)]
@@ -211,6 +232,7 @@
         # A head encoded here costs a third of one checked again; the parser
         # of the backend server's answer has checked its headers.
         head = "\r\n".join(lines).encode("latin-1")
+        self.answer_bytes = len(body)
         self.connection.write(head + body)
         if self.body_whole:
             self._finish_connection()
@@ -237,12 +259,17 @@
         self.connection.finish()
         if stream.closed() or not stream.writing():
             self.forget()
+        else:
+            self.unread = self.answer_bytes
+            self.server.unread_ += self.unread
 
     def forget(self) -> None:
         """Gives back the memory of a request that has ended."""
         if self in self.server.open_:
             self.server.open_.discard(self)
             self.server.unreserve(sum(map(len, self.chunks)))
+            self.server.unread_ -= self.unread
+            self.unread = 0
             self.chunks = []
 
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -79,6 +79,12 @@
             **options,
         )
 
+    def allow_retries(self):
+        self.server.path_.forwarder.retry_budget.saved_ = 5.0
+
+    def once(self, *arguments, **options):
+        return self.run(lambda: self.fetch(*arguments, **options))
+
     def run(self, scenario):
         async def whole():
             for backend in self.backends:
@@ -150,15 +156,12 @@
             )
         )
 
-        async def scenario():
-            return await bench.fetch(
-                "/results?x=1",
-                "POST",
-                {"X-Hop": "h", "Connection": "X-Hop", "X-End": "e"},
-                body=b"data",
-            )
-
-        response = bench.run(scenario)
+        response = bench.once(
+            "/results?x=1",
+            "POST",
+            {"X-Hop": "h", "Connection": "X-Hop", "X-End": "e"},
+            body=b"data",
+        )
         assert (response.code, response.reason) == (201, "Created")
         assert (outcome(response), response.body) == ("done", b"times")
         assert response.headers.get_list("X-A") == ["1", "2"]
@@ -290,12 +293,9 @@
         for _ in range(3):
             bench.add_backend(lambda *_: BROKEN[name])
 
-        async def scenario():
-            # Nothing but the rule itself may prevent a second attempt.
-            bench.server.path_.forwarder.retry_budget.saved_ = 5.0
-            return await bench.fetch(method="POST", body=b"charge")
-
-        response = bench.run(scenario)
+        # Nothing but the rule itself may prevent a second attempt.
+        bench.allow_retries()
+        response = bench.once(method="POST", body=b"charge")
         assert (response.code, outcome(response)) == (502, "unknown")
         assert json.loads(response.body)["reason"] == "incomplete-answer"
         assert sum(len(b.received) for b in bench.backends) == 1
@@ -306,13 +306,8 @@
         bench.add_backend(lambda *_: BROKEN[name])
         bench.add_backend(echo, zone="subic")
 
-        async def scenario():
-            # The retry budget starts empty.
-            await asyncio.sleep(0)
-            bench.server.path_.forwarder.retry_budget.saved_ = 1.0
-            return await bench.fetch("/again")
-
-        response = bench.run(scenario)
+        bench.allow_retries()
+        response = bench.once("/again")
         assert (response.code, response.body) == (200, b"/again")
         assert len(bench.backends[0].received) == 1
 
@@ -465,8 +460,9 @@
         )
         bench.add_backend(echo, zone="subic")
 
+        bench.allow_retries()
+
         async def scenario():
-            bench.server.path_.forwarder.retry_budget.saved_ = 5.0
             return [(await bench.fetch(f"/{n}")).body for n in range(5)]
 
         assert bench.run(scenario) == [f"/{n}".encode() for n in range(5)]
@@ -586,6 +582,26 @@
         refused, following = bench.run(scenario)
         assert (refused[0], following[0]) == (429, 429)
 
+    def test_held_refusal_comes_late_and_keeps_the_connection(self):
+        """Guards against callers that repeat refused requests at once."""
+        bench = Bench(queue_limit=0)
+        delays = [0.2, 0.0]
+        bench.queue.refusal_delay_s = lambda item, now_s: delays.pop(0)
+
+        async def scenario():
+            reader, writer = await bench.connect()
+            start_s = bench.timers.now_s()
+            writer.write(head_of(Content_Length="10") + b"x" * 10)
+            refused = await read_answer(reader)
+            held_s = bench.timers.now_s() - start_s
+            writer.write(head_of("GET"))
+            return held_s, refused, await read_answer(reader)
+
+        held_s, refused, following = bench.run(scenario)
+        assert held_s >= 0.2
+        assert (refused[0], following[0]) == (429, 429)
+        assert bench.server.caller_.buffered_ == 0
+
     def test_refused_caller_that_expects_100_sends_no_body(self):
         bench = Bench(queue_limit=0)
 
@@ -618,6 +634,44 @@
 
         assert bench.run(scenario) <= 150_000
 
+    def test_large_answers_wait_for_memory_and_all_arrive(self):
+        # Guards against memory without bound, and against answers that are
+        # each half received and wait for each other.
+        bench = Bench()
+        body = b"x" * 90_000
+        bench.add_backend(lambda *_: fakes.http_answer(body))
+        memory = bench.server.client_.memory_
+        memory.limit_bytes = 100_000
+
+        async def scenario():
+            return await asyncio.gather(*(bench.fetch() for _ in range(24)))
+
+        assert all(r.body == body for r in bench.run(scenario))
+        assert (memory.used_, memory.waiting_) == (0, {})
+
+    def test_slowest_reader_is_cut_off_when_answers_pile_up(self, monkeypatch):
+        monkeypatch.setattr(_caller_server, "MAX_UNREAD_BYTES", 5_000_000)
+        bench = Bench(max_body_bytes=4_000_000)
+        body = b"x" * 4_000_000
+        bench.add_backend(lambda *_: fakes.http_answer(body))
+
+        async def scenario():
+            slow = []
+            for _ in range(2):
+                reader, writer = await bench.connect()
+                writer.transport.pause_reading()
+                writer.write(head_of("GET"))
+                slow.append((reader, writer))
+                await until(lambda: len(bench.server.caller_.open_))
+                await asyncio.sleep(0.2)
+            await until(lambda: bench.server.caller_.unread_ < 5_000_000)
+            for _, writer in slow:
+                writer.transport.resume_reading()
+            return [len(await reader.read()) for reader, _ in slow[:1]]
+
+        (received,) = bench.run(scenario)
+        assert received < 4_000_000
+
     def test_caller_that_leaves_the_queue_is_not_served(self):
         bench = Bench(per_worker=0)
         backend = bench.add_backend(echo)
