--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -49,7 +49,7 @@
     ),
     "bad name": ("region: luzon", "region: Luz on", "region", "a name"),
     "bad policy": (
-        "capacity_policy: reactive",
+        "capacity_policy: predictive",
         "capacity_policy: clever",
         "capacity_policy",
         "one of static",
