Close connections to backend servers that hold bytes beyond an answer

Cause: bytes after a whole answer that are no answer themselves stayed in the read buffer, and the pending read did not end; the next request went out on a connection out of step and its outcome was unknown. Ruled out: an answer given to another caller; the bytes never formed one. Before: a charge after 8 excess bytes was unknown. After: it is sent on a new connection and answered. Both timings of the excess bytes are tests.

--- a/baobabdoor/entry/_backend_client.py
+++ b/baobabdoor/entry/_backend_client.py
@@ -123,6 +123,15 @@
         )
 
 
+class BackendStream(iostream.IOStream):
+    """A stream that tells whether bytes wait to be read."""
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes were received that no read has consumed."""
+        return self._read_buffer_size > 0
+
+
 class BackendConnection:
     """One connection; carries one exchange at a time.
 
@@ -141,7 +150,7 @@
 
     def __init__(
         self,
-        stream: iostream.IOStream,
+        stream: BackendStream,
         max_body_bytes: int,
         memory: _answer_memory.AnswerMemory,
     ):
@@ -161,8 +170,14 @@
 
     @property
     def closed(self) -> bool:
-        """Whether the connection can carry no further exchange."""
-        return not self.reusable or self.stream.closed()
+        """Whether the connection can carry no further exchange.
+
+        Bytes beyond an answer that are no answer themselves do not end the
+        pending read, so they are looked for here.
+        """
+        if not self.reusable or self.stream.closed():
+            return True
+        return self.exchange is None and self.stream.has_unread_bytes
 
     def start(self) -> None:
         """Starts reading."""
@@ -271,6 +286,7 @@
             connection = self.idle.pop()
             if not connection.closed:
                 return connection
+            connection.close()
         return None
 
 
@@ -454,7 +470,7 @@
         )
 
 
-async def connect(address: str) -> iostream.IOStream:
+async def connect(address: str) -> BackendStream:
     """Opens a stream to `host:port`, where the host is an IP number.
 
     Raises:
@@ -464,7 +480,7 @@
     host, _, port = address.rpartition(":")
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     # No resolver is involved, so no thread is started.
-    stream = iostream.IOStream(
+    stream = BackendStream(
         socket.socket(family), read_chunk_size=READ_CHUNK_BYTES
     )
     try:
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -269,6 +269,33 @@
         assert bench.run(scenario) == (b"/a", b"/b")
         assert backend.connections == 2
 
+    @pytest.mark.parametrize("pause_s", [0.0, 0.05])
+    def test_bytes_beyond_an_answer_close_the_connection(self, pause_s):
+        """Guards against the next request on a connection out of step."""
+        bench = Bench(per_worker=1)
+        backend = bench.add_backend(lambda *_: None)
+
+        async def answer(number, head, body):
+            if number > 1:
+                return echo(number, head, body)
+            stream = backend.streams[0]
+            if not pause_s:
+                return echo(number, head, body) + b"-excess-"
+            await stream.write(echo(number, head, body))
+            await asyncio.sleep(pause_s)
+            return b"-excess-"
+
+        backend.answer = answer
+
+        async def scenario():
+            first = await bench.fetch("/a")
+            await asyncio.sleep(0.1)
+            second = await bench.fetch("/b", method="POST", body=b"charge")
+            return first.body, second.body
+
+        assert bench.run(scenario) == (b"/a", b"/b")
+        assert backend.connections == 2
+
 
 BROKEN = {
     "lost": (b"",),
