--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -143,6 +143,7 @@
             every(_request_path.TICK_S, self._tick),
             every(HOUSEKEEPING_S, self._housekeep),
         ]
+        parts.recorder.record("entry.started")
         self.log_.info("started", caller=address.url)
 
     async def stop(self) -> bool:
@@ -150,6 +151,7 @@
         parts = self.parts
         end_s = parts.timers.now_s() + parts.entry_settings.drain_s
         self.draining_ = True
+        parts.recorder.record("entry.draining", active=self.path_.active)
         self.log_.info("draining", active=self.path_.active)
         # The balancer still sends requests until it sees the entry not ready.
         await asyncio.sleep(
@@ -196,7 +198,11 @@
     def _make_path(self) -> _request_path.RequestPath:
         parts = self.parts
         forwarder = _forwarder.Forwarder(
-            parts.timers, self.router_, self.client_, requests.RetryBudget()
+            parts.timers,
+            self.router_,
+            self.client_,
+            requests.RetryBudget(),
+            parts.recorder,
         )
         return _request_path.RequestPath(
             parts.timers,
@@ -297,7 +303,10 @@
         if self.caller_.refused_:
             metrics.count("refused_total", None, self.caller_.refused_)
             self.caller_.refused_ = 0
-        metrics.gauge("requests_active", self.path_.active)
+        for pool, demand in self.path_.load().items():
+            labels = {"pool": pool}
+            metrics.gauge("requests_queued", demand.queued, labels)
+            metrics.gauge("requests_in_progress", demand.in_progress, labels)
         metrics.gauge("body_bytes", self.caller_.buffered_)
 
     def _listen_control(self) -> None:
--- a/baobabdoor/entry/_forwarder.py
+++ b/baobabdoor/entry/_forwarder.py
@@ -4,6 +4,7 @@
 from baobabdoor import ownership
 from baobabdoor import requests
 from baobabdoor import routing
+from baobabdoor import timeline
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _work
 
@@ -24,6 +25,7 @@
         router: Chooses backend servers.
         client: Sends requests.
         retry_budget: Limits retries of requests that may have run.
+        recorder: Time line of the process.
     """
 
     def __init__(
@@ -32,11 +34,13 @@
         router: routing.Router,
         client: _backend_client.BackendClient,
         retry_budget: requests.RetryBudget,
+        recorder: timeline.EventRecorder,
     ):
         self.timers = timers
         self.router = router
         self.client = client
         self.retry_budget = retry_budget
+        self.recorder = recorder
 
     async def forward(
         self, work: _work.Work, vm: ownership.VmState
@@ -90,12 +94,18 @@
         taken_s: float,
     ) -> None:
         if self._leaving(result):
+            self.recorder.record("routing.leaving", peer=vm.vm_id)
             self.router.observe_leaving(vm, now_s)
             self.router.view.observe_leaving(vm.vm_id)
         elif isinstance(result, requests.Reply):
             self.router.observe(vm, True, now_s)
-        elif self._server_failed(result.reason, taken_s):
-            self.router.observe(vm, False, now_s)
+        elif self._server_failed(
+            result.reason, taken_s
+        ) and self.router.observe(vm, False, now_s):
+            reason = result.reason.value
+            self.recorder.record(
+                "routing.ejected", peer=vm.vm_id, reason=reason
+            )
 
     def _server_failed(self, reason: base.Reason, taken_s: float) -> bool:
         if reason is base.Reason.DEADLINE_EXPIRED:
--- a/baobabdoor/routing/_health.py
+++ b/baobabdoor/routing/_health.py
@@ -78,17 +78,23 @@
             self.ejection_s = FIRST_EJECTION_S
         self.failures = 0
 
-    def observe_failure(self, now_s: float) -> None:
-        """Notes a failed connection, a timeout or an incomplete answer."""
+    def observe_failure(self, now_s: float) -> bool:
+        """Notes a failed connection, a timeout or an incomplete answer.
+
+        Returns:
+            Whether the server is ejected because of it.
+        """
         if now_s < self.ejected_until_s:
             # Requests sent before the ejection do not prolong it.
-            return
+            return False
         self.failures += 1
         probe_failed = self.state is not HealthState.HEALTHY
-        if probe_failed or self.failures >= FAILURES_TO_EJECT:
-            self.state = HealthState.EJECTED
-            self.ejected_until_s = now_s + self.ejection_s
-            self.ejection_s = min(MAX_EJECTION_S, self.ejection_s * 2)
+        if not probe_failed and self.failures < FAILURES_TO_EJECT:
+            return False
+        self.state = HealthState.EJECTED
+        self.ejected_until_s = now_s + self.ejection_s
+        self.ejection_s = min(MAX_EJECTION_S, self.ejection_s * 2)
+        return True
 
     def observe_leaving(self, now_s: float) -> None:
         """Notes an answer 503 with `Connection: close`."""
--- a/baobabdoor/routing/_router.py
+++ b/baobabdoor/routing/_router.py
@@ -127,13 +127,15 @@
         if self.acquired_[vm_id].pop():
             self.slot_policy.release(vm_id, now_s)
 
-    def observe(self, vm: ownership.VmState, success: bool, now_s: float):
-        """Notes the result of a request."""
+    def observe(
+        self, vm: ownership.VmState, success: bool, now_s: float
+    ) -> bool:
+        """Notes the result of a request; returns whether it ejects the VM."""
         health = self.health(vm)
         if success:
             health.observe_success(now_s)
-        else:
-            health.observe_failure(now_s)
+            return False
+        return health.observe_failure(now_s)
 
     def observe_leaving(self, vm: ownership.VmState, now_s: float) -> None:
         """Notes that a backend server has said that it is leaving."""
