Share the fuzzing bench between tests; test the command line

Cause: two state machines carried the same bench and settings, and exit codes and lost answers of commands were only tested through processes.

--- /dev/null
+++ b/tests/fuzzing.py
@@ -0,0 +1,61 @@
+"""Settings and helpers shared by the state machines on the platform's fake."""
+
+import asyncio
+
+import attrs
+import hypothesis
+from hypothesis import stateful
+
+from baobabdoor import base
+from baobabdoor import standin
+
+# A planted fault needs no minimal example, and looking for one takes minutes.
+PLANTED = hypothesis.settings(
+    max_examples=500,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    phases=[hypothesis.Phase.generate],
+)
+FUZZ = hypothesis.settings(
+    max_examples=50,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+)
+
+
+class VirtualBench:
+    """Runs coroutines to their end in virtual time."""
+
+    def __init__(self):
+        self.timers = base.VirtualTimerService()
+        self.loop = asyncio.new_event_loop()
+        self.faults = standin.PlatformFaults()
+
+    def run(self, *coroutines):
+        return self.loop.run_until_complete(self._drive(coroutines))
+
+    async def _drive(self, coroutines):
+        tasks = [asyncio.ensure_future(each) for each in coroutines]
+        while not all(task.done() for task in tasks):
+            await standin.advance(self.timers, 0.1)
+        return [task.result() for task in tasks]
+
+    def wait(self, duration_s):
+        self.loop.run_until_complete(standin.advance(self.timers, duration_s))
+
+    def set_faults(self, fault):
+        """Switches on `fault` and everything else off."""
+        healthy = attrs.asdict(standin.PlatformFaults())
+        self.faults.update({**healthy, **fault})
+
+    def close(self):
+        self.loop.close()
+
+
+def check(machine, settings=FUZZ):
+    """Runs a state machine; raises what a property raises."""
+    stateful.run_state_machine_as_test(machine, settings=settings)
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,148 @@
+"""Tests of the operators' command line without processes."""
+
+import asyncio
+import json
+
+import pytest
+
+from baobabdoor.cli import _client
+from baobabdoor.cli import _config_commands
+from baobabdoor.cli import _context
+from baobabdoor.cli import _exit_codes
+from baobabdoor.cli import _fleet_commands
+from baobabdoor.cli import _main
+
+ExitCode = _exit_codes.ExitCode
+WINNER = {
+    "generation": 4,
+    "preset": "peak",
+    "operator": "ben",
+    "change_id": "change-ben",
+    "manifest": "0",
+}
+
+
+class FakeClient:
+    """Answers paths from a mapping; an exception is raised."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.sent = []
+
+    async def get(self, path, entry=""):
+        for start, answer in self.answers.items():
+            if path.startswith(start.removeprefix(entry)):
+                return self.reply(answer)
+        raise _exit_codes.CommandError(ExitCode.UNREACHABLE, path)
+
+    async def send(self, method, path, body):
+        self.sent.append((method, path, body))
+        return self.reply(self.answers["send"])
+
+    def reply(self, answer):
+        if isinstance(answer, Exception):
+            raise answer
+        return _client.Reply("http://e1", 200, answer)
+
+
+def run(command, client, *arguments):
+    context = _context.Context(client, True, "ana")
+    return asyncio.run(command(context, arguments))
+
+
+def result(kind, **fields):
+    refusal = {"reason": "conflict", "detail": "lost"}
+    return {"result": kind, "refusal": refusal, "winner": None, **fields}
+
+
+class TestFindCommand:
+
+    def test_two_words_then_arguments(self):
+        command, arguments = _main.find_command(["config", "check", "f.yaml"])
+        assert command.run is _config_commands.config_check
+        assert arguments == ["f.yaml"]
+
+    @pytest.mark.parametrize(
+        "words", [[], ["nothing"], ["preset", "switch"], ["status", "x"]]
+    )
+    def test_misuse_is_a_usage_error(self, words):
+        with pytest.raises(_exit_codes.CommandError) as error:
+            _main.find_command(words)
+        assert error.value.code is ExitCode.USAGE
+
+
+class TestPresetSwitch:
+
+    @pytest.mark.parametrize(
+        ("answer", "code"),
+        [
+            (result("applied", generation=2), ExitCode.DONE),
+            (
+                result("superseded", generation=2, current=WINNER),
+                ExitCode.DONE,
+            ),
+            (result("not-applied", winner=WINNER), ExitCode.CONFLICT),
+            (result("not-applied"), ExitCode.REFUSED),
+            (result("unknown"), ExitCode.UNKNOWN),
+        ],
+    )
+    def test_each_result_has_its_exit_code(self, answer, code, capsys):
+        client = FakeClient({"send": answer})
+        assert run(_config_commands.preset_switch, client, "peak") is code
+        shown = json.loads(capsys.readouterr().out)
+        assert shown["change_id"] == client.sent[0][2]["change_id"]
+
+    def test_lost_answer_is_looked_up_and_not_sent_again(self):
+        """Guards against a command that applies itself a second time."""
+        client = FakeClient(
+            {
+                "send": _client.AnswerLostError("timeout"),
+                "/v1/config/changes/": result("applied", generation=2),
+            }
+        )
+        code = run(_config_commands.preset_switch, client, "peak")
+        assert code is ExitCode.DONE
+        assert len(client.sent) == 1
+
+    def test_failed_look_up_is_unknown_and_names_the_change(self):
+        client = FakeClient({"send": _client.AnswerLostError("timeout")})
+        with pytest.raises(_exit_codes.CommandError) as error:
+            run(_config_commands.preset_switch, client, "peak")
+        assert error.value.code is ExitCode.UNKNOWN
+        assert client.sent[0][2]["change_id"] in str(error.value)
+
+
+class TestTimeline:
+
+    def test_wrong_filter_is_a_usage_error(self):
+        with pytest.raises(_exit_codes.CommandError) as error:
+            run(_fleet_commands.show_timeline, FakeClient({}), "color=red")
+        assert "found 'color=red'" in str(error.value)
+
+    def test_events_of_all_entries_come_in_one_order(self, capsys):
+        def event(time, process):
+            return {
+                "time": time,
+                "process": process,
+                "kind": "k",
+                "peer": "",
+                "cause": "",
+                "fields": {},
+            }
+
+        peer = {"entry_id": "e2", "control": "http://e2"}
+        client = FakeClient(
+            {
+                "/v1/status": {"entry_id": "e1", "peers": [peer]},
+                "/v1/timeline": {
+                    "events": [event("5.0", "e1"), event("9.1", "e2")]
+                },
+            }
+        )
+        code = run(_fleet_commands.show_timeline, client)
+        assert code is ExitCode.DONE
+        times = [
+            shown["time"]
+            for shown in json.loads(capsys.readouterr().out)["events"]
+        ]
+        assert times == ["5.0", "5.0", "9.1", "9.1"]
