--- a/baobabdoor/base/_refusal.py
+++ b/baobabdoor/base/_refusal.py
@@ -64,6 +64,15 @@
     def __bool__(self) -> bool:
         return False
 
+    def to_json(self) -> dict[str, str]:
+        """Returns the form sent to callers, peers and operators."""
+        return {
+            "reason": self.reason.value,
+            "step": self.step,
+            "peer": self.peer,
+            "detail": self.detail,
+        }
+
     def __str__(self) -> str:
         peer = f" peer={self.peer}" if self.peer else ""
         detail = f": {self.detail}" if self.detail else ""
--- a/baobabdoor/configuration/_changes.py
+++ b/baobabdoor/configuration/_changes.py
@@ -7,7 +7,6 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import operator_api
 from baobabdoor import settings
 from baobabdoor.configuration import _rows
 
@@ -119,7 +118,7 @@
     winner = result.winner.to_json() if result.winner else None
     return {
         "result": "not-applied",
-        "refusal": operator_api.refusal_to_json(result.refusal),
+        "refusal": result.refusal.to_json(),
         "winner": winner,
     }
 
@@ -128,5 +127,5 @@
 def _(result: OutcomeUnknown) -> dict[str, Any]:
     return {
         "result": "unknown",
-        "refusal": operator_api.refusal_to_json(result.refusal),
+        "refusal": result.refusal.to_json(),
     }
--- a/baobabdoor/control/_peer_link.py
+++ b/baobabdoor/control/_peer_link.py
@@ -12,7 +12,6 @@
 
 from baobabdoor import base
 from baobabdoor import membership
-from baobabdoor.control import _wire
 
 STEP = "control.peer"
 SIGNED_HEADER = "Baobabdoor-Peer-Signed"
@@ -204,7 +203,7 @@
         self, envelope: membership.Envelope, result: bytes | base.Refusal
     ) -> None:
         if isinstance(result, base.Refusal):
-            text = json.dumps(_wire.refusal_to_json(result))
+            text = json.dumps(result.to_json())
             self._send(envelope, STATUS_REFUSED, text.encode())
         else:
             self._send(envelope, STATUS_DONE, result)
@@ -222,4 +221,4 @@
 
     def _refuse(self, refusal: base.Refusal) -> None:
         self.set_status(STATUS_FORGED)
-        self.finish({"refusal": _wire.refusal_to_json(refusal)})
+        self.finish({"refusal": refusal.to_json()})
--- a/baobabdoor/entry/_control_port.py
+++ b/baobabdoor/entry/_control_port.py
@@ -1,28 +1,17 @@
 """Handlers that the entry adds to the control port."""
 
-import hmac
-
-from tornado import web
-
 from baobabdoor import observability
+from baobabdoor import operator_api
 from baobabdoor import timeline
 
 
-class TimelineHandler(web.RequestHandler):
+class TimelineHandler(operator_api.OperatorHandler):
     """Serves `GET /v1/timeline` to operators."""
 
-    def initialize(self, recorder: timeline.EventRecorder, token: str) -> None:
-        """Stores the recorder and the operators' token."""
-        self.recorder = recorder
-        self.token = token
+    recorder: timeline.EventRecorder
 
     def get(self) -> None:
         """Returns the events kept, oldest first."""
-        given = self.request.headers.get("Authorization", "")
-        expected = f"Bearer {self.token}"
-        if not hmac.compare_digest(given.encode(), expected.encode()):
-            self.send_error(401)
-            return
         events = [event.to_json() for event in self.recorder.snapshot()]
         self.finish({"events": events})
 
--- a/baobabdoor/operator_api/_handler.py
+++ b/baobabdoor/operator_api/_handler.py
@@ -4,19 +4,11 @@
 import json
 from typing import Any
 
-import attrs
 from tornado import web
 
 from baobabdoor import base
 
 
-def refusal_to_json(refusal: base.Refusal) -> dict[str, str]:
-    """Returns the form of a refusal that operators see."""
-    fields = attrs.asdict(refusal)
-    fields["reason"] = refusal.reason.value
-    return fields
-
-
 class OperatorHandler(web.RequestHandler):
     """Base of the operators' handlers.
 
@@ -61,4 +53,4 @@
     def send_refusal(self, status: int, refusal: base.Refusal) -> None:
         """Ends the request with a refusal."""
         self.set_status(status)
-        self.finish({"refusal": refusal_to_json(refusal)})
+        self.finish({"refusal": refusal.to_json()})
