Resolve peers' IP numbers without the library's threads

Cause: the HTTP client of the peer link resolved addresses on a thread pool; the house style asks for one loop on one thread.

--- a/baobabdoor/control/_peer_link.py
+++ b/baobabdoor/control/_peer_link.py
@@ -12,6 +12,7 @@
 
 from baobabdoor import base
 from baobabdoor import membership
+from baobabdoor import platform
 
 STEP = "control.peer"
 SIGNED_HEADER = "Baobabdoor-Peer-Signed"
@@ -112,6 +113,8 @@
             self.client_ = simple_httpclient.SimpleAsyncHTTPClient(
                 force_instance=True,
                 max_clients=MAX_CONNECTIONS,
+                # The library's own one resolves on other threads.
+                resolver=platform.NumericResolver(),
                 max_body_size=MAX_ANSWER_BYTES,
             )
         return self.client_
--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -1,6 +1,7 @@
 """The platform's service as the rest of the system sees it."""
 
 from baobabdoor.platform._http import HttpPlatform
+from baobabdoor.platform._http import NumericResolver
 from baobabdoor.platform._interface import Platform
 from baobabdoor.platform._types import AlreadyStarted
 from baobabdoor.platform._types import Committed
@@ -31,6 +32,7 @@
     "HttpPlatform",
     "MalformedMessageError",
     "OPERATIONS",
+    "NumericResolver",
     "Operation",
     "Platform",
     "Row",
--- a/baobabdoor/platform/_http.py
+++ b/baobabdoor/platform/_http.py
@@ -17,7 +17,7 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 
 
-class _NumericResolver(netutil.Resolver):
+class NumericResolver(netutil.Resolver):
     """Accepts IP numbers only, so that no look-up blocks or needs a thread."""
 
     def initialize(self) -> None:
@@ -252,7 +252,7 @@
             self.client_ = simple_httpclient.SimpleAsyncHTTPClient(
                 force_instance=True,
                 max_clients=self.max_pending,
-                resolver=_NumericResolver(),
+                resolver=NumericResolver(),
                 max_body_size=MAX_ANSWER_BYTES,
             )
         return self.client_
