--- a/baobabdoor/settings/_structure.py
+++ b/baobabdoor/settings/_structure.py
@@ -63,7 +63,7 @@
     """
     try:
         return CONVERTER.structure(document.value, kind)
-    except Exception as error:  # pylint: disable=broad-except
+    except Exception as error:  # cattrs passes on whatever a hook raises.
         problems = [
             _problem(document, path, leaf) for path, leaf in _leaves(error, ())
         ]
