--- a/Makefile
+++ b/Makefile
@@ -30,3 +30,4 @@
 # Lists each property with the planted faults that it rejects.
 properties: $(VENV)/.installed
 	$(BIN)/python -m pytest -n 4 -v -k "planted or variant or property_rejects" tests
+	$(BIN)/python scripts/planted_faults.py
--- /dev/null
+++ b/scripts/planted_faults.py
@@ -0,0 +1,144 @@
+"""Plants faults in a copy of the sources and checks that tests reject them.
+
+usage: python scripts/planted_faults.py
+
+Covers the guarantees whose properties have no broken variant inside a test.
+Prints one line a fault; fails if a fault survives.
+"""
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+import attrs
+
+ROOT = pathlib.Path(__file__).parents[1]
+TIMEOUT_S = 180
+
+
+@attrs.frozen
+class Fault:
+    """A change of one source file that some test must reject.
+
+    Attributes:
+        guarantee: Number of the guarantee in docs/GUARANTEES.md.
+        name: What the fault does.
+        path: File below `baobabdoor/`.
+        old: Text that is replaced.
+        new: Replacement.
+        tests: Test files that must fail.
+    """
+
+    guarantee: int
+    name: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...] = ("test_entry_server.py",)
+
+
+FAULTS = (
+    Fault(
+        3,
+        "partial answers are passed on",
+        "entry/_backend_client.py",
+        "if not reader.whole or not reader.delimited(self.method):",
+        "if False:",
+    ),
+    Fault(
+        3,
+        "abandoned connections stay open",
+        "entry/_backend_client.py",
+        'ends its exchange."""\n        self.close()\n',
+        'ends its exchange."""\n',
+    ),
+    Fault(
+        4,
+        "an exchange forgets that it was sent",
+        "requests/_exchange.py",
+        "        self.ever_sent = True\n",
+        "        self.ever_sent = False\n",
+        ("test_requests.py",),
+    ),
+    Fault(
+        4,
+        "a send is not noted",
+        "entry/_backend_client.py",
+        "        exchange.observe(requests.Progress.SENT)\n",
+        "",
+    ),
+    Fault(
+        5,
+        "non-idempotent requests are retried",
+        "entry/_forwarder.py",
+        "exchange.may_retry(work.info.idempotent)",
+        "exchange.may_retry(True)",
+    ),
+    Fault(
+        6,
+        "leaving marks are ignored",
+        "control/_fleet_view.py",
+        "if self.marks.is_marked(vm_id, row.boot_id, now_s):",
+        "if False:",
+        ("test_control_service.py",),
+    ),
+    Fault(
+        6,
+        "a 503 that closes the connection is no mark",
+        "entry/_backend_client.py",
+        "closing_503=closing and answer.status == LEAVING_STATUS",
+        "closing_503=False",
+    ),
+    Fault(
+        7,
+        "a stop does not wait for requests",
+        "entry/_entry_server.py",
+        "        drained = await self._drain(end_s)\n",
+        "        drained = True\n",
+    ),
+)
+
+
+def rejects(copy: pathlib.Path, fault: Fault) -> bool:
+    """Returns whether the tests fail with the fault in place."""
+    source = copy / "baobabdoor" / fault.path
+    text = source.read_text()
+    if text.count(fault.old) == 0:
+        raise ValueError(f"{fault.path}: the text of {fault.name!r} is gone")
+    source.write_text(text.replace(fault.old, fault.new))
+    tests = [f"tests/{name}" for name in fault.tests]
+    try:
+        result = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", "-n", "4", *tests],
+            cwd=copy,
+            env={**os.environ, "PYTHONPATH": str(copy)},
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+    finally:
+        source.write_text(text)
+    # Only a failed test counts, not an error while tests are collected.
+    return b"FAILED tests/" in result.stdout
+
+
+def main() -> int:
+    """Prints whether each fault is rejected."""
+    survivors = 0
+    with tempfile.TemporaryDirectory() as directory:
+        copy = pathlib.Path(directory) / "copy"
+        ignored = shutil.ignore_patterns(".venv", ".git", "run", "build")
+        shutil.copytree(ROOT, copy, ignore=ignored)
+        for fault in FAULTS:
+            rejected = rejects(copy, fault)
+            survivors += not rejected
+            verdict = "rejected" if rejected else "SURVIVED"
+            print(f"guarantee {fault.guarantee}: {fault.name}: {verdict}")
+    return 1 if survivors else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
