Let the run target replace its shell by the start script

Cause: a SIGTERM to the target's shell ended the shell alone and left stand-ins and entries running.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 # Brings the whole path up on loopback and serves until interrupted.
 run: $(VENV)/.installed
-	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/run.sh
+	exec env PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/run.sh
 
 test: $(VENV)/.installed
 	PATH="$(CURDIR)/$(BIN):$$PATH" sh scripts/test.sh
