Show pools and VMs by one function; drop two unused methods

Cause: 'pool list' and 'vm list' were copies that differed in their columns; VirtualTimerService.jump and Metrics.observe_s had no caller.

--- a/baobabdoor/base/_timers.py
+++ b/baobabdoor/base/_timers.py
@@ -108,7 +108,3 @@
             if not subscription.cancelled:
                 subscription.callback()
         self.now_s_ = end_s
-
-    def jump(self, duration_s: float) -> None:
-        """Moves time forward without running timers, as a frozen process."""
-        self.now_s_ += duration_s
--- a/baobabdoor/cli/_fleet_commands.py
+++ b/baobabdoor/cli/_fleet_commands.py
@@ -1,6 +1,7 @@
 """`pool list`, `vm list`, `status` and `timeline`."""
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import sys
 from typing import Any
@@ -12,33 +13,30 @@
 ExitCode = _exit_codes.ExitCode
 
 
+POOL_COLUMNS = {
+    "pool": "pool",
+    "in service": "in_service",
+    "promised": "promised",
+    "unavailable": "unavailable",
+    "budget": "budget",
+    "reason": "reason",
+}
+VM_COLUMNS = {
+    "vm": "vm_id",
+    "zone": "availability_zone",
+    "rack": "rack",
+    "pool": "pool",
+    "phase": "phase",
+    "target": "target_pool",
+}
+
+
 async def pool_list(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
     """Lists the pools with promised and available capacity."""
     del arguments
-    reply = await context.client.get("/v1/pools")
-    rows = [
-        (
-            pool["pool"],
-            pool["in_service"],
-            pool["promised"],
-            pool["unavailable"],
-            pool["budget"],
-            pool["reason"],
-        )
-        for pool in reply.body["pools"]
-    ]
-    header = (
-        "pool",
-        "in service",
-        "promised",
-        "unavailable",
-        "budget",
-        "reason",
-    )
-    context.show(reply.body, header, rows)
-    return ExitCode.DONE
+    return await _show_list(context, "pools", POOL_COLUMNS)
 
 
 async def vm_list(
@@ -46,20 +44,22 @@
 ) -> ExitCode:
     """Lists the VMs with pool and phase."""
     del arguments
-    reply = await context.client.get("/v1/vms")
-    rows = [
-        (
-            vm["vm_id"],
-            vm["availability_zone"],
-            vm["rack"],
-            vm["pool"],
-            vm["phase"],
-            vm["target_pool"] or "-",
-        )
-        for vm in reply.body["vms"]
-    ]
-    header = ("vm", "zone", "rack", "pool", "phase", "target")
-    context.show(reply.body, header, rows)
+    return await _show_list(context, "vms", VM_COLUMNS, empty="-")
+
+
+async def _show_list(
+    context: _context.Context,
+    name: str,
+    columns: Mapping[str, str],
+    empty: str = "",
+) -> ExitCode:
+    """Shows the items of `/v1/<name>`; `columns` maps headings to fields."""
+    reply = await context.client.get(f"/v1/{name}")
+    rows = []
+    for item in reply.body[name]:
+        cells = [item[field] for field in columns.values()]
+        rows.append([empty if cell == "" else cell for cell in cells])
+    context.show(reply.body, list(columns), rows)
     return ExitCode.DONE
 
 
--- a/baobabdoor/observability/_metrics.py
+++ b/baobabdoor/observability/_metrics.py
@@ -30,13 +30,6 @@
         """Sets a gauge."""
         self._collector(aioprometheus.Gauge, name).set(labels or {}, value)
 
-    def observe_s(
-        self, name: str, value_s: float, labels: dict[str, str] | None = None
-    ) -> None:
-        """Adds a duration in seconds to a histogram."""
-        collector = self._collector(aioprometheus.Histogram, name)
-        collector.observe(labels or {}, value_s)
-
     def _collector(self, kind: type, name: str) -> collectors.Collector:
         collector = self.collectors_.get(name)
         if collector is None:
