--- a/baobabdoor/configuration/_committer.py
+++ b/baobabdoor/configuration/_committer.py
@@ -5,7 +5,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform as platform_lib
+from baobabdoor import fleet_api as platform_lib
 from baobabdoor import settings
 from baobabdoor.configuration import _changes
 from baobabdoor.configuration import _documents
--- a/baobabdoor/control/_controller.py
+++ b/baobabdoor/control/_controller.py
@@ -9,10 +9,10 @@
 
 from baobabdoor import base
 from baobabdoor import capacity
+from baobabdoor import fleet_api as platform_lib
 from baobabdoor import maintenance
 from baobabdoor import membership
 from baobabdoor import ownership
-from baobabdoor import platform as platform_lib
 from baobabdoor import settings
 from baobabdoor import timeline
 from baobabdoor.control import _lease
--- a/baobabdoor/control/_lease.py
+++ b/baobabdoor/control/_lease.py
@@ -3,8 +3,8 @@
 import attrs
 
 from baobabdoor import base
+from baobabdoor import fleet_api as platform_lib
 from baobabdoor import ownership
-from baobabdoor import platform as platform_lib
 
 BEAT_S = 2.0
 # The holder stops acting well before another entry takes over.
--- a/baobabdoor/control/_marks.py
+++ b/baobabdoor/control/_marks.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
+from baobabdoor import fleet_api
 from baobabdoor import membership
-from baobabdoor import platform
 
 # An answer with `Connection: close` and 503 tells that a backend server is
 # draining; the mark ends by itself in case the VM returns with the same boot.
@@ -25,12 +25,12 @@
         self.own_: dict[str, tuple[str, float]] = {}
         self.heard_: dict[str, tuple[str, float]] = {}
 
-    def observe_list(self, listed: Mapping[str, platform.VmRecord]) -> None:
+    def observe_list(self, listed: Mapping[str, fleet_api.VmRecord]) -> None:
         """Notes the VMs that the platform lists as leaving or terminated."""
         self.listed_ = {
             vm_id: record.boot_id
             for vm_id, record in listed.items()
-            if record.state is not platform.VmListState.LIVE
+            if record.state is not fleet_api.VmListState.LIVE
         }
 
     def observe_answer(self, vm_id: str, boot_id: str, now_s: float) -> None:
--- a/baobabdoor/control/_member.py
+++ b/baobabdoor/control/_member.py
@@ -7,9 +7,9 @@
 import attrs
 
 from baobabdoor import base
+from baobabdoor import fleet_api as platform_lib
 from baobabdoor import membership
 from baobabdoor import ownership
-from baobabdoor import platform as platform_lib
 from baobabdoor import timeline
 
 TICK_S = 1.0
--- a/baobabdoor/control/_peer_link.py
+++ b/baobabdoor/control/_peer_link.py
@@ -11,8 +11,8 @@
 from tornado import web
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import membership
-from baobabdoor import platform
 
 STEP = "control.peer"
 SIGNED_HEADER = "Baobabdoor-Peer-Signed"
@@ -114,7 +114,7 @@
                 force_instance=True,
                 max_clients=MAX_CONNECTIONS,
                 # The library's own one resolves on other threads.
-                resolver=platform.NumericResolver(),
+                resolver=fleet_api.NumericResolver(),
                 max_body_size=MAX_ANSWER_BYTES,
             )
         return self.client_
--- a/baobabdoor/control/_service.py
+++ b/baobabdoor/control/_service.py
@@ -10,11 +10,11 @@
 
 from baobabdoor import base
 from baobabdoor import capacity
+from baobabdoor import fleet_api as platform_lib
 from baobabdoor import maintenance
 from baobabdoor import membership
 from baobabdoor import observability
 from baobabdoor import ownership
-from baobabdoor import platform as platform_lib
 from baobabdoor import settings
 from baobabdoor import timeline
 from baobabdoor.control import _activity
--- /dev/null
+++ b/baobabdoor/dispatch/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the daemon."""
+
+from baobabdoor import dispatch
+
+dispatch.main()
--- /dev/null
+++ b/baobabdoor/dispatch/_callers.py
@@ -0,0 +1,104 @@
+"""Answers callers: jobs, their states and queues."""
+
+import re
+
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor import scheduling
+from baobabdoor import transport
+from baobabdoor.dispatch import _gateway
+
+JOB_ID = re.compile(r"[0-9a-f]{16}")
+# Part of a caller's time that is kept for the way back, in seconds.
+RETURN_S = 0.15
+LOG = observability.get_logger("callers")
+RETRY = "Retry-After: {}\r\n"
+
+
+class CallerHandler:
+    """Turns callers' HTTP requests into requests to the gateway.
+
+    Args:
+        daemon: The daemon.
+        gateway: Carries the requests.
+    """
+
+    def __init__(self, daemon, gateway: _gateway.Gateway):
+        self.daemon = daemon
+        self.gateway = gateway
+
+    async def serve(self, request: transport.Request) -> transport.Reply:
+        """Answers one request."""
+        configuration = self.daemon.configuration
+        if configuration is None:
+            return transport.Reply(503, headers=RETRY.format(1))
+        queue = configuration.find_queue(request.host, request.path)
+        if queue is None:
+            return transport.Reply(404)
+        job_id = request.path[len(queue.path_prefix) :]
+        limit_s = self._limit_s(request, queue)
+        if not job_id and request.method == "GET":
+            outcome = await self.gateway.pending(queue, limit_s)
+            return self._reply(request, job_id, outcome)
+        if not JOB_ID.fullmatch(job_id):
+            status = 400 if request.method == "POST" else 410
+            return transport.Reply(status)
+        if request.method == "POST":
+            outcome = await self.gateway.submit(
+                job_id, queue, request.body, limit_s
+            )
+        elif request.method == "GET":
+            outcome = await self.gateway.state(job_id, queue, limit_s)
+        elif request.method == "DELETE":
+            outcome = await self.gateway.cancel(job_id, queue, limit_s)
+        else:
+            return transport.Reply(405)
+        return self._reply(request, job_id, outcome)
+
+    def _limit_s(
+        self, request: transport.Request, queue: scheduling.Queue
+    ) -> float:
+        limit_ms = queue.timeout_ms
+        text = request.headers.get(platform.DEADLINE_HEADER, "")
+        if text.isdigit():
+            limit_ms = min(limit_ms, int(text))
+        return max(0.05, limit_ms / 1000 - RETURN_S)
+
+    def _reply(
+        self,
+        request: transport.Request,
+        job_id: str,
+        outcome: _gateway.Outcome,
+    ) -> transport.Reply:
+        self.daemon.metrics.count(
+            "caller_requests_total",
+            {"method": request.method, "outcome": outcome.kind},
+        )
+        if outcome.kind == "state":
+            state = scheduling.JobState(outcome.value)
+            return transport.Reply(200, platform.encode_job_state(state))
+        if outcome.kind == "pending":
+            return transport.Reply(200, platform.encode_pending(outcome.value))
+        status = {
+            "accepted": 200,
+            "rejected": 429,
+            "unavailable": 503,
+            "unknown": 504,
+            "invalid": 400,
+            "no-queue": 404,
+            "no-job": 410,
+        }.get(outcome.kind, 503)
+        LOG.info(
+            "request_answered",
+            request=request.headers.get(platform.REQUEST_ID_HEADER, ""),
+            job=job_id,
+            method=request.method,
+            status=status,
+            outcome=outcome.kind,
+            detail=outcome.detail,
+            version=self.daemon.version,
+        )
+        headers = ""
+        if outcome.retry_after_s:
+            headers = RETRY.format(outcome.retry_after_s)
+        return transport.Reply(status, b"{}", headers)
--- /dev/null
+++ b/baobabdoor/dispatch/_commits.py
@@ -0,0 +1,220 @@
+"""Writes the changes of a tenure to the store in groups."""
+
+import asyncio
+from collections.abc import Callable
+import json
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor import scheduling
+from baobabdoor.dispatch import _tenure
+
+JOBS_TABLE = "jobs"
+ROSTER_TABLE = "roster"
+ROSTER_KEY = "workers"
+# Time for which changes are gathered before they are written.
+GATHER_S = 0.015
+# Bounds of the time that a transaction may take; in between it follows what
+# the last ones took.
+SHORTEST_TIMEOUT_S = 0.3
+LONGEST_TIMEOUT_S = 1.5
+TIMEOUT_FACTOR = 6.0
+RETRY_S = 0.1
+LOG = observability.get_logger("commits")
+
+
+class Committer:
+    """Stores jobs, the roster of workers and the heartbeat.
+
+    All rows lie in one part and every transaction expects the holder's row
+    unchanged, so that nothing is written after the tenure has ended.
+
+    Args:
+        store: The store.
+        holder: This tenure.
+        scheduler: Decides what is to be written.
+        confirmed_s: When the tenure was last confirmed.
+        lost: Called when the tenure has ended.
+    """
+
+    def __init__(
+        self,
+        store: platform.StoreClient,
+        holder: _tenure.Holder,
+        scheduler: scheduling.Scheduler,
+        confirmed_s: float,
+        lost: Callable[[str], None],
+    ):
+        self.store = store
+        self.holder = holder
+        self.scheduler = scheduler
+        self.confirmed_s = confirmed_s
+        self.lost = lost
+        self.roster_version = 0
+        self.roster: dict[str, list] = {}
+        self.wanted = asyncio.Event()
+        self.committed = asyncio.Event()
+        self.timeout_s = SHORTEST_TIMEOUT_S
+        self.latency_s = 0.02
+        self.reachable = True
+        self.releasing = False
+        self.released = asyncio.Event()
+
+    async def run(self) -> None:
+        """Writes until it is cancelled or the tenure ends."""
+        while True:
+            due_s = self.confirmed_s + _tenure.HEARTBEAT_S
+            wait_s = due_s - platform.boot_time_s()
+            if not self.wanted.is_set() and wait_s > 0:
+                try:
+                    await asyncio.wait_for(self.wanted.wait(), wait_s)
+                    await asyncio.sleep(GATHER_S)
+                except TimeoutError:
+                    pass
+            self.wanted.clear()
+            if not await self._write():
+                self.wanted.set()
+                await asyncio.sleep(RETRY_S)
+            if self.releasing and not self.scheduler.dirty:
+                await self._release()
+
+    async def wait_committed(self, timeout_s: float) -> None:
+        """Waits for the next transaction that is confirmed."""
+        try:
+            await asyncio.wait_for(self.committed.wait(), timeout_s)
+        except TimeoutError:
+            return
+
+    def _wanted_roster(self) -> dict[str, list]:
+        wanted = {}
+        for worker in self.scheduler.workers.values():
+            alive = worker.fenced and worker.listed and not worker.gone
+            possible = worker.worker_id in self.scheduler.unfenced
+            if alive or worker.runs or possible:
+                record = worker.record
+                wanted[record.worker_id] = [
+                    record.address,
+                    record.pool,
+                    record.zone,
+                    worker.born_ms,
+                ]
+        return wanted
+
+    async def _write(self) -> bool:
+        """Writes once; returns whether nothing is left to repeat."""
+        snapshot = self.scheduler.begin_commit()
+        roster = self._wanted_roster()
+        now_s = platform.boot_time_s()
+        due = now_s - self.confirmed_s >= _tenure.HEARTBEAT_S * 0.8
+        changed = roster != self.roster
+        if snapshot is None and not changed and not due:
+            return True
+        expected = [self.holder_row()]
+        puts = []
+        if due:
+            puts.append(self._row(_tenure.TABLE, _tenure.HEARTBEAT_KEY, b"{}"))
+        if changed:
+            content = json.dumps(roster).encode()
+            puts.append(self._row(ROSTER_TABLE, ROSTER_KEY, content))
+            expected.append(
+                platform.StoredRow(
+                    ROSTER_TABLE,
+                    _tenure.PART,
+                    ROSTER_KEY,
+                    version=self.roster_version,
+                )
+            )
+        for job, content in snapshot.jobs if snapshot else ():
+            job_id = job.spec.job_id
+            puts.append(self._row(JOBS_TABLE, job_id, content))
+            expected.append(
+                platform.StoredRow(
+                    JOBS_TABLE, _tenure.PART, job_id, version=job.row_version
+                )
+            )
+        answer = await self.store.transact(
+            puts, (), expected, timeout_s=self.timeout_s
+        )
+        if isinstance(answer, platform.Commit):
+            self._confirm(now_s, due)
+            if changed:
+                self._confirm_roster(roster, answer.version)
+            if snapshot is not None:
+                self.scheduler.finish_commit(snapshot, answer.version)
+            self.committed.set()
+            self.committed = asyncio.Event()
+            return not self.scheduler.dirty
+        if isinstance(answer, platform.Conflict):
+            self._observe_conflict(answer)
+        else:
+            self._observe_refusal(answer)
+        return False
+
+    def holder_row(self) -> platform.StoredRow:
+        """Returns the row that must be unchanged for anything to be written."""
+        return platform.StoredRow(
+            _tenure.TABLE,
+            _tenure.PART,
+            _tenure.HOLDER_KEY,
+            version=self.holder.token,
+        )
+
+    def _row(self, table: str, key: str, value: bytes) -> platform.StoredRow:
+        return platform.StoredRow(table, _tenure.PART, key, value)
+
+    def _confirm(self, sent_s: float, heartbeat: bool) -> None:
+        latency_s = platform.boot_time_s() - sent_s
+        self.latency_s += 0.2 * (latency_s - self.latency_s)
+        self.timeout_s = min(
+            LONGEST_TIMEOUT_S,
+            max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * self.latency_s),
+        )
+        if heartbeat:
+            self.confirmed_s = sent_s
+        if not self.reachable:
+            self.reachable = True
+            LOG.info("store_regained")
+
+    def _confirm_roster(self, roster: dict[str, list], version: int) -> None:
+        self.roster = roster
+        self.roster_version = version
+        for worker in self.scheduler.workers.values():
+            worker.enrolled = worker.worker_id in roster
+
+    def _observe_conflict(self, conflict: platform.Conflict) -> None:
+        for row in conflict.rows:
+            if row.table == _tenure.TABLE and row.key == _tenure.HOLDER_KEY:
+                if row.version != self.holder.token:
+                    self.lost("another tenure has begun")
+            elif row.table == ROSTER_TABLE:
+                self.roster_version = row.version
+            elif row.table == JOBS_TABLE:
+                # An earlier write of this tenure that had no answer.
+                job = self.scheduler.jobs.get(row.key)
+                if job is not None:
+                    job.row_version = row.version
+        LOG.info("commit_conflict", rows=len(conflict.rows))
+
+    def _observe_refusal(self, refusal: base.Refusal) -> None:
+        if refusal.reason is base.Reason.UNKNOWN_RESULT:
+            self.timeout_s = min(LONGEST_TIMEOUT_S, self.timeout_s * 2)
+        if self.reachable:
+            self.reachable = False
+            LOG.warning("store_lost", reason=str(refusal))
+
+    async def _release(self) -> None:
+        mine = self.holder
+        released = _tenure.Holder(
+            mine.node, mine.incarnation, mine.address, mine.number, True, 0
+        )
+        row = platform.StoredRow(
+            _tenure.TABLE, _tenure.PART, _tenure.HOLDER_KEY, released.encode()
+        )
+        answer = await self.store.transact([row], (), [self.holder_row()])
+        if isinstance(answer, base.Refusal):
+            LOG.warning("release_unanswered", reason=str(answer))
+            return
+        LOG.info("tenure_released", token=mine.token)
+        self.released.set()
+        self.lost("released")
--- /dev/null
+++ b/baobabdoor/dispatch/_controller.py
@@ -0,0 +1,360 @@
+"""Carries out the decisions of one tenure."""
+
+import asyncio
+import json
+import time
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor import scheduling
+from baobabdoor.dispatch import _commits
+from baobabdoor.dispatch import _following
+from baobabdoor.dispatch import _tenure
+
+# How long a hold waits for an end.
+HOLD_WAIT_MS = 1000
+# Pause between two holds of one worker, so that ends come in batches.
+HOLD_PAUSE_S = 0.02
+# Time that a hold waits for the store before ends are asked for again.
+COMMIT_WAIT_S = 0.1
+# Pause after a worker that did not answer, and before a lost one is asked.
+SILENT_PAUSE_S = 0.15
+# Longest time between two plans, and shortest.
+PLAN_INTERVAL_S = 0.1
+PLAN_GATHER_S = 0.003
+WORKERS_WAIT_S = 1.0
+WORKERS_PAUSE_S = 0.25
+EXPIRY_INTERVAL_S = 20.0
+# Clock slack of the bound on runs that an earlier tenure may have started.
+INHERITED_SLACK_S = 0.2
+LOG = observability.get_logger("controller")
+OUTCOMES = scheduling.OrderOutcome
+
+
+class Controller:
+    """The work of the holder: workers, runs, jobs and the store.
+
+    Args:
+        daemon: The daemon whose clients and configuration are used.
+        holder: This tenure.
+        confirmed_s: When it was taken.
+    """
+
+    def __init__(self, daemon, holder: _tenure.Holder, confirmed_s: float):
+        self.daemon = daemon
+        self.holder = holder
+        self.store: platform.StoreClient = daemon.store
+        self.workers: platform.WorkerClient = daemon.worker_client
+        now_s = platform.boot_time_s()
+        self.scheduler = scheduling.Scheduler(
+            holder.token,
+            holder.number,
+            daemon.configuration,
+            scheduling.Options(
+                stop_timeout_s=daemon.settings.stop_timeout_s,
+                early_s=daemon.settings.early_s,
+                status_s=daemon.settings.status_s,
+            ),
+            now_s,
+            _tenure.START_LIMIT_S
+            + scheduling.LEASE_S * 1.025
+            + INHERITED_SLACK_S,
+        )
+        self.committer = _commits.Committer(
+            self.store, holder, self.scheduler, confirmed_s, self.end
+        )
+        self.loaded = asyncio.Event()
+        self.ended = False
+        self.woken = asyncio.Event()
+        self.tasks: list[asyncio.Task] = []
+        self.holds: dict[str, asyncio.Task] = {}
+        self.sends: set[asyncio.Task] = set()
+
+    def start(self) -> None:
+        """Begins the tenure."""
+        self.tasks.append(asyncio.ensure_future(self._begin()))
+
+    def end(self, reason: str) -> None:
+        """Ends the tenure at once; nothing more is sent."""
+        if self.ended:
+            return
+        self.ended = True
+        LOG.warning("tenure_ended", token=self.holder.token, reason=reason)
+        for task in [*self.tasks, *self.holds.values()]:
+            task.cancel()
+        self.daemon.observe_tenure_end(self)
+
+    async def release(self) -> None:
+        """Stores what changed and gives the tenure up."""
+        self.committer.releasing = True
+        self.committer.wanted.set()
+        try:
+            await asyncio.wait_for(self.committer.released.wait(), 2.0)
+        except TimeoutError:
+            LOG.warning("release_late", token=self.holder.token)
+        self.end("released")
+
+    # Takeover.
+
+    async def _begin(self) -> None:
+        started_s = platform.boot_time_s()
+        jobs, roster = await asyncio.gather(
+            self._read(_commits.JOBS_TABLE), self._read(_commits.ROSTER_TABLE)
+        )
+        self._update_clocks()
+        for row in jobs:
+            try:
+                self.scheduler.load_job(row.key, row.value, row.version)
+            except (ValueError, KeyError, TypeError) as error:
+                LOG.error("job_row_ignored", job=row.key, error=str(error))
+        for row in roster:
+            self._load_roster(row)
+        LOG.info(
+            "tenure_loaded",
+            token=self.holder.token,
+            jobs=len(self.scheduler.jobs),
+            active=len(self.scheduler.active),
+            workers=len(self.scheduler.workers),
+            took_ms=round((platform.boot_time_s() - started_s) * 1000),
+        )
+        follower = _following.TableFollower(
+            self.store,
+            platform.WORKERS_TABLE,
+            "",
+            self._observe_workers,
+            WORKERS_WAIT_S,
+            WORKERS_PAUSE_S,
+        )
+        for work in (
+            follower.run(),
+            self.committer.run(),
+            self._plan_always(),
+            self._expire_always(),
+        ):
+            self.tasks.append(asyncio.ensure_future(work))
+        self._start_holds()
+        self.loaded.set()
+
+    async def _read(self, table: str) -> tuple[platform.StoredRow, ...]:
+        while True:
+            answer = await self.store.read_all(table, _tenure.PART)
+            if not isinstance(answer, base.Refusal):
+                return answer.rows
+            LOG.warning("takeover_waits", table=table, reason=str(answer))
+            await asyncio.sleep(_following.RETRY_S)
+
+    def _load_roster(self, row: platform.StoredRow) -> None:
+        self.committer.roster_version = row.version
+        self.committer.roster = json.loads(row.value)
+        for worker_id, entry in self.committer.roster.items():
+            address, pool, zone, born_ms = entry
+            record = scheduling.WorkerRecord(
+                worker_id, address, pool, zone, "", False, born_ms, 0, 0, 0,
+                frozenset(),
+            )  # fmt: skip
+            self.scheduler.observe_worker(record, platform.boot_time_s())
+            self.scheduler.observe_unlisted(worker_id)
+            self.scheduler.workers[worker_id].enrolled = True
+            self.scheduler.unfenced.add(worker_id)
+
+    # Workers.
+
+    def _observe_workers(self, rows, answer, whole: bool) -> None:
+        del answer
+        now_s = platform.boot_time_s()
+        known = set()
+        for row in rows:
+            known.add(row.key)
+            if row.removed:
+                LOG.info("worker_unlisted", worker=row.key)
+                self.scheduler.observe_unlisted(row.key)
+                continue
+            record = platform.decode_worker(row.key, row.value)
+            if record is not None:
+                self.scheduler.observe_worker(record, now_s)
+            else:
+                self.scheduler.observe_unlisted(row.key)
+        if whole:
+            for worker_id in set(self.scheduler.workers) - known:
+                self.scheduler.observe_unlisted(worker_id)
+        self._start_holds()
+        self.wake()
+
+    def _start_holds(self) -> None:
+        for worker_id in self.scheduler.workers:
+            task = self.holds.get(worker_id)
+            if task is None or task.done():
+                self.holds[worker_id] = asyncio.ensure_future(
+                    self._hold_always(worker_id)
+                )
+
+    async def _hold_always(self, worker_id: str) -> None:
+        while True:
+            worker = self.scheduler.workers.get(worker_id)
+            if worker is None:
+                self.holds.pop(worker_id, None)
+                return
+            if worker.gone:
+                await asyncio.sleep(SILENT_PAUSE_S)
+                continue
+            await self._hold(worker)
+
+    async def _hold(self, worker: scheduling.Worker) -> None:
+        unsaved = worker.processed > worker.acknowledged
+        wait_ms = 0 if unsaved else HOLD_WAIT_MS
+        processed = worker.processed
+        order = self.scheduler.hold_order(
+            worker, wait_ms, platform.boot_time_s()
+        )
+        result = await self.workers.hold(order)
+        now_s = platform.boot_time_s()
+        if isinstance(result, scheduling.WorkerReport):
+            fenced = worker.fenced
+            self.scheduler.observe_report(worker.worker_id, result, now_s)
+            if not fenced:
+                self.committer.wanted.set()
+            self.wake()
+            if worker.processed > processed:
+                self.committer.wanted.set()
+                self.scheduler.release_acknowledgements()
+            if worker.processed > worker.acknowledged:
+                await self.committer.wait_committed(COMMIT_WAIT_S)
+            await asyncio.sleep(HOLD_PAUSE_S)
+            return
+        if result.outcome is OUTCOMES.FENCED:
+            self.end(f"fenced by {worker.worker_id}")
+        elif result.outcome is OUTCOMES.WRONG_WORKER:
+            self.scheduler.observe_wrong_worker(worker.worker_id)
+        await asyncio.sleep(SILENT_PAUSE_S)
+
+    # Orders.
+
+    def wake(self) -> None:
+        """Asks for a plan soon."""
+        self.woken.set()
+
+    def _update_clocks(self) -> None:
+        self.scheduler.store_ms = self.store.now_ms()
+        self.scheduler.wall_ms = time.time() * 1000
+
+    async def _plan_always(self) -> None:
+        while True:
+            try:
+                await asyncio.wait_for(self.woken.wait(), PLAN_INTERVAL_S)
+            except TimeoutError:
+                pass
+            await asyncio.sleep(PLAN_GATHER_S)
+            self.woken.clear()
+            self._plan()
+
+    def certain(self) -> bool:
+        """Returns whether the tenure was confirmed a short time ago."""
+        age_s = platform.boot_time_s() - self.committer.confirmed_s
+        return age_s < _tenure.START_LIMIT_S
+
+    def _plan(self) -> None:
+        self.scheduler.configuration = self.daemon.configuration
+        self._update_clocks()
+        now_s = platform.boot_time_s()
+        may_start = self.certain() and not self.committer.releasing
+        for order in self.scheduler.plan(now_s, may_start):
+            task = asyncio.ensure_future(self._send(order))
+            self.sends.add(task)
+            task.add_done_callback(self.sends.discard)
+        if self.scheduler.dirty:
+            self.committer.wanted.set()
+        for event in self.scheduler.take_events():
+            LOG.info(event.name, **event.fields)
+        if self.scheduler.fenced_off:
+            self.end("fenced by a worker")
+
+    async def _send(self, order: scheduling.WorkerOrder) -> None:
+        if isinstance(order, scheduling.StartOrder):
+            result = await self.workers.start(order)
+            self.scheduler.observe_start(order, result, platform.boot_time_s())
+        elif isinstance(order, scheduling.StopOrder):
+            result = await self.workers.stop(order)
+            self.scheduler.observe_stop(order, result, platform.boot_time_s())
+        if result.outcome is not OUTCOMES.ACCEPTED:
+            self.wake()
+
+    async def _expire_always(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_INTERVAL_S)
+            jobs = self.scheduler.expire_jobs()
+            if not jobs:
+                continue
+            rows = [
+                platform.StoredRow(
+                    _commits.JOBS_TABLE, _tenure.PART, job.spec.job_id
+                )
+                for job in jobs
+            ]
+            answer = await self.store.transact(
+                (), rows, [self.committer.holder_row()]
+            )
+            if isinstance(answer, platform.Commit):
+                for job in jobs:
+                    self.scheduler.jobs.pop(job.spec.job_id, None)
+
+    # Callers' requests.
+
+    async def submit(self, spec: scheduling.JobSpec, timeout_s: float):
+        """Accepts a job and stores it.
+
+        Returns:
+            `None` once the job is stored, a rejection, or a refusal with
+            `UNKNOWN_RESULT` if it may yet be stored.
+        """
+        self._update_clocks()
+        now_s = platform.boot_time_s()
+        if self.committer.releasing or self.ended:
+            return base.Refusal(base.Reason.NOT_HOLDER, "controller.submit")
+        result = self.scheduler.submit(spec, now_s)
+        if isinstance(result, scheduling.Rejection):
+            LOG.info(
+                "job_rejected",
+                job=spec.job_id,
+                queue=spec.queue,
+                reason=result.reason,
+                retry_after_s=result.retry_after_s,
+                **result.inputs,
+            )
+            return result
+        return await self._wait_stored(
+            lambda: result.stored_state is not None, timeout_s
+        )
+
+    async def cancel(self, job_id: str, timeout_s: float):
+        """Cancels a job and stores that.
+
+        Returns:
+            `None` once stored, or a refusal: `NOT_FOUND` or `UNKNOWN_RESULT`.
+        """
+        self._update_clocks()
+        job = self.scheduler.cancel(job_id)
+        if job is None:
+            return base.Refusal(base.Reason.NOT_FOUND, "controller.cancel")
+        self.wake()
+        return await self._wait_stored(lambda: not job.dirty, timeout_s)
+
+    async def _wait_stored(self, stored, timeout_s: float):
+        deadline_s = platform.boot_time_s() + timeout_s
+        self.committer.wanted.set()
+        while not stored():
+            left_s = deadline_s - platform.boot_time_s()
+            if left_s <= 0 or self.ended:
+                return base.Refusal(
+                    base.Reason.UNKNOWN_RESULT, "controller.store"
+                )
+            await self.committer.wait_committed(min(left_s, 0.25))
+        self.wake()
+        return None
+
+    def find_job(self, job_id: str) -> scheduling.Job | None:
+        """Returns a job that was accepted."""
+        job = self.scheduler.jobs.get(job_id)
+        if job is None or job.stored_state is None:
+            return None
+        return job
--- /dev/null
+++ b/baobabdoor/dispatch/_daemon.py
@@ -0,0 +1,206 @@
+"""The daemon of an entry VM on the users' platform."""
+
+import asyncio
+import os
+import secrets
+import signal
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor import scheduling
+from baobabdoor import transport
+from baobabdoor.dispatch import _callers
+from baobabdoor.dispatch import _controller
+from baobabdoor.dispatch import _following
+from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _tenure
+
+CONFIGURATION_WAIT_S = 1.2
+# A daemon that heard neither the store nor the holder for so long is not
+# ready.
+CONTACT_S = 2.5
+# Time for which a stopping daemon goes on serving: the platform's balancer
+# needs two missed checks, one a second.
+LINGER_S = 2.6
+# Time for the last requests after that.
+LAST_REQUESTS_S = 1.5
+LOG = observability.get_logger("daemon")
+
+
+class Daemon:
+    """Serves callers and, while it holds the tenure, decides.
+
+    Args:
+        settings: Settings of the process.
+    """
+
+    def __init__(self, settings: platform.ProcessSettings):
+        self.settings = settings
+        self.metrics = observability.Metrics()
+        self.client = transport.Client()
+        self.store = platform.StoreClient(self.client, settings.store_address)
+        self.worker_client = platform.WorkerClient(self.client)
+        self.configuration: scheduling.Configuration | None = None
+        self.waves: dict[int, scheduling.Wave] = {}
+        self.controller: _controller.Controller | None = None
+        self.stopping = False
+        address = f"{settings.ip}:{settings.internal_port}"
+        self.tenures = _tenure.Tenures(
+            self.store,
+            settings.node,
+            secrets.token_hex(8),
+            address,
+            self._eligible,
+            self._observe_tenure,
+        )
+        self.configuration_follower = _following.TableFollower(
+            self.store,
+            platform.CONFIGURATION_TABLE,
+            "",
+            self._observe_configuration,
+            CONFIGURATION_WAIT_S,
+        )
+        gateway = _gateway.Gateway(self)
+        callers = _callers.CallerHandler(self, gateway)
+        self.servers = [transport.Server(address, gateway.serve)]
+        if settings.front_address:
+            self.servers.append(
+                transport.Server(settings.front_address, callers.serve)
+            )
+        if settings.ready_address:
+            self.servers.append(
+                transport.Server(settings.ready_address, self._serve_ready)
+            )
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    async def run(self) -> None:
+        """Serves until the process is told to stop."""
+        for server in self.servers:
+            server.start()
+        loop = asyncio.get_running_loop()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        loop.add_signal_handler(signal.SIGINT, stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self._observe_reload)
+        LOG.info("started", zone=self.settings.zone)
+        follow = [
+            asyncio.ensure_future(self.configuration_follower.run()),
+            asyncio.ensure_future(self.tenures.run()),
+        ]
+        await stopped.wait()
+        await self._stop()
+        for task in follow:
+            task.cancel()
+
+    async def _stop(self) -> None:
+        LOG.info("stopping", holder=self.controller is not None)
+        self.stopping = True
+        linger = asyncio.ensure_future(asyncio.sleep(LINGER_S))
+        if self.controller is not None:
+            await self.controller.release()
+        await linger
+        for server in self.servers:
+            server.stop()
+        for _ in range(int(LAST_REQUESTS_S / 0.05)):
+            if not any(server.in_progress for server in self.servers):
+                break
+            await asyncio.sleep(0.05)
+        LOG.info("stopped")
+
+    def _observe_reload(self) -> None:
+        LOG.info("reload_requested", effect="addresses stay as they are")
+
+    # Configuration.
+
+    def _observe_configuration(self, rows, answer, whole: bool) -> None:
+        del answer, whole
+        for row in rows:
+            if row.removed:
+                continue
+            try:
+                self._observe_operator_row(row)
+            except platform.MessageError as error:
+                LOG.error("operator_row_ignored", key=row.key, error=str(error))
+
+    def _observe_operator_row(self, row: platform.StoredRow) -> None:
+        if row.key == platform.CONFIGURATION_KEY:
+            configuration = platform.decode_configuration(row.value)
+            if configuration.version > self.version:
+                self.configuration = configuration
+                LOG.info(
+                    "configuration_in_force",
+                    version=configuration.version,
+                    queues=len(configuration.queues),
+                )
+                if self.controller is not None:
+                    self.controller.wake()
+        elif row.key.startswith(platform.WAVE_KEY_PREFIX):
+            wave = platform.decode_wave(row.value)
+            if wave.number not in self.waves:
+                LOG.info(
+                    "wave_seen",
+                    wave=wave.number,
+                    machines=len(wave.machines),
+                    maximum=wave.maximum,
+                    duration_s=wave.duration_s,
+                )
+            self.waves[wave.number] = wave
+
+    async def refresh_configuration(self) -> None:
+        """Reads the configuration at once."""
+        answer = await self.store.read(
+            platform.CONFIGURATION_TABLE, "", platform.CONFIGURATION_KEY
+        )
+        if isinstance(answer, base.Refusal):
+            LOG.warning("configuration_not_read", reason=str(answer))
+            return
+        self._observe_configuration(answer.rows, answer, False)
+
+    # Tenure.
+
+    def _eligible(self) -> bool:
+        return (
+            self.configuration is not None
+            and self.controller is None
+            and not self.stopping
+        )
+
+    def _observe_tenure(self, holder: _tenure.Holder, sent_s: float) -> None:
+        if self.stopping or self.controller is not None:
+            return
+        self.controller = _controller.Controller(self, holder, sent_s)
+        self.controller.start()
+
+    def observe_tenure_end(self, controller: _controller.Controller) -> None:
+        """Notes that a controller of this daemon has ended."""
+        if self.controller is controller:
+            self.controller = None
+
+    # Readiness.
+
+    async def _serve_ready(self, request: transport.Request) -> transport.Reply:
+        if request.path != platform.READY_PATH:
+            return transport.Reply(404)
+        silent_s = platform.boot_time_s() - self.store.last_answer_s_
+        ready = (
+            self.configuration is not None
+            and not self.stopping
+            and silent_s < CONTACT_S
+        )
+        return transport.Reply(200 if ready else 503)
+
+
+def main() -> None:
+    """Runs the daemon with the settings that the platform gives."""
+    path = os.environ.get(platform.VARIABLE, "")
+    try:
+        settings = platform.load_settings(path)
+    except platform.SettingsError as error:
+        raise SystemExit(f"baobabdoor: {error}") from error
+    observability.configure_logs(settings.node)
+    asyncio.run(Daemon(settings).run())
--- /dev/null
+++ b/baobabdoor/dispatch/_following.py
@@ -0,0 +1,77 @@
+"""Keeps a copy of one table of the store by its feed."""
+
+import asyncio
+from collections.abc import Callable
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import platform
+
+RETRY_S = 0.2
+LOG = observability.get_logger("following")
+
+
+class TableFollower:
+    """Reads a table and then follows its changes.
+
+    Args:
+        store: The store.
+        table: Table to follow.
+        part: Part of the table that is of interest.
+        observe: Called after each answer with the rows that changed, the
+            answer and whether the rows are the whole table.
+        wait_s: How long a feed waits for changes.
+        pause_s: Pause between feeds, so that changes come in batches.
+    """
+
+    def __init__(
+        self,
+        store: platform.StoreClient,
+        table: str,
+        part: str,
+        observe: Callable[
+            [list[platform.StoredRow], platform.RowSet, bool], None
+        ],
+        wait_s: float,
+        pause_s: float = 0.0,
+    ):
+        self.store = store
+        self.table = table
+        self.part = part
+        self.observe = observe
+        self.wait_s = wait_s
+        self.pause_s = pause_s
+        self.version = -1
+        self.reachable = True
+
+    async def run(self) -> None:
+        """Follows the table until it is cancelled."""
+        while True:
+            if self.version < 0:
+                answer = await self.store.read_all(self.table, self.part)
+            else:
+                answer = await self.store.feed(
+                    self.table, self.version, self.wait_s
+                )
+            if isinstance(answer, base.Refusal):
+                await self._observe_refusal(answer)
+                continue
+            if not self.reachable:
+                LOG.info("table_regained", table=self.table)
+                self.reachable = True
+            whole = self.version < 0
+            self.version = answer.version
+            rows = [row for row in answer.rows if row.part == self.part]
+            self.observe(rows, answer, whole)
+            if self.pause_s:
+                await asyncio.sleep(self.pause_s)
+
+    async def _observe_refusal(self, refusal: base.Refusal) -> None:
+        if refusal.reason is base.Reason.OUTDATED_GENERATION:
+            LOG.warning("history_lost", table=self.table, after=self.version)
+            self.version = -1
+            return
+        if self.reachable:
+            LOG.warning("table_lost", table=self.table, reason=str(refusal))
+            self.reachable = False
+        await asyncio.sleep(RETRY_S)
--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -10,11 +10,11 @@
 from baobabdoor import capacity
 from baobabdoor import configuration
 from baobabdoor import control
+from baobabdoor import fleet_api
 from baobabdoor import idempotency
 from baobabdoor import jobs
 from baobabdoor import maintenance
 from baobabdoor import observability
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
@@ -29,7 +29,7 @@
 
 
 def build(
-    entry_settings: settings.EntrySettings, service: platform.Platform
+    entry_settings: settings.EntrySettings, service: fleet_api.Platform
 ) -> _entry_server.EntryServer:
     """Builds an entry out of its parts; opens nothing yet."""
     entry_id = entry_settings.entry_id
@@ -102,7 +102,7 @@
     # Tornado logs a line for each malformed message, which a flood of bad
     # input would turn into a flood of lines.
     logging.getLogger("tornado").setLevel(logging.ERROR)
-    service = platform.HttpPlatform(entry_settings.platform.url)
+    service = fleet_api.HttpPlatform(entry_settings.platform.url)
     try:
         return await serve(build(entry_settings, service))
     finally:
--- a/baobabdoor/entry/_job_part.py
+++ b/baobabdoor/entry/_job_part.py
@@ -2,10 +2,10 @@
 
 from baobabdoor import base
 from baobabdoor import control
+from baobabdoor import fleet_api
 from baobabdoor import jobs
 from baobabdoor import observability
 from baobabdoor import ownership
-from baobabdoor import platform
 from baobabdoor import settings
 
 # Part of a worker that jobs may use; the rest serves requests, so that archive
@@ -39,7 +39,7 @@
         if control_round.epoch != self.epoch_:
             self.controller.reset()
             self.epoch_ = control_round.epoch
-        fence = platform.Condition(
+        fence = fleet_api.Condition(
             ownership.control_key(self.region), control_round.epoch
         )
         refusal = await self.controller.step(
--- a/baobabdoor/platform/_http.py
+++ b/baobabdoor/fleet_api/_http.py
@@ -11,9 +11,9 @@
 from tornado import simple_httpclient
 
 from baobabdoor import base
-from baobabdoor.platform import _interface
-from baobabdoor.platform import _types
-from baobabdoor.platform import _wire
+from baobabdoor.fleet_api import _interface
+from baobabdoor.fleet_api import _types
+from baobabdoor.fleet_api import _wire
 
 # Largest answer; the whole list of 3,500 VMs takes about 0.7 MB.
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
--- a/baobabdoor/platform/_interface.py
+++ b/baobabdoor/fleet_api/_interface.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from baobabdoor import base
-from baobabdoor.platform import _types
+from baobabdoor.fleet_api import _types
 
 
 class Platform(abc.ABC):
--- a/baobabdoor/platform/_wire.py
+++ b/baobabdoor/fleet_api/_wire.py
@@ -13,7 +13,7 @@
 from cattrs.preconf import json as json_preconf
 
 from baobabdoor import base
-from baobabdoor.platform import _types
+from baobabdoor.fleet_api import _types
 
 _CONVERTER = json_preconf.make_converter()
 
--- a/baobabdoor/idempotency/_claims.py
+++ b/baobabdoor/idempotency/_claims.py
@@ -8,7 +8,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor import requests
 from baobabdoor.idempotency import _stored
 
@@ -82,12 +82,12 @@
     value: dict[str, Any]
 
     @property
-    def condition(self) -> platform.Condition:
-        return platform.Condition(self.claim.row_key, self.claim.version)
+    def condition(self) -> fleet_api.Condition:
+        return fleet_api.Condition(self.claim.row_key, self.claim.version)
 
     @property
-    def write(self) -> platform.Write:
-        return platform.Write(self.claim.row_key, self.value)
+    def write(self) -> fleet_api.Write:
+        return fleet_api.Write(self.claim.row_key, self.value)
 
 
 class Claims:
@@ -106,7 +106,7 @@
 
     def __init__(
         self,
-        service: platform.Platform,
+        service: fleet_api.Platform,
         timers: base.TimerService,
         entry_id: str,
         incarnation: str,
@@ -225,16 +225,16 @@
         try:
             for _ in range(MAX_ROUNDS):
                 result = await self._claim(waiting)
-                if isinstance(result, platform.Committed):
+                if isinstance(result, fleet_api.Committed):
                     self._committed(waiting, result)
                     return
-                if isinstance(result, platform.Conflict):
+                if isinstance(result, fleet_api.Conflict):
                     remaining = await self._sort(waiting)
                     # The row in the way never returns to its old version, so
                     # earlier unknown writes of this group cannot apply now.
                     may_apply = may_apply and remaining is None
                     waiting = waiting if remaining is None else remaining
-                elif isinstance(result, platform.Unknown):
+                elif isinstance(result, fleet_api.Unknown):
                     may_apply = True
                 elif not may_apply:
                     break
@@ -247,14 +247,14 @@
 
     async def _claim(
         self, group: Sequence[_Pending]
-    ) -> platform.TransactionResult:
+    ) -> fleet_api.TransactionResult:
         return await self.service.transact(
-            [platform.Condition(p.row_key, p.version) for p in group],
-            [platform.Write(p.row_key, p.value) for p in group],
+            [fleet_api.Condition(p.row_key, p.version) for p in group],
+            [fleet_api.Write(p.row_key, p.value) for p in group],
         )
 
     def _committed(
-        self, group: Sequence[_Pending], committed: platform.Committed
+        self, group: Sequence[_Pending], committed: fleet_api.Committed
     ) -> None:
         for pending in group:
             version = committed.versions[pending.row_key]
@@ -328,7 +328,7 @@
                 return
 
     def _abandonment(
-        self, pending: _Pending, rows: dict[str, platform.Row]
+        self, pending: _Pending, rows: dict[str, fleet_api.Row]
     ) -> _Update | None:
         row = rows[pending.row_key]
         if row.version != pending.version:
@@ -353,11 +353,11 @@
             [update.condition for update in updates],
             [update.write for update in updates],
         )
-        if isinstance(result, platform.Conflict) and len(updates) > 1:
+        if isinstance(result, fleet_api.Conflict) and len(updates) > 1:
             # One row was changed meanwhile; the others must not wait for it.
             results = [await self._apply([update]) for update in updates]
             return all(results)
-        return isinstance(result, platform.Committed | platform.Conflict)
+        return isinstance(result, fleet_api.Committed | fleet_api.Conflict)
 
     async def _sleep(self, delay_s: float) -> None:
         passed = asyncio.get_running_loop().create_future()
--- a/baobabdoor/jobs/_batch.py
+++ b/baobabdoor/jobs/_batch.py
@@ -5,7 +5,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform as platform_lib
+from baobabdoor import fleet_api as platform_lib
 from baobabdoor.jobs import _types
 
 # Rows in one transaction. One transaction a batch keeps a wave of thousands of
--- a/baobabdoor/measure/_jobs.py
+++ b/baobabdoor/measure/_jobs.py
@@ -13,8 +13,8 @@
 import attrs
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import jobs
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor import standin
 from baobabdoor import timeline
@@ -227,9 +227,9 @@
 
     async def _run(self) -> None:
         result = await self.platform.transact(
-            [], [platform.Write(FENCE_KEY, {})]
+            [], [fleet_api.Write(FENCE_KEY, {})]
         )
-        fence = platform.Condition(FENCE_KEY, result.versions[FENCE_KEY])
+        fence = fleet_api.Condition(FENCE_KEY, result.versions[FENCE_KEY])
         pending = sorted(self.arrivals, key=lambda item: item.at_s)
         position = 0
         for second in range(DURATION_S):
--- a/baobabdoor/measure/_slopes.py
+++ b/baobabdoor/measure/_slopes.py
@@ -10,9 +10,9 @@
 import attrs
 
 from baobabdoor import capacity
+from baobabdoor import fleet_api
 from baobabdoor import maintenance
 from baobabdoor import ownership
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor.measure import _fleet_model
 from baobabdoor.measure import _result
@@ -122,7 +122,7 @@
 
 def _measure_rows(model: _fleet_model.FleetModel) -> list[Cost]:
     rows = [
-        platform.Row(
+        fleet_api.Row(
             ownership.vm_key(vm.availability_zone, vm.vm_id),
             1,
             ownership.to_json(
--- a/baobabdoor/ownership/_progress.py
+++ b/baobabdoor/ownership/_progress.py
@@ -4,14 +4,14 @@
 
 import attrs
 
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor.ownership import _fleet
 from baobabdoor.ownership import _rows
 from baobabdoor.ownership import _steps
 from baobabdoor.ownership import _table
 
-LIVE = platform.VmListState.LIVE
-TERMINATED = platform.VmListState.TERMINATED
+LIVE = fleet_api.VmListState.LIVE
+TERMINATED = fleet_api.VmListState.TERMINATED
 # A reboot that takes this many times its expected time counts as failed; the
 # expected time is a declared value and often too low.
 FAILED_REBOOT_FACTOR = 4.0
@@ -80,7 +80,7 @@
 def after_operation(
     table: _table.FleetTable,
     operation: Operation,
-    record: platform.VmRecord,
+    record: fleet_api.VmRecord,
     wall_ms: int,
 ) -> _steps.Step | None:
     """Returns the transaction that follows the answer to an operation."""
@@ -152,7 +152,7 @@
 def _replace_boot(
     table: _table.FleetTable,
     vm_id: str,
-    record: platform.VmRecord,
+    record: fleet_api.VmRecord,
     wall_ms: int,
 ) -> _steps.Step:
     row = table.vms[vm_id].row
--- a/baobabdoor/ownership/_registration.py
+++ b/baobabdoor/ownership/_registration.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor.ownership import _rows
 
 STEP = "ownership.register"
@@ -12,7 +12,7 @@
 def check_registration(
     found: _rows.EntryRow | None,
     own: _rows.EntryRow,
-    record: platform.VmRecord | None,
+    record: fleet_api.VmRecord | None,
 ) -> base.Refusal | None:
     """Returns why an entry must not write its row, or None.
 
@@ -34,12 +34,12 @@
 
 
 def is_terminated(
-    row: _rows.EntryRow, record: platform.VmRecord | None
+    row: _rows.EntryRow, record: fleet_api.VmRecord | None
 ) -> bool:
     """Returns whether the platform lists the boot of an entry as terminated."""
     if record is None or not row.boot_id or record.boot_id != row.boot_id:
         return False
-    return record.state is platform.VmListState.TERMINATED
+    return record.state is fleet_api.VmListState.TERMINATED
 
 
 class GoneEntries:
@@ -61,7 +61,7 @@
     def observe(
         self,
         entries: Mapping[str, _rows.EntryRow | None],
-        listed: Mapping[str, platform.VmRecord],
+        listed: Mapping[str, fleet_api.VmRecord],
         now_s: float,
     ) -> frozenset[str]:
         """Returns the entries that do not count any more."""
--- a/baobabdoor/ownership/_steps.py
+++ b/baobabdoor/ownership/_steps.py
@@ -5,7 +5,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor import settings
 from baobabdoor.ownership import _fleet
 from baobabdoor.ownership import _rows
@@ -30,15 +30,15 @@
     kind: str
     vm_id: str
     transaction: str
-    conditions: tuple[platform.Condition, ...]
-    writes: tuple[platform.Write, ...]
+    conditions: tuple[fleet_api.Condition, ...]
+    writes: tuple[fleet_api.Write, ...]
     intent: str = ""
 
 
 def create_vms(
     table: _table.FleetTable,
     availability_zone: str,
-    records: Sequence[platform.VmRecord],
+    records: Sequence[fleet_api.VmRecord],
     versions: dict[str, int],
     wall_ms: int,
 ) -> Step:
@@ -55,7 +55,7 @@
     transaction = f"{table.epoch}.{availability_zone}.{view + 1}"
     conditions = [
         _control_condition(table),
-        platform.Condition(_rows.view_key(availability_zone), view),
+        fleet_api.Condition(_rows.view_key(availability_zone), view),
     ]
     writes = [_view_write(availability_zone, view + 1)]
     for record in records:
@@ -70,8 +70,8 @@
             view=view + 1,
             phase_since_ms=wall_ms,
         )
-        conditions.append(platform.Condition(key, versions[key]))
-        writes.append(platform.Write(key, _rows.to_json(row)))
+        conditions.append(fleet_api.Condition(key, versions[key]))
+        writes.append(fleet_api.Write(key, _rows.to_json(row)))
     return Step(
         "ownership.created",
         records[0].vm_id,
@@ -112,11 +112,11 @@
     key = _rows.vm_key(zone, vm_id)
     conditions = [
         _control_condition(table),
-        platform.Condition(key, stored.version),
-        platform.Condition(_rows.view_key(zone), view),
+        fleet_api.Condition(key, stored.version),
+        fleet_api.Condition(_rows.view_key(zone), view),
     ]
     writes = [
-        platform.Write(key, _rows.to_json(row)),
+        fleet_api.Write(key, _rows.to_json(row)),
         _view_write(zone, view + 1),
     ]
     if row.intent != stored.row.intent:
@@ -141,10 +141,10 @@
     key = _rows.vm_key(zone, vm_id)
     conditions = [
         _control_condition(table),
-        platform.Condition(key, stored.version),
-        platform.Condition(_rows.view_key(zone), view),
+        fleet_api.Condition(key, stored.version),
+        fleet_api.Condition(_rows.view_key(zone), view),
     ]
-    writes = [platform.Write(key, None), _view_write(zone, view + 1)]
+    writes = [fleet_api.Write(key, None), _view_write(zone, view + 1)]
     if stored.row.intent:
         pool = stored.row.pool
         conditions.append(_budget_condition(table, pool))
@@ -258,35 +258,35 @@
 ) -> None:
     """Takes a committed transaction into the rows already read."""
     table.observe_rows(
-        platform.Row(write.key, versions[write.key], write.value)
+        fleet_api.Row(write.key, versions[write.key], write.value)
         for write in step.writes
     )
 
 
-def _control_condition(table: _table.FleetTable) -> platform.Condition:
-    return platform.Condition(_rows.control_key(table.region), table.epoch)
+def _control_condition(table: _table.FleetTable) -> fleet_api.Condition:
+    return fleet_api.Condition(_rows.control_key(table.region), table.epoch)
 
 
 def _budget_condition(
     table: _table.FleetTable, pool: str
-) -> platform.Condition:
+) -> fleet_api.Condition:
     version = table.budgets.get(pool, _table.StoredBudget()).version
-    return platform.Condition(_rows.budget_key(pool), version)
+    return fleet_api.Condition(_rows.budget_key(pool), version)
 
 
 def _budget_write(
     table: _table.FleetTable, pool: str, vm_id: str, intent: str
-) -> platform.Write:
+) -> fleet_api.Write:
     budget = table.budgets.get(pool, _table.StoredBudget())
     charges = dict(budget.row.charges)
     charges.pop(vm_id, None)
     if intent:
         charges[vm_id] = intent
     row = _rows.BudgetRow(charges)
-    return platform.Write(_rows.budget_key(pool), _rows.to_json(row))
+    return fleet_api.Write(_rows.budget_key(pool), _rows.to_json(row))
 
 
-def _view_write(availability_zone: str, version: int) -> platform.Write:
-    return platform.Write(
+def _view_write(availability_zone: str, version: int) -> fleet_api.Write:
+    return fleet_api.Write(
         _rows.view_key(availability_zone), {"version": version}
     )
--- a/baobabdoor/ownership/_table.py
+++ b/baobabdoor/ownership/_table.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor.ownership import _fleet
 from baobabdoor.ownership import _rows
 
@@ -52,11 +52,11 @@
     views: dict[str, int] = attrs.field(factory=dict)
     budgets: dict[str, StoredBudget] = attrs.field(factory=dict)
     entries: dict[str, _rows.EntryRow | None] = attrs.field(factory=dict)
-    listed: dict[str, platform.VmRecord] = attrs.field(factory=dict)
+    listed: dict[str, fleet_api.VmRecord] = attrs.field(factory=dict)
     gone: frozenset[str] = frozenset()
     forget_failed_s: float = FORGET_FAILED_S
 
-    def observe_rows(self, rows: Iterable[platform.Row]) -> None:
+    def observe_rows(self, rows: Iterable[fleet_api.Row]) -> None:
         """Takes in rows of any kind; malformed VM and budget rows are kept out.
 
         A VM without a readable row gets no operation, and a pool without a
@@ -75,7 +75,7 @@
             elif kind == "entry":
                 self.entries[name] = _rows.from_json(row.value, _rows.EntryRow)
 
-    def _observe_vm(self, row: platform.Row, name: str) -> None:
+    def _observe_vm(self, row: fleet_api.Row, name: str) -> None:
         zone, _, vm_id = name.partition("/")
         if row.value is None:
             self.vms.pop(vm_id, None)
@@ -103,12 +103,12 @@
     vm_id: str,
     availability_zone: str,
     row: _rows.VmRow,
-    record: platform.VmRecord | None = None,
+    record: fleet_api.VmRecord | None = None,
     version: int = 0,
 ) -> _fleet.VmState:
     """Joins a VM row with the platform's record of the same boot."""
     same_boot = record is not None and record.boot_id == row.boot_id
-    state = record.state if same_boot else platform.VmListState.LIVE
+    state = record.state if same_boot else fleet_api.VmListState.LIVE
     return _fleet.VmState(
         vm_id=vm_id,
         availability_zone=availability_zone,
@@ -122,6 +122,6 @@
         intent=row.intent,
         last_maintained_ms=row.last_maintained_ms,
         phase_since_ms=row.phase_since_ms,
-        reachable=state is not platform.VmListState.TERMINATED,
-        leaving=state is platform.VmListState.LEAVING,
+        reachable=state is not fleet_api.VmListState.TERMINATED,
+        leaving=state is fleet_api.VmListState.LEAVING,
     )
--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -1,51 +1,35 @@
-"""The platform's service as the rest of the system sees it."""
+"""Adapter to the users' platform: names, formats and calls.
 
-from baobabdoor.platform._http import HttpPlatform
-from baobabdoor.platform._http import NumericResolver
-from baobabdoor.platform._interface import Platform
-from baobabdoor.platform._types import AlreadyStarted
-from baobabdoor.platform._types import Committed
-from baobabdoor.platform._types import Condition
-from baobabdoor.platform._types import Conflict
-from baobabdoor.platform._types import Row
-from baobabdoor.platform._types import TaskRecord
-from baobabdoor.platform._types import TaskSpec
-from baobabdoor.platform._types import TaskState
-from baobabdoor.platform._types import TaskUsage
-from baobabdoor.platform._types import TransactionResult
-from baobabdoor.platform._types import Unknown
-from baobabdoor.platform._types import VmListChanges
-from baobabdoor.platform._types import VmListState
-from baobabdoor.platform._types import VmRecord
-from baobabdoor.platform._types import Write
-from baobabdoor.platform._wire import OPERATIONS
-from baobabdoor.platform._wire import MalformedMessageError
-from baobabdoor.platform._wire import Operation
-from baobabdoor.platform._wire import decode_arguments
-from baobabdoor.platform._wire import encode_result
+Nothing here decides, and nothing outside knows the platform's names.
+"""
 
-__all__ = [
-    "AlreadyStarted",
-    "Committed",
-    "Condition",
-    "Conflict",
-    "HttpPlatform",
-    "MalformedMessageError",
-    "OPERATIONS",
-    "NumericResolver",
-    "Operation",
-    "Platform",
-    "Row",
-    "TaskRecord",
-    "TaskSpec",
-    "TaskState",
-    "TaskUsage",
-    "TransactionResult",
-    "Unknown",
-    "VmListChanges",
-    "VmListState",
-    "VmRecord",
-    "Write",
-    "decode_arguments",
-    "encode_result",
-]
+from baobabdoor.platform._machines import MachineClient
+from baobabdoor.platform._machines import MachineOutcome
+from baobabdoor.platform._messages import MessageError
+from baobabdoor.platform._messages import decode_configuration
+from baobabdoor.platform._messages import decode_job
+from baobabdoor.platform._messages import decode_wave
+from baobabdoor.platform._messages import decode_worker
+from baobabdoor.platform._messages import encode_job_state
+from baobabdoor.platform._messages import encode_pending
+from baobabdoor.platform._messages import encode_wave_state
+from baobabdoor.platform._settings import VARIABLE
+from baobabdoor.platform._settings import ProcessSettings
+from baobabdoor.platform._settings import SettingsError
+from baobabdoor.platform._settings import load_settings
+from baobabdoor.platform._store import Commit
+from baobabdoor.platform._store import Conflict
+from baobabdoor.platform._store import RowSet
+from baobabdoor.platform._store import StoreClient
+from baobabdoor.platform._store import StoredRow
+from baobabdoor.platform._store import boot_time_s
+from baobabdoor.platform._workers import WorkerClient
+
+CONFIGURATION_TABLE = "op"
+CONFIGURATION_KEY = "config"
+WAVE_KEY_PREFIX = "wave/"
+STATUS_TABLE = "status"
+WORKERS_TABLE = "servers"
+READY_PATH = "/api/ready"
+DEADLINE_HEADER = "X-Deadline-Ms"
+REQUEST_ID_HEADER = "Request-Id"
--- /dev/null
+++ b/baobabdoor/platform/_machines.py
@@ -0,0 +1,126 @@
+"""Client of the platform's machine service: lists, moves and upkeep."""
+
+import enum
+import json
+from urllib import parse
+
+from baobabdoor import base
+from baobabdoor import scheduling
+from baobabdoor import transport
+
+CALL_TIMEOUT_S = 1.5
+
+
+class MachineOutcome(enum.Enum):
+    """Result of an order to a machine."""
+
+    ACCEPTED = "accepted"
+    FENCED = "fenced"
+    BUSY = "busy"
+    NOT_DUE = "not-due"
+    INVALID = "invalid"
+    THROTTLED = "throttled"
+    UNKNOWN = "unknown"
+
+
+_REASONS = {
+    "fence": MachineOutcome.FENCED,
+    "busy": MachineOutcome.BUSY,
+    "wave": MachineOutcome.NOT_DUE,
+}
+
+
+class MachineClient:
+    """Lists machines and orders their moves and upkeep.
+
+    Args:
+        client: HTTP client.
+        address: The service as `ip:port`.
+        holder: Name under which orders are given.
+    """
+
+    def __init__(self, client: transport.Client, address: str, holder: str):
+        self.client = client
+        self.address = address
+        self.holder = holder
+
+    async def list_machines(
+        self,
+    ) -> tuple[scheduling.MachineRecord, ...] | base.Refusal:
+        """Returns all machines."""
+        records: list[scheduling.MachineRecord] = []
+        page = ""
+        while True:
+            query = f"?{parse.urlencode({'page-token': page})}" if page else ""
+            answer = await self.client.fetch(
+                self.address,
+                "GET",
+                f"/api/machines{query}",
+                timeout_s=CALL_TIMEOUT_S,
+            )
+            if isinstance(answer, base.Refusal):
+                return answer
+            if answer.status != 200:
+                return base.Refusal(
+                    base.Reason.PLATFORM_UNAVAILABLE,
+                    "machines.list",
+                    self.address,
+                    str(answer.status),
+                )
+            content = json.loads(answer.body)
+            records += [_decode(entry) for entry in content["machines"]]
+            page = content.get("next-page-token")
+            if not page:
+                return tuple(records)
+
+    async def start_upkeep(
+        self, machine: str, wave: int, token: int
+    ) -> MachineOutcome:
+        """Orders the upkeep of a machine; what runs there ends at once."""
+        body = {"machine": machine, "wave": wave}
+        return await self._order("/api/machine-upkeep", body, token)
+
+    async def move(self, machine: str, pool: str, token: int) -> MachineOutcome:
+        """Orders a machine into a pool; what runs there ends at once."""
+        body = {"machine": machine, "pool": pool}
+        return await self._order("/api/machine-move", body, token)
+
+    async def _order(
+        self, target: str, body: dict, token: int
+    ) -> MachineOutcome:
+        headers = (
+            "Content-Type: application/json\r\n"
+            f"X-Lease-Holder: {self.holder}\r\nX-Fencing-Token: {token}\r\n"
+        )
+        answer = await self.client.fetch(
+            self.address,
+            "POST",
+            target,
+            json.dumps(body).encode(),
+            headers,
+            CALL_TIMEOUT_S,
+        )
+        if isinstance(answer, base.Refusal):
+            if answer.reason is base.Reason.CONNECTION_FAILED:
+                return MachineOutcome.THROTTLED
+            return MachineOutcome.UNKNOWN
+        if answer.status == 200:
+            return MachineOutcome.ACCEPTED
+        if answer.status == 409:
+            reason = json.loads(answer.body or b"{}").get("reason", "")
+            return _REASONS.get(reason, MachineOutcome.BUSY)
+        if answer.status in (429, 503):
+            return MachineOutcome.THROTTLED
+        if answer.status == 400:
+            return MachineOutcome.INVALID
+        return MachineOutcome.UNKNOWN
+
+
+def _decode(entry: dict) -> scheduling.MachineRecord:
+    return scheduling.MachineRecord(
+        entry["machine"],
+        entry.get("pool") or "",
+        scheduling.MachineState(entry["state"]),
+        entry.get("zone") or "",
+        entry.get("id") or "",
+    )
--- /dev/null
+++ b/baobabdoor/platform/_store.py
@@ -0,0 +1,265 @@
+"""Client of the platform's store: rows, transactions and feeds."""
+
+import base64
+from collections.abc import Iterable
+import json
+import time
+from urllib import parse
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import transport
+
+# Time added to a feed's own wait before the call is given up, in seconds.
+FEED_GRACE_S = 0.7
+READ_TIMEOUT_S = 1.0
+TRANSACTION_TIMEOUT_S = 1.5
+PAGE_ROWS = 500
+LOG = observability.get_logger("platform.store")
+
+
+@attrs.frozen
+class StoredRow:
+    """A row of the store.
+
+    Attributes:
+        table: Name of the table.
+        part: Part of the table; rows of one part change together.
+        key: Key within the part.
+        value: Content in bytes; empty for a removed row.
+        version: Version of the last change; 0 for a missing row.
+        removed: Whether the row was removed.
+    """
+
+    table: str
+    part: str
+    key: str
+    value: bytes = b""
+    version: int = 0
+    removed: bool = False
+
+
+@attrs.frozen
+class RowSet:
+    """Rows as of one moment.
+
+    Attributes:
+        rows: The rows.
+        version: Newest version of the store.
+        store_ms: The store's steady clock.
+        more: Whether there are further rows.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    store_ms: int
+    more: bool = False
+
+
+@attrs.frozen
+class Commit:
+    """A transaction that was applied."""
+
+    version: int
+
+
+@attrs.frozen
+class Conflict:
+    """A transaction that was not applied; the rows as they are."""
+
+    rows: tuple[StoredRow, ...]
+
+
+class StoreClient:
+    """Reads and changes rows of the platform's store.
+
+    Args:
+        client: HTTP client.
+        address: The store as `ip:port`.
+    """
+
+    def __init__(self, client: transport.Client, address: str):
+        self.client = client
+        self.address = address
+        self.clock_offset_ms_: float | None = None
+        self.last_answer_s_ = -1e9
+        self.calls_ = 0
+
+    def now_ms(self) -> float:
+        """Returns the store's steady clock as last heard, carried forward."""
+        return (self.clock_offset_ms_ or 0.0) + boot_time_s() * 1000
+
+    async def transact(
+        self,
+        puts: Iterable[StoredRow] = (),
+        removes: Iterable[StoredRow] = (),
+        expected: Iterable[StoredRow] = (),
+        timeout_s: float = TRANSACTION_TIMEOUT_S,
+    ) -> Commit | Conflict | base.Refusal:
+        """Applies changes of one part atomically.
+
+        Args:
+            puts: Rows to write.
+            removes: Rows to remove.
+            expected: Rows that must have the given version; 0 for absent.
+            timeout_s: Limit in seconds.
+
+        Returns:
+            A commit, a conflict, or a refusal: `PLATFORM_UNAVAILABLE` if
+            nothing was done, `UNKNOWN_RESULT` if it may be applied.
+        """
+        body = {
+            "expected-rev": [
+                _key(row) | {"ver": row.version} for row in expected
+            ],
+            "puts": [
+                _key(row) | {"value": base64.b64encode(row.value).decode()}
+                for row in puts
+            ],
+            "remove": [_key(row) for row in removes],
+        }
+        answer = await self._call(
+            "POST", "/api/rows-tx", json.dumps(body).encode(), timeout_s
+        )
+        if isinstance(answer, base.Refusal):
+            return answer
+        status, content = answer
+        if status == 200:
+            return Commit(content.get("ver", 0))
+        if status == 412:
+            return Conflict(tuple(_rows(content)))
+        return self._refused("store.transact", status)
+
+    async def read(
+        self,
+        table: str,
+        part: str = "",
+        start: str = "",
+        timeout_s: float = READ_TIMEOUT_S,
+    ) -> RowSet | base.Refusal:
+        """Reads up to 500 rows of a part from key `start` on."""
+        query = {"table": table, "part": part, "limit": PAGE_ROWS}
+        if start:
+            query["from"] = start
+        return await self._rows("rows-get", query, timeout_s, "store.read")
+
+    async def read_all(
+        self, table: str, part: str = "", timeout_s: float = READ_TIMEOUT_S
+    ) -> RowSet | base.Refusal:
+        """Reads all rows of a part, page by page.
+
+        The version is that of the first page, so a feed from there on
+        repeats what changed between the pages.
+        """
+        rows: list[StoredRow] = []
+        first = None
+        start = ""
+        while True:
+            page = await self.read(table, part, start, timeout_s)
+            if isinstance(page, base.Refusal):
+                return page
+            first = first or page
+            rows += page.rows
+            if not page.more or not page.rows:
+                return attrs.evolve(first, rows=tuple(rows), more=False)
+            start = page.rows[-1].key + "\0"
+
+    async def feed(
+        self, table: str, after: int, wait_s: float
+    ) -> RowSet | base.Refusal:
+        """Waits for changes of a table after a version.
+
+        Returns:
+            Changed rows, none if the wait ended; a refusal with
+            `OUTDATED_GENERATION` if the history is no longer there.
+        """
+        query = {"table": table, "after": after, "wait-ms": int(wait_s * 1000)}
+        return await self._rows(
+            "rows-feed", query, wait_s + FEED_GRACE_S, "store.feed"
+        )
+
+    async def _rows(
+        self, call: str, query: dict, timeout_s: float, step: str
+    ) -> RowSet | base.Refusal:
+        target = f"/api/{call}?{parse.urlencode(query)}"
+        answer = await self._call("GET", target, b"", timeout_s)
+        if isinstance(answer, base.Refusal):
+            return answer
+        status, content = answer
+        if status == 410:
+            return base.Refusal(
+                base.Reason.OUTDATED_GENERATION, step, self.address
+            )
+        if status != 200:
+            return self._refused(step, status)
+        return RowSet(
+            tuple(_rows(content)),
+            content["ver"],
+            content["now-ms"],
+            bool(content.get("has-more")),
+        )
+
+    async def _call(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> tuple[int, dict] | base.Refusal:
+        self.calls_ += 1
+        sent_s = boot_time_s()
+        headers = "Content-Type: application/json\r\n" if body else ""
+        answer = await self.client.fetch(
+            self.address, method, target, body, headers, timeout_s
+        )
+        if isinstance(answer, base.Refusal):
+            return answer
+        self.last_answer_s_ = boot_time_s()
+        try:
+            content = json.loads(answer.body) if answer.body else {}
+        except ValueError as error:
+            LOG.warning("store_answer_unreadable", error=str(error))
+            return base.Refusal(
+                base.Reason.UNKNOWN_RESULT, "store.decode", self.address
+            )
+        self._observe_clock(content.get("now-ms"), sent_s)
+        return answer.status, content
+
+    def _observe_clock(self, store_ms: object, sent_s: float) -> None:
+        if not isinstance(store_ms, int | float):
+            return
+        # The store read its clock after the call was sent, so the largest
+        # difference seen is the closest.
+        offset = store_ms - self.last_answer_s_ * 1000
+        if self.clock_offset_ms_ is None or offset > self.clock_offset_ms_:
+            self.clock_offset_ms_ = offset
+
+    def _refused(self, step: str, status: int) -> base.Refusal:
+        return base.Refusal(
+            base.Reason.PLATFORM_UNAVAILABLE, step, self.address, f"{status}"
+        )
+
+
+def boot_time_s() -> float:
+    """Returns the steady clock that counts suspension, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _key(row: StoredRow) -> dict:
+    return {"table": row.table, "part": row.part, "key": row.key}
+
+
+def _rows(content: dict) -> Iterable[StoredRow]:
+    for row in content.get("rows", ()):
+        removed = bool(row.get("deleted"))
+        try:
+            value = base64.b64decode(row.get("value") or "")
+        except ValueError:
+            value = b""
+        # A row that does not exist is listed with version 0.
+        yield StoredRow(
+            row["table"],
+            row.get("part", ""),
+            row["key"],
+            value,
+            row.get("ver", 0),
+            removed,
+        )
--- /dev/null
+++ b/baobabdoor/scheduling/_admission.py
@@ -0,0 +1,132 @@
+"""Decides whether a job can still be in time."""
+
+import collections
+
+import attrs
+
+from baobabdoor.scheduling import _types
+
+# Share of a pool's processor time that can be filled with tasks.
+USABLE_SHARE = 0.85
+# Time from the hand-in to the first start and from the last end to the
+# answer, in seconds.
+OVERHEAD_S = 0.15
+# Part of the objective within which a job must be expected to end.
+OBJECTIVE_SHARE = 0.95
+# Earliest times of rejected jobs that are remembered, for their retries.
+REMEMBERED_JOBS = 2000
+MIN_RETRY_S = 1
+
+
+@attrs.frozen
+class Rejection:
+    """A job that was not accepted and never runs.
+
+    Attributes:
+        reason: Why.
+        retry_after_s: When to come back.
+        inputs: The figures that decided it.
+    """
+
+    reason: str
+    retry_after_s: int
+    inputs: dict
+
+
+class Admission:
+    """Compares a job's need with what its pool can do until its objective.
+
+    Args:
+        scheduler: The scheduler whose load is looked at.
+    """
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.first_seen_: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    def first_seen_ms(self, job_id: str, now_ms: float) -> float:
+        """Returns when a job was first handed in, as far as remembered."""
+        first_ms = self.first_seen_.setdefault(job_id, now_ms)
+        if len(self.first_seen_) > REMEMBERED_JOBS:
+            self.first_seen_.popitem(last=False)
+        return first_ms
+
+    def check(self, spec: _types.JobSpec, now_s: float) -> Rejection | None:
+        """Returns why a job is not accepted; `None` if it is."""
+        scheduler = self.scheduler
+        queue = scheduler.configuration.queues.get(spec.queue)
+        first_ms = self.first_seen_ms(spec.job_id, scheduler.store_ms)
+        if spec.long_running or spec.repeat_count or queue is None:
+            return None
+        capacity = self.capacity_cores(queue.pool, now_s) * USABLE_SHARE
+        chain_s, work = self.measure(spec)
+        objective_s = self.objective_s(queue, chain_s) * OBJECTIVE_SHARE
+        waited_s = (scheduler.store_ms - first_ms) / 1000
+        left_s = objective_s - waited_s - OVERHEAD_S
+        backlog = self.backlog_core_s(queue.pool)
+        inputs = {
+            "capacity_cores": round(capacity, 1),
+            "backlog_core_s": round(backlog, 1),
+            "work_core_s": round(work, 1),
+            "chain_s": round(chain_s, 2),
+            "left_s": round(left_s, 2),
+        }
+        if left_s < chain_s and waited_s > 0:
+            return Rejection("too late", MIN_RETRY_S, inputs)
+        if capacity <= 0:
+            return Rejection("no workers", MIN_RETRY_S, inputs)
+        # The backlog is done before the job's last step may begin.
+        if backlog + work > capacity * left_s:
+            excess_s = (backlog + work) / capacity - left_s
+            return Rejection(
+                "overload", max(MIN_RETRY_S, int(excess_s)), inputs
+            )
+        return None
+
+    def objective_s(self, queue: _types.Queue, chain_s: float) -> float:
+        """Returns the latency objective of a job in seconds."""
+        return queue.stretch * chain_s + queue.target_ms / 1000
+
+    def measure(self, spec: _types.JobSpec) -> tuple[float, float]:
+        """Returns the longest chain in seconds and the work in core-seconds."""
+        ends: list[float] = []
+        work = 0.0
+        for step in spec.steps:
+            duration_s = self.scheduler.durations.predict_s(spec.queue, step)
+            start_s = max((ends[i] for i in step.after), default=0.0)
+            ends.append(start_s + duration_s)
+            work += duration_s * step.task_count * step.cpu_milli / 1000
+        return max(ends), work
+
+    def capacity_cores(self, pool: str, now_s: float) -> float:
+        """Returns the cores of a pool that batch tasks may use."""
+        total = 0
+        for worker in self.scheduler.workers.values():
+            if worker.record.pool == pool and worker.usable(now_s):
+                total += worker.record.cpu_milli
+                for run in worker.runs.values():
+                    spec = run.task.spec
+                    if spec.long_running and not spec.fills:
+                        total -= spec.cpu_milli
+        return total / 1000
+
+    def backlog_core_s(self, pool: str) -> float:
+        """Returns the work left of a pool's accepted jobs in core-seconds."""
+        scheduler = self.scheduler
+        total = 0.0
+        for job in scheduler.active.values():
+            if job.spec.long_running:
+                continue
+            queue = scheduler.configuration.queues.get(job.spec.queue)
+            if queue is None or queue.pool != pool:
+                continue
+            for (_, number), left in job.left.items():
+                if left:
+                    step = job.spec.steps[number]
+                    duration_s = scheduler.durations.predict_s(
+                        job.spec.queue, step
+                    )
+                    total += left * duration_s * step.cpu_milli / 1000
+        return total
--- /dev/null
+++ b/baobabdoor/scheduling/_placement.py
@@ -0,0 +1,190 @@
+"""Chooses workers for the tasks whose turn has come."""
+
+from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _orders
+from baobabdoor.scheduling import _worker
+
+# Pause between the end of a lasting task and its next start at the least.
+LASTING_RETRY_S = 0.05
+
+
+def place(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
+    """Returns the starts that are due, the most pressing first."""
+    orders: list[_orders.WorkerOrder] = []
+    pools: dict[str, list[_worker.Worker]] = {}
+    for worker in scheduler.workers.values():
+        if worker.usable(now_s) and not scheduler.strays.get(worker.worker_id):
+            pools.setdefault(worker.record.pool, []).append(worker)
+    if not pools:
+        return orders
+    for job in _ranked(scheduler):
+        queue = scheduler.configuration.queues.get(job.spec.queue)
+        workers = pools.get(queue.pool) if queue else None
+        if workers:
+            orders += _place_job(scheduler, job, workers, now_s)
+    return orders
+
+
+def _ranked(scheduler) -> list[_job.Job]:
+    """Returns active jobs: lasting ones, then by least slack, late ones last."""
+    keys = []
+    for number, job in enumerate(scheduler.active.values()):
+        if job.stored_state is None:
+            continue
+        if job.spec.long_running:
+            keys.append((0, 0, 0.0, number, job))
+            continue
+        queue = scheduler.configuration.queues.get(job.spec.queue)
+        if queue is None:
+            continue
+        slack_s = _slack_s(scheduler, job, queue)
+        late = slack_s < 0
+        keys.append((1, late, slack_s, number, job))
+    keys.sort(key=lambda key: key[:4])
+    return [key[4] for key in keys]
+
+
+def _slack_s(scheduler, job: _job.Job, queue) -> float:
+    durations = scheduler.durations
+    ends: list[float] = []
+    whole: list[float] = []
+    for number, step in enumerate(job.spec.steps):
+        duration_s = durations.predict_s(job.spec.queue, step)
+        left = any(job.left[key] for key in job.left if key[1] == number)
+        start_s = max((ends[i] for i in step.after), default=0.0)
+        ends.append(start_s + (duration_s if left else 0.0))
+        start_s = max((whole[i] for i in step.after), default=0.0)
+        whole.append(start_s + duration_s)
+    objective_s = scheduler.admission.objective_s(queue, max(whole))
+    waited_s = (scheduler.store_ms - job.submitted_ms) / 1000
+    return objective_s - waited_s - max(ends)
+
+
+def _place_job(
+    scheduler, job: _job.Job, workers: list[_worker.Worker], now_s: float
+) -> list[_orders.WorkerOrder]:
+    orders = []
+    blocked = scheduler.inherited_blocked()
+    for (occurrence, number), tasks in job.steps.items():
+        if not job.left[occurrence, number]:
+            continue
+        if not job.step_ready(occurrence, number):
+            continue
+        if not _due(scheduler, job, occurrence):
+            continue
+        waiting = [
+            task
+            for task in tasks
+            if not task.done
+            and task.run is None
+            and now_s >= task.retry_at_s
+            and not (blocked and task.inherited)
+        ]
+        if not waiting:
+            continue
+        if job.spec.steps[number].gang:
+            orders += _place_gang(scheduler, tasks, waiting, workers, now_s)
+            continue
+        for task in waiting:
+            worker = choose_worker(task, workers)
+            if worker is None:
+                break
+            orders.append(scheduler.start_order(worker, task, now_s))
+    return orders
+
+
+def _due(scheduler, job: _job.Job, occurrence: int) -> bool:
+    if not job.spec.repeat_count:
+        return True
+    due_ms = job.spec.start_at_ms + occurrence * job.spec.interval_ms
+    return scheduler.wall_ms >= due_ms
+
+
+def _place_gang(
+    scheduler, tasks, waiting, workers, now_s: float
+) -> list[_orders.WorkerOrder]:
+    """Starts all members of a gang or none."""
+    if len(waiting) != len(tasks):
+        return []
+    racks = {""}
+    if tasks[0].spec.rack_sensitive:
+        racks = {rack_of(worker) for worker in workers}
+    for rack in sorted(racks):
+        chosen = [
+            worker for worker in workers if not rack or rack_of(worker) == rack
+        ]
+        orders = _try_gang(scheduler, waiting, chosen, now_s)
+        if orders:
+            return orders
+    return []
+
+
+def _try_gang(scheduler, tasks, workers, now_s: float):
+    run_id = max(task.last_run for task in tasks)
+    checkpoint = max(task.checkpoint for task in tasks)
+    orders = []
+    for task in tasks:
+        worker = choose_worker(task, workers)
+        if worker is None:
+            for placed in tasks[: len(orders)]:
+                owner = scheduler.workers[placed.run.worker_id]
+                owner.remove_run(placed.run)
+                placed.run = None
+            return []
+        task.last_run = run_id
+        task.checkpoint = checkpoint
+        orders.append(scheduler.start_order(worker, task, now_s))
+    return orders
+
+
+def rack_of(worker: _worker.Worker) -> str:
+    """Returns the rack among a worker's labels; empty if there is none."""
+    return max(
+        (label for label in worker.record.labels if "-" in label), default=""
+    )
+
+
+def choose_worker(
+    task: _job.Task, workers: list[_worker.Worker]
+) -> _worker.Worker | None:
+    """Returns the best worker with room for a task.
+
+    A lasting task goes where the fewest of its kind are, any other where the
+    least room is left over.
+    """
+    spec = task.spec
+    best = None
+    best_key: tuple = ()
+    for worker in workers:
+        if not worker.fits(spec):
+            continue
+        if spec.max_per_worker and spec.max_per_worker <= _same_step(
+            worker, task
+        ):
+            continue
+        away = bool(
+            spec.data_rack and spec.data_rack not in worker.record.labels
+        )
+        avoided = worker.worker_id in task.avoided
+        if spec.long_running:
+            lasting = [
+                run
+                for run in worker.runs.values()
+                if run.task.spec.long_running
+            ]
+            opposed = sum(run.task.spec.fills != spec.fills for run in lasting)
+            key = (avoided, away, opposed, len(lasting), worker.cpu_used)
+        else:
+            key = (avoided, away, -worker.cpu_used)
+        if best is None or key < best_key:
+            best, best_key = worker, key
+    return best
+
+
+def _same_step(worker: _worker.Worker, task: _job.Task) -> int:
+    return sum(
+        run.task.job is task.job
+        and run.task.step == task.step
+        and run.task.occurrence == task.occurrence
+        for run in worker.runs.values()
+    )
--- /dev/null
+++ b/baobabdoor/scheduling/_worker.py
@@ -0,0 +1,146 @@
+"""What the scheduler knows of one worker."""
+
+from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _types
+
+# Slowest clock of a worker, from the platform's page (2%), rounded up.
+CLOCK_SLOWNESS = 1.025
+# Added to a bound computed from another process's clock, in seconds.
+CLOCK_SLACK_S = 0.1
+# A worker that was not heard of for so long gets no new run.
+SILENCE_LIMIT_S = 1.8
+# Runs that failed in a row, of so many jobs, before a worker is quarantined.
+QUARANTINE_JOBS = 2
+QUARANTINE_S = 4.0
+QUARANTINE_LIMIT_S = 16.0
+
+
+class Worker:
+    """A worker, its lease and the room on it.
+
+    Args:
+        record: The worker's entry in the platform's list.
+    """
+
+    def __init__(self, record: _types.WorkerRecord):
+        self.record = record
+        self.listed = True
+        self.gone = False
+        # Whether it has answered this tenure, so that no earlier one can
+        # start anything there.
+        self.fenced = False
+        self.born_ms = 0
+        self.clock_ms = 0
+        self.clock_at_s = 0.0
+        self.heard_s = -1e9
+        self.lease_end_s = 0.0
+        self.processed = 0
+        self.acknowledged = 0
+        self.unsaved_ends: list[tuple[int, int]] = []
+        # Run by name of the task; runs that may exist count.
+        self.runs: dict[str, _job.Run] = {}
+        self.closed = False
+        # Whether the store names it as one that may have runs.
+        self.enrolled = False
+        self.failed_jobs: set[str] = set()
+        self.quarantine_s = QUARANTINE_S
+        self.quarantined_until_s = -1e9
+        self.cpu_used = 0
+        self.memory_used = 0
+        self.gpus_used = 0
+
+    @property
+    def worker_id(self) -> str:
+        """Identifier of the worker."""
+        return self.record.worker_id
+
+    def usable(self, now_s: float) -> bool:
+        """Returns whether new runs may be sent to it."""
+        return (
+            self.fenced
+            and self.enrolled
+            and self.listed
+            and not self.gone
+            and not self.closed
+            and not self.record.draining
+            and now_s - self.heard_s < SILENCE_LIMIT_S
+            and now_s >= self.quarantined_until_s
+        )
+
+    def observe_clock(self, clock_ms: int | None, now_s: float) -> None:
+        """Notes the worker's clock; answers may overtake each other."""
+        if clock_ms is not None and clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_at_s = now_s
+
+    def lease_until_ms(self, now_s: float, lease_s: float) -> int:
+        """Returns the end of a lease on the worker's clock and notes it.
+
+        Everything sent with it is certainly over at `lease_end_s`.
+        """
+        until_ms = self.clock_ms + (now_s - self.clock_at_s + lease_s) * 1000
+        end_s = (
+            self.clock_at_s
+            + (until_ms - self.clock_ms) / 1000 * CLOCK_SLOWNESS
+            + CLOCK_SLACK_S
+        )
+        self.lease_end_s = max(self.lease_end_s, end_s)
+        return int(until_ms)
+
+    def add_run(self, run: _job.Run) -> None:
+        """Reserves room for a run."""
+        self.runs[run.task.name] = run
+        self._reserve(run.task.spec, 1)
+
+    def remove_run(self, run: _job.Run) -> None:
+        """Frees the room of a run that certainly does not exist."""
+        if self.runs.get(run.task.name) is run:
+            del self.runs[run.task.name]
+            self._reserve(run.task.spec, -1)
+
+    def _reserve(self, spec: _types.StepSpec, sign: int) -> None:
+        if not spec.fills:
+            self.cpu_used += sign * spec.cpu_milli
+        self.memory_used += sign * spec.memory_mb
+        self.gpus_used += sign * spec.gpus
+
+    def fits(self, spec: _types.StepSpec) -> bool:
+        """Returns whether there is room for one more task of a step."""
+        record = self.record
+        cpu = 0 if spec.fills else spec.cpu_milli
+        return (
+            self.cpu_used + cpu <= record.cpu_milli
+            and self.memory_used + spec.memory_mb <= record.memory_mb
+            and self.gpus_used + spec.gpus <= record.gpus
+            and (
+                not spec.required_label or spec.required_label in record.labels
+            )
+        )
+
+    def could_fit(self, spec: _types.StepSpec) -> bool:
+        """Returns whether the empty worker has room for a task of a step."""
+        record = self.record
+        return (
+            (spec.fills or spec.cpu_milli <= record.cpu_milli)
+            and spec.memory_mb <= record.memory_mb
+            and spec.gpus <= record.gpus
+            and (
+                not spec.required_label or spec.required_label in record.labels
+            )
+        )
+
+    def observe_success(self) -> None:
+        """Notes a run that ended as it should."""
+        self.failed_jobs.clear()
+        self.quarantine_s = QUARANTINE_S
+
+    def observe_failure(self, job_id: str, now_s: float) -> bool:
+        """Notes a failed run; returns whether the worker is quarantined."""
+        self.failed_jobs.add(job_id)
+        if len(self.failed_jobs) < QUARANTINE_JOBS:
+            return False
+        self.quarantined_until_s = now_s + self.quarantine_s
+        self.quarantine_s = min(QUARANTINE_LIMIT_S, self.quarantine_s * 2)
+        # One more failure after the pause is enough.
+        self.failed_jobs = {job_id}
+        return True
--- a/baobabdoor/standin/_core.py
+++ b/baobabdoor/standin/_core.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor.standin import _objects
 from baobabdoor.standin import _table
 from baobabdoor.standin import _tasks
@@ -16,7 +16,7 @@
 class PlatformCore:
     """Table, objects, VMs and tasks, without I/O and without faults.
 
-    Its methods have the names and arguments of `platform.Platform`.
+    Its methods have the names and arguments of `fleet_api.Platform`.
 
     Args:
         timers: Timer service.
@@ -37,7 +37,7 @@
         list_lag_s: float = 1.0,
         usage_lag_s: float = 5.0,
         drain_s: float = 0.0,
-        needs: Callable[[platform.TaskSpec], _tasks.TaskNeeds] | None = None,
+        needs: Callable[[fleet_api.TaskSpec], _tasks.TaskNeeds] | None = None,
     ):
         self.timers = timers
         self.table = _table.Table()
@@ -50,25 +50,25 @@
         self.calls: collections.Counter[str] = collections.Counter()
 
     def call(self, operation: str, arguments: dict[str, Any]) -> Any:
-        """Runs an operation of `platform.OPERATIONS` and counts it."""
-        if operation not in platform.OPERATIONS:
+        """Runs an operation of `fleet_api.OPERATIONS` and counts it."""
+        if operation not in fleet_api.OPERATIONS:
             raise ValueError(f"unknown operation {operation!r}")
         self.calls[operation] += 1
         return getattr(self, operation)(**arguments)
 
-    def read(self, keys: Sequence[str]) -> dict[str, platform.Row]:
+    def read(self, keys: Sequence[str]) -> dict[str, fleet_api.Row]:
         """Returns the rows of all `keys`, absent ones included."""
         return self.table.read(keys)
 
-    def scan(self, prefix: str) -> list[platform.Row]:
+    def scan(self, prefix: str) -> list[fleet_api.Row]:
         """Returns the present rows whose key starts with `prefix`."""
         return self.table.scan(prefix)
 
     def transact(
         self,
-        conditions: Sequence[platform.Condition],
-        writes: Sequence[platform.Write],
-    ) -> platform.TransactionResult:
+        conditions: Sequence[fleet_api.Condition],
+        writes: Sequence[fleet_api.Write],
+    ) -> fleet_api.TransactionResult:
         """Applies all writes if all conditions hold, or none."""
         return self.table.transact(conditions, writes)
 
@@ -80,63 +80,65 @@
         """Returns the content with the given SHA-256."""
         return self.objects.get(digest)
 
-    def list_vms(self, since: str = "") -> platform.VmListChanges:
+    def list_vms(self, since: str = "") -> fleet_api.VmListChanges:
         """Returns the changes of the list of VMs since a version of it."""
         return self.vms.changes(since)
 
     def drain_vm(
         self, vm_id: str, boot_id: str
-    ) -> platform.VmRecord | base.Refusal:
+    ) -> fleet_api.VmRecord | base.Refusal:
         """Asks the VM to finish its work."""
         return self.vms.drain(vm_id, boot_id)
 
     def undrain_vm(
         self, vm_id: str, boot_id: str
-    ) -> platform.VmRecord | base.Refusal:
+    ) -> fleet_api.VmRecord | base.Refusal:
         """Lets a drained VM take work again."""
         return self.vms.undrain(vm_id, boot_id)
 
     def reboot_vm(
         self, vm_id: str, boot_id: str
-    ) -> platform.VmRecord | base.Refusal:
+    ) -> fleet_api.VmRecord | base.Refusal:
         """Starts a reboot."""
         return self.vms.reboot(vm_id, boot_id)
 
     def start_task(
-        self, worker_id: str, task_id: str, spec: platform.TaskSpec
-    ) -> platform.TaskRecord | base.Refusal:
+        self, worker_id: str, task_id: str, spec: fleet_api.TaskSpec
+    ) -> fleet_api.TaskRecord | base.Refusal:
         """Starts a task; a task id runs at most once, on any worker."""
         return self.tasks.start(worker_id, task_id, spec)
 
-    def task_state(self, task_id: str) -> platform.TaskRecord:
+    def task_state(self, task_id: str) -> fleet_api.TaskRecord:
         """Returns what is known of a task."""
         return self.tasks.state(task_id)
 
     def forbid_task(
         self, task_id: str
-    ) -> platform.TaskRecord | platform.AlreadyStarted:
+    ) -> fleet_api.TaskRecord | fleet_api.AlreadyStarted:
         """Makes sure that a task that has not started never will."""
         return self.tasks.forbid(task_id)
 
-    def renew_tasks(self, task_ids: Sequence[str]) -> list[platform.TaskRecord]:
+    def renew_tasks(
+        self, task_ids: Sequence[str]
+    ) -> list[fleet_api.TaskRecord]:
         """Renews the leases of tasks and returns their states."""
         return self.tasks.renew(task_ids)
 
     def throttle_task(
         self, task_id: str, share: float
-    ) -> platform.TaskRecord | base.Refusal:
+    ) -> fleet_api.TaskRecord | base.Refusal:
         """Limits a task to a share of its processors, in (0, 1]."""
         return self.tasks.throttle(task_id, share)
 
-    def checkpoint_task(self, task_id: str) -> platform.TaskRecord:
+    def checkpoint_task(self, task_id: str) -> fleet_api.TaskRecord:
         """Saves a task's progress and ends it."""
         return self.tasks.checkpoint(task_id)
 
-    def stop_task(self, task_id: str) -> platform.TaskRecord:
+    def stop_task(self, task_id: str) -> fleet_api.TaskRecord:
         """Ends a task; its progress is lost."""
         return self.tasks.stop(task_id)
 
-    def task_usage(self, worker_id: str) -> list[platform.TaskUsage]:
+    def task_usage(self, worker_id: str) -> list[fleet_api.TaskUsage]:
         """Returns the measured use of a worker's tasks, which lags."""
         return self.tasks.usage(worker_id)
 
--- a/baobabdoor/standin/_platform_server.py
+++ b/baobabdoor/standin/_platform_server.py
@@ -11,8 +11,8 @@
 from tornado import web
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import observability
-from baobabdoor import platform
 from baobabdoor.standin import _admin
 from baobabdoor.standin import _core
 from baobabdoor.standin import _faults
@@ -173,12 +173,12 @@
 
     async def post(self, name: str) -> None:
         """Runs one call."""
-        operation = platform.OPERATIONS.get(name)
+        operation = fleet_api.OPERATIONS.get(name)
         if operation is None:
             raise web.HTTPError(404)
         try:
-            arguments = platform.decode_arguments(operation, self.request.body)
-        except platform.MalformedMessageError as error:
+            arguments = fleet_api.decode_arguments(operation, self.request.body)
+        except fleet_api.MalformedMessageError as error:
             self.set_status(400)
             result = base.Refusal(
                 base.Reason.BAD_REQUEST, f"platform.{name}", detail=str(error)
@@ -191,13 +191,13 @@
             self.detach().close()
             return
         self.set_header("Content-Type", "application/json")
-        self.finish(platform.encode_result(operation, result))
+        self.finish(fleet_api.encode_result(operation, result))
 
 
 def _has_no_answer(result: Any) -> bool:
     if isinstance(result, base.Refusal):
         return result.reason is base.Reason.TIMEOUT
-    return isinstance(result, platform.Unknown)
+    return isinstance(result, fleet_api.Unknown)
 
 
 class _PlatformAdminHandler(_admin.AdminHandler):
--- a/baobabdoor/standin/_table.py
+++ b/baobabdoor/standin/_table.py
@@ -7,7 +7,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 
 
 @attrs.define
@@ -30,11 +30,11 @@
         self.rows_: dict[str, _StoredRow] = {}
         self.keys_: list[str] = []
 
-    def read(self, keys: Sequence[str]) -> dict[str, platform.Row]:
+    def read(self, keys: Sequence[str]) -> dict[str, fleet_api.Row]:
         """Returns the rows of all `keys`, absent ones included."""
         return {key: self._row(key) for key in keys}
 
-    def scan(self, prefix: str) -> list[platform.Row]:
+    def scan(self, prefix: str) -> list[fleet_api.Row]:
         """Returns the present rows whose key starts with `prefix`, in order."""
         found = []
         for index in range(
@@ -49,9 +49,9 @@
 
     def transact(
         self,
-        conditions: Sequence[platform.Condition],
-        writes: Sequence[platform.Write],
-    ) -> platform.Committed | platform.Conflict | base.Refusal:
+        conditions: Sequence[fleet_api.Condition],
+        writes: Sequence[fleet_api.Write],
+    ) -> fleet_api.Committed | fleet_api.Conflict | base.Refusal:
         """Applies all writes if all conditions hold, or none."""
         keys = [write.key for write in writes]
         if len(set(keys)) != len(keys):
@@ -63,19 +63,19 @@
         for condition in conditions:
             row = self._row(condition.key)
             if row.version != condition.version:
-                return platform.Conflict(row)
+                return fleet_api.Conflict(row)
         texts = [_to_text(write) for write in writes]
         versions = {}
         for key, text in zip(keys, texts, strict=True):
             versions[key] = self._store(key, text)
-        return platform.Committed(versions)
+        return fleet_api.Committed(versions)
 
-    def _row(self, key: str) -> platform.Row:
+    def _row(self, key: str) -> fleet_api.Row:
         stored = self.rows_.get(key)
         if stored is None:
-            return platform.Row(key, 0, None)
+            return fleet_api.Row(key, 0, None)
         value = None if stored.text is None else json.loads(stored.text)
-        return platform.Row(key, stored.version, value)
+        return fleet_api.Row(key, stored.version, value)
 
     def _store(self, key: str, text: str | None) -> int:
         stored = self.rows_.get(key)
@@ -87,7 +87,7 @@
         return stored.version
 
 
-def _to_text(write: platform.Write) -> str | None:
+def _to_text(write: fleet_api.Write) -> str | None:
     if write.value is None:
         return None
     return json.dumps(write.value, separators=(",", ":"))
--- a/baobabdoor/standin/_tasks.py
+++ b/baobabdoor/standin/_tasks.py
@@ -7,7 +7,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor.standin import _vms
 
 # Time after which a task on a faulty worker or of a faulty job fails.
@@ -15,7 +15,7 @@
 # Past usages kept for each worker.
 MAX_HISTORY = 64
 
-_State = platform.TaskState
+_State = fleet_api.TaskState
 
 
 @attrs.frozen
@@ -37,8 +37,8 @@
 
 @attrs.define
 class _Task:
-    record: platform.TaskRecord
-    spec: platform.TaskSpec
+    record: fleet_api.TaskRecord
+    spec: fleet_api.TaskSpec
     needs: TaskNeeds
     remaining_s: float
     share: float = 1.0
@@ -73,7 +73,7 @@
         timers: base.TimerService,
         vms: _vms.VmService,
         usage_lag_s: float = 5.0,
-        needs: Callable[[platform.TaskSpec], TaskNeeds] | None = None,
+        needs: Callable[[fleet_api.TaskSpec], TaskNeeds] | None = None,
     ):
         self.timers = timers
         self.vms = vms
@@ -82,7 +82,7 @@
         self.failing_workers: set[str] = set()
         self.failing_jobs: set[str] = set()
         self.starts: dict[str, int] = {}
-        self.records_: dict[str, platform.TaskRecord] = {}
+        self.records_: dict[str, fleet_api.TaskRecord] = {}
         self.running_: dict[str, dict[str, _Task]] = {}
         self.checkpoints_: dict[str, float] = {}
         self.usage_: dict[str, list[tuple[float, list]]] = {}
@@ -93,8 +93,8 @@
         return bool(self.running_.get(worker_id))
 
     def start(
-        self, worker_id: str, task_id: str, spec: platform.TaskSpec
-    ) -> platform.TaskRecord | base.Refusal:
+        self, worker_id: str, task_id: str, spec: fleet_api.TaskSpec
+    ) -> fleet_api.TaskRecord | base.Refusal:
         """Starts a task unless the id was started or forbidden before."""
         known = self.records_.get(task_id)
         if known is not None:
@@ -110,24 +110,24 @@
         self._share_out(worker_id)
         return self.records_[task_id]
 
-    def state(self, task_id: str) -> platform.TaskRecord:
+    def state(self, task_id: str) -> fleet_api.TaskRecord:
         """Returns what is known of a task."""
         known = self.records_.get(task_id)
-        return known or platform.TaskRecord(task_id, "", _State.NEVER_STARTED)
+        return known or fleet_api.TaskRecord(task_id, "", _State.NEVER_STARTED)
 
     def forbid(
         self, task_id: str
-    ) -> platform.TaskRecord | platform.AlreadyStarted:
+    ) -> fleet_api.TaskRecord | fleet_api.AlreadyStarted:
         """Makes sure that a task that has not started never will."""
         record = self.state(task_id)
         if record.state is _State.NEVER_STARTED:
-            record = platform.TaskRecord(task_id, "", _State.FORBIDDEN)
+            record = fleet_api.TaskRecord(task_id, "", _State.FORBIDDEN)
             self.records_[task_id] = record
         if record.state is not _State.FORBIDDEN:
-            return platform.AlreadyStarted(record)
+            return fleet_api.AlreadyStarted(record)
         return record
 
-    def renew(self, task_ids: Sequence[str]) -> list[platform.TaskRecord]:
+    def renew(self, task_ids: Sequence[str]) -> list[fleet_api.TaskRecord]:
         """Renews the leases of running tasks; returns all states."""
         for task_id in task_ids:
             task = self._running(task_id)
@@ -137,7 +137,7 @@
 
     def throttle(
         self, task_id: str, share: float
-    ) -> platform.TaskRecord | base.Refusal:
+    ) -> fleet_api.TaskRecord | base.Refusal:
         """Limits a task to a share of its processors, in (0, 1]."""
         if not 0 < share <= 1:
             return base.Refusal(
@@ -151,7 +151,7 @@
             self._share_out(task.record.worker_id)
         return self.state(task_id)
 
-    def checkpoint(self, task_id: str) -> platform.TaskRecord:
+    def checkpoint(self, task_id: str) -> fleet_api.TaskRecord:
         """Saves a task's progress for its job and ends it."""
         task = self._running(task_id)
         if task is not None:
@@ -160,14 +160,14 @@
             self._end(task, _State.CHECKPOINTED)
         return self.state(task_id)
 
-    def stop(self, task_id: str) -> platform.TaskRecord:
+    def stop(self, task_id: str) -> fleet_api.TaskRecord:
         """Ends a task; its progress is lost."""
         task = self._running(task_id)
         if task is not None:
             self._end(task, _State.STOPPED)
         return self.state(task_id)
 
-    def usage(self, worker_id: str) -> list[platform.TaskUsage]:
+    def usage(self, worker_id: str) -> list[fleet_api.TaskUsage]:
         """Returns the usage as it was `usage_lag_s` ago."""
         as_of_s = self.timers.now_s() - self.usage_lag_s
         for since_s, usages in reversed(self.usage_.get(worker_id, [])):
@@ -176,11 +176,11 @@
         return []
 
     def _check_worker(
-        self, worker_id: str, spec: platform.TaskSpec
+        self, worker_id: str, spec: fleet_api.TaskSpec
     ) -> base.Refusal | None:
         vm = self.vms.get(worker_id)
         step = "platform.start_task"
-        if vm is None or vm.record.state is platform.VmListState.TERMINATED:
+        if vm is None or vm.record.state is fleet_api.VmListState.TERMINATED:
             return base.Refusal(base.Reason.NOT_FOUND, step, worker_id)
         if vm.draining_since_s is not None:
             return base.Refusal(base.Reason.DRAINING, step, worker_id)
@@ -196,13 +196,13 @@
         return None
 
     def _create(
-        self, worker_id: str, task_id: str, spec: platform.TaskSpec
+        self, worker_id: str, task_id: str, spec: fleet_api.TaskSpec
     ) -> _Task:
         now_s = self.timers.now_s()
         needs = self._needs(spec)
         remaining_s = self.checkpoints_.pop(spec.job_id, needs.run_s)
         task = _Task(
-            record=platform.TaskRecord(task_id, worker_id, _State.RUNNING),
+            record=fleet_api.TaskRecord(task_id, worker_id, _State.RUNNING),
             spec=spec,
             needs=needs,
             remaining_s=remaining_s,
@@ -214,7 +214,7 @@
             task.fails_at_s = now_s + FAILURE_DELAY_S
         return task
 
-    def _needs(self, spec: platform.TaskSpec) -> TaskNeeds:
+    def _needs(self, spec: fleet_api.TaskSpec) -> TaskNeeds:
         if self.needs is not None:
             return self.needs(spec)
         return TaskNeeds(
@@ -293,7 +293,7 @@
 
     def _record_usage(self, worker_id: str, tasks: list[_Task]) -> None:
         usages = [
-            platform.TaskUsage(
+            fleet_api.TaskUsage(
                 task.record.task_id,
                 task.needs.cores * task.rate,
                 task.needs.memory_gb,
--- a/baobabdoor/standin/_vms.py
+++ b/baobabdoor/standin/_vms.py
@@ -5,7 +5,7 @@
 import attrs
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 
 # Versions of a record kept for the lagging list; a VM does not change more
 # often than this within the lag.
@@ -53,7 +53,7 @@
 
     since_s: float
     number: int
-    record: platform.VmRecord
+    record: fleet_api.VmRecord
 
 
 @attrs.define
@@ -71,7 +71,7 @@
     """
 
     spec: VmSpec
-    record: platform.VmRecord
+    record: fleet_api.VmRecord
     boots: int = 1
     draining_since_s: float | None = None
     rebooting: bool = False
@@ -129,10 +129,10 @@
 
     def add(self, spec: VmSpec, listed_at_once: bool = False) -> None:
         """Creates a VM, or replaces a terminated one of the same id."""
-        record = platform.VmRecord(
+        record = fleet_api.VmRecord(
             vm_id=spec.vm_id,
             address=spec.address,
-            state=platform.VmListState.LIVE,
+            state=fleet_api.VmListState.LIVE,
             boot_id=spec.boot_id or f"{spec.vm_id}.1",
             availability_zone=spec.availability_zone,
             rack=spec.rack,
@@ -146,7 +146,7 @@
         """Returns the true state of a VM."""
         return self.vms_.get(vm_id)
 
-    def changes(self, since: str = "") -> platform.VmListChanges:
+    def changes(self, since: str = "") -> fleet_api.VmListChanges:
         """Returns what the list, as of `list_lag_s` ago, shows since then.
 
         Args:
@@ -157,7 +157,7 @@
         versions = [version for version in found if version is not None]
         last = max((version.number for version in versions), default=0)
         known = self._known_number(since)
-        return platform.VmListChanges(
+        return fleet_api.VmListChanges(
             version=f"{self.list_id}.{last}",
             complete=known == 0,
             records=[v.record for v in versions if v.number > known],
@@ -165,7 +165,7 @@
 
     def drain(
         self, vm_id: str, boot_id: str
-    ) -> platform.VmRecord | base.Refusal:
+    ) -> fleet_api.VmRecord | base.Refusal:
         """Starts or continues a drain; the record says whether it is idle."""
         vm = self._of_boot(vm_id, boot_id, "platform.drain_vm")
         if isinstance(vm, base.Refusal):
@@ -181,7 +181,7 @@
 
     def undrain(
         self, vm_id: str, boot_id: str
-    ) -> platform.VmRecord | base.Refusal:
+    ) -> fleet_api.VmRecord | base.Refusal:
         """Lets a drained VM take work again."""
         vm = self._of_boot(vm_id, boot_id, "platform.undrain_vm")
         if isinstance(vm, base.Refusal):
@@ -193,7 +193,7 @@
 
     def reboot(
         self, vm_id: str, boot_id: str
-    ) -> platform.VmRecord | base.Refusal:
+    ) -> fleet_api.VmRecord | base.Refusal:
         """Ends the boot at once and starts the next after the reboot time."""
         vm = self._of_boot(vm_id, boot_id, "platform.reboot_vm")
         if isinstance(vm, base.Refusal):
@@ -210,7 +210,7 @@
 
     def leave(self, vm_id: str) -> None:
         """Announces that a VM will be taken away."""
-        self._publish(self.vms_[vm_id], state=platform.VmListState.LEAVING)
+        self._publish(self.vms_[vm_id], state=fleet_api.VmListState.LEAVING)
 
     def terminate(self, vm_id: str) -> None:
         """Ends a VM for good."""
@@ -241,7 +241,7 @@
         first_boot_id = vm.spec.boot_id or vm.spec.vm_id
         self._publish(
             vm,
-            state=platform.VmListState.LIVE,
+            state=fleet_api.VmListState.LIVE,
             boot_id=f"{first_boot_id}.{vm.boots}",
             idle=False,
         )
@@ -249,7 +249,7 @@
             callback(vm.spec.vm_id)
 
     def _end_boot(self, vm: Vm) -> None:
-        self._publish(vm, state=platform.VmListState.TERMINATED, idle=True)
+        self._publish(vm, state=fleet_api.VmListState.TERMINATED, idle=True)
         for callback in self.down_callbacks_:
             callback(vm.spec.vm_id)
 
--- /dev/null
+++ b/baobabdoor/transport/__init__.py
@@ -0,0 +1,9 @@
+"""HTTP between processes over kept connections."""
+
+from baobabdoor.transport._client import Client
+from baobabdoor.transport._client import Response
+from baobabdoor.transport._server import Reply
+from baobabdoor.transport._server import Request
+from baobabdoor.transport._server import Server
+
+__all__ = ["Client", "Reply", "Request", "Response", "Server"]
--- /dev/null
+++ b/baobabdoor/transport/_client.py
@@ -0,0 +1,228 @@
+"""HTTP/1.1 client with kept connections and a timeout on every call."""
+
+import asyncio
+import socket
+
+import attrs
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+
+from baobabdoor import base
+
+# Largest body of an answer, in bytes: the store's 1 MB of rows in base64.
+MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_HEADER_BYTES = 65_536
+# Idle connections kept for each peer.
+IDLE_LIMIT = 8
+# Connections that may be open to one peer at once (64 at a worker, shared by
+# its holder and that holder's successor).
+CONNECTION_LIMIT = 24
+# Part of a call's time that opening a connection may take, in seconds.
+CONNECT_TIMEOUT_S = 0.6
+TCP_USER_TIMEOUT_MS = 3000
+
+
+@attrs.frozen
+class Response:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        body: Body in bytes.
+        headers: Headers of the answer.
+    """
+
+    status: int
+    body: bytes
+    headers: httputil.HTTPHeaders
+
+
+class _Collector(httputil.HTTPMessageDelegate):
+
+    def __init__(self):
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.whole = False
+
+    def headers_received(self, start_line, headers) -> None:
+        self.status = start_line.code
+        self.headers = headers
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.whole = True
+
+
+class _Peer:
+
+    def __init__(self):
+        self.idle: list[iostream.IOStream] = []
+        self.open = 0
+        self.waiting: list[asyncio.Future] = []
+
+
+class Client:
+    """Sends requests to peers by IP address and port.
+
+    A call that gives up closes its connection, so that a late answer cannot
+    reach another call. Requests are sent once.
+
+    Example:
+        >>> client = Client()
+        >>> # answer = await client.fetch("10.0.0.1:80", "GET", "/")
+    """
+
+    PARAMETERS = http1connection.HTTP1ConnectionParameters(
+        max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+    )
+
+    def __init__(self):
+        self.peers_: dict[str, _Peer] = {}
+        self.calls_ = 0
+
+    async def fetch(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: str = "",
+        timeout_s: float = 1.0,
+    ) -> Response | base.Refusal:
+        """Sends one request and waits for the whole answer.
+
+        Args:
+            address: Peer as `ip:port`.
+            method: HTTP method.
+            target: Path and query.
+            body: Body in bytes.
+            headers: Further header lines, each ended by CRLF.
+            timeout_s: Limit of the whole call in seconds.
+
+        Returns:
+            The answer; a refusal with `CONNECTION_FAILED` if nothing was
+            sent, or with `UNKNOWN_RESULT` if the request may have arrived.
+        """
+        self.calls_ += 1
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        peer = self.peers_.setdefault(address, _Peer())
+        stream = await self._obtain(peer, address, deadline_s)
+        if isinstance(stream, base.Refusal):
+            return stream
+        connection = http1connection.HTTP1Connection(
+            stream, True, self.PARAMETERS
+        )
+        collector = _Collector()
+        timer = loop.call_later(
+            max(0.0, deadline_s - loop.time()), stream.close
+        )
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{headers}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        more = False
+        try:
+            stream.write(head.encode("latin-1") + body)
+            more = await connection.read_response(collector)
+        except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
+            pass
+        finally:
+            timer.cancel()
+            self._release(peer, stream, more and collector.whole)
+        if not collector.whole:
+            late = loop.time() >= deadline_s - 0.001
+            detail = "no answer in time" if late else "connection closed"
+            return base.Refusal(
+                base.Reason.UNKNOWN_RESULT, "transport.fetch", address, detail
+            )
+        return Response(
+            collector.status, b"".join(collector.chunks), collector.headers
+        )
+
+    def forget(self, address: str) -> None:
+        """Closes the idle connections to a peer."""
+        peer = self.peers_.pop(address, None)
+        for stream in peer.idle if peer else ():
+            stream.close()
+
+    async def _obtain(
+        self, peer: _Peer, address: str, deadline_s: float
+    ) -> iostream.IOStream | base.Refusal:
+        loop = asyncio.get_running_loop()
+        while True:
+            while peer.idle:
+                stream = peer.idle.pop()
+                if _usable(stream):
+                    peer.open += 1
+                    return stream
+                stream.close()
+            if peer.open < CONNECTION_LIMIT:
+                break
+            turn = loop.create_future()
+            peer.waiting.append(turn)
+            try:
+                await asyncio.wait_for(turn, deadline_s - loop.time())
+            except TimeoutError:
+                return _not_sent(address, "all connections are in use")
+        return await self._connect(peer, address, deadline_s)
+
+    async def _connect(
+        self, peer: _Peer, address: str, deadline_s: float
+    ) -> iostream.IOStream | base.Refusal:
+        host, _, port = address.rpartition(":")
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        raw.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
+        )
+        stream = iostream.IOStream(raw, max_buffer_size=2 * MAX_BODY_BYTES)
+        loop = asyncio.get_running_loop()
+        limit_s = min(CONNECT_TIMEOUT_S, deadline_s - loop.time())
+        timer = loop.call_later(max(0.0, limit_s), stream.close)
+        peer.open += 1
+        try:
+            await stream.connect((host, int(port)))
+        except (OSError, ValueError, iostream.StreamClosedError) as error:
+            self._release(peer, stream, False)
+            return _not_sent(address, str(error) or "no connection in time")
+        finally:
+            timer.cancel()
+        return stream
+
+    def _release(
+        self, peer: _Peer, stream: iostream.IOStream, reusable: bool
+    ) -> None:
+        peer.open -= 1
+        if reusable and len(peer.idle) < IDLE_LIMIT and not stream.closed():
+            peer.idle.append(stream)
+        else:
+            stream.close()
+        while peer.waiting:
+            turn = peer.waiting.pop(0)
+            if not turn.done():
+                turn.set_result(None)
+                break
+
+
+def _not_sent(address: str, detail: str) -> base.Refusal:
+    return base.Refusal(
+        base.Reason.CONNECTION_FAILED, "transport.connect", address, detail
+    )
+
+
+def _usable(stream: iostream.IOStream) -> bool:
+    """Returns whether a kept connection is open and holds no stray bytes."""
+    if stream.closed():
+        return False
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/tests/control_simulation.py
+++ b/tests/control_simulation.py
@@ -13,11 +13,11 @@
 from baobabdoor import base
 from baobabdoor import capacity
 from baobabdoor import control
+from baobabdoor import fleet_api
 from baobabdoor import maintenance
 from baobabdoor import membership
 from baobabdoor import observability
 from baobabdoor import ownership
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor import standin
 from baobabdoor import timeline
@@ -403,7 +403,7 @@
         )
         lost = refusal
         if operation in CHANGES:
-            lost = platform.Unknown(refusal)
+            lost = fleet_api.Unknown(refusal)
         preset = entry.service.preset_name
         if operation == "transact":
             # A repeated transaction was decided under the earlier preset.
@@ -445,7 +445,7 @@
         if operation == "list_vms":
             return self.core.list_vms().records
         result = getattr(self.core, operation)(*arguments)
-        if isinstance(result, platform.Committed):
+        if isinstance(result, fleet_api.Committed):
             self.rows_ = None
             self.check_commit(entry, arguments[1], preset, before)
         return result
@@ -600,7 +600,7 @@
     def switch(self, preset):
         row = self.core.read(["config/current"])["config/current"]
         value = {"preset": preset, "generation": row.version + 1}
-        self.core.transact([], [platform.Write("config/current", value)])
+        self.core.transact([], [fleet_api.Write("config/current", value)])
 
     def heal(self):
         """Ends all faults and lets everything finish."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,7 +10,7 @@
 
 from baobabdoor import base
 from baobabdoor import configuration
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor import settings
 from baobabdoor import standin
 from baobabdoor import timeline
@@ -247,7 +247,7 @@
         class StaleTable:
 
             async def read(self, keys):
-                row = platform.Row(keys[0], 1, old_row.to_json())
+                row = fleet_api.Row(keys[0], 1, old_row.to_json())
                 return {keys[0]: row}
 
         store.platform = StaleTable()
--- a/tests/test_control_service.py
+++ b/tests/test_control_service.py
@@ -11,9 +11,9 @@
 
 from baobabdoor import base
 from baobabdoor import control
+from baobabdoor import fleet_api
 from baobabdoor import membership
 from baobabdoor import observability
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor import standin
 from baobabdoor import timeline
@@ -246,8 +246,8 @@
     def test_listed_and_own_marks_are_shared(self):
         """Guards against peers that go on sending to a leaving VM."""
         marks = control.LeavingMarks()
-        leaving = platform.VmListState.LEAVING
-        record = platform.VmRecord("v2", "x:1", leaving, "b1", "a", "r")
+        leaving = fleet_api.VmListState.LEAVING
+        record = fleet_api.VmRecord("v2", "x:1", leaving, "b1", "a", "r")
         marks.observe_list({"v2": record})
         marks.observe_answer("v1", "b1", 0.0)
         assert [mark.vm_id for mark in marks.to_share()] == ["v1", "v2"]
--- a/tests/test_entry_daemon.py
+++ b/tests/test_entry_daemon.py
@@ -9,8 +9,8 @@
 import request_fakes as fakes
 from tornado import httpclient
 
+from baobabdoor import fleet_api
 from baobabdoor import observability
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor import standin
 from baobabdoor.entry import _daemon
@@ -35,7 +35,7 @@
 
 
 def write_row(core, key, value):
-    assert core.transact([], [platform.Write(key, value)])
+    assert core.transact([], [fleet_api.Write(key, value)])
 
 
 class TestDaemon:
--- a/tests/test_fuzz_control_faults.py
+++ b/tests/test_fuzz_control_faults.py
@@ -10,9 +10,9 @@
 import pytest
 import test_fuzz_control as fuzz
 
+from baobabdoor import fleet_api
 from baobabdoor import membership
 from baobabdoor import ownership
-from baobabdoor import platform
 from baobabdoor.control import _controller
 from baobabdoor.control import _lease
 from baobabdoor.control import _member
@@ -258,11 +258,11 @@
 
     async def take_for_applied(controller, step):
         result = await transact(controller, step)
-        if isinstance(result, platform.Unknown):
+        if isinstance(result, fleet_api.Unknown):
             versions = {write.key: 0 for write in step.writes}
             for condition in step.conditions:
                 versions[condition.key] = condition.version + 1
-            return platform.Committed(versions)
+            return fleet_api.Committed(versions)
         return result
 
     patch.setattr(_controller.Controller, "_transact", take_for_applied)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -7,8 +7,8 @@
 import pytest
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import idempotency
-from baobabdoor import platform
 from baobabdoor import requests
 from baobabdoor import standin
 
@@ -286,8 +286,8 @@
     def test_deleted_row_can_be_claimed(self):
         async def scenario(bench):
             key = "claim/c/k"
-            bench.core.transact([], [platform.Write(key, {"state": "done"})])
-            bench.core.transact([], [platform.Write(key, None)])
+            bench.core.transact([], [fleet_api.Write(key, {"state": "done"})])
+            bench.core.transact([], [fleet_api.Write(key, None)])
             claim = await bench.begin(bench.entry())
             assert claim.version == 3
 
--- a/tests/test_jobs_controller.py
+++ b/tests/test_jobs_controller.py
@@ -8,8 +8,8 @@
 import pytest
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import jobs
-from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor import standin
 from baobabdoor import timeline
@@ -40,7 +40,7 @@
         if not self.lose_starts:
             return record
         refusal = base.Refusal(base.Reason.TIMEOUT, "test.start")
-        return platform.Unknown(refusal)
+        return fleet_api.Unknown(refusal)
 
 
 class Bench(fuzzing.VirtualBench):
@@ -60,7 +60,7 @@
         )
         self.controllers = [self.new_controller(controller_kind)]
         self.controllers.append(self.new_controller(controller_kind))
-        self.fences = [platform.Condition(CONTROL_KEY, 0)] * 2
+        self.fences = [fleet_api.Condition(CONTROL_KEY, 0)] * 2
         self.take_control(0)
 
     def recorder(self):
@@ -79,10 +79,10 @@
         )
 
     def take_control(self, index):
-        write = platform.Write(CONTROL_KEY, {"holder": index})
+        write = fleet_api.Write(CONTROL_KEY, {"holder": index})
         result = self.core.transact([], [write])
         version = result.versions[CONTROL_KEY]
-        self.fences[index] = platform.Condition(CONTROL_KEY, version)
+        self.fences[index] = fleet_api.Condition(CONTROL_KEY, version)
         self.controllers[index].reset()
 
     def step(self, index):
@@ -271,7 +271,7 @@
         del fence
         updates, self.updates_ = list(self.updates_.values()), {}
         for job in updates:
-            write = platform.Write(job.key, job.to_row())
+            write = fleet_api.Write(job.key, job.to_row())
             await self.platform.transact([], [write])
             self._keep(job)
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -4,8 +4,8 @@
 import pytest
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import ownership
-from baobabdoor import platform
 from baobabdoor import settings
 
 Phase = ownership.Phase
@@ -26,8 +26,8 @@
     return table
 
 
-def make_record(state=platform.VmListState.LIVE, boot_id="b1", **changes):
-    return platform.VmRecord("v1", "x:1", state, boot_id, "a", "r", **changes)
+def make_record(state=fleet_api.VmListState.LIVE, boot_id="b1", **changes):
+    return fleet_api.VmRecord("v1", "x:1", state, boot_id, "a", "r", **changes)
 
 
 def make_preset(minimum=1, budget=1, most=10):
@@ -121,7 +121,7 @@
     def test_listed_losses_count(self):
         """Guards against planned work on top of an unplanned loss."""
         table = make_table(v1=make_row(), v2=make_row())
-        gone = make_record(platform.VmListState.TERMINATED)
+        gone = make_record(fleet_api.VmListState.TERMINATED)
         table.listed["v2"] = attrs.evolve(gone, vm_id="v2")
         step = ownership.start_operation(table, "v1", "q", make_preset(0), 5)
         assert step.reason is base.Reason.BUDGET_EXHAUSTED
@@ -189,7 +189,7 @@
         """Guards against a charge released before the VM is back."""
         row = make_row(phase=Phase.REBOOTING, target_pool="p", intent="i")
         table = make_table(v1=row)
-        table.listed["v1"] = make_record(platform.VmListState.TERMINATED)
+        table.listed["v1"] = make_record(fleet_api.VmListState.TERMINATED)
         operation = ownership.next_action(table, "v1", 90, 0)
         assert operation.kind is ownership.OperationKind.REBOOT
         table.listed["v1"] = make_record(boot_id="b2")
@@ -215,7 +215,7 @@
         table = self.leaving()
         row = make_row(phase=Phase.FAILED, view=11, intent="i")
         table.vms["v1"] = ownership.StoredVm("a", row, 4)
-        table.listed["v1"] = make_record(platform.VmListState.TERMINATED)
+        table.listed["v1"] = make_record(fleet_api.VmListState.TERMINATED)
         assert ownership.next_action(table, "v1", 90, 3_600_000) is None
         table.entries["e1"] = ownership.EntryRow(1, "a", "x", views={"a": 11})
         assert ownership.next_action(table, "v1", 90, 3_599_000) is None
@@ -244,7 +244,7 @@
         """Guards against replacing the row of a live process."""
         assert self.check() is not None
         assert self.check(control="x:1") is None
-        terminated = make_record(platform.VmListState.TERMINATED, "boot1")
+        terminated = make_record(fleet_api.VmListState.TERMINATED, "boot1")
         assert self.check(terminated) is None
         assert self.check(make_record(boot_id="boot1")) is not None
         assert self.check(terminated, boot_id="boot0") is not None
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -10,14 +10,14 @@
 from tornado import web
 
 from baobabdoor import base
+from baobabdoor import fleet_api
 from baobabdoor import observability
-from baobabdoor import platform
 from baobabdoor import standin
-from baobabdoor.platform import _wire
+from baobabdoor.fleet_api import _wire
 from baobabdoor.standin import _platform_server
 
-WRITES = [platform.Write("a", {"n": 1})]
-SPEC = platform.TaskSpec("job", 1.0, 1.0)
+WRITES = [fleet_api.Write("a", {"n": 1})]
+SPEC = fleet_api.TaskSpec("job", 1.0, 1.0)
 # Short deadlines keep the tests of lost answers short.
 TIMEOUT_S = 0.3
 
@@ -41,7 +41,7 @@
             self.core, "127.0.0.1", [port], link
         )
         self.faults = self.server.clients[port].faults
-        self.client = platform.HttpPlatform(
+        self.client = fleet_api.HttpPlatform(
             f"http://127.0.0.1:{port}", TIMEOUT_S, TIMEOUT_S, max_pending=8
         )
 
@@ -68,15 +68,15 @@
 
     def test_table_and_objects(self):
         async def scenario(h):
-            absent = [platform.Condition("a", 0)]
+            absent = [fleet_api.Condition("a", 0)]
             first = await h.client.transact(absent, WRITES)
-            assert first == platform.Committed({"a": 1})
+            assert first == fleet_api.Committed({"a": 1})
             second = await h.client.transact(absent, WRITES)
-            row = platform.Row("a", 1, {"n": 1})
-            assert second == platform.Conflict(row)
+            row = fleet_api.Row("a", 1, {"n": 1})
+            assert second == fleet_api.Conflict(row)
             assert await h.client.scan("") == [row]
             rows = await h.client.read(["a", "b"])
-            assert rows == {"a": row, "b": platform.Row("b", 0, None)}
+            assert rows == {"a": row, "b": fleet_api.Row("b", 0, None)}
             content = bytes(range(256))
             digest = await h.client.put_object(content)
             assert await h.client.get_object(digest) == content
@@ -92,20 +92,20 @@
             h.core.vms.add(standin.VmSpec("vm-2", "127.0.0.1:2", "z", "r"))
             h.core.vms.leave("vm-1")
             listed = {vm.vm_id: vm for vm in await h.client.list_vms()}
-            assert listed["vm-1"].state is platform.VmListState.LEAVING
+            assert listed["vm-1"].state is fleet_api.VmListState.LEAVING
             assert len(listed) == 2
             task = await h.client.start_task("vm-1", "t", SPEC)
-            assert task.state is platform.TaskState.RUNNING
+            assert task.state is fleet_api.TaskState.RUNNING
             assert await h.client.task_state("t") == task
             assert await h.client.renew_tasks(["t"]) == [task]
             assert await h.client.throttle_task("t", 0.5) == task
             (usage,) = await h.client.task_usage("vm-1")
             assert usage.cores == 0.5
             forbidden = await h.client.forbid_task("t")
-            assert forbidden == platform.AlreadyStarted(task)
+            assert forbidden == fleet_api.AlreadyStarted(task)
             assert not (await h.client.drain_vm("vm-1", "vm-1.1")).idle
             stopped = await h.client.stop_task("t")
-            assert stopped.state is platform.TaskState.STOPPED
+            assert stopped.state is fleet_api.TaskState.STOPPED
             assert (await h.client.checkpoint_task("t")) == stopped
             assert (await h.client.drain_vm("vm-1", "vm-1.1")).idle
             assert not (await h.client.undrain_vm("vm-1", "vm-1.1")).idle
@@ -140,7 +140,7 @@
             h.faults.lose_answers = 1
             started_s = time.monotonic()
             result = await h.client.transact([], WRITES)
-            assert isinstance(result, platform.Unknown)
+            assert isinstance(result, fleet_api.Unknown)
             assert result.refusal.reason is base.Reason.TIMEOUT
             assert time.monotonic() - started_s < 3 * TIMEOUT_S
             assert h.version() == 1
@@ -151,7 +151,7 @@
         async def scenario(h):
             h.faults.update({"delay_writes": 1, "delay_s": 2 * TIMEOUT_S})
             result = await h.client.transact([], WRITES)
-            assert isinstance(result, platform.Unknown)
+            assert isinstance(result, fleet_api.Unknown)
             assert h.version() == 0
             await asyncio.sleep(2 * TIMEOUT_S)
             assert h.version() == 1
@@ -185,9 +185,9 @@
         async def whole():
             server = await asyncio.start_server(respond, "127.0.0.1", 0)
             port = server.sockets[0].getsockname()[1]
-            client = platform.HttpPlatform(f"http://127.0.0.1:{port}")
+            client = fleet_api.HttpPlatform(f"http://127.0.0.1:{port}")
             result = await client.transact([], WRITES)
-            assert isinstance(result, platform.Unknown)
+            assert isinstance(result, fleet_api.Unknown)
             client.close()
             server.close()
 
@@ -220,19 +220,19 @@
         ],
     )
     def test_malformed_call_is_refused(self, body):
-        operation = platform.OPERATIONS["transact"]
-        with pytest.raises(platform.MalformedMessageError):
-            platform.decode_arguments(operation, body)
+        operation = fleet_api.OPERATIONS["transact"]
+        with pytest.raises(fleet_api.MalformedMessageError):
+            fleet_api.decode_arguments(operation, body)
 
     def test_every_method_of_the_interface_is_an_operation(self):
-        methods = platform.Platform.__abstractmethods__
-        assert set(platform.OPERATIONS) == methods
+        methods = fleet_api.Platform.__abstractmethods__
+        assert set(fleet_api.OPERATIONS) == methods
 
     def test_answer_has_one_known_member(self):
         for plain in ({}, {"ok": 1, "refusal": 2}, {"other": 1}):
-            with pytest.raises(platform.MalformedMessageError):
+            with pytest.raises(fleet_api.MalformedMessageError):
                 _wire.decode_result(
-                    platform.OPERATIONS["list_vms"], json.dumps(plain).encode()
+                    fleet_api.OPERATIONS["list_vms"], json.dumps(plain).encode()
                 )
 
 
@@ -282,6 +282,6 @@
             vm = {"vm_id": "vm-1"}
             assert await self.post(h.server, "vms/leave", vm) == 200
             (record,) = await h.client.list_vms()
-            assert record.state is platform.VmListState.LEAVING
+            assert record.state is fleet_api.VmListState.LEAVING
 
         run(scenario)
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -5,12 +5,12 @@
 import pytest
 
 from baobabdoor import base
-from baobabdoor import platform
+from baobabdoor import fleet_api
 from baobabdoor import settings
 from baobabdoor import standin
 
-LIVE = platform.VmListState.LIVE
-TERMINATED = platform.VmListState.TERMINATED
+LIVE = fleet_api.VmListState.LIVE
+TERMINATED = fleet_api.VmListState.TERMINATED
 
 
 @pytest.fixture
@@ -31,38 +31,38 @@
     def test_deleted_row_keeps_its_version(self):
         # A delayed write conditional on "absent" must not match twice.
         table = standin.Table()
-        absent = [platform.Condition("a", 0)]
-        assert table.transact(absent, [platform.Write("a", {})])
-        assert table.transact([], [platform.Write("a", None)])
-        late = table.transact(absent, [platform.Write("a", {"late": 1})])
-        assert late == platform.Conflict(platform.Row("a", 2, None))
+        absent = [fleet_api.Condition("a", 0)]
+        assert table.transact(absent, [fleet_api.Write("a", {})])
+        assert table.transact([], [fleet_api.Write("a", None)])
+        late = table.transact(absent, [fleet_api.Write("a", {"late": 1})])
+        assert late == fleet_api.Conflict(fleet_api.Row("a", 2, None))
 
     def test_failed_condition_leaves_every_row_alone(self):
         table = standin.Table()
-        table.transact([], [platform.Write("a", {"n": 1})])
-        conditions = [platform.Condition("a", 1), platform.Condition("b", 7)]
-        writes = [platform.Write("a", {"n": 2}), platform.Write("b", {})]
+        table.transact([], [fleet_api.Write("a", {"n": 1})])
+        conditions = [fleet_api.Condition("a", 1), fleet_api.Condition("b", 7)]
+        writes = [fleet_api.Write("a", {"n": 2}), fleet_api.Write("b", {})]
         conflict = table.transact(conditions, writes)
-        assert conflict.row == platform.Row("b", 0, None)
+        assert conflict.row == fleet_api.Row("b", 0, None)
         assert table.read(["a"])["a"].value == {"n": 1}
 
     def test_key_written_twice_is_refused(self):
         table = standin.Table()
-        writes = [platform.Write("a", {}), platform.Write("a", {"n": 1})]
+        writes = [fleet_api.Write("a", {}), fleet_api.Write("a", {"n": 1})]
         assert table.transact([], writes).reason is base.Reason.BAD_REQUEST
         assert table.read(["a"])["a"].version == 0
 
     def test_scan_finds_the_prefix_only(self):
         table = standin.Table()
         for key in ("vm/b/1", "vm/a/2", "vm/a/1", "vm/ab/1"):
-            table.transact([], [platform.Write(key, {})])
-        table.transact([], [platform.Write("vm/a/1", None)])
+            table.transact([], [fleet_api.Write(key, {})])
+        table.transact([], [fleet_api.Write("vm/a/1", None)])
         assert [row.key for row in table.scan("vm/a/")] == ["vm/a/2"]
 
     def test_values_are_not_shared_with_the_caller(self):
         table = standin.Table()
         value = {"pools": ["a"]}
-        table.transact([], [platform.Write("a", value)])
+        table.transact([], [fleet_api.Write("a", value)])
         value["pools"].append("b")
         table.read(["a"])["a"].value["pools"].append("c")
         assert table.read(["a"])["a"].value == {"pools": ["a"]}
@@ -93,7 +93,7 @@
         core.vms.leave("vm-1")
         timers.advance(2)
         (record,) = core.list_vms(first.version).records
-        assert record.state is platform.VmListState.LEAVING
+        assert record.state is fleet_api.VmListState.LEAVING
         assert core.list_vms("another-list.9").complete
 
     def test_drain_is_idle_only_without_work(self, core, timers):
@@ -125,7 +125,7 @@
 
     def spec(self, job_id="job", **options):
         values = {"cores": 4.0, "memory_gb": 8.0, "run_s": 10.0} | options
-        return platform.TaskSpec(job_id, **values)
+        return fleet_api.TaskSpec(job_id, **values)
 
     def state(self, core, task_id):
         return core.task_state(task_id).state
@@ -135,18 +135,18 @@
             core.start_task("vm-1", "t", self.spec())
         timers.advance(10)
         again = core.start_task("vm-1", "t", self.spec())
-        assert again.state is platform.TaskState.SUCCEEDED
+        assert again.state is fleet_api.TaskState.SUCCEEDED
         assert core.tasks.starts == {"t": 1}
 
     def test_forbidden_task_never_starts(self, core):
         assert core.forbid_task("t")
         record = core.start_task("vm-1", "t", self.spec())
-        assert record.state is platform.TaskState.FORBIDDEN
+        assert record.state is fleet_api.TaskState.FORBIDDEN
         assert not core.tasks.starts
 
     def test_started_task_cannot_be_forbidden(self, core):
         record = core.start_task("vm-1", "t", self.spec())
-        assert core.forbid_task("t") == platform.AlreadyStarted(record)
+        assert core.forbid_task("t") == fleet_api.AlreadyStarted(record)
 
     def test_lease_stops_a_task_that_is_not_renewed(self, core, timers):
         spec = self.spec(run_s=50.0, lease_s=20.0)
@@ -154,24 +154,24 @@
         timers.advance(15)
         core.renew_tasks(["t"])
         timers.advance(19)
-        assert self.state(core, "t") is platform.TaskState.RUNNING
+        assert self.state(core, "t") is fleet_api.TaskState.RUNNING
         timers.advance(2)
-        assert self.state(core, "t") is platform.TaskState.STOPPED
+        assert self.state(core, "t") is fleet_api.TaskState.STOPPED
 
     def test_shared_processors_slow_tasks_down(self, core, timers):
         core.start_task("vm-1", "a", self.spec())
         core.start_task("vm-1", "b", self.spec())
         timers.advance(19)
-        assert self.state(core, "a") is platform.TaskState.RUNNING
+        assert self.state(core, "a") is fleet_api.TaskState.RUNNING
         timers.advance(1.1)
-        assert self.state(core, "a") is platform.TaskState.SUCCEEDED
+        assert self.state(core, "a") is fleet_api.TaskState.SUCCEEDED
 
     def test_throttled_task_leaves_processors_to_others(self, core, timers):
         core.start_task("vm-1", "a", self.spec(run_s=100.0, lease_s=999.0))
         core.start_task("vm-1", "b", self.spec())
         core.throttle_task("a", 0.001)
         timers.advance(10.5)
-        assert self.state(core, "b") is platform.TaskState.SUCCEEDED
+        assert self.state(core, "b") is fleet_api.TaskState.SUCCEEDED
 
     def test_checkpoint_keeps_progress_for_the_job(self, core, timers):
         core.start_task("vm-1", "a", self.spec())
@@ -179,12 +179,12 @@
         core.checkpoint_task("a")
         core.start_task("vm-1", "b", self.spec())
         timers.advance(2)
-        assert self.state(core, "b") is platform.TaskState.SUCCEEDED
+        assert self.state(core, "b") is fleet_api.TaskState.SUCCEEDED
 
     def test_memory_beyond_the_worker_fails_the_newest(self, core):
         core.start_task("vm-1", "a", self.spec(memory_gb=30.0))
         core.start_task("vm-1", "b", self.spec(memory_gb=30.0))
-        assert self.state(core, "a") is platform.TaskState.RUNNING
+        assert self.state(core, "a") is fleet_api.TaskState.RUNNING
         assert core.task_state("b").detail == "out of memory"
 
     def test_faulty_worker_and_job_fail(self, core, timers):
@@ -195,13 +195,16 @@
         core.start_task("vm-1", "c", self.spec("good"))
         timers.advance(1)
         states = [self.state(core, task_id) for task_id in "abc"]
-        failed, running = platform.TaskState.FAILED, platform.TaskState.RUNNING
+        failed, running = (
+            fleet_api.TaskState.FAILED,
+            fleet_api.TaskState.RUNNING,
+        )
         assert states == [failed, running, failed]
 
     def test_reboot_fails_the_tasks(self, core):
         core.start_task("vm-1", "a", self.spec())
         core.reboot_vm("vm-1", "vm-1.1")
-        assert self.state(core, "a") is platform.TaskState.FAILED
+        assert self.state(core, "a") is fleet_api.TaskState.FAILED
 
     def test_usage_lags(self, core, timers):
         timers.advance(10)
@@ -213,7 +216,7 @@
 
 class TestMemoryPlatform:
 
-    WRITE = [platform.Write("a", {"n": 1})]
+    WRITE = [fleet_api.Write("a", {"n": 1})]
 
     def run_change(self, fake, timers, duration_s):
         async def scenario():
@@ -240,14 +243,14 @@
     def test_lost_answer_is_unknown_and_applied(self, fake, timers):
         fake.faults.lose_answers = 1
         result = self.run_change(fake, timers, 2)
-        assert isinstance(result, platform.Unknown)
+        assert isinstance(result, fleet_api.Unknown)
         assert self.version(fake) == 1
-        assert self.run_change(fake, timers, 0) == platform.Committed({"a": 2})
+        assert self.run_change(fake, timers, 0) == fleet_api.Committed({"a": 2})
 
     def test_delayed_write_applies_after_the_answer(self, fake, timers):
         fake.faults.delay_writes = 1
         result = self.run_change(fake, timers, 2)
-        assert isinstance(result, platform.Unknown)
+        assert isinstance(result, fleet_api.Unknown)
         assert self.version(fake) == 0
         timers.advance(3)
         assert self.version(fake) == 1
@@ -255,14 +258,14 @@
     def test_slow_beyond_the_deadline_is_unknown(self, fake, timers):
         fake.faults.slow_s = 3.0
         result = self.run_change(fake, timers, 2)
-        assert isinstance(result, platform.Unknown)
+        assert isinstance(result, fleet_api.Unknown)
         assert self.version(fake) == 1
 
     def test_silence_concerns_one_client(self, fake, timers):
         other = fake.client()
         other.faults.silent = True
         result = self.run_change(other, timers, 2)
-        assert isinstance(result, platform.Unknown)
+        assert isinstance(result, fleet_api.Unknown)
         assert self.version(fake) == 0
         assert self.run_change(fake, timers, 0)
 
