--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 import json
 
+import attrs
+
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
@@ -13,6 +15,7 @@
 JOBS_TABLE = "jobs"
 ROSTER_TABLE = "roster"
 ROSTER_KEY = "workers"
+WAVES_TABLE = "waves"
 # Time for which changes are gathered before they are written.
 GATHER_S = 0.015
 # Bounds of the time that a transaction may take; in between it follows what
@@ -24,6 +27,23 @@
 LOG = observability.get_logger("commits")
 
 
+@attrs.define
+class Document:
+    """A row that is written whole whenever its content changes.
+
+    Attributes:
+        table: Table of the row.
+        key: Key of the row.
+        content: Content that the store has.
+        version: Version of the row.
+    """
+
+    table: str
+    key: str
+    content: bytes = b""
+    version: int = 0
+
+
 class Committer:
     """Stores jobs, the roster of workers and the heartbeat.
 
@@ -51,8 +71,8 @@
         self.scheduler = scheduler
         self.confirmed_s = confirmed_s
         self.lost = lost
-        self.roster_version = 0
-        self.roster: dict[str, list] = {}
+        self.roster = Document(ROSTER_TABLE, ROSTER_KEY, b"{}")
+        self.waves: dict[int, Document] = {}
         self.wanted = asyncio.Event()
         self.committed = asyncio.Event()
         self.timeout_s = SHORTEST_TIMEOUT_S
@@ -101,28 +121,41 @@
                 ]
         return wanted
 
+    def _changed_documents(self) -> list[tuple[Document, bytes]]:
+        wanted = [(self.roster, json.dumps(self._wanted_roster()).encode())]
+        for number, plan in self.scheduler.upkeep.plans.items():
+            document = self.wave_document(number)
+            wanted.append((document, plan.encode()))
+        return [
+            (document, content)
+            for document, content in wanted
+            if document.content != content
+        ]
+
+    def wave_document(self, number: int) -> Document:
+        """Returns the row of a wave's plan."""
+        return self.waves.setdefault(number, Document(WAVES_TABLE, str(number)))
+
     async def _write(self) -> bool:
         """Writes once; returns whether nothing is left to repeat."""
         snapshot = self.scheduler.begin_commit()
-        roster = self._wanted_roster()
+        documents = self._changed_documents()
         now_s = platform.boot_time_s()
         due = now_s - self.confirmed_s >= _tenure.HEARTBEAT_S * 0.8
-        changed = roster != self.roster
-        if snapshot is None and not changed and not due:
+        if snapshot is None and not documents and not due:
             return True
         expected = [self.holder_row()]
         puts = []
         if due:
             puts.append(self._row(_tenure.TABLE, _tenure.HEARTBEAT_KEY, b"{}"))
-        if changed:
-            content = json.dumps(roster).encode()
-            puts.append(self._row(ROSTER_TABLE, ROSTER_KEY, content))
+        for document, content in documents:
+            puts.append(self._row(document.table, document.key, content))
             expected.append(
                 platform.StoredRow(
-                    ROSTER_TABLE,
+                    document.table,
                     _tenure.PART,
-                    ROSTER_KEY,
-                    version=self.roster_version,
+                    document.key,
+                    version=document.version,
                 )
             )
         for job, content in snapshot.jobs if snapshot else ():
@@ -138,8 +171,10 @@
         )
         if isinstance(answer, platform.Commit):
             self._confirm(now_s, due)
-            if changed:
-                self._confirm_roster(roster, answer.version)
+            for document, content in documents:
+                document.content = content
+                document.version = answer.version
+            self._confirm_documents()
             if snapshot is not None:
                 self.scheduler.finish_commit(snapshot, answer.version)
             self.committed.set()
@@ -176,11 +211,14 @@
             self.reachable = True
             LOG.info("store_regained")
 
-    def _confirm_roster(self, roster: dict[str, list], version: int) -> None:
-        self.roster = roster
-        self.roster_version = version
+    def _confirm_documents(self) -> None:
+        roster = json.loads(self.roster.content)
         for worker in self.scheduler.workers.values():
             worker.enrolled = worker.worker_id in roster
+        for number, plan in self.scheduler.upkeep.plans.items():
+            content = self.wave_document(number).content
+            if content:
+                plan.note_saved(content)
 
     def _observe_conflict(self, conflict: platform.Conflict) -> None:
         for row in conflict.rows:
@@ -188,7 +226,9 @@
                 if row.version != self.holder.token:
                     self.lost("another tenure has begun")
             elif row.table == ROSTER_TABLE:
-                self.roster_version = row.version
+                self.roster.version = row.version
+            elif row.table == WAVES_TABLE:
+                self.wave_document(int(row.key)).version = row.version
             elif row.table == JOBS_TABLE:
                 # An earlier write of this tenure that had no answer.
                 job = self.scheduler.jobs.get(row.key)
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -11,6 +11,7 @@
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _following
 from baobabdoor.dispatch import _tenure
+from baobabdoor.dispatch import _waves
 
 # How long a hold waits for an end.
 HOLD_WAIT_MS = 1000
@@ -64,6 +65,7 @@
         self.committer = _commits.Committer(
             self.store, holder, self.scheduler, confirmed_s, self.end
         )
+        self.wave_runner = _waves.WaveRunner(daemon, self)
         self.loaded = asyncio.Event()
         self.ended = False
         self.woken = asyncio.Event()
@@ -99,8 +101,10 @@
 
     async def _begin(self) -> None:
         started_s = platform.boot_time_s()
-        jobs, roster = await asyncio.gather(
-            self._read(_commits.JOBS_TABLE), self._read(_commits.ROSTER_TABLE)
+        jobs, roster, waves = await asyncio.gather(
+            self._read(_commits.JOBS_TABLE),
+            self._read(_commits.ROSTER_TABLE),
+            self._read(_commits.WAVES_TABLE),
         )
         self._update_clocks()
         for row in jobs:
@@ -110,6 +114,10 @@
                 LOG.error("job_row_ignored", job=row.key, error=str(error))
         for row in roster:
             self._load_roster(row)
+        for row in waves:
+            document = self.committer.wave_document(int(row.key))
+            document.version = row.version
+            document.content = row.value
         LOG.info(
             "tenure_loaded",
             token=self.holder.token,
@@ -131,6 +139,7 @@
             self.committer.run(),
             self._plan_always(),
             self._expire_always(),
+            self.wave_runner.run(),
         ):
             self.tasks.append(asyncio.ensure_future(work))
         self._start_holds()
@@ -145,9 +154,9 @@
             await asyncio.sleep(_following.RETRY_S)
 
     def _load_roster(self, row: platform.StoredRow) -> None:
-        self.committer.roster_version = row.version
-        self.committer.roster = json.loads(row.value)
-        for worker_id, entry in self.committer.roster.items():
+        self.committer.roster.version = row.version
+        self.committer.roster.content = row.value
+        for worker_id, entry in json.loads(row.value).items():
             address, pool, zone, born_ms = entry
             record = scheduling.WorkerRecord(
                 worker_id, address, pool, zone, "", False, born_ms, 0, 0, 0,
@@ -258,10 +267,10 @@
         self._update_clocks()
         now_s = platform.boot_time_s()
         may_start = self.certain() and not self.committer.releasing
+        if may_start:
+            self.wave_runner.plan(now_s)
         for order in self.scheduler.plan(now_s, may_start):
-            task = asyncio.ensure_future(self._send(order))
-            self.sends.add(task)
-            task.add_done_callback(self.sends.discard)
+            self.spawn(self._send(order))
         if self.scheduler.dirty:
             self.committer.wanted.set()
         for event in self.scheduler.take_events():
@@ -269,6 +278,12 @@
         if self.scheduler.fenced_off:
             self.end("fenced by a worker")
 
+    def spawn(self, work) -> None:
+        """Runs a coroutine beside the others."""
+        task = asyncio.ensure_future(work)
+        self.sends.add(task)
+        task.add_done_callback(self.sends.discard)
+
     async def _send(self, order: scheduling.WorkerOrder) -> None:
         if isinstance(order, scheduling.StartOrder):
             result = await self.workers.start(order)
--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -158,9 +158,9 @@
             await asyncio.sleep(
                 CANDIDATE_SPREAD_S * (order + random.random()) / 2
             )
-            if self.current is not None and vacant:
-                if not self.is_self(self.current):
-                    return
+            taken = self.current is not None
+            if taken and vacant and not self.is_self(self.current):
+                return
             await self._take(age_ms)
         finally:
             self.campaigning = False
--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -33,3 +33,35 @@
 READY_PATH = "/api/ready"
 DEADLINE_HEADER = "X-Deadline-Ms"
 REQUEST_ID_HEADER = "Request-Id"
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "Commit",
+    "Conflict",
+    "DEADLINE_HEADER",
+    "MachineClient",
+    "MachineOutcome",
+    "MessageError",
+    "ProcessSettings",
+    "READY_PATH",
+    "REQUEST_ID_HEADER",
+    "RowSet",
+    "STATUS_TABLE",
+    "SettingsError",
+    "StoreClient",
+    "StoredRow",
+    "VARIABLE",
+    "WAVE_KEY_PREFIX",
+    "WORKERS_TABLE",
+    "WorkerClient",
+    "boot_time_s",
+    "decode_configuration",
+    "decode_job",
+    "decode_wave",
+    "decode_worker",
+    "encode_job_state",
+    "encode_pending",
+    "encode_wave_state",
+    "load_settings",
+]
--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -33,4 +33,47 @@
 from baobabdoor.scheduling._types import Wave
 from baobabdoor.scheduling._types import WorkerRecord
 from baobabdoor.scheduling._types import WorkerReport
+from baobabdoor.scheduling._upkeep import Due
+from baobabdoor.scheduling._upkeep import UpkeepOrder
+from baobabdoor.scheduling._upkeep import WavePlan
 from baobabdoor.scheduling._worker import Worker
+
+__all__ = [
+    "AdvicePolicy",
+    "Configuration",
+    "Due",
+    "DurationModel",
+    "EndEntry",
+    "Event",
+    "FINAL_STATES",
+    "HoldOrder",
+    "Job",
+    "JobSpec",
+    "JobState",
+    "LEASE_S",
+    "MachineRecord",
+    "MachineState",
+    "Options",
+    "OrderOutcome",
+    "OrderResult",
+    "PaceOrder",
+    "PoolSettings",
+    "Queue",
+    "Rejection",
+    "Run",
+    "RunEntry",
+    "Scheduler",
+    "Snapshot",
+    "StartOrder",
+    "StepSpec",
+    "StopOrder",
+    "Task",
+    "UpkeepOrder",
+    "Wave",
+    "WavePlan",
+    "Worker",
+    "WorkerOrder",
+    "WorkerRecord",
+    "WorkerReport",
+    "decode_job",
+]
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -26,7 +26,7 @@
 
 
 def _ranked(scheduler) -> list[_job.Job]:
-    """Returns active jobs: lasting ones, then by least slack, late ones last."""
+    """Returns active jobs: lasting ones, by least slack, late ones last."""
     keys = []
     for number, job in enumerate(scheduler.active.values()):
         if job.stored_state is None:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -12,6 +12,7 @@
 from baobabdoor.scheduling import _orders
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _types
+from baobabdoor.scheduling import _upkeep
 from baobabdoor.scheduling import _worker
 
 # Run numbers of one tenure; a task is not started so often in one.
@@ -103,6 +104,7 @@
         self.unfenced: set[str] = set()
         self.durations = _estimates.DurationModel()
         self.admission = _admission.Admission(self)
+        self.upkeep = _upkeep.Upkeep(self)
         self.strays: dict[str, dict[tuple[str, int], float]] = {}
         self.change = 0
         self.dirty: dict[str, _job.Job] = {}
--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -127,7 +127,8 @@
         )
         more = False
         try:
-            stream.write(head.encode("latin-1") + body)
+            connection.write(head.encode("latin-1") + body)
+            connection.finish()
             more = await connection.read_response(collector)
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
             pass
