--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -1,6 +1,7 @@
 """Carries out the decisions of one tenure."""
 
 import asyncio
+import contextlib
 import json
 import time
 
@@ -249,10 +250,8 @@
 
     async def _plan_always(self) -> None:
         while True:
-            try:
+            with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.woken.wait(), PLAN_INTERVAL_S)
-            except TimeoutError:
-                pass
             await asyncio.sleep(PLAN_GATHER_S)
             self.woken.clear()
             self._plan()
--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -7,7 +7,7 @@
 from baobabdoor.scheduling import _types
 
 # Share of a pool's processor time that can be filled with tasks.
-USABLE_SHARE = 0.85
+USABLE_SHARE = 0.9
 # Time from the hand-in to the first start and from the last end to the
 # answer, in seconds.
 OVERHEAD_S = 0.15
@@ -16,6 +16,9 @@
 # Earliest times of rejected jobs that are remembered, for their retries.
 REMEMBERED_JOBS = 2000
 MIN_RETRY_S = 1
+# A job that ends within so many objectives still earns a part of its worth;
+# the platform counts up to three.
+LATE_FACTOR = 2.5
 
 
 @attrs.frozen
@@ -33,6 +36,21 @@
     inputs: dict
 
 
+@attrs.frozen
+class Verdict:
+    """Judgement of a job.
+
+    Attributes:
+        timely: Whether it is expected to meet its objective.
+        rejection: Why it is not accepted; `None` if it is.
+        inputs: The figures that decided it.
+    """
+
+    timely: bool
+    rejection: Rejection | None
+    inputs: dict
+
+
 class Admission:
     """Compares a job's need with what its pool can do until its objective.
 
@@ -53,37 +71,34 @@
             self.first_seen_.popitem(last=False)
         return first_ms
 
-    def check(self, spec: _types.JobSpec, now_s: float) -> Rejection | None:
-        """Returns why a job is not accepted; `None` if it is."""
+    def check(self, spec: _types.JobSpec, now_s: float) -> Verdict:
+        """Judges whether a job can be in time, late at least, or neither."""
         scheduler = self.scheduler
         queue = scheduler.configuration.queues.get(spec.queue)
         first_ms = self.first_seen_ms(spec.job_id, scheduler.store_ms)
         if spec.long_running or spec.repeat_count or queue is None:
-            return None
+            return Verdict(True, None, {})
         capacity = self.capacity_cores(queue.pool, now_s) * USABLE_SHARE
         chain_s, work = self.measure(spec)
-        objective_s = self.objective_s(queue, chain_s) * OBJECTIVE_SHARE
+        objective_s = self.objective_s(queue, chain_s)
         waited_s = (scheduler.store_ms - first_ms) / 1000
-        left_s = objective_s - waited_s - OVERHEAD_S
-        backlog = self.backlog_core_s(queue.pool)
+        left_s = objective_s * OBJECTIVE_SHARE - waited_s - OVERHEAD_S
+        backlog, deferred = self.backlog_core_s(queue.pool)
         inputs = {
             "capacity_cores": round(capacity, 1),
             "backlog_core_s": round(backlog, 1),
+            "deferred_core_s": round(deferred, 1),
             "work_core_s": round(work, 1),
             "chain_s": round(chain_s, 2),
             "left_s": round(left_s, 2),
         }
-        if left_s < chain_s and waited_s > 0:
-            return Rejection("too late", MIN_RETRY_S, inputs)
-        if capacity <= 0:
-            return Rejection("no workers", MIN_RETRY_S, inputs)
-        # The backlog is done before the job's last step may begin.
-        if backlog + work > capacity * left_s:
-            excess_s = (backlog + work) / capacity - left_s
-            return Rejection(
-                "overload", max(MIN_RETRY_S, int(excess_s)), inputs
-            )
-        return None
+        timely = left_s >= chain_s and backlog + work <= capacity * left_s
+        late_s = objective_s * LATE_FACTOR - waited_s
+        need_s = (backlog + deferred + work) / max(capacity, 1.0)
+        if timely or need_s + chain_s <= late_s:
+            return Verdict(timely, None, inputs)
+        retry_s = max(MIN_RETRY_S, int(need_s + chain_s - late_s))
+        return Verdict(False, Rejection("overload", retry_s, inputs), inputs)
 
     def objective_s(self, queue: _types.Queue, chain_s: float) -> float:
         """Returns the latency objective of a job in seconds."""
@@ -112,21 +127,31 @@
                         total -= spec.cpu_milli
         return total / 1000
 
-    def backlog_core_s(self, pool: str) -> float:
-        """Returns the work left of a pool's accepted jobs in core-seconds."""
+    def backlog_core_s(self, pool: str) -> tuple[float, float]:
+        """Returns the work left in core-seconds, of timely and other jobs."""
         scheduler = self.scheduler
-        total = 0.0
+        totals = [0.0, 0.0]
         for job in scheduler.active.values():
             if job.spec.long_running:
                 continue
             queue = scheduler.configuration.queues.get(job.spec.queue)
-            if queue is None or queue.pool != pool:
+            if queue is not None and queue.pool == pool:
+                totals[not job.timely] += self.work_left(job)
+        return totals[0], totals[1]
+
+    def work_left(self, job) -> float:
+        """Returns the work left of a job in core-seconds."""
+        total = 0.0
+        for key, tasks in job.steps.items():
+            if not job.left[key]:
                 continue
-            for (_, number), left in job.left.items():
-                if left:
-                    step = job.spec.steps[number]
-                    duration_s = scheduler.durations.predict_s(
-                        job.spec.queue, step
-                    )
-                    total += left * duration_s * step.cpu_milli / 1000
+            step = job.spec.steps[key[1]]
+            duration_s = self.scheduler.durations.predict_s(
+                job.spec.queue, step
+            )
+            share = float(job.left[key])
+            for task in tasks:
+                if task.run is not None:
+                    share -= min(task.run.percent, 95.0) / 100
+            total += share * duration_s * step.cpu_milli / 1000
         return total
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -116,6 +116,8 @@
         self.saved_at = 0
         self.first_unsaved = 0
         self.begun = False
+        # Whether it was expected to meet its objective when it came.
+        self.timely = True
         self.reason = ""
         # Tasks by occurrence and step.
         self.steps: dict[tuple[int, int], list[Task]] = {}
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -39,7 +39,7 @@
             continue
         slack_s = _slack_s(scheduler, job, queue)
         late = slack_s < 0
-        keys.append((1, late, slack_s, number, job))
+        keys.append((1, 2 * late + (not job.timely), slack_s, number, job))
     keys.sort(key=lambda key: key[:4])
     return [key[4] for key in keys]
 
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -133,11 +133,19 @@
         job = self.jobs.get(spec.job_id)
         if job is not None:
             return job
-        rejection = self.admission.check(spec, now_s)
-        if rejection is not None:
-            return rejection
+        verdict = self.admission.check(spec, now_s)
+        if verdict.rejection is not None:
+            return verdict.rejection
         first_ms = self.admission.first_seen_ms(spec.job_id, self.store_ms)
         job = _job.Job(spec, first_ms)
+        job.timely = verdict.timely
+        self._note(
+            "job_accepted",
+            job=spec.job_id,
+            queue=spec.queue,
+            timely=verdict.timely,
+            **verdict.inputs,
+        )
         for task in job.tasks():
             task.last_run = self.run_base
         self.jobs[spec.job_id] = job
