--- a/baobabdoor/dispatch/_waves.py
+++ b/baobabdoor/dispatch/_waves.py
@@ -7,9 +7,8 @@
 from baobabdoor import platform
 from baobabdoor import scheduling
 
-# Time between two readings of the list of machines while a wave is active.
-LIST_INTERVAL_S = 0.8
-IDLE_INTERVAL_S = 0.2
+# Time between two readings of the list of machines.
+LIST_INTERVAL_S = 0.5
 LOG = observability.get_logger("waves")
 
 
@@ -31,12 +30,9 @@
         """Follows the machines and reports until it is cancelled."""
         while True:
             self._observe_waves()
-            if self.upkeep.active:
-                await self._list_machines()
-                await asyncio.sleep(LIST_INTERVAL_S)
-            else:
-                await asyncio.sleep(IDLE_INTERVAL_S)
+            await self._list_machines()
             await self._report()
+            await asyncio.sleep(LIST_INTERVAL_S)
 
     def _observe_waves(self) -> None:
         for number, wave in self.daemon.waves.items():
@@ -59,6 +55,8 @@
         """Gives the orders that are due."""
         for plan, due, order in self.upkeep.plan(now_s):
             self.controller.spawn(self._order(plan, due, order))
+        for move in self.controller.scheduler.relocation.plan(now_s):
+            self.controller.spawn(self._move(move))
         if self.upkeep.plans:
             self.controller.committer.wanted.set()
 
@@ -85,6 +83,21 @@
             self.controller.end(f"fenced at machine {order.machine}")
         self.controller.wake()
 
+    async def _move(self, move: scheduling.Move) -> None:
+        outcome = await self.daemon.machine_client.move(
+            move.machine, move.pool, self.controller.holder.token
+        )
+        LOG.info(
+            "move_ordered",
+            machine=move.machine,
+            pool=move.pool,
+            worker=move.worker_id,
+            outcome=outcome.value,
+        )
+        self.controller.scheduler.relocation.observe_order(move, outcome.value)
+        if outcome is platform.MachineOutcome.FENCED:
+            self.controller.end(f"fenced at machine {move.machine}")
+
     async def _report(self) -> None:
         for number, plan in self.upkeep.plans.items():
             if self.reported.get(number) == plan.completed:
--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -11,6 +11,7 @@
 from baobabdoor.scheduling._orders import StartOrder
 from baobabdoor.scheduling._orders import StopOrder
 from baobabdoor.scheduling._orders import WorkerOrder
+from baobabdoor.scheduling._relocation import Move
 from baobabdoor.scheduling._scheduler import LEASE_S
 from baobabdoor.scheduling._scheduler import Event
 from baobabdoor.scheduling._scheduler import Options
@@ -54,6 +55,7 @@
     "MachineRecord",
     "MachineState",
     "Options",
+    "Move",
     "OrderOutcome",
     "OrderResult",
     "PaceOrder",
--- /dev/null
+++ b/baobabdoor/scheduling/_relocation.py
@@ -0,0 +1,304 @@
+"""Moves of empty machines to the pools that need them.
+
+Demand comes by turns: a pool is short of room for some seconds while others
+are idle. Room is lent from idle pools and from the pool whose machines are
+switched off, and goes back there when nobody needs it.
+"""
+
+import collections
+import enum
+import math
+
+import attrs
+
+from baobabdoor.scheduling import _types
+from baobabdoor.scheduling import _upkeep
+from baobabdoor.scheduling import _worker
+
+# Time over which arrivals are counted, in seconds.
+RATE_WINDOW_S = 1.0
+# Time in which a backlog should be done, in seconds: about the slack of a job.
+BACKLOG_S = 2.5
+# Share of a machine that can be filled.
+FILL_SHARE = 0.9
+# Machines that a pool keeps beyond its need.
+SPARE_MACHINES = 1
+# Machines of a pool that lends to others at the least.
+LEAST_MACHINES = 2
+# Time for which a machine must not have been needed before it is switched
+# off: a move costs as much as about a second of a machine.
+IDLE_S = 3.0
+# Time after which a move that was accepted is forgotten.
+MOVE_LIMIT_S = 6.0
+# Most moves ordered in one plan.
+MOVES_AT_ONCE = 6
+
+
+class MovePhase(enum.Enum):
+    """Where a move is."""
+
+    ORDERED = "ordered"
+    ACCEPTED = "accepted"
+
+
+@attrs.define(eq=False)
+class Move:
+    """A machine on its way to a pool.
+
+    Attributes:
+        machine: Name of the machine.
+        pool: Pool it goes to.
+        worker_id: Worker that was on it; empty for none.
+        since_s: When it was ordered.
+        phase: Where it is.
+    """
+
+    machine: str
+    pool: str
+    worker_id: str
+    since_s: float
+    phase: MovePhase = MovePhase.ORDERED
+
+
+class Relocation:
+    """Decides which machine goes to which pool.
+
+    Args:
+        scheduler: Scheduler with the workers and the list of machines.
+    """
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.moves: dict[str, Move] = {}
+        self.refused: set[tuple[str, str]] = set()
+        self.arrivals_: dict[str, collections.deque] = {}
+        # When each pool last needed all of its machines.
+        self.needed_s_: dict[tuple[str, int], float] = {}
+
+    def observe_arrival(self, pool: str, work: float, now_s: float) -> None:
+        """Notes the work of a job that came, in core-seconds."""
+        arrivals = self.arrivals_.setdefault(pool, collections.deque())
+        arrivals.append((now_s, work))
+
+    def rate_cores(self, pool: str, now_s: float) -> float:
+        """Returns the work that arrives in a second, in cores."""
+        arrivals = self.arrivals_.get(pool, ())
+        while arrivals and arrivals[0][0] < now_s - RATE_WINDOW_S:
+            arrivals.popleft()
+        return sum(work for _, work in arrivals) / RATE_WINDOW_S
+
+    def plan(self, now_s: float) -> list[Move]:
+        """Returns the moves to order now."""
+        machines = self.scheduler.upkeep.machines
+        if not machines:
+            return []
+        self._expire(now_s)
+        pools = self.scheduler.configuration.pools
+        standby = {name for name, pool in pools.items() if pool.standby}
+        needs = {
+            pool: self.need_machines(pool, now_s)
+            for pool in pools
+            if pool not in standby
+        }
+        have = {pool: self.have_machines(pool) for pool in needs}
+        moves: list[Move] = []
+        short = sorted(needs, key=lambda pool: have[pool] - needs[pool])
+        for pool in short:
+            lack = needs[pool] - have[pool]
+            while lack > 0 and len(moves) < MOVES_AT_ONCE:
+                machine = self._choose_donor(pool, needs, have, standby)
+                if machine is None:
+                    break
+                if machine.pool in have:
+                    have[machine.pool] -= 1
+                moves.append(self._order(machine, pool, now_s))
+                lack -= 1
+        if not moves:
+            moves += self._switch_off(needs, have, standby, now_s)
+        return moves
+
+    def _order(
+        self, record: _types.MachineRecord, pool: str, now_s: float
+    ) -> Move:
+        move = Move(record.machine, pool, record.worker_id, now_s)
+        self.moves[record.machine] = move
+        worker = self.scheduler.workers.get(record.worker_id)
+        if worker is not None:
+            worker.closed = True
+        return move
+
+    def _expire(self, now_s: float) -> None:
+        machines = self.scheduler.upkeep.machines
+        for move in list(self.moves.values()):
+            record = machines.get(move.machine)
+            arrived = (
+                record is not None
+                and move.phase is MovePhase.ACCEPTED
+                and record.pool == move.pool
+                and record.worker_id in self.scheduler.workers
+                and record.worker_id != move.worker_id
+            )
+            if arrived or now_s - move.since_s > MOVE_LIMIT_S:
+                del self.moves[move.machine]
+
+    def need_machines(self, pool: str, now_s: float) -> int:
+        """Returns how many machines a pool needs for its demand."""
+        scheduler = self.scheduler
+        timely, deferred = scheduler.admission.backlog_core_s(pool)
+        cores = max(
+            self.rate_cores(pool, now_s), (timely + deferred) / BACKLOG_S
+        )
+        sizes = [
+            worker.record.cpu_milli / 1000
+            for worker in scheduler.workers.values()
+            if worker.record.cpu_milli
+        ]
+        size = sum(sizes) / len(sizes) if sizes else 1.0
+        lasting = self._lasting_cores(pool)
+        need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
+        return max(LEAST_MACHINES, need)
+
+    def _lasting_cores(self, pool: str) -> float:
+        scheduler = self.scheduler
+        total = 0
+        for job in scheduler.active.values():
+            queue = scheduler.configuration.queues.get(job.spec.queue)
+            if queue is None or queue.pool != pool:
+                continue
+            for step in job.spec.steps:
+                if step.long_running and not step.fills:
+                    total += step.cpu_milli * step.task_count
+        return total / 1000
+
+    def have_machines(self, pool: str) -> int:
+        """Returns how many machines a pool has or is about to have."""
+        count = 0
+        for record in self.scheduler.upkeep.machines.values():
+            move = self.moves.get(record.machine)
+            if move is not None:
+                count += move.pool == pool
+            elif record.pool == pool:
+                count += self._serves(record)
+        return count
+
+    def _serves(self, record: _types.MachineRecord) -> bool:
+        if record.state in (
+            _types.MachineState.MOVING,
+            _types.MachineState.UPKEEP,
+        ):
+            return True
+        if record.state is not _types.MachineState.UP:
+            return False
+        # A worker that has not registered yet is about to.
+        worker = self.scheduler.workers.get(record.worker_id)
+        return worker is None or (worker.listed and not worker.gone)
+
+    def _free_worker(
+        self, record: _types.MachineRecord
+    ) -> _worker.Worker | None:
+        worker = self.scheduler.workers.get(record.worker_id)
+        if worker is None or worker.runs or worker.closed:
+            return None
+        if not worker.fenced or worker.record.draining:
+            return None
+        return worker
+
+    def _movable(self, record: _types.MachineRecord) -> bool:
+        if record.state is not _types.MachineState.UP:
+            return False
+        if record.machine in self.moves:
+            return False
+        busy = (_upkeep.Phase.CLOSING, _upkeep.Phase.INTENDED)
+        for plan in self.scheduler.upkeep.plans.values():
+            due = plan.due.get(record.machine)
+            if due is not None and due.phase in (*busy, _upkeep.Phase.DOWN):
+                return False
+        return True
+
+    def _choose_donor(
+        self,
+        pool: str,
+        needs: dict[str, int],
+        have: dict[str, int],
+        standby: set[str],
+    ) -> _types.MachineRecord | None:
+        best = None
+        best_key: tuple = ()
+        for record in self.scheduler.upkeep.machines.values():
+            if record.pool == pool or (record.machine, pool) in self.refused:
+                continue
+            if not self._movable(record):
+                continue
+            if record.pool in standby:
+                key = (1, 0, record.machine)
+            elif record.pool in needs and self._free_worker(record):
+                spare = have[record.pool] - needs[record.pool]
+                if spare <= SPARE_MACHINES:
+                    continue
+                key = (0, -spare, record.machine)
+            else:
+                continue
+            if best is None or key < best_key:
+                best, best_key = record, key
+        return best
+
+    def _switch_off(
+        self,
+        needs: dict[str, int],
+        have: dict[str, int],
+        standby: set[str],
+        now_s: float,
+    ) -> list[Move]:
+        """Returns moves of machines that were not needed for some time."""
+        moves = []
+        target = min(standby, default=None)
+        for pool, need in needs.items():
+            for count in range(1, have[pool] + 1):
+                if count <= need + SPARE_MACHINES:
+                    self.needed_s_[pool, count] = now_s
+            idle_s = now_s - self.needed_s_.setdefault(
+                (pool, have[pool]), now_s
+            )
+            if target is None or idle_s < IDLE_S:
+                continue
+            if len(moves) >= MOVES_AT_ONCE:
+                break
+            record = self._choose_idle(pool, target)
+            if record is not None:
+                moves.append(self._order(record, target, now_s))
+        return moves
+
+    def _choose_idle(
+        self, pool: str, target: str
+    ) -> _types.MachineRecord | None:
+        for record in sorted(
+            self.scheduler.upkeep.machines.values(),
+            key=lambda record: record.machine,
+        ):
+            if record.pool != pool or (record.machine, target) in self.refused:
+                continue
+            if self._movable(record) and self._free_worker(record):
+                return record
+        return None
+
+    def observe_order(self, move: Move, outcome: str) -> None:
+        """Notes what became of a move.
+
+        Args:
+            move: The move.
+            outcome: `accepted`, `invalid`, or anything else, after which the
+                move is given up.
+        """
+        if outcome == "accepted":
+            move.phase = MovePhase.ACCEPTED
+            return
+        if outcome == "unknown":
+            # It may be carried out; what the list says later holds.
+            return
+        self.moves.pop(move.machine, None)
+        if outcome == "invalid":
+            self.refused.add((move.machine, move.pool))
+
+    def closed_workers(self) -> set[str]:
+        """Returns the workers on machines that are being moved."""
+        return {move.worker_id for move in self.moves.values()}
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -11,6 +11,7 @@
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _orders
 from baobabdoor.scheduling import _placement
+from baobabdoor.scheduling import _relocation
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _upkeep
 from baobabdoor.scheduling import _worker
@@ -105,6 +106,7 @@
         self.durations = _estimates.DurationModel()
         self.admission = _admission.Admission(self)
         self.upkeep = _upkeep.Upkeep(self)
+        self.relocation = _relocation.Relocation(self)
         self.strays: dict[str, dict[tuple[str, int], float]] = {}
         self.change = 0
         self.dirty: dict[str, _job.Job] = {}
@@ -133,7 +135,12 @@
         job = self.jobs.get(spec.job_id)
         if job is not None:
             return job
+        queue = self.configuration.queues.get(spec.queue)
+        new = spec.job_id not in self.admission.first_seen_
         verdict = self.admission.check(spec, now_s)
+        if queue is not None and new and not spec.long_running:
+            work = self.admission.measure(spec)[1]
+            self.relocation.observe_arrival(queue.pool, work, now_s)
         if verdict.rejection is not None:
             return verdict.rejection
         first_ms = self.admission.first_seen_ms(spec.job_id, self.store_ms)
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -203,6 +203,7 @@
                     order = UpkeepOrder(due.machine, plan.wave.number)
                     orders.append((plan, due, order))
         closed = self.closed_workers()
+        closed |= self.scheduler.relocation.closed_workers()
         for worker in self.scheduler.workers.values():
             worker.closed = worker.worker_id in closed
         return orders
