Let the lease of a silent worker end

Cause: every hold that was sent asked for a longer lease, also of a worker that had not answered for long, so the bound on its runs never passed: lasting tasks of a crashed worker did not start again (LOST), and counted as at work when another task was moved (AVAIL).

--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -542,7 +542,10 @@
     ) -> _orders.HoldOrder:
         """Returns the next hold of a worker."""
         until_ms = 0
-        if worker.fenced and worker.clock_ms:
+        # A worker that does not answer gets no longer lease, so that the end
+        # of its runs becomes certain.
+        silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
+        if worker.fenced and worker.clock_ms and not silent:
             until_ms = worker.lease_until_ms(now_s, LEASE_S)
         return _orders.HoldOrder(
             worker_id=worker.worker_id,
@@ -615,6 +618,8 @@
             outcome=outcome.value,
             detail=result.detail,
         )
+        if outcome in (OUTCOMES.UNKNOWN, OUTCOMES.NOT_SENT):
+            worker.doubted_s = now_s
         if outcome is OUTCOMES.UNKNOWN:
             run.doubtful = True
             run.stopping = True
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -310,7 +310,7 @@
     spec = task.spec
     if spec.max_unavailable is not None:
         away = sum(
-            not at_work(member)
+            not at_work(scheduler, member, now_s)
             for member in task.job.steps[task.occurrence, task.step]
             if member is not task
         )
@@ -330,11 +330,14 @@
     )
 
 
-def at_work(task: _job.Task) -> bool:
-    """Returns whether a lasting task works."""
+def at_work(scheduler, task: _job.Task, now_s: float) -> bool:
+    """Returns whether a lasting task works, as far as heard a moment ago."""
     run = task.run
+    worker = scheduler.workers.get(run.worker_id) if run else None
     return (
-        run is not None
+        worker is not None
+        and now_s - worker.heard_s < _worker.SILENCE_LIMIT_S
+        and worker.heard_s > worker.doubted_s
         and run.confirmed
         and not run.stopping
         and run.percent >= 100
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -33,6 +33,8 @@
         self.clock_ms = 0
         self.clock_at_s = 0.0
         self.heard_s = -1e9
+        # When an order had no answer; a report after that clears it.
+        self.doubted_s = -1e9
         self.lease_end_s = 0.0
         self.processed = 0
         self.acknowledged = 0
@@ -64,6 +66,7 @@
             and not self.closed
             and not self.record.draining
             and now_s - self.heard_s < SILENCE_LIMIT_S
+            and self.heard_s > self.doubted_s
             and now_s >= self.quarantined_until_s
         )
 
--- /dev/null
+++ b/tests/test_scheduling_runs.py
@@ -0,0 +1,147 @@
+"""Tests of runs: when they start, end, are lost and start again."""
+
+import scheduling_fixtures
+
+from baobabdoor import scheduling
+
+OUTCOMES = scheduling.OrderOutcome
+JOB = "00000000000000aa"
+
+
+def step(count=1, **fields):
+    return scheduling.StepSpec(count, cpu_milli=1000, **fields)
+
+
+class TestLeases:
+
+    def test_runs_of_a_silent_worker_are_lost_though_holds_are_sent(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.advance(1)
+        other = {"w1": "w2", "w2": "w1"}[order.worker_id]
+        fleet.advance(3, silent=(order.worker_id,))
+        assert not fleet.starts()
+        fleet.advance(4, silent=(order.worker_id,))
+        (again,) = fleet.starts()
+        assert again.worker_id == other
+        assert again.run_id > order.run_id
+
+    def test_nothing_starts_elsewhere_before_the_lease_is_over(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        worker = fleet.scheduler.workers[order.worker_id]
+        while fleet.now_s + 0.5 < worker.lease_end_s:
+            fleet.advance(0.5, silent=(order.worker_id,))
+            if fleet.now_s < worker.lease_end_s:
+                assert not fleet.starts()
+
+    def test_runs_of_a_restarted_worker_start_again_at_once(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step()])
+        fleet.accept(fleet.starts())
+        fleet.running["w1"].clear()
+        fleet.now_s += 0.2
+        fleet.report("w1", born_ms=2)
+        (again,) = fleet.starts()
+        assert again.run_id == 2
+
+
+class TestOrders:
+
+    def test_a_worker_that_took_no_order_gets_none_before_it_reports(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.starts()
+        fleet.answer(order, OUTCOMES.NOT_SENT)
+        fleet.now_s += 0.5
+        assert not fleet.starts()
+        fleet.report("w1")
+        assert len(fleet.starts()) == 1
+
+    def test_a_start_without_an_answer_is_stopped_before_a_new_one(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.starts()
+        fleet.answer(order, OUTCOMES.UNKNOWN)
+        (stop,) = fleet.plan()
+        assert isinstance(stop, scheduling.StopOrder)
+        assert (stop.task, stop.run_id) == (order.task, order.run_id)
+        fleet.answer(stop, OUTCOMES.ACCEPTED)
+        assert not fleet.starts()
+        fleet.now_s += 0.1
+        fleet.report(order.worker_id)
+        (again,) = fleet.starts()
+        assert again.run_id == order.run_id + 1
+
+
+class TestEnds:
+
+    def test_an_end_is_acknowledged_after_it_is_stored(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step(2)])
+        first, _ = fleet.accept(fleet.starts())
+        fleet.end("w1", first.task, first.run_id)
+        assert fleet.hold("w1").last_seen == 0
+        fleet.commit()
+        assert fleet.hold("w1").last_seen == 1
+
+    def test_a_job_is_shown_as_completed_after_it_is_stored(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        job = fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.end("w1", order.task, order.run_id)
+        shown = fleet.scheduler.shown_state
+        assert shown(job) is scheduling.JobState.RUNNING
+        fleet.commit()
+        assert shown(job) is scheduling.JobState.COMPLETED
+
+    def test_a_later_step_waits_for_all_tasks_of_the_earlier_one(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step(2), step(1, after=(0,))])
+        first, second = fleet.accept(fleet.starts())
+        fleet.end("w1", first.task, first.run_id)
+        assert not fleet.starts()
+        fleet.end("w1", second.task, second.run_id)
+        (third,) = fleet.starts()
+        assert third.task == f"{JOB}.0.1.0"
+
+    def test_a_job_fails_after_its_attempts(self):
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3"], max_attempts=2)
+        job = fleet.submit(JOB, [step()])
+        for _ in range(2):
+            (order,) = fleet.accept(fleet.starts())
+            fleet.end(order.worker_id, order.task, order.run_id, "failed")
+        assert not fleet.starts()
+        assert job.state is scheduling.JobState.FAILED
+
+
+class TestAvailability:
+
+    def move(self, fleet, job, silent=()):
+        from baobabdoor.scheduling import _upkeep
+
+        fleet.advance(0.5)
+        fleet.advance(2.5, silent=silent)
+        task = job.steps[0, 0][0]
+        worker = fleet.scheduler.workers[task.run.worker_id]
+        return _upkeep.may_move(fleet.scheduler, task, worker, fleet.now_s)
+
+    def lasting(self, fleet):
+        job = fleet.submit(
+            JOB,
+            [step(2, long_running=True, max_unavailable=1, max_per_worker=1)],
+        )
+        fleet.accept(fleet.starts(), percent=100)
+        return job
+
+    def test_a_lasting_task_may_move_while_the_others_work(self):
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3"])
+        assert self.move(fleet, self.lasting(fleet))
+
+    def test_a_lasting_task_stays_while_another_is_not_heard_of(self):
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3"])
+        job = self.lasting(fleet)
+        other = job.steps[0, 0][1].run.worker_id
+        assert not self.move(fleet, job, silent=(other,))
