--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -155,3 +155,19 @@
                     share -= min(task.run.percent, 95.0) / 100
             total += share * duration_s * step.cpu_milli / 1000
         return total
+
+    def slack_s(self, job, queue: _types.Queue) -> float:
+        """Returns the time that a job can lose and still be in time."""
+        durations = self.scheduler.durations
+        ends: list[float] = []
+        whole: list[float] = []
+        for number, step in enumerate(job.spec.steps):
+            duration_s = durations.predict_s(job.spec.queue, step)
+            left = any(job.left[key] for key in job.left if key[1] == number)
+            start_s = max((ends[i] for i in step.after), default=0.0)
+            ends.append(start_s + (duration_s if left else 0.0))
+            start_s = max((whole[i] for i in step.after), default=0.0)
+            whole.append(start_s + duration_s)
+        objective_s = self.objective_s(queue, max(whole))
+        waited_s = (self.scheduler.store_ms - job.submitted_ms) / 1000
+        return objective_s - waited_s - max(ends)
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -37,34 +37,21 @@
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is None:
             continue
-        slack_s = _slack_s(scheduler, job, queue)
+        slack_s = scheduler.admission.slack_s(job, queue)
         late = slack_s < 0
         keys.append((1, 2 * late + (not job.timely), slack_s, number, job))
     keys.sort(key=lambda key: key[:4])
     return [key[4] for key in keys]
 
 
-def _slack_s(scheduler, job: _job.Job, queue) -> float:
-    durations = scheduler.durations
-    ends: list[float] = []
-    whole: list[float] = []
-    for number, step in enumerate(job.spec.steps):
-        duration_s = durations.predict_s(job.spec.queue, step)
-        left = any(job.left[key] for key in job.left if key[1] == number)
-        start_s = max((ends[i] for i in step.after), default=0.0)
-        ends.append(start_s + (duration_s if left else 0.0))
-        start_s = max((whole[i] for i in step.after), default=0.0)
-        whole.append(start_s + duration_s)
-    objective_s = scheduler.admission.objective_s(queue, max(whole))
-    waited_s = (scheduler.store_ms - job.submitted_ms) / 1000
-    return objective_s - waited_s - max(ends)
-
-
 def _place_job(
     scheduler, job: _job.Job, workers: list[_worker.Worker], now_s: float
 ) -> list[_orders.WorkerOrder]:
     orders = []
     blocked = scheduler.inherited_blocked()
+    due = frozenset()
+    if job.spec.long_running:
+        due = frozenset(scheduler.upkeep.next_machines())
     for (occurrence, number), tasks in job.steps.items():
         if not job.left[occurrence, number]:
             continue
@@ -86,7 +73,7 @@
             orders += _place_gang(scheduler, tasks, waiting, workers, now_s)
             continue
         for task in waiting:
-            worker = choose_worker(task, workers)
+            worker = choose_worker(task, workers, due)
             if worker is None:
                 break
             orders.append(scheduler.start_order(worker, task, now_s))
@@ -145,12 +132,14 @@
 
 
 def choose_worker(
-    task: _job.Task, workers: list[_worker.Worker]
+    task: _job.Task,
+    workers: list[_worker.Worker],
+    due: frozenset[str] = frozenset(),
 ) -> _worker.Worker | None:
     """Returns the best worker with room for a task.
 
-    A lasting task goes where the fewest of its kind are, any other where the
-    least room is left over.
+    A lasting task goes where others are, off machines that are due for
+    upkeep; any other goes where the least room is left over.
     """
     spec = task.spec
     best = None
@@ -173,7 +162,17 @@
                 if run.task.spec.long_running
             ]
             opposed = sum(run.task.spec.fills != spec.fills for run in lasting)
-            key = (avoided, away, opposed, len(lasting), worker.cpu_used)
+            # Half of a step on one worker leaves others free to be moved.
+            crowded = 2 * _same_step(worker, task) >= spec.task_count
+            key = (
+                avoided,
+                worker.worker_id in due,
+                away,
+                opposed,
+                crowded,
+                -len(lasting),
+                worker.cpu_used,
+            )
         else:
             key = (avoided, away, -worker.cpu_used)
         if best is None or key < best_key:
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -18,16 +18,22 @@
 # Time over which arrivals are counted, in seconds.
 RATE_WINDOW_S = 1.0
 # Time in which a backlog should be done, in seconds: about the slack of a job.
-BACKLOG_S = 2.5
+BACKLOG_S = 2.0
+# A turn rises for some seconds, and a machine comes 2 s after it was asked
+# for, so room is made for more than what arrives now.
+RATE_HEADROOM = 1.1
+# Work of a job that will miss its objective by more is worth less than a
+# machine.
+LATE_SLACK_S = 0.3
 # Share of a machine that can be filled.
 FILL_SHARE = 0.9
 # Machines that a pool keeps beyond its need.
 SPARE_MACHINES = 1
 # Machines of a pool that lends to others at the least.
-LEAST_MACHINES = 2
+LEAST_MACHINES = 1
 # Time for which a machine must not have been needed before it is switched
 # off: a move costs as much as about a second of a machine.
-IDLE_S = 3.0
+IDLE_S = 2.0
 # Time after which a move that was accepted is forgotten.
 MOVE_LIMIT_S = 6.0
 # Most moves ordered in one plan.
@@ -71,6 +77,7 @@
         self.scheduler = scheduler
         self.moves: dict[str, Move] = {}
         self.refused: set[tuple[str, str]] = set()
+        self.noted_: dict[str, tuple[int, int]] = {}
         self.arrivals_: dict[str, collections.deque] = {}
         # When each pool last needed all of its machines.
         self.needed_s_: dict[tuple[str, int], float] = {}
@@ -101,6 +108,7 @@
             if pool not in standby
         }
         have = {pool: self.have_machines(pool) for pool in needs}
+        self._note_changes(needs, have, now_s)
         moves: list[Move] = []
         short = sorted(needs, key=lambda pool: have[pool] - needs[pool])
         for pool in short:
@@ -117,6 +125,22 @@
             moves += self._switch_off(needs, have, standby, now_s)
         return moves
 
+    def _note_changes(
+        self, needs: dict[str, int], have: dict[str, int], now_s: float
+    ) -> None:
+        for pool, need in needs.items():
+            if self.noted_.get(pool) == (need, have[pool]):
+                continue
+            self.noted_[pool] = (need, have[pool])
+            self.scheduler.note(
+                "pool_capacity",
+                pool=pool,
+                need=need,
+                have=have[pool],
+                rate_cores=round(self.rate_cores(pool, now_s), 1),
+                backlog_core_s=round(self._backlog_core_s(pool), 1),
+            )
+
     def _order(
         self, record: _types.MachineRecord, pool: str, now_s: float
     ) -> Move:
@@ -144,9 +168,9 @@
     def need_machines(self, pool: str, now_s: float) -> int:
         """Returns how many machines a pool needs for its demand."""
         scheduler = self.scheduler
-        timely, deferred = scheduler.admission.backlog_core_s(pool)
         cores = max(
-            self.rate_cores(pool, now_s), (timely + deferred) / BACKLOG_S
+            self.rate_cores(pool, now_s) * RATE_HEADROOM,
+            self._backlog_core_s(pool) / BACKLOG_S,
         )
         sizes = [
             worker.record.cpu_milli / 1000
@@ -158,6 +182,20 @@
         need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
         return max(LEAST_MACHINES, need)
 
+    def _backlog_core_s(self, pool: str) -> float:
+        """Returns the work left of jobs that can still be in time."""
+        scheduler = self.scheduler
+        total = 0.0
+        for job in scheduler.active.values():
+            if job.spec.long_running:
+                continue
+            queue = scheduler.configuration.queues.get(job.spec.queue)
+            if queue is None or queue.pool != pool:
+                continue
+            if scheduler.admission.slack_s(job, queue) > -LATE_SLACK_S:
+                total += scheduler.admission.work_left(job)
+        return total
+
     def _lasting_cores(self, pool: str) -> float:
         scheduler = self.scheduler
         total = 0
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -146,7 +146,7 @@
         first_ms = self.admission.first_seen_ms(spec.job_id, self.store_ms)
         job = _job.Job(spec, first_ms)
         job.timely = verdict.timely
-        self._note(
+        self.note(
             "job_accepted",
             job=spec.job_id,
             queue=spec.queue,
@@ -209,7 +209,7 @@
             if task.run is not None:
                 task.run.stopping = True
         self._touch(job)
-        self._note(
+        self.note(
             "job_ended", job=job.spec.job_id, state=state.value, reason=reason
         )
 
@@ -273,7 +273,7 @@
             worker.gone = False
             worker.fenced = False
         if record.draining and not worker.record.draining:
-            self._note("worker_draining", worker=record.worker_id)
+            self.note("worker_draining", worker=record.worker_id)
         worker.record = record
         worker.listed = True
 
@@ -317,7 +317,7 @@
         """Notes that another worker answers at a worker's address."""
         worker = self.workers.get(worker_id)
         if worker is not None and not worker.gone:
-            self._note("worker_replaced", worker=worker_id)
+            self.note("worker_replaced", worker=worker_id)
             worker.gone = True
             self.unfenced.discard(worker_id)
             self._lose_runs(worker, "worker replaced")
@@ -325,7 +325,7 @@
     def _restart(
         self, worker: _worker.Worker, born_ms: int, source: str
     ) -> None:
-        self._note(
+        self.note(
             "worker_restarted",
             worker=worker.worker_id,
             born_ms=born_ms,
@@ -352,7 +352,7 @@
         if run.task.run is run:
             run.task.run = None
         if not run.task.job.final:
-            self._note(
+            self.note(
                 "run_lost",
                 task=run.task.name,
                 run=run.run_id,
@@ -396,7 +396,7 @@
         job = task.job
         task.ended_s = now_s
         if end.how != "done" or end.run_id % 100 == 0:
-            self._note(
+            self.note(
                 "run_ended",
                 task=end.task,
                 run=end.run_id,
@@ -441,7 +441,7 @@
         task.failures += 1
         task.avoided |= {worker.worker_id}
         if worker.observe_failure(job.spec.job_id, now_s):
-            self._note("worker_quarantined", worker=worker.worker_id)
+            self.note("worker_quarantined", worker=worker.worker_id)
         if task.spec.long_running:
             return
         failures = task.failures
@@ -610,7 +610,7 @@
             run.confirmed = True
             run.clock_ms = result.clock_ms or worker.clock_ms
             return
-        self._note(
+        self.note(
             "start_refused",
             task=order.task,
             run=order.run_id,
@@ -657,7 +657,7 @@
 
     def _expire_leases(self, now_s: float) -> None:
         if self.unfenced and now_s > self.inherited_until_s:
-            self._note("workers_given_up", workers=sorted(self.unfenced))
+            self.note("workers_given_up", workers=sorted(self.unfenced))
             self.unfenced.clear()
         for worker_id, worker in list(self.workers.items()):
             over = now_s > worker.lease_end_s
@@ -708,7 +708,8 @@
         """Returns whether unseen runs of earlier tenures may exist."""
         return bool(self.unfenced)
 
-    def _note(self, name: str, **fields: object) -> None:
+    def note(self, name: str, **fields: object) -> None:
+        """Adds an event for the log."""
         self.events.append(Event(name, fields))
 
     def take_events(self) -> list[Event]:
