Count failed runs by their numbers

Ruled out: acknowledging before the store (a test shows it waits). Ends that a worker lists after its lease was over are not counted at all.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -165,7 +165,9 @@
             )  # fmt: skip
             self.scheduler.observe_worker(record, platform.boot_time_s())
             self.scheduler.observe_unlisted(worker_id)
-            self.scheduler.workers[worker_id].enrolled = True
+            worker = self.scheduler.workers[worker_id]
+            worker.born_ms = born_ms
+            worker.enrolled = True
             self.scheduler.unfenced.add(worker_id)
 
     # Workers.
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -58,7 +58,7 @@
         occurrence: Number of the occurrence.
         step: Index of the step.
         index: Index within the step.
-        failures: Runs that ended as failed.
+        failed_runs: Numbers of the runs that ended as failed.
         done: Whether a run ended as done.
         run: The run that may exist; `None` if there is certainly none.
         last_run: Highest run number used.
@@ -73,7 +73,7 @@
     occurrence: int
     step: int
     index: int
-    failures: int = 0
+    failed_runs: frozenset[int] = frozenset()
     done: bool = False
     run: Run | None = None
     last_run: int = 0
@@ -83,6 +83,11 @@
     inherited: bool = False
     ended_s: float = -1e9
 
+    @property
+    def failures(self) -> int:
+        """How many runs ended as failed."""
+        return len(self.failed_runs)
+
     @property
     def spec(self) -> _types.StepSpec:
         """The step that the task belongs to."""
@@ -200,9 +205,11 @@
         if done:
             progress["done"] = done
         failures = {
-            f"{task.occurrence}.{task.step}.{task.index}": task.failures
+            f"{task.occurrence}.{task.step}.{task.index}": sorted(
+                task.failed_runs
+            )
             for task in self.tasks()
-            if task.failures and not task.done
+            if task.failed_runs and not task.done
         }
         if failures:
             progress["failures"] = failures
@@ -252,8 +259,9 @@
         for task in job.steps[occurrence, step]:
             if mask >> task.index & 1:
                 job.complete_task(task)
-    for key, count in content.get("failures", {}).items():
-        job.find_task(*map(int, key.split("."))).failures = count
+    for key, run_ids in content.get("failures", {}).items():
+        task = job.find_task(*map(int, key.split(".")))
+        task.failed_runs = frozenset(run_ids)
 
 
 def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -294,6 +294,10 @@
             if worker.born_ms:
                 self._restart(worker, report.born_ms, "report")
             worker.born_ms = report.born_ms
+        # Ends that it lists after its lease was over do not count.
+        worker.lapsed = 0 < worker.lease_end_s < now_s
+        if worker.lapsed:
+            self._lose_runs(worker, "lease over")
         worker.observe_clock(report.clock_ms, now_s)
         worker.heard_s = now_s
         worker.fenced = True
@@ -380,8 +384,11 @@
             if task.run is run:
                 task.run = None
             self._apply_end(worker, task, run, end, lapsed, now_s)
-        elif task is not None and task.inherited and task.run is None:
-            self._apply_end(worker, task, None, end, lapsed, now_s)
+        elif task is not None and not worker.lapsed:
+            # A run of an earlier tenure, or one that was given up here.
+            open_task = task.inherited and task.run is None
+            if open_task or end.how == "failed":
+                self._apply_end(worker, task, None, end, lapsed, now_s)
         worker.unsaved_ends.append((end.number, self.change))
 
     def _apply_end(
@@ -410,7 +417,8 @@
         if end.how == "done" and end.number > lapsed:
             worker.observe_success()
             self._apply_done(task, run, now_s)
-        elif end.how == "failed":
+        elif end.how == "failed" and end.run_id not in task.failed_runs:
+            task.failed_runs |= {end.run_id}
             self._apply_failure(worker, task, now_s)
 
     def _apply_done(
@@ -438,7 +446,6 @@
         self, worker: _worker.Worker, task: _job.Task, now_s: float
     ) -> None:
         job = task.job
-        task.failures += 1
         task.avoided |= {worker.worker_id}
         if worker.observe_failure(job.spec.job_id, now_s):
             self.note("worker_quarantined", worker=worker.worker_id)
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -36,6 +36,8 @@
         # When an order had no answer; a report after that clears it.
         self.doubted_s = -1e9
         self.lease_end_s = 0.0
+        # Whether its lease was over when it last reported.
+        self.lapsed = False
         self.processed = 0
         self.acknowledged = 0
         self.unsaved_ends: list[tuple[int, int]] = []
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -145,3 +145,55 @@
         job = self.lasting(fleet)
         other = job.steps[0, 0][1].run.worker_id
         assert not self.move(fleet, job, silent=(other,))
+
+
+class TestAttempts:
+
+    def take_over(self, fleet, job):
+        """Returns a fleet of the next tenure with the same workers."""
+        successor = scheduling_fixtures.Fleet([], tenure=1, max_attempts=3)
+        successor.now_s = fleet.now_s + 1
+        successor.running, successor.ended = fleet.running, fleet.ended
+        successor.scheduler.load_job(JOB, job.encode(), 1)
+        for worker_id in fleet.running:
+            record = scheduling_fixtures.record(worker_id)
+            successor.scheduler.observe_worker(record, successor.now_s)
+        for worker_id in fleet.running:
+            successor.report(worker_id)
+            successor.scheduler.workers[worker_id].enrolled = True
+        return successor
+
+    def test_a_failure_that_is_stored_is_not_counted_again(self):
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.end(order.worker_id, order.task, order.run_id, "failed")
+        successor = self.take_over(fleet, job)
+        (task,) = successor.scheduler.jobs[JOB].tasks()
+        assert task.failures == 1
+
+    def test_a_failure_that_is_not_stored_is_counted_beside_a_new_run(self):
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fresh = job.encode()
+        fleet.end(order.worker_id, order.task, order.run_id, "failed")
+        (again,) = fleet.accept(fleet.starts())
+        assert again.worker_id != order.worker_id
+        job.encode = lambda: fresh
+        fleet.running = dict(
+            sorted(fleet.running.items(), key=lambda item: not item[1])
+        )
+        successor = self.take_over(fleet, job)
+        (task,) = successor.scheduler.jobs[JOB].tasks()
+        assert task.run.run_id == again.run_id
+        assert task.failures == 1
+
+    def test_a_failure_listed_after_the_lease_is_over_does_not_count(self):
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.advance(8, silent=(order.worker_id,))
+        fleet.end(order.worker_id, order.task, order.run_id, "failed")
+        (task,) = job.tasks()
+        assert task.failures == 0
