Shorten leases and lapses; take over at once after an own restart

Cause: after all machines were killed nobody decided until the dead holder's heartbeat lapsed, and followers looked at it every 1.1 s only.

--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -82,6 +82,7 @@
         status = {
             "accepted": 200,
             "rejected": 429,
+            "refused": 503,
             "unavailable": 503,
             "unknown": 504,
             "invalid": 400,
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -15,7 +15,7 @@
 from baobabdoor.dispatch import _waves
 
 # How long a hold waits for an end.
-HOLD_WAIT_MS = 1000
+HOLD_WAIT_MS = 700
 # Pause between two holds of one worker, so that ends come in batches.
 HOLD_PAUSE_S = 0.02
 # Time that a hold waits for the store before ends are asked for again.
@@ -217,7 +217,7 @@
         wait_ms = 0 if unsaved else HOLD_WAIT_MS
         processed = worker.processed
         order = self.scheduler.hold_order(
-            worker, wait_ms, platform.boot_time_s()
+            worker, wait_ms, platform.boot_time_s(), self.certain()
         )
         result = await self.workers.hold(order)
         now_s = platform.boot_time_s()
@@ -320,13 +320,20 @@
         """Accepts a job and stores it.
 
         Returns:
-            `None` once the job is stored, a rejection, or a refusal with
-            `UNKNOWN_RESULT` if it may yet be stored.
+            `None` once the job is stored, a rejection, or a refusal:
+            `UNKNOWN_RESULT` if it may yet be stored, `NOT_HOLDER` or
+            `PLATFORM_UNAVAILABLE` if it never is.
         """
         self._update_clocks()
         now_s = platform.boot_time_s()
         if self.committer.releasing or self.ended:
             return base.Refusal(base.Reason.NOT_HOLDER, "controller.submit")
+        known = spec.job_id in self.scheduler.jobs
+        if not known and not self.committer.reachable:
+            # Nothing was written, so it is true that the job never runs.
+            return base.Refusal(
+                base.Reason.PLATFORM_UNAVAILABLE, "controller.submit"
+            )
         result = self.scheduler.submit(spec, now_s)
         if isinstance(result, scheduling.Rejection):
             LOG.info(
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -29,7 +29,7 @@
     """Result of a caller's request.
 
     Attributes:
-        kind: `accepted`, `rejected`, `unknown`, `invalid`, `no-queue`,
+        kind: `accepted`, `rejected`, `refused`, `unknown`, `invalid`, `no-queue`,
             `no-job`, `state`, `pending`, `unavailable` or `not-holder`.
         retry_after_s: When to come back; 0 if that is not said.
         value: State of the job or number of jobs.
@@ -105,7 +105,9 @@
             if outcome.kind == "unknown":
                 sent = True
             elif outcome.kind not in ("unavailable", "not-holder"):
-                return outcome
+                # An earlier question may yet be answered with success.
+                doubtful = sent and outcome.kind in ("rejected", "refused")
+                return Outcome("unknown") if doubtful else outcome
             waited_s = loop.time() - started_s
             if not sent and waited_s > HOLDER_WAIT_S:
                 return UNAVAILABLE
@@ -230,4 +232,6 @@
 def _unknown_or_elsewhere(refusal: base.Refusal) -> Outcome:
     if refusal.reason is base.Reason.NOT_HOLDER:
         return Outcome("not-holder")
+    if refusal.reason is base.Reason.PLATFORM_UNAVAILABLE:
+        return Outcome("refused", 1, detail=str(refusal))
     return Outcome("unknown", detail=str(refusal))
--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -26,13 +26,14 @@
 HEARTBEAT_S = 0.5
 # An unchanged heartbeat of this age, on the store's clock, ends a tenure:
 # above two heartbeats that each take as long as a slow store needs.
-LAPSE_MS = 2200
+LAPSE_MS = 1800
 # A follower that heard nothing from the store for so long starts anew to
 # count the age of the heartbeat.
 GAP_MS = 1300
-# Time since the last confirmed heartbeat for which a holder may start runs.
-START_LIMIT_S = 4.0
-FEED_WAIT_S = 0.9
+# Time since the last confirmed heartbeat for which a holder may start runs
+# and extend leases; an outage of the store for some seconds is outlived.
+START_LIMIT_S = 3.0
+FEED_WAIT_S = 0.4
 FEED_PAUSE_S = 0.2
 # Largest random delay of a candidate, in seconds.
 CANDIDATE_SPREAD_S = 0.08
@@ -142,16 +143,25 @@
     def _consider(self, store_ms: float) -> None:
         if self.campaigning or not self.eligible():
             return
-        vacant = self.current is None
-        if self.is_self(self.current):
-            # The record of a tenure that this process did not learn to have
-            # won; it is taken anew under a higher token.
-            vacant = True
+        vacant = self.current is None or self._is_own_past(self.current)
         age_ms = store_ms - self.unchanged_since_ms
         if vacant or age_ms > LAPSE_MS:
             self.campaigning = True
             asyncio.ensure_future(self._campaign(age_ms, vacant))
 
+    def _is_own_past(self, holder: Holder) -> bool:
+        """Returns whether a record can have no living holder but this one.
+
+        It names an earlier process on this machine, or a tenure that this
+        process did not learn to have won, which is taken anew under a higher
+        token.
+        """
+        same_machine = (holder.node, holder.address) == (
+            self.node,
+            self.address,
+        )
+        return same_machine or self.is_self(holder)
+
     async def _campaign(self, age_ms: float, vacant: bool) -> None:
         try:
             order = zlib.crc32(self.node.encode()) % 7 / 7
@@ -159,7 +169,7 @@
                 CANDIDATE_SPREAD_S * (order + random.random()) / 2
             )
             taken = self.current is not None
-            if taken and vacant and not self.is_self(self.current):
+            if taken and vacant and not self._is_own_past(self.current):
                 return
             await self._take(age_ms)
         finally:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -20,7 +20,7 @@
 RUNS_PER_TENURE = 1000
 # Lease that every call to a worker asks for: longer than a change of the
 # holder takes, shorter than the platform's longest.
-LEASE_S = 4.5
+LEASE_S = 3.6
 # Time after which a stop without an answer is repeated.
 STOP_RETRY_S = 0.4
 # Pause before a task is tried again where a worker had no room or was ill.
@@ -545,14 +545,27 @@
     # Orders.
 
     def hold_order(
-        self, worker: _worker.Worker, wait_ms: int, now_s: float
+        self,
+        worker: _worker.Worker,
+        wait_ms: int,
+        now_s: float,
+        may_extend: bool = True,
     ) -> _orders.HoldOrder:
-        """Returns the next hold of a worker."""
+        """Returns the next hold of a worker.
+
+        Args:
+            worker: The worker.
+            wait_ms: How long the answer waits for an end.
+            now_s: Current time.
+            may_extend: Whether the tenure is certain enough to keep runs
+                alive that a successor must know to end.
+        """
         until_ms = 0
         # A worker that does not answer gets no longer lease, so that the end
         # of its runs becomes certain.
         silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
-        if worker.fenced and worker.clock_ms and not silent:
+        known = worker.fenced and worker.clock_ms
+        if may_extend and known and not silent:
             until_ms = worker.lease_until_ms(now_s, LEASE_S)
         return _orders.HoldOrder(
             worker_id=worker.worker_id,
