Retire workers whose machine was moved; make room before a lasting task moves

Cause: after each takeover, workers that had been moved or taken to upkeep stood in the roster, did not answer and held up all inherited work for the whole bound (7 s). A lasting task was stopped although its step allowed no other worker, so it never came back and its machine's upkeep was missed.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -118,6 +118,7 @@
                     record.pool,
                     record.zone,
                     worker.born_ms,
+                    record.machine,
                 ]
         return wanted
 
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -158,9 +158,9 @@
         self.committer.roster.version = row.version
         self.committer.roster.content = row.value
         for worker_id, entry in json.loads(row.value).items():
-            address, pool, zone, born_ms = entry
+            address, pool, zone, born_ms, machine = entry
             record = scheduling.WorkerRecord(
-                worker_id, address, pool, zone, "", False, born_ms, 0, 0, 0,
+                worker_id, address, pool, zone, machine, False, born_ms, 0, 0, 0,
                 frozenset(),
             )  # fmt: skip
             self.scheduler.observe_worker(record, platform.boot_time_s())
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -53,11 +53,7 @@
     if job.spec.long_running:
         due = frozenset(scheduler.upkeep.next_machines())
     for (occurrence, number), tasks in job.steps.items():
-        if not job.left[occurrence, number]:
-            continue
-        if not job.step_ready(occurrence, number):
-            continue
-        if not _due(scheduler, job, occurrence):
+        if not _turn_has_come(scheduler, job, occurrence, number):
             continue
         waiting = [
             task
@@ -75,11 +71,23 @@
         for task in waiting:
             worker = choose_worker(task, workers, due)
             if worker is None:
+                if task.spec.long_running:
+                    scheduler.crowded_pools.add(workers[0].record.pool)
                 break
             orders.append(scheduler.start_order(worker, task, now_s))
     return orders
 
 
+def _turn_has_come(
+    scheduler, job: _job.Job, occurrence: int, step: int
+) -> bool:
+    return (
+        job.left[occurrence, step] > 0
+        and job.step_ready(occurrence, step)
+        and _due(scheduler, job, occurrence)
+    )
+
+
 def _due(scheduler, job: _job.Job, occurrence: int) -> bool:
     if not job.spec.repeat_count:
         return True
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -180,6 +180,11 @@
         size = sum(sizes) / len(sizes) if sizes else 1.0
         lasting = self._lasting_cores(pool)
         need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
+        # The set is made anew by the plans until the next look.
+        crowded = pool in scheduler.crowded_pools
+        scheduler.crowded_pools.discard(pool)
+        if crowded:
+            need = max(need, self.have_machines(pool) + 1)
         return max(LEAST_MACHINES, need)
 
     def _backlog_core_s(self, pool: str) -> float:
@@ -329,6 +334,7 @@
         """
         if outcome == "accepted":
             move.phase = MovePhase.ACCEPTED
+            self.scheduler.retire_worker(move.worker_id, "moved")
             return
         if outcome == "unknown":
             # It may be carried out; what the list says later holds.
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -107,6 +107,8 @@
         self.admission = _admission.Admission(self)
         self.upkeep = _upkeep.Upkeep(self)
         self.relocation = _relocation.Relocation(self)
+        # Pools in which a lasting task found no place.
+        self.crowded_pools: set[str] = set()
         self.strays: dict[str, dict[tuple[str, int], float]] = {}
         self.change = 0
         self.dirty: dict[str, _job.Job] = {}
@@ -319,12 +321,16 @@
 
     def observe_wrong_worker(self, worker_id: str) -> None:
         """Notes that another worker answers at a worker's address."""
+        self.retire_worker(worker_id, "replaced")
+
+    def retire_worker(self, worker_id: str, reason: str) -> None:
+        """Notes that the life of a worker is certainly over."""
         worker = self.workers.get(worker_id)
         if worker is not None and not worker.gone:
-            self.note("worker_replaced", worker=worker_id)
+            self.note("worker_retired", worker=worker_id, reason=reason)
             worker.gone = True
             self.unfenced.discard(worker_id)
-            self._lose_runs(worker, "worker replaced")
+            self._lose_runs(worker, f"worker {reason}")
 
     def _restart(
         self, worker: _worker.Worker, born_ms: int, source: str
@@ -598,6 +604,13 @@
             task, task.last_run, worker.worker_id, now_s, progressed_s=now_s
         )
         task.run = run
+        self.note(
+            "run_ordered",
+            task=task.name,
+            run=run.run_id,
+            worker=worker.worker_id,
+            heard_ms=round((now_s - worker.heard_s) * 1000),
+        )
         task.inherited = False
         task.job.begun = True
         worker.add_run(run)
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -11,6 +11,7 @@
 import attrs
 
 from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
@@ -144,10 +145,26 @@
         """Notes the platform's list of machines."""
         self.machines = {record.machine: record for record in machines}
         self.listed_s = now_s
+        self._retire_replaced()
         for plan in self.plans.values():
             for due in plan.due.values():
                 self._observe_machine(due)
 
+    def _retire_replaced(self) -> None:
+        """Retires workers whose machine has begun another life."""
+        for worker in list(self.scheduler.workers.values()):
+            record = self.machines.get(worker.record.machine)
+            if record is None or record.worker_id == worker.worker_id:
+                continue
+            reborn = record.state is _types.MachineState.UP
+            if record.worker_id and reborn and not worker.fenced:
+                self.scheduler.retire_worker(worker.worker_id, "followed")
+            elif record.state in (
+                _types.MachineState.MOVING,
+                _types.MachineState.UPKEEP,
+            ):
+                self.scheduler.retire_worker(worker.worker_id, "down")
+
     def _observe_machine(self, due: Due) -> None:
         record = self.machines.get(due.machine)
         if record is None:
@@ -279,6 +296,14 @@
         for run in list(worker.runs.values()):
             movable = run.task.spec.long_running and not run.stopping
             if movable and may_move(self.scheduler, run.task, worker, now_s):
+                self.scheduler.note(
+                    "run_evacuated",
+                    task=run.task.name,
+                    run=run.run_id,
+                    worker=worker.worker_id,
+                    machine=due.machine,
+                    wave=plan.wave.number,
+                )
                 run.stopping = True
 
     def observe_order(
@@ -297,6 +322,7 @@
         due.order_pending = False
         if outcome == "accepted":
             due.phase = Phase.DOWN
+            self.scheduler.retire_worker(due.worker_id, "in upkeep")
         elif outcome in ("not-due", "invalid"):
             due.phase = Phase.DONE
         else:
@@ -321,13 +347,17 @@
     queue = scheduler.configuration.queues.get(task.job.spec.queue)
     if queue is None:
         return False
-    return any(
-        other is not worker
+    others = [
+        other
+        for other in scheduler.workers.values()
+        if other is not worker
         and other.record.pool == queue.pool
         and other.usable(now_s)
-        and other.fits(spec)
-        for other in scheduler.workers.values()
-    )
+    ]
+    if _placement.choose_worker(task, others) is None:
+        scheduler.crowded_pools.add(queue.pool)
+        return False
+    return True
 
 
 def at_work(scheduler, task: _job.Task, now_s: float) -> bool:
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -146,6 +146,41 @@
         other = job.steps[0, 0][1].run.worker_id
         assert not self.move(fleet, job, silent=(other,))
 
+    def test_a_lasting_task_stays_if_its_step_allows_no_other_worker(self):
+        fleet = scheduling_fixtures.Fleet(["w1", "w2"])
+        assert not self.move(fleet, self.lasting(fleet))
+        assert fleet.scheduler.crowded_pools == {scheduling_fixtures.POOL}
+
+
+class TestMachines:
+
+    def test_a_worker_whose_machine_was_moved_holds_nothing_up(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.scheduler.unfenced.add(order.worker_id)
+        fleet.scheduler.retire_worker(order.worker_id, "moved")
+        assert not fleet.scheduler.inherited_blocked()
+        (again,) = fleet.starts()
+        assert again.worker_id != order.worker_id
+
+    def test_a_worker_is_over_once_its_machine_is_in_upkeep(self):
+        fleet = scheduling_fixtures.Fleet([])
+        fleet.add_worker("w1", machine="m1")
+        fleet.scheduler.upkeep.observe_machines(
+            (
+                scheduling.MachineRecord(
+                    "m1",
+                    scheduling_fixtures.POOL,
+                    scheduling.MachineState.UPKEEP,
+                    "z",
+                    "",
+                ),
+            ),
+            fleet.now_s,
+        )
+        assert fleet.scheduler.workers["w1"].gone
+
 
 class TestAttempts:
 
