--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -30,7 +30,8 @@
 
     Attributes:
         kind: `accepted`, `rejected`, `refused`, `unknown`, `invalid`,
-            `no-queue`, `no-job`, `state`, `pending`, `unavailable` or `not-holder`.
+            `no-queue`, `no-job`, `state`, `pending`, `unavailable` or
+            `not-holder`.
         retry_after_s: When to come back; 0 if that is not said.
         value: State of the job or number of jobs.
         detail: Why, for logs.
