--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -159,10 +159,20 @@
         self.committer.roster.content = row.value
         for worker_id, entry in json.loads(row.value).items():
             address, pool, zone, born_ms, machine = entry
+            # Its room is unknown until it is listed.
             record = scheduling.WorkerRecord(
-                worker_id, address, pool, zone, machine, False, born_ms, 0, 0, 0,
-                frozenset(),
-            )  # fmt: skip
+                worker_id=worker_id,
+                address=address,
+                pool=pool,
+                zone=zone,
+                machine=machine,
+                draining=False,
+                born_ms=born_ms,
+                cpu_milli=0,
+                memory_mb=0,
+                gpus=0,
+                labels=frozenset(),
+            )
             self.scheduler.observe_worker(record, platform.boot_time_s())
             self.scheduler.observe_unlisted(worker_id)
             worker = self.scheduler.workers[worker_id]
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -21,6 +21,9 @@
 # Lease that every call to a worker asks for: longer than a change of the
 # holder takes, shorter than the platform's longest.
 LEASE_S = 3.6
+# Time for an order of the tenure before to arrive, and for the report that
+# shows its effect.
+SETTLE_S = 0.8
 # Time after which a stop without an answer is repeated.
 STOP_RETRY_S = 0.4
 # Pause before a task is tried again where a worker had no room or was ill.
@@ -98,6 +101,8 @@
         self.configuration = configuration
         self.options = options
         self.inherited_until_s = now_s + inherited_bound_s
+        # Until then a stop of an earlier tenure may be at work unseen.
+        self.settled_s = now_s + options.stop_timeout_s + SETTLE_S
         self.jobs: dict[str, _job.Job] = {}
         self.active: dict[str, _job.Job] = {}
         self.workers: dict[str, _worker.Worker] = {}
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -334,6 +334,8 @@
 ) -> bool:
     """Returns whether a lasting task may be stopped to run elsewhere."""
     spec = task.spec
+    if now_s < scheduler.settled_s:
+        return False
     if spec.max_unavailable is not None:
         away = sum(
             not at_work(scheduler, member, now_s)
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -3,6 +3,7 @@
 import scheduling_fixtures
 
 from baobabdoor import scheduling
+from baobabdoor.scheduling import _upkeep
 
 OUTCOMES = scheduling.OrderOutcome
 JOB = "00000000000000aa"
@@ -120,8 +121,6 @@
 class TestAvailability:
 
     def move(self, fleet, job, silent=()):
-        from baobabdoor.scheduling import _upkeep
-
         fleet.advance(0.5)
         fleet.advance(2.5, silent=silent)
         task = job.steps[0, 0][0]
@@ -146,6 +145,16 @@
         other = job.steps[0, 0][1].run.worker_id
         assert not self.move(fleet, job, silent=(other,))
 
+    def test_nothing_moves_while_an_earlier_holders_stop_may_be_at_work(self):
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3"])
+        job = self.lasting(fleet)
+        fleet.now_s += 0.3
+        for worker_id in fleet.running:
+            fleet.report(worker_id)
+        task = job.steps[0, 0][0]
+        worker = fleet.scheduler.workers[task.run.worker_id]
+        assert not _upkeep.may_move(fleet.scheduler, task, worker, fleet.now_s)
+
     def test_a_lasting_task_stays_if_its_step_allows_no_other_worker(self):
         fleet = scheduling_fixtures.Fleet(["w1", "w2"])
         assert not self.move(fleet, self.lasting(fleet))
