Size pools by the time that jobs have left

Cause: one large job counted with all its work in one second of arrivals and drew up to 32 machines.

--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -158,6 +158,11 @@
 
     def slack_s(self, job, queue: _types.Queue) -> float:
         """Returns the time that a job can lose and still be in time."""
+        left_s, chain_s = self.time_left_s(job, queue)
+        return left_s - chain_s
+
+    def time_left_s(self, job, queue: _types.Queue) -> tuple[float, float]:
+        """Returns the time to a job's objective and its longest chain left."""
         durations = self.scheduler.durations
         ends: list[float] = []
         whole: list[float] = []
@@ -170,4 +175,4 @@
             whole.append(start_s + duration_s)
         objective_s = self.objective_s(queue, max(whole))
         waited_s = (self.scheduler.store_ms - job.submitted_ms) / 1000
-        return objective_s - waited_s - max(ends)
+        return objective_s - waited_s, max(ends)
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -17,11 +17,12 @@
 
 # Time over which arrivals are counted, in seconds.
 RATE_WINDOW_S = 1.0
-# Time in which a backlog should be done, in seconds: about the slack of a job.
-BACKLOG_S = 2.0
-# A turn rises for some seconds, and a machine comes 2 s after it was asked
-# for, so room is made for more than what arrives now.
-RATE_HEADROOM = 1.1
+# Time from the order of a move to the first start on the machine, in seconds.
+MOVE_DELAY_S = 1.5
+# Shortest time over which the work of a job is spread, in seconds.
+LEAST_SPAN_S = 0.5
+# Part of the work that arrives for which room is made before it is late.
+RATE_WEIGHT = 1.1
 # Work of a job that will miss its objective by more is worth less than a
 # machine.
 LATE_SLACK_S = 0.3
@@ -138,7 +139,7 @@
                 need=need,
                 have=have[pool],
                 rate_cores=round(self.rate_cores(pool, now_s), 1),
-                backlog_core_s=round(self._backlog_core_s(pool), 1),
+                demand_cores=round(self._demand_cores(pool), 1),
             )
 
     def _order(
@@ -169,8 +170,8 @@
         """Returns how many machines a pool needs for its demand."""
         scheduler = self.scheduler
         cores = max(
-            self.rate_cores(pool, now_s) * RATE_HEADROOM,
-            self._backlog_core_s(pool) / BACKLOG_S,
+            self.rate_cores(pool, now_s) * RATE_WEIGHT,
+            self._demand_cores(pool),
         )
         sizes = [
             worker.record.cpu_milli / 1000
@@ -187,8 +188,12 @@
             need = max(need, self.have_machines(pool) + 1)
         return max(LEAST_MACHINES, need)
 
-    def _backlog_core_s(self, pool: str) -> float:
-        """Returns the work left of jobs that can still be in time."""
+    def _demand_cores(self, pool: str) -> float:
+        """Returns the cores that jobs need to end within their objectives.
+
+        Each job that can still be in time needs the work that it has left,
+        spread over the time that it has left when a machine could come.
+        """
         scheduler = self.scheduler
         total = 0.0
         for job in scheduler.active.values():
@@ -197,8 +202,10 @@
             queue = scheduler.configuration.queues.get(job.spec.queue)
             if queue is None or queue.pool != pool:
                 continue
-            if scheduler.admission.slack_s(job, queue) > -LATE_SLACK_S:
-                total += scheduler.admission.work_left(job)
+            left_s, chain_s = scheduler.admission.time_left_s(job, queue)
+            if left_s - chain_s > -LATE_SLACK_S:
+                span_s = max(left_s - MOVE_DELAY_S, chain_s, LEAST_SPAN_S)
+                total += scheduler.admission.work_left(job) / span_s
         return total
 
     def _lasting_cores(self, pool: str) -> float:
