--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -12,6 +12,7 @@
 from baobabdoor.scheduling import _orders
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _relocation
+from baobabdoor.scheduling import _stalls
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _upkeep
 from baobabdoor.scheduling import _worker
@@ -595,6 +596,8 @@
             may_start: Whether the tenure is certain enough to start runs.
         """
         self._expire_leases(now_s)
+        if may_start:
+            _stalls.give_up_stalled(self, now_s)
         orders = self._plan_stops(now_s)
         if may_start:
             orders += _placement.place(self, now_s)
--- /dev/null
+++ b/baobabdoor/scheduling/_stalls.py
@@ -0,0 +1,105 @@
+"""Finds runs that stand still or are far slower than expected."""
+
+from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _placement
+from baobabdoor.scheduling import _worker
+
+# Time without progress after which a run counts as standing still.
+STALL_S = 1.4
+# The same for a lasting task that has not come to work, in seconds.
+START_UP_S = 3.0
+# A report older than this says nothing about progress, in seconds.
+REPORT_AGE_S = 1.0
+# A run is given up if what it has left is so many times a whole new run.
+SLOW_FACTOR = 2.0
+# Progress from which a sibling's speed is judged, in percent.
+JUDGED_PERCENT = 10
+# Shortest time of a run before its speed is judged, and shortest rest for
+# which a new run pays, in seconds.
+JUDGED_S = 1.0
+LEAST_REST_S = 1.2
+
+
+def give_up_stalled(scheduler, now_s: float) -> None:
+    """Marks runs to be stopped so that their tasks start elsewhere."""
+    for worker in scheduler.workers.values():
+        if now_s - worker.heard_s > REPORT_AGE_S:
+            continue
+        for run in list(worker.runs.values()):
+            if run.stopping or not run.confirmed or run.task.spec.gang:
+                continue
+            reason = _stall_reason(scheduler, run, now_s)
+            if reason and _has_other_place(scheduler, run, worker, now_s):
+                _give_up(scheduler, worker, run, reason, now_s)
+
+
+def _stall_reason(scheduler, run: _job.Run, now_s: float) -> str:
+    quiet_s = now_s - run.progressed_s
+    if run.task.spec.long_running:
+        late = quiet_s > START_UP_S and run.percent < 100
+        return "not at work" if late else ""
+    if quiet_s > STALL_S:
+        return "no progress"
+    # The progress is as old as the report that showed it.
+    ran_s = run.progressed_s - run.started_s
+    if ran_s < JUDGED_S or run.percent <= 0:
+        return ""
+    rest_s = ran_s * (100 - run.percent) / run.percent
+    whole_s = _sibling_duration_s(run)
+    slow = whole_s and rest_s > max(LEAST_REST_S, SLOW_FACTOR * whole_s)
+    return "slow" if slow else ""
+
+
+def _sibling_duration_s(run: _job.Run) -> float:
+    """Returns how long the step's tasks take elsewhere; 0 if not known.
+
+    Tasks of one step take about the same time; those of different jobs do
+    not, so a long task is no sign of a slow worker.
+    """
+    task = run.task
+    durations = [
+        (sibling.run.progressed_s - sibling.run.started_s)
+        * 100
+        / sibling.run.percent
+        for sibling in task.job.steps[task.occurrence, task.step]
+        if sibling.run is not None
+        and sibling.run.worker_id != run.worker_id
+        and sibling.run.percent >= JUDGED_PERCENT
+    ]
+    return min(durations, default=0.0)
+
+
+def _has_other_place(
+    scheduler, run: _job.Run, worker: _worker.Worker, now_s: float
+) -> bool:
+    others = [
+        other
+        for other in scheduler.workers.values()
+        if other is not worker
+        and other.record.pool == worker.record.pool
+        and other.usable(now_s)
+        and other.worker_id not in run.task.avoided
+    ]
+    return _placement.choose_worker(run.task, others) is not None
+
+
+def _give_up(
+    scheduler,
+    worker: _worker.Worker,
+    run: _job.Run,
+    reason: str,
+    now_s: float,
+) -> None:
+    run.stopping = True
+    run.task.avoided |= {worker.worker_id}
+    scheduler.note(
+        "run_given_up",
+        task=run.task.name,
+        run=run.run_id,
+        worker=worker.worker_id,
+        reason=reason,
+        percent=run.percent,
+        ran_ms=round((now_s - run.started_s) * 1000),
+    )
+    if worker.observe_failure(run.task.job.spec.job_id, now_s):
+        scheduler.note("worker_quarantined", worker=worker.worker_id)
