Take a machine down only after its worker said that nothing runs there

The plan's row now names the worker, so that a successor tells a machine that came back from one still due.

--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -35,6 +35,7 @@
 from baobabdoor.scheduling._types import WorkerRecord
 from baobabdoor.scheduling._types import WorkerReport
 from baobabdoor.scheduling._upkeep import Due
+from baobabdoor.scheduling._upkeep import Phase
 from baobabdoor.scheduling._upkeep import UpkeepOrder
 from baobabdoor.scheduling._upkeep import WavePlan
 from baobabdoor.scheduling._worker import Worker
@@ -59,6 +60,7 @@
     "OrderOutcome",
     "OrderResult",
     "PaceOrder",
+    "Phase",
     "PoolSettings",
     "Queue",
     "Rejection",
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -87,7 +87,7 @@
     def encode(self) -> bytes:
         """Returns the content of the plan's row."""
         phases = {
-            due.machine: due.phase.value
+            due.machine: [due.phase.value, due.worker_id]
             for due in self.due.values()
             if due.phase in (Phase.INTENDED, Phase.DOWN, Phase.DONE)
         }
@@ -97,16 +97,15 @@
     def restore(self, value: bytes) -> None:
         """Takes over what an earlier tenure stored.
 
-        A machine whose order may have been given is ordered again, which
-        changes nothing if it was.
+        An intent may have been carried out; it counts as down until the list
+        of machines shows another worker or the order is given again.
         """
         content = json.loads(value)
         self.began_ms = content["began_ms"]
-        for machine, phase in content["machines"].items():
+        for machine, (phase, worker_id) in content["machines"].items():
             if machine in self.due:
                 self.due[machine].phase = Phase(phase)
-                if Phase(phase) is Phase.DOWN:
-                    self.due[machine].phase = Phase.INTENDED
+                self.due[machine].worker_id = worker_id
         self.note_saved(value)
 
     def note_saved(self, value: bytes) -> None:
@@ -170,12 +169,12 @@
         if record is None:
             # Removed for good; nothing is left to do.
             due.phase = Phase.DONE
-        elif (
-            due.phase is Phase.DOWN
-            and record.state is _types.MachineState.UP
-            and (record.worker_id != due.worker_id or not record.worker_id)
-        ):
-            due.phase = Phase.DONE
+        elif due.phase in (Phase.INTENDED, Phase.DOWN):
+            up = record.state is _types.MachineState.UP
+            renewed = record.worker_id != due.worker_id
+            switched_off = not record.worker_id and due.phase is Phase.DOWN
+            if up and (renewed or switched_off):
+                due.phase = Phase.DONE
 
     @property
     def active(self) -> bool:
@@ -215,7 +214,7 @@
                 intended = due.phase is Phase.INTENDED
                 stored = plan.saved.get(due.machine) is not None
                 ready = not due.order_pending and now_s >= due.retry_at_s
-                if intended and stored and ready:
+                if intended and stored and ready and self._is_empty(due, now_s):
                     due.order_pending = True
                     order = UpkeepOrder(due.machine, plan.wave.number)
                     orders.append((plan, due, order))
@@ -288,12 +287,12 @@
         return count < max(1, int(CLOSED_SHARE * len(peers)))
 
     def _empty(self, plan: WavePlan, due: Due, now_s: float) -> None:
-        worker = self.scheduler.workers.get(due.worker_id)
-        if worker is None or not worker.runs:
+        if self._is_empty(due, now_s):
             if plan.down() < plan.wave.maximum:
                 due.phase = Phase.INTENDED
             return
-        for run in list(worker.runs.values()):
+        worker = self.scheduler.workers.get(due.worker_id)
+        for run in list(worker.runs.values()) if worker else ():
             movable = run.task.spec.long_running and not run.stopping
             if movable and may_move(self.scheduler, run.task, worker, now_s):
                 self.scheduler.note(
@@ -306,6 +305,16 @@
                 )
                 run.stopping = True
 
+    def _is_empty(self, due: Due, now_s: float) -> bool:
+        """Returns whether nothing runs on a machine, as far as it said."""
+        if not due.worker_id:
+            return True
+        worker = self.scheduler.workers.get(due.worker_id)
+        if worker is None:
+            # Not listed: what an earlier tenure started there is over then.
+            return now_s > self.scheduler.inherited_until_s
+        return worker.gone or (worker.fenced and not worker.runs)
+
     def observe_order(
         self, plan: WavePlan, due: Due, outcome: str, now_s: float
     ) -> None:
--- /dev/null
+++ b/tests/test_scheduling_upkeep.py
@@ -0,0 +1,137 @@
+"""Tests of waves of upkeep: closing, emptying, orders and a new holder."""
+
+import scheduling_fixtures
+
+from baobabdoor import scheduling
+
+JOB = "00000000000000cc"
+UP = scheduling.MachineState.UP
+
+
+def machine(name, worker_id, state=UP, pool=scheduling_fixtures.POOL):
+    return scheduling.MachineRecord(name, pool, state, "z", worker_id)
+
+
+class Waves:
+    """A fleet of machines m1.. with workers w1.. under one wave."""
+
+    def __init__(self, count=3, maximum=1, tenure=0):
+        self.fleet = scheduling_fixtures.Fleet([], tenure=tenure)
+        self.names = [str(number) for number in range(1, count + 1)]
+        self.upkeep = self.fleet.scheduler.upkeep
+        self.fleet.now_s += 10
+        self.wave = scheduling.Wave(
+            1, tuple(f"m{name}" for name in self.names), 20.0, maximum
+        )
+
+    def start(self, report=True):
+        for name in self.names:
+            self.fleet.running.setdefault(f"w{name}", {})
+            self.fleet.ended.setdefault(f"w{name}", [])
+            record = scheduling_fixtures.record(f"w{name}", machine=f"m{name}")
+            self.fleet.scheduler.observe_worker(record, self.fleet.now_s)
+            if report:
+                self.report(name)
+        self.upkeep.observe_wave(self.wave)
+        self.list()
+
+    def report(self, name):
+        self.fleet.report(f"w{name}")
+        self.fleet.scheduler.workers[f"w{name}"].enrolled = True
+
+    def list(self, **changed):
+        records = {
+            f"m{name}": machine(f"m{name}", f"w{name}") for name in self.names
+        }
+        self.upkeep.observe_machines(
+            tuple((records | changed).values()), self.fleet.now_s
+        )
+
+    def plan(self, store=True):
+        orders = self.upkeep.plan(self.fleet.now_s)
+        if store:
+            for plan in self.upkeep.plans.values():
+                plan.note_saved(plan.encode())
+            orders += self.upkeep.plan(self.fleet.now_s)
+        return orders
+
+
+class TestOrders:
+
+    def test_an_empty_machine_goes_down_once_the_intent_is_stored(self):
+        waves = Waves()
+        waves.start()
+        assert not waves.plan(store=False)
+        ((_, due, order),) = waves.plan()
+        assert order.machine == due.machine
+
+    def test_no_more_than_the_maximum_are_down_or_intended(self):
+        waves = Waves(count=6, maximum=2)
+        waves.start()
+        assert len(waves.plan()) == 2
+        assert not waves.plan()
+
+    def test_an_order_without_an_answer_counts_as_down(self):
+        waves = Waves(count=3, maximum=1)
+        waves.start()
+        ((plan, due, _),) = waves.plan()
+        waves.upkeep.observe_order(plan, due, "unknown", waves.fleet.now_s)
+        assert plan.down() == 1
+        waves.fleet.now_s += 1
+        ((_, again, _),) = waves.plan()
+        assert again is due
+
+    def test_a_wave_is_completed_after_every_machine_came_back(self):
+        waves = Waves(count=1)
+        waves.start()
+        ((plan, due, _),) = waves.plan()
+        waves.upkeep.observe_order(plan, due, "accepted", waves.fleet.now_s)
+        waves.list(m1=machine("m1", "", scheduling.MachineState.UPKEEP))
+        assert not plan.completed
+        waves.list(m1=machine("m1", "w9"))
+        assert plan.completed
+
+
+class TestNewHolder:
+
+    def successor(self, phase, worker_id="w1"):
+        """Returns the waves of a new holder; its workers did not report."""
+        waves = Waves(count=1, tenure=1)
+        waves.start(report=False)
+        plan = waves.upkeep.plans[1]
+        due = plan.due["m1"]
+        due.phase, due.worker_id = phase, worker_id
+        content = plan.encode()
+        due.phase, due.worker_id = type(phase).WAITING, ""
+        plan.restore(content)
+        return waves, plan
+
+    def lasting(self, waves):
+        step = scheduling.StepSpec(1, cpu_milli=1000, long_running=True)
+        job = scheduling.Job(
+            scheduling.JobSpec(JOB, scheduling_fixtures.QUEUE, "", (step,)), 0
+        )
+        waves.fleet.scheduler.load_job(JOB, job.encode(), 1)
+        waves.fleet.running["w1"][f"{JOB}.0.0.0", 1] = 100
+
+    def test_a_worker_that_did_not_report_is_not_taken_for_empty(self):
+        waves = Waves(count=1, tenure=1)
+        waves.start(report=False)
+        self.lasting(waves)
+        assert not waves.plan()
+        waves.report("1")
+        assert not waves.plan()
+        assert waves.fleet.scheduler.workers["w1"].runs
+
+    def test_an_intent_is_not_carried_out_before_the_worker_reports(self):
+        waves, _ = self.successor(scheduling.Phase.INTENDED)
+        assert not waves.plan()
+        waves.report("1")
+        assert len(waves.plan()) == 1
+
+    def test_a_machine_that_is_down_is_not_ordered_again(self):
+        waves, plan = self.successor(scheduling.Phase.DOWN)
+        assert plan.down() == 1
+        assert not waves.plan()
+        waves.list(m1=machine("m1", "w9"))
+        assert plan.completed
