--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -27,6 +27,9 @@
 # An unchanged heartbeat of this age, on the store's clock, ends a tenure:
 # above two heartbeats that each take as long as a slow store needs.
 LAPSE_MS = 1800
+# The same after the store was away, in which case the holder tries to write
+# several times a second.
+RETURN_LAPSE_MS = 1100
 # A follower that heard nothing from the store for so long starts anew to
 # count the age of the heartbeat.
 GAP_MS = 1300
@@ -123,8 +126,12 @@
         gap = answer.store_ms - self.answered_ms > GAP_MS + FEED_WAIT_S * 1000
         self.answered_ms = answer.store_ms
         changed = any(row.key in (HOLDER_KEY, HEARTBEAT_KEY) for row in rows)
-        if changed or gap or whole or self.unchanged_since_ms is None:
+        if changed or self.unchanged_since_ms is None:
             self.unchanged_since_ms = answer.store_ms
+        elif gap or whole:
+            # The holder could not write either; it gets a shorter time.
+            since_ms = answer.store_ms - LAPSE_MS + RETURN_LAPSE_MS
+            self.unchanged_since_ms = max(self.unchanged_since_ms, since_ms)
         self._consider(answer.store_ms)
 
     def _observe_row(self, row: platform.StoredRow) -> None:
--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -86,6 +86,9 @@
         backlog, deferred = self.backlog_core_s(queue.pool)
         inputs = {
             "capacity_cores": round(capacity, 1),
+            "coming_cores": round(
+                self.scheduler.relocation.coming_cores(queue.pool), 1
+            ),
             "backlog_core_s": round(backlog, 1),
             "deferred_core_s": round(deferred, 1),
             "work_core_s": round(work, 1),
@@ -94,7 +97,9 @@
         }
         timely = left_s >= chain_s and backlog + work <= capacity * left_s
         late_s = objective_s * LATE_FACTOR - waited_s
-        need_s = (backlog + deferred + work) / max(capacity, 1.0)
+        coming = self.scheduler.relocation.coming_cores(queue.pool)
+        room = max(capacity, coming * USABLE_SHARE, 1.0)
+        need_s = (backlog + deferred + work) / room
         if timely or need_s + chain_s <= late_s:
             return Verdict(timely, None, inputs)
         retry_s = max(MIN_RETRY_S, int(need_s + chain_s - late_s))
@@ -156,10 +161,12 @@
             total += share * duration_s * step.cpu_milli / 1000
         return total
 
-    def slack_s(self, job, queue: _types.Queue) -> float:
-        """Returns the time that a job can lose and still be in time."""
+    def slacks_s(self, job, queue: _types.Queue) -> tuple[float, float]:
+        """Returns how long a job can wait to be in time, and to earn at all."""
         left_s, chain_s = self.time_left_s(job, queue)
-        return left_s - chain_s
+        waited_s = (self.scheduler.store_ms - job.submitted_ms) / 1000
+        late_s = (left_s + waited_s) * LATE_FACTOR - waited_s
+        return left_s - chain_s, late_s - chain_s
 
     def time_left_s(self, job, queue: _types.Queue) -> tuple[float, float]:
         """Returns the time to a job's objective and its longest chain left."""
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -26,7 +26,11 @@
 
 
 def _ranked(scheduler) -> list[_job.Job]:
-    """Returns active jobs: lasting ones, by least slack, late ones last."""
+    """Returns active jobs in the order in which they are served.
+
+    Lasting jobs come first, then those that were expected in time, those
+    that may yet be, those that still earn a part, and the rest.
+    """
     keys = []
     for number, job in enumerate(scheduler.active.values()):
         if job.stored_state is None:
@@ -37,9 +41,12 @@
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is None:
             continue
-        slack_s = scheduler.admission.slack_s(job, queue)
-        late = slack_s < 0
-        keys.append((1, 2 * late + (not job.timely), slack_s, number, job))
+        slack_s, late_slack_s = scheduler.admission.slacks_s(job, queue)
+        if slack_s >= 0:
+            keys.append((1, int(not job.timely), slack_s, number, job))
+        else:
+            worthless = late_slack_s < 0
+            keys.append((2, int(worthless), -slack_s, number, job))
     keys.sort(key=lambda key: key[:4])
     return [key[4] for key in keys]
 
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -173,12 +173,7 @@
             self.rate_cores(pool, now_s) * RATE_WEIGHT,
             self._demand_cores(pool),
         )
-        sizes = [
-            worker.record.cpu_milli / 1000
-            for worker in scheduler.workers.values()
-            if worker.record.cpu_milli
-        ]
-        size = sum(sizes) / len(sizes) if sizes else 1.0
+        size = self._machine_cores()
         lasting = self._lasting_cores(pool)
         need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
         # The set is made anew by the plans until the next look.
@@ -188,6 +183,20 @@
             need = max(need, self.have_machines(pool) + 1)
         return max(LEAST_MACHINES, need)
 
+    def _machine_cores(self) -> float:
+        """Returns the cores of a machine, on average."""
+        sizes = [
+            worker.record.cpu_milli / 1000
+            for worker in self.scheduler.workers.values()
+            if worker.record.cpu_milli
+        ]
+        return sum(sizes) / len(sizes) if sizes else 1.0
+
+    def coming_cores(self, pool: str) -> float:
+        """Returns the cores of the machines that a pool has or gets."""
+        lasting = self._lasting_cores(pool)
+        return self.have_machines(pool) * self._machine_cores() - lasting
+
     def _demand_cores(self, pool: str) -> float:
         """Returns the cores that jobs need to end within their objectives.
 
