Give a pool without usable workers a machine; keep replaced workers' machines due

A worker that does not answer gets no longer lease from the first failure on. Each has a test that failed before.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -248,6 +248,8 @@
             self.end(f"fenced by {worker.worker_id}")
         elif result.outcome is OUTCOMES.WRONG_WORKER:
             self.scheduler.observe_wrong_worker(worker.worker_id)
+        else:
+            self.scheduler.observe_silence(worker.worker_id, now_s)
         await asyncio.sleep(SILENT_PAUSE_S)
 
     # Orders.
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -15,12 +15,10 @@
     for worker in scheduler.workers.values():
         if worker.usable(now_s) and not scheduler.strays.get(worker.worker_id):
             pools.setdefault(worker.record.pool, []).append(worker)
-    if not pools:
-        return orders
     for job in _ranked(scheduler):
         queue = scheduler.configuration.queues.get(job.spec.queue)
-        workers = pools.get(queue.pool) if queue else None
-        if workers:
+        if queue is not None:
+            workers = pools.get(queue.pool, [])
             orders += _place_job(scheduler, job, workers, now_s)
     return orders
 
@@ -79,7 +77,8 @@
             worker = choose_worker(task, workers, due)
             if worker is None:
                 if task.spec.long_running:
-                    scheduler.crowded_pools.add(workers[0].record.pool)
+                    queue = scheduler.configuration.queues[job.spec.queue]
+                    scheduler.crowded_pools.add(queue.pool)
                 break
             orders.append(scheduler.start_order(worker, task, now_s))
     return orders
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -250,7 +250,9 @@
             return False
         # A worker that has not registered yet is about to.
         worker = self.scheduler.workers.get(record.worker_id)
-        return worker is None or (worker.listed and not worker.gone)
+        if worker is None:
+            return True
+        return worker.listed and not worker.gone and not worker.closed
 
     def _free_worker(
         self, record: _types.MachineRecord
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -325,6 +325,12 @@
             if name not in listed:
                 self._observe_missing(worker, run, report.clock_ms, now_s)
 
+    def observe_silence(self, worker_id: str, now_s: float) -> None:
+        """Notes that a worker did not answer."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.doubted_s = now_s
+
     def observe_wrong_worker(self, worker_id: str) -> None:
         """Notes that another worker answers at a worker's address."""
         self.retire_worker(worker_id, "replaced")
@@ -576,6 +582,7 @@
         # A worker that does not answer gets no longer lease, so that the end
         # of its runs becomes certain.
         silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
+        silent |= worker.heard_s <= worker.doubted_s
         known = worker.fenced and worker.clock_ms
         if may_extend and known and not silent:
             until_ms = worker.lease_until_ms(now_s, LEASE_S)
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -169,12 +169,19 @@
         if record is None:
             # Removed for good; nothing is left to do.
             due.phase = Phase.DONE
-        elif due.phase in (Phase.INTENDED, Phase.DOWN):
-            up = record.state is _types.MachineState.UP
-            renewed = record.worker_id != due.worker_id
-            switched_off = not record.worker_id and due.phase is Phase.DOWN
-            if up and (renewed or switched_off):
+        elif record.state is not _types.MachineState.UP:
+            return
+        elif due.phase is Phase.DOWN:
+            if record.worker_id != due.worker_id or not record.worker_id:
                 due.phase = Phase.DONE
+        elif (
+            due.phase in (Phase.CLOSING, Phase.INTENDED)
+            and record.worker_id != due.worker_id
+        ):
+            # The worker was replaced before an order that is known to have
+            # been taken; another order changes nothing if one was.
+            due.phase = Phase.CLOSING
+            due.worker_id = record.worker_id
 
     @property
     def active(self) -> bool:
--- /dev/null
+++ b/tests/test_scheduling_relocation.py
@@ -0,0 +1,79 @@
+"""Tests of moves of machines between pools."""
+
+import scheduling_fixtures
+
+from baobabdoor import scheduling
+
+JOB = "00000000000000dd"
+POOL = scheduling_fixtures.POOL
+UP = scheduling.MachineState.UP
+
+
+class Pools:
+    """A pool with machines m1.. and a pool that is switched off."""
+
+    def __init__(self, count=2, spare=3):
+        self.fleet = scheduling_fixtures.Fleet([], standby=("off",))
+        self.scheduler = self.fleet.scheduler
+        self.machines = []
+        for number in range(1, count + 1):
+            name = f"w{number}"
+            self.fleet.add_worker(name, machine=f"m{number}")
+            self.add(f"m{number}", POOL, name)
+        for number in range(spare):
+            self.add(f"s{number}", "off", "")
+        self.list()
+
+    def add(self, machine, pool, worker_id, state=UP):
+        self.machines.append(
+            scheduling.MachineRecord(machine, pool, state, "z", worker_id)
+        )
+
+    def list(self):
+        self.scheduler.upkeep.observe_machines(
+            tuple(self.machines), self.fleet.now_s
+        )
+
+    def moves(self):
+        return self.scheduler.relocation.plan(self.fleet.now_s)
+
+
+class TestDemand:
+
+    def test_no_machine_moves_without_demand(self):
+        assert not Pools().moves()
+
+    def test_machines_come_for_work_that_the_pool_cannot_do_in_time(self):
+        pools = Pools()
+        step = scheduling.StepSpec(40, cpu_milli=1000, estimate_ms=1000)
+        pools.fleet.submit(JOB, [step])
+        moves = pools.moves()
+        assert {move.pool for move in moves} == {POOL}
+        assert all(move.machine.startswith("s") for move in moves)
+
+    def test_machines_that_are_not_needed_are_switched_off(self):
+        pools = Pools(count=4)
+        assert not pools.moves()
+        pools.fleet.advance(3)
+        assert {move.pool for move in pools.moves()} == {"off"}
+
+
+class TestLastingTasks:
+
+    def lasting(self, pools, count=1):
+        step = scheduling.StepSpec(count, cpu_milli=1000, long_running=True)
+        pools.fleet.submit(JOB, [step])
+
+    def test_a_pool_without_a_usable_worker_gets_a_machine(self):
+        pools = Pools(count=1)
+        pools.fleet.scheduler.workers["w1"].closed = True
+        self.lasting(pools)
+        assert not pools.fleet.starts()
+        assert [move.pool for move in pools.moves()] == [POOL]
+
+    def test_a_machine_that_is_being_emptied_does_not_count(self):
+        pools = Pools(count=2)
+        relocation = pools.scheduler.relocation
+        assert relocation.have_machines(POOL) == 2
+        pools.scheduler.workers["w1"].closed = True
+        assert relocation.have_machines(POOL) == 1
--- a/tests/test_scheduling_upkeep.py
+++ b/tests/test_scheduling_upkeep.py
@@ -135,3 +135,10 @@
         assert not waves.plan()
         waves.list(m1=machine("m1", "w9"))
         assert plan.completed
+
+    def test_a_machine_with_another_worker_is_still_due_before_the_order(self):
+        waves, plan = self.successor(scheduling.Phase.INTENDED)
+        waves.list(m1=machine("m1", "w9"))
+        assert not plan.completed
+        assert plan.due["m1"].phase is scheduling.Phase.CLOSING
+        assert plan.due["m1"].worker_id == "w9"
