--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -28,7 +28,17 @@
         self.gateway = gateway
 
     async def serve(self, request: transport.Request) -> transport.Reply:
-        """Answers one request."""
+        """Answers one request and measures how long that took."""
+        started_s = platform.boot_time_s()
+        reply = await self._serve(request)
+        self.daemon.metrics.observe(
+            "caller_request_seconds",
+            platform.boot_time_s() - started_s,
+            {"method": request.method},
+        )
+        return reply
+
+    async def _serve(self, request: transport.Request) -> transport.Reply:
         configuration = self.daemon.configuration
         if configuration is None:
             return transport.Reply(503, headers=RETRY.format(1))
--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -56,6 +56,7 @@
         scheduler: Decides what is to be written.
         confirmed_s: When the tenure was last confirmed.
         lost: Called when the tenure has ended.
+        metrics: Takes the latency of transactions.
     """
 
     def __init__(
@@ -65,12 +66,14 @@
         scheduler: scheduling.Scheduler,
         confirmed_s: float,
         lost: Callable[[str], None],
+        metrics: observability.Metrics,
     ):
         self.store = store
         self.holder = holder
         self.scheduler = scheduler
         self.confirmed_s = confirmed_s
         self.lost = lost
+        self.metrics = metrics
         self.roster = Document(ROSTER_TABLE, ROSTER_KEY, b"{}")
         self.waves: dict[int, Document] = {}
         self.wanted = asyncio.Event()
@@ -201,6 +204,7 @@
 
     def _confirm(self, sent_s: float, heartbeat: bool) -> None:
         latency_s = platform.boot_time_s() - sent_s
+        self.metrics.observe("store_commit_seconds", latency_s)
         self.latency_s += 0.2 * (latency_s - self.latency_s)
         self.timeout_s = min(
             LONGEST_TIMEOUT_S,
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -64,7 +64,12 @@
             + INHERITED_SLACK_S,
         )
         self.committer = _commits.Committer(
-            self.store, holder, self.scheduler, confirmed_s, self.end
+            self.store,
+            holder,
+            self.scheduler,
+            confirmed_s,
+            self.end,
+            daemon.metrics,
         )
         self.wave_runner = _waves.WaveRunner(daemon, self)
         self.loaded = asyncio.Event()
@@ -288,6 +293,7 @@
             self.committer.wanted.set()
         for event in self.scheduler.take_events():
             LOG.info(event.name, **event.fields)
+            self.daemon.metrics.count("events_total", {"event": event.name})
         if self.scheduler.fenced_off:
             self.end("fenced by a worker")
 
@@ -298,8 +304,10 @@
         task.add_done_callback(self.sends.discard)
 
     async def _send(self, order: scheduling.WorkerOrder) -> None:
+        count = self.daemon.metrics.count
         if isinstance(order, scheduling.StartOrder):
             result = await self.workers.start(order)
+            count("run_starts_total", {"outcome": result.outcome.value})
             self.scheduler.observe_start(order, result, platform.boot_time_s())
         elif isinstance(order, scheduling.StopOrder):
             result = await self.workers.stop(order)
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -71,6 +71,11 @@
             self.servers.append(
                 transport.Server(settings.front_address, callers.serve)
             )
+        self.servers.append(
+            transport.Server(
+                f"{settings.ip}:{settings.metrics_port}", self._serve_metrics
+            )
+        )
         if settings.ready_address:
             self.servers.append(
                 transport.Server(settings.ready_address, self._serve_ready)
@@ -184,7 +189,30 @@
         if self.controller is controller:
             self.controller = None
 
-    # Readiness.
+    # Readiness and metrics.
+
+    async def _serve_metrics(
+        self, request: transport.Request
+    ) -> transport.Reply:
+        del request
+        self._observe_gauges()
+        body = observability.render_text(self.metrics)
+        return transport.Reply(200, body, content_type="text/plain")
+
+    def _observe_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge("configuration_version", self.version)
+        gauge("holder", int(self.controller is not None))
+        gauge("store_calls", self.store.calls_)
+        gauge("http_calls", self.client.calls_)
+        silent_s = platform.boot_time_s() - self.store.last_answer_s_
+        gauge("store_silent_seconds", min(silent_s, 1e6))
+        if self.controller is not None:
+            scheduler = self.controller.scheduler
+            gauge("jobs_active", len(scheduler.active))
+            gauge("jobs_unsaved", len(scheduler.dirty))
+            gauge("workers", len(scheduler.workers))
+            gauge("workers_unfenced", len(scheduler.unfenced))
 
     async def _serve_ready(self, request: transport.Request) -> transport.Reply:
         if request.path != platform.READY_PATH:
@@ -205,5 +233,7 @@
         settings = platform.load_settings(path)
     except platform.SettingsError as error:
         raise SystemExit(f"baobabdoor: {error}") from error
-    observability.configure_logs(settings.node)
+    observability.configure_logs(
+        settings.node, output=observability.BoundedWriter(1)
+    )
     asyncio.run(Daemon(settings).run())
--- a/baobabdoor/observability/_logs.py
+++ b/baobabdoor/observability/_logs.py
@@ -3,16 +3,20 @@
 import logging
 import sys
 from typing import Any
+from typing import TextIO
 
 import structlog
 
 
-def configure_logs(process: str, level: str = "info") -> None:
+def configure_logs(
+    process: str, level: str = "info", output: TextIO | None = None
+) -> None:
     """Sends one key=value line an event to standard error.
 
     Args:
         process: Identifier of the process, added to every line.
         level: Lowest level written. Default: `info`.
+        output: Stream that the lines go to. Default: standard error.
     """
     order = ["timestamp", "level", "event", "process"]
     structlog.configure(
@@ -26,7 +30,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(output or sys.stderr),
         cache_logger_on_first_use=True,
     )
     structlog.contextvars.bind_contextvars(process=process)
--- a/baobabdoor/observability/_metrics.py
+++ b/baobabdoor/observability/_metrics.py
@@ -5,6 +5,35 @@
 from aioprometheus import renderer
 from tornado import web
 
+# Upper bounds of the latency histograms, in seconds.
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
+
+class _LatencyHistogram(aioprometheus.Histogram):
+
+    def __init__(self, name: str, doc: str, registry=None):
+        super().__init__(
+            name, doc, registry=registry, buckets=list(LATENCY_BUCKETS_S)
+        )
+
+
+def render_text(metrics: "Metrics") -> bytes:
+    """Returns all metrics in the text format of Prometheus."""
+    content, _ = renderer.render(metrics.registry_, ["text/plain"])
+    return content
+
 
 class Metrics:
     """Creates collectors by name on first use and keeps them in one registry.
@@ -30,6 +59,12 @@
         """Sets a gauge."""
         self._collector(aioprometheus.Gauge, name).set(labels or {}, value)
 
+    def observe(
+        self, name: str, value: float, labels: dict[str, str] | None = None
+    ) -> None:
+        """Adds a value, in seconds, to a histogram of latencies."""
+        self._collector(_LatencyHistogram, name).observe(labels or {}, value)
+
     def _collector(self, kind: type, name: str) -> collectors.Collector:
         collector = self.collectors_.get(name)
         if collector is None:
--- a/baobabdoor/platform/_settings.py
+++ b/baobabdoor/platform/_settings.py
@@ -6,6 +6,8 @@
 import yaml
 
 VARIABLE = "BAOBABDOOR_CONFIG"
+# The port named under `metrics` in deploy/system.toml.
+METRICS_PORT = 9464
 
 
 class SettingsError(ValueError):
@@ -24,7 +26,7 @@
         front_address: Where callers connect; empty if not served.
         ready_address: Where the platform asks for readiness.
         internal_port: First port for traffic between daemons.
-        metrics_port: Port of the metrics.
+        metrics_port: Port of the metrics, at every path.
         store_address: The platform's store.
         machines_address: The platform's machine service; empty if none.
         advice_address: The service that advises on workers; empty if none.
@@ -133,7 +135,7 @@
         front_address=reader.get("listen.front", str, ""),
         ready_address=reader.get("listen.ready", str, ""),
         internal_port=ports[0],
-        metrics_port=ports[0] + 1,
+        metrics_port=METRICS_PORT,
         store_address=reader.get("platform.address", str),
         machines_address=reader.get("cloud-api.address", str, ""),
         advice_address=reader.get("advice", str, ""),
