--- /dev/null
+++ b/tests/test_scheduling_walks.py
@@ -0,0 +1,104 @@
+"""Random walks over model workers, and planted faults that they reject."""
+
+import pytest
+
+from baobabdoor.scheduling import _worker
+from baobabdoor.standin import _walk
+
+SECONDS = 40
+SEEDS = range(24)
+
+
+class TestWalks:
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_rule_is_broken(self, seed):
+        walk = _walk.Walk(seed)
+        assert not walk.run(SECONDS), f"seed {seed}"
+        assert walk.oracle.starts > 20
+
+
+def start_at_once(scheduler):
+    """Starts inherited tasks though workers were not heard of."""
+    scheduler.inherited_blocked = lambda: False
+
+
+def trust_no_lease(scheduler):
+    """Gives runs of a silent worker up before their lease is over."""
+    expire = scheduler._expire_leases
+
+    def hasty(now_s):
+        for worker in scheduler.workers.values():
+            if now_s - worker.heard_s > 0.5:
+                worker.lease_end_s = min(worker.lease_end_s, now_s - 0.1)
+                worker.heard_s = min(worker.heard_s, now_s - 10)
+        expire(now_s)
+
+    scheduler._expire_leases = hasty
+
+
+def forget_doubt(scheduler):
+    """Frees a run whose start had no answer without stopping it."""
+    observe = scheduler.observe_start
+
+    def hasty(order, result, now_s):
+        observe(order, result, now_s)
+        worker = scheduler.workers.get(order.worker_id)
+        run = worker.runs.get(order.task) if worker else None
+        if run is not None and run.doubtful:
+            scheduler._release(worker, run, "forgotten")
+
+    scheduler.observe_start = hasty
+
+
+def ignore_room(scheduler):
+    """Places more on a worker than there is room for."""
+    observe = scheduler.observe_worker
+
+    def larger(record, now_s):
+        observe(record, now_s)
+        worker = scheduler.workers[record.worker_id]
+        worker.fits = lambda spec: True
+
+    scheduler.observe_worker = larger
+
+
+def skip_steps(scheduler):
+    """Starts later steps before the earlier ones are done."""
+    submit = scheduler.submit
+
+    def hasty(spec, now_s):
+        job = submit(spec, now_s)
+        if hasattr(job, "step_ready"):
+            job.step_ready = lambda occurrence, step: True
+        return job
+
+    scheduler.submit = hasty
+
+
+PLANTED = {
+    "TWICE": (start_at_once, trust_no_lease, forget_doubt),
+    "LIMIT": (ignore_room,),
+    "ORDER": (skip_steps,),
+}
+
+
+class TestPlantedFaults:
+
+    @pytest.mark.parametrize(
+        ("rule", "plant"),
+        [(rule, plant) for rule, plants in PLANTED.items() for plant in plants],
+        ids=lambda value: getattr(value, "__name__", value),
+    )
+    def test_the_oracle_rejects_a_planted_fault(self, rule, plant):
+        for seed in range(120):
+            found = _walk.Walk(seed, plant).run(SECONDS)
+            if found and found[0].rule == rule:
+                return
+        pytest.fail(f"{plant.__name__} was not found in 120 walks")
+
+
+class TestClocks:
+
+    def test_a_bound_holds_for_the_slowest_clock(self):
+        assert _worker.CLOCK_SLOWNESS * 0.98 > 1.0
