--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -28,7 +28,8 @@
 WORKERS_WAIT_S = 1.0
 WORKERS_PAUSE_S = 0.25
 EXPIRY_INTERVAL_S = 20.0
-# Clock slack of the bound on runs that an earlier tenure may have started.
+# Clock slack of the bound on runs that an earlier tenure may have kept alive.
+# Its heartbeat is at least START_LIMIT_S old when it is replaced.
 INHERITED_SLACK_S = 0.2
 LOG = observability.get_logger("controller")
 OUTCOMES = scheduling.OrderOutcome
@@ -59,7 +60,8 @@
                 status_s=daemon.settings.status_s,
             ),
             now_s,
-            _tenure.START_LIMIT_S
+            _tenure.EXTEND_LIMIT_S
+            - _tenure.START_LIMIT_S
             + scheduling.LEASE_S * 1.025
             + INHERITED_SLACK_S,
         )
@@ -232,7 +234,10 @@
         wait_ms = 0 if unsaved else HOLD_WAIT_MS
         processed = worker.processed
         order = self.scheduler.hold_order(
-            worker, wait_ms, platform.boot_time_s(), self.certain()
+            worker,
+            wait_ms,
+            platform.boot_time_s(),
+            self._confirmed_age_s() < _tenure.EXTEND_LIMIT_S,
         )
         result = await self.workers.hold(order)
         now_s = platform.boot_time_s()
@@ -277,8 +282,10 @@
 
     def certain(self) -> bool:
         """Returns whether the tenure was confirmed a short time ago."""
-        age_s = platform.boot_time_s() - self.committer.confirmed_s
-        return age_s < _tenure.START_LIMIT_S
+        return self._confirmed_age_s() < _tenure.START_LIMIT_S
+
+    def _confirmed_age_s(self) -> float:
+        return platform.boot_time_s() - self.committer.confirmed_s
 
     def _plan(self) -> None:
         self.scheduler.configuration = self.daemon.configuration
--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -33,9 +33,13 @@
 # A follower that heard nothing from the store for so long starts anew to
 # count the age of the heartbeat.
 GAP_MS = 1300
-# Time since the last confirmed heartbeat for which a holder may start runs
-# and extend leases; an outage of the store for some seconds is outlived.
-START_LIMIT_S = 3.0
+# Time since the last confirmed heartbeat for which a holder may start runs:
+# shorter than a lapse, since a worker that restarts knows no fence, and a
+# holder that was replaced could start runs there again.
+START_LIMIT_S = 1.6
+# The same for extending leases, so that runs outlive an outage of the store
+# of some seconds.
+EXTEND_LIMIT_S = 3.0
 FEED_WAIT_S = 0.4
 FEED_PAUSE_S = 0.2
 # Largest random delay of a candidate, in seconds.
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -18,8 +18,14 @@
 MAX_ATTEMPTS = 3
 WORKERS = 6
 CPU_MILLI = 4000
-HEARTBEAT_LIMIT_S = 3.0
-INHERITED_BOUND_S = HEARTBEAT_LIMIT_S + scheduling.LEASE_S * 1.025 + 0.3
+# The limits of `dispatch._tenure`: a holder whose heartbeat is as old as a
+# lapse is replaced.
+START_LIMIT_S = 1.6
+EXTEND_LIMIT_S = 3.0
+LAPSE_S = 1.8
+INHERITED_BOUND_S = (
+    EXTEND_LIMIT_S - START_LIMIT_S + scheduling.LEASE_S * 1.025 + 0.2
+)
 OUTCOMES = scheduling.OrderOutcome
 
 
@@ -131,7 +137,7 @@
         self._hold_workers()
         if current and walk.store_up:
             self._commit()
-        certain = walk.now_s - self.confirmed_s < HEARTBEAT_LIMIT_S
+        certain = walk.now_s - self.confirmed_s < START_LIMIT_S
         for order in scheduler.plan(walk.now_s, certain):
             self._send(order)
         self.ended |= scheduler.fenced_off
@@ -147,7 +153,7 @@
 
     def _hold_workers(self) -> None:
         walk = self.walk
-        certain = walk.now_s - self.confirmed_s < HEARTBEAT_LIMIT_S
+        certain = walk.now_s - self.confirmed_s < EXTEND_LIMIT_S
         for worker in list(self.scheduler.workers.values()):
             if walk.now_s < self.next_hold_s.get(worker.worker_id, 0):
                 continue
@@ -276,6 +282,9 @@
 
     def change_holder(self) -> None:
         """Begins another tenure; the one before does not know."""
+        if self.holders:
+            before = self.holders[-1]
+            before.confirmed_s = min(before.confirmed_s, self.now_s - LAPSE_S)
         holder = Holder(self, self.tenures)
         if self.plant is not None:
             self.plant(holder.scheduler)
