--- a/baobabdoor/dispatch/_waves.py
+++ b/baobabdoor/dispatch/_waves.py
@@ -44,11 +44,12 @@
                 self.upkeep.plans[number].restore(content)
 
     async def _list_machines(self) -> None:
+        asked_s = platform.boot_time_s()
         answer = await self.daemon.machine_client.list_machines()
         if isinstance(answer, base.Refusal):
             LOG.warning("machines_not_listed", reason=str(answer))
             return
-        self.upkeep.observe_machines(answer, platform.boot_time_s())
+        self.upkeep.observe_machines(answer, platform.boot_time_s(), asked_s)
         self.controller.wake()
 
     def plan(self, now_s: float) -> None:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -270,7 +270,9 @@
         """Notes a worker's entry in the platform's list."""
         worker = self.workers.get(record.worker_id)
         if worker is None:
-            self.workers[record.worker_id] = _worker.Worker(record)
+            worker = _worker.Worker(record)
+            worker.known_s = now_s
+            self.workers[record.worker_id] = worker
             return
         moved = (
             worker.record.address != record.address
@@ -280,6 +282,7 @@
             self._restart(worker, record.born_ms, "list")
             worker.gone = False
             worker.fenced = False
+            worker.known_s = now_s
         if record.draining and not worker.record.draining:
             self.note("worker_draining", worker=record.worker_id)
         worker.record = record
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -139,24 +139,39 @@
             self.plans[wave.number] = WavePlan(wave, self.scheduler.store_ms)
 
     def observe_machines(
-        self, machines: tuple[_types.MachineRecord, ...], now_s: float
+        self,
+        machines: tuple[_types.MachineRecord, ...],
+        now_s: float,
+        asked_s: float,
     ) -> None:
-        """Notes the platform's list of machines."""
+        """Notes the platform's list of machines.
+
+        Args:
+            machines: The list.
+            now_s: When it came.
+            asked_s: When it was asked for; it may be as old as that.
+        """
         self.machines = {record.machine: record for record in machines}
         self.listed_s = now_s
-        self._retire_replaced()
+        self._retire_replaced(asked_s)
         for plan in self.plans.values():
             for due in plan.due.values():
                 self._observe_machine(due)
 
-    def _retire_replaced(self) -> None:
-        """Retires workers whose machine has begun another life."""
+    def _retire_replaced(self, asked_s: float) -> None:
+        """Retires workers whose machine has begun another life.
+
+        Of a worker that came or was heard of after the list was asked for,
+        the list may speak of the life before.
+        """
         for worker in list(self.scheduler.workers.values()):
+            if max(worker.known_s, worker.heard_s) >= asked_s:
+                continue
             record = self.machines.get(worker.record.machine)
             if record is None or record.worker_id == worker.worker_id:
                 continue
             reborn = record.state is _types.MachineState.UP
-            if record.worker_id and reborn and not worker.fenced:
+            if record.worker_id and reborn:
                 self.scheduler.retire_worker(worker.worker_id, "followed")
             elif record.state in (
                 _types.MachineState.MOVING,
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -32,6 +32,8 @@
         self.born_ms = 0
         self.clock_ms = 0
         self.clock_at_s = 0.0
+        # When this life of the worker was first listed, and last heard of.
+        self.known_s = 0.0
         self.heard_s = -1e9
         # When an order had no answer; a report after that clears it.
         self.doubted_s = -1e9
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -173,7 +173,8 @@
         (again,) = fleet.starts()
         assert again.worker_id != order.worker_id
 
-    def test_a_worker_is_over_once_its_machine_is_in_upkeep(self):
+    def list_in_upkeep(self, asked_s):
+        """Returns whether w1 counts as over after a list with its machine."""
         fleet = scheduling_fixtures.Fleet([])
         fleet.add_worker("w1", machine="m1")
         fleet.scheduler.upkeep.observe_machines(
@@ -186,9 +187,16 @@
                     "",
                 ),
             ),
-            fleet.now_s,
+            fleet.now_s + 2,
+            fleet.now_s + asked_s,
         )
-        assert fleet.scheduler.workers["w1"].gone
+        return fleet.scheduler.workers["w1"].gone
+
+    def test_a_worker_is_over_once_its_machine_is_in_upkeep(self):
+        assert self.list_in_upkeep(asked_s=1)
+
+    def test_a_list_asked_for_before_the_worker_came_does_not_end_it(self):
+        assert not self.list_in_upkeep(asked_s=-1)
 
 
 class TestAttempts:
--- a/tests/test_scheduling_upkeep.py
+++ b/tests/test_scheduling_upkeep.py
@@ -44,7 +44,9 @@
             f"m{name}": machine(f"m{name}", f"w{name}") for name in self.names
         }
         self.upkeep.observe_machines(
-            tuple((records | changed).values()), self.fleet.now_s
+            tuple((records | changed).values()),
+            self.fleet.now_s,
+            self.fleet.now_s,
         )
 
     def plan(self, store=True):
