--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -229,6 +229,20 @@
                 continue
             await self._hold(worker)
 
+    async def _look(self, worker_id: str) -> None:
+        """Asks what runs, without waiting for an end."""
+        worker = self.scheduler.workers.get(worker_id)
+        if worker is None:
+            return
+        now_s = platform.boot_time_s()
+        order = self.scheduler.hold_order(worker, 0, now_s, may_extend=False)
+        result = await self.workers.hold(order)
+        if isinstance(result, scheduling.WorkerReport):
+            self.scheduler.observe_report(
+                worker_id, result, platform.boot_time_s()
+            )
+            self.wake()
+
     async def _hold(self, worker: scheduling.Worker) -> None:
         unsaved = worker.processed > worker.acknowledged
         wait_ms = 0 if unsaved else HOLD_WAIT_MS
@@ -319,6 +333,8 @@
         elif isinstance(order, scheduling.StopOrder):
             result = await self.workers.stop(order)
             self.scheduler.observe_stop(order, result, platform.boot_time_s())
+            if result.outcome is OUTCOMES.ACCEPTED:
+                await self._look(order.worker_id)
         if result.outcome is not OUTCOMES.ACCEPTED:
             self.wake()
 
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -8,7 +8,7 @@
 from baobabdoor import transport
 
 # An order that takes longer is treated as unanswered.
-ORDER_TIMEOUT_S = 0.8
+ORDER_TIMEOUT_S = 0.45
 # Time added to a hold's own wait before it is given up.
 HOLD_GRACE_S = 0.6
 LOG = observability.get_logger("platform.workers")
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -305,6 +305,10 @@
             if worker.born_ms:
                 self._restart(worker, report.born_ms, "report")
             worker.born_ms = report.born_ms
+        elif report.clock_ms < worker.reported_ms:
+            # Answers on different connections may overtake each other.
+            return
+        worker.reported_ms = report.clock_ms
         # Ends that it lists after its lease was over do not count.
         worker.lapsed = 0 < worker.lease_end_s < now_s
         if worker.lapsed:
@@ -360,6 +364,7 @@
         self.strays.pop(worker.worker_id, None)
         worker.born_ms = born_ms
         worker.clock_ms = 0
+        worker.reported_ms = 0
         worker.lease_end_s = 0.0
         worker.processed = 0
         worker.acknowledged = 0
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -32,6 +32,8 @@
         self.born_ms = 0
         self.clock_ms = 0
         self.clock_at_s = 0.0
+        # The worker's clock in its newest report.
+        self.reported_ms = 0
         # When this life of the worker was first listed, and last heard of.
         self.known_s = 0.0
         self.heard_s = -1e9
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -249,3 +249,21 @@
         fleet.end(order.worker_id, order.task, order.run_id, "failed")
         (task,) = job.tasks()
         assert task.failures == 0
+
+
+class TestOvertaking:
+
+    def test_an_older_report_that_comes_later_changes_nothing(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        old = scheduling.WorkerReport(
+            5001,
+            1,
+            (scheduling.RunEntry(order.task, order.run_id, "", 10, 0.0),),
+            (),
+        )
+        fleet.now_s += 0.5
+        fleet.end("w1", order.task, order.run_id)
+        fleet.scheduler.observe_report("w1", old, fleet.now_s)
+        assert not fleet.scheduler.strays.get("w1")
