--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -299,16 +299,8 @@
     ) -> None:
         """Notes what a worker says of its runs."""
         worker = self.workers.get(worker_id)
-        if worker is None or report.born_ms < worker.born_ms:
+        if worker is None or not self._accept_report(worker, report):
             return
-        if report.born_ms != worker.born_ms:
-            if worker.born_ms:
-                self._restart(worker, report.born_ms, "report")
-            worker.born_ms = report.born_ms
-        elif report.clock_ms < worker.reported_ms:
-            # Answers on different connections may overtake each other.
-            return
-        worker.reported_ms = report.clock_ms
         # Ends that it lists after its lease was over do not count.
         worker.lapsed = 0 < worker.lease_end_s < now_s
         if worker.lapsed:
@@ -332,6 +324,22 @@
             if name not in listed:
                 self._observe_missing(worker, run, report.clock_ms, now_s)
 
+    def _accept_report(
+        self, worker: _worker.Worker, report: _types.WorkerReport
+    ) -> bool:
+        """Returns whether a report is of the newest life and not overtaken."""
+        if report.born_ms < worker.born_ms:
+            return False
+        if report.born_ms != worker.born_ms:
+            if worker.born_ms:
+                self._restart(worker, report.born_ms, "report")
+            worker.born_ms = report.born_ms
+        elif report.clock_ms < worker.reported_ms:
+            # Answers on different connections may overtake each other.
+            return False
+        worker.reported_ms = report.clock_ms
+        return True
+
     def observe_silence(self, worker_id: str, now_s: float) -> None:
         """Notes that a worker did not answer."""
         worker = self.workers.get(worker_id)
--- /dev/null
+++ b/baobabdoor/standin/_row_store.py
@@ -0,0 +1,97 @@
+"""The platform's store of rows in memory, with faults.
+
+Takes the place of `platform.StoreClient` in tests: versions, conditions,
+feeds, writes whose answer is lost and writes that land later.
+"""
+
+from baobabdoor import base
+from baobabdoor import platform
+
+
+class MemoryRowStore:
+    """Rows under conditions, with one counter of versions.
+
+    Attributes:
+        rows: Rows by table, part and key.
+        version: Newest version.
+        time_ms: The store's clock; tests set it.
+        reachable: Whether calls are answered.
+        lose_answers: How many of the next writes are done but not answered.
+        delayed: Writes that were not answered and are not done yet.
+        delay_writes: How many of the next writes are put off.
+    """
+
+    def __init__(self):
+        self.rows: dict[tuple[str, str, str], platform.StoredRow] = {}
+        self.version = 0
+        self.time_ms = 0.0
+        self.reachable = True
+        self.lose_answers = 0
+        self.delay_writes = 0
+        self.delayed: list[tuple] = []
+        self.last_answer_s_ = 0.0
+
+    def now_ms(self) -> float:
+        """Returns the store's clock."""
+        return self.time_ms
+
+    async def transact(self, puts=(), removes=(), expected=(), timeout_s=1.0):
+        """Applies changes if the expected versions hold."""
+        del timeout_s
+        if not self.reachable:
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
+        call = (list(puts), list(removes), list(expected))
+        if self.delay_writes:
+            self.delay_writes -= 1
+            self.delayed.append(call)
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
+        result = self._apply(*call)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
+        return result
+
+    def land_delayed(self) -> None:
+        """Carries out writes that were put off."""
+        for call in self.delayed:
+            self._apply(*call)
+        self.delayed.clear()
+
+    def _apply(self, puts, removes, expected):
+        current = [self.get(row.table, row.key, row.part) for row in expected]
+        if any(
+            now.version != row.version
+            for now, row in zip(current, expected, strict=True)
+        ):
+            return platform.Conflict(tuple(current))
+        self.version += 1
+        for row in puts:
+            key = (row.table, row.part, row.key)
+            self.rows[key] = platform.StoredRow(*key, row.value, self.version)
+        for row in removes:
+            self.rows.pop((row.table, row.part, row.key), None)
+        return platform.Commit(self.version)
+
+    def get(self, table: str, key: str, part: str) -> platform.StoredRow:
+        """Returns a row; version 0 if there is none."""
+        missing = platform.StoredRow(table, part, key)
+        return self.rows.get((table, part, key), missing)
+
+    async def read(self, table, part="", start="", timeout_s=1.0):
+        """Returns the rows of a part from a key on."""
+        del timeout_s
+        if not self.reachable:
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
+        rows = tuple(
+            row
+            for key, row in sorted(self.rows.items())
+            if key[:2] == (table, part) and key[2] >= start
+        )
+        return platform.RowSet(rows, self.version, self.time_ms)
+
+    async def read_all(self, table, part="", timeout_s=1.0):
+        """Returns all rows of a part."""
+        return await self.read(table, part, "", timeout_s)
+
+    def _refusal(self, reason: base.Reason) -> base.Refusal:
+        return base.Refusal(reason, "store", "memory")
--- /dev/null
+++ b/tests/test_dispatch_commits.py
@@ -0,0 +1,107 @@
+"""Tests of group commits: conditions, lost answers and the end of a tenure."""
+
+import asyncio
+
+import scheduling_fixtures
+
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor import scheduling
+from baobabdoor.dispatch import _commits
+from baobabdoor.dispatch import _tenure
+from baobabdoor.standin import _row_store
+
+JOB = "00000000000000ee"
+
+
+class Bench:
+    """A committer over a store in memory."""
+
+    def __init__(self):
+        self.store = _row_store.MemoryRowStore()
+        self.lost = []
+        self.fleet = scheduling_fixtures.Fleet(["w1"])
+        holder = _tenure.Holder("a", "a-1", "a:1", 0, False, 1)
+        self.put_holder(holder)
+        self.committer = _commits.Committer(
+            self.store,
+            holder,
+            self.fleet.scheduler,
+            platform.boot_time_s(),
+            self.lost.append,
+            observability.Metrics(),
+        )
+
+    def put_holder(self, holder):
+        self.store.version += 1
+        key = (_tenure.TABLE, _tenure.PART, _tenure.HOLDER_KEY)
+        self.store.rows[key] = platform.StoredRow(
+            *key, holder.encode(), self.store.version
+        )
+
+    def write(self):
+        return asyncio.run(self.committer._write())
+
+    def submit(self):
+        spec = scheduling.JobSpec(
+            JOB,
+            scheduling_fixtures.QUEUE,
+            "text",
+            (scheduling.StepSpec(1, cpu_milli=100),),
+        )
+        return self.fleet.scheduler.submit(spec, self.fleet.now_s)
+
+    def stored(self):
+        return self.store.get(_commits.JOBS_TABLE, JOB, _tenure.PART)
+
+
+class TestCommits:
+
+    def test_a_job_is_accepted_once_it_is_stored(self):
+        bench = Bench()
+        job = bench.submit()
+        assert job.stored_state is None
+        assert bench.write()
+        assert job.stored_state is scheduling.JobState.QUEUED
+        assert scheduling.decode_job(JOB, bench.stored().value, 1).spec.queue
+
+    def test_a_write_without_an_answer_is_settled_by_the_next(self):
+        bench = Bench()
+        job = bench.submit()
+        bench.store.lose_answers = 1
+        assert not bench.write()
+        assert job.stored_state is None
+        while not bench.write():
+            pass
+        assert job.stored_state is scheduling.JobState.QUEUED
+        assert bench.stored().version == job.row_version
+
+    def test_a_write_that_lands_late_does_not_undo_a_newer_one(self):
+        bench = Bench()
+        bench.submit()
+        bench.store.delay_writes = 1
+        assert not bench.write()
+        while not bench.write():
+            pass
+        bench.fleet.scheduler.cancel(JOB)
+        while not bench.write():
+            pass
+        bench.store.land_delayed()
+        job = scheduling.decode_job(JOB, bench.stored().value, 1)
+        assert job.state is scheduling.JobState.CANCELLED
+
+    def test_nothing_is_written_after_another_tenure_has_begun(self):
+        bench = Bench()
+        bench.put_holder(_tenure.Holder("b", "b-1", "b:1", 1, False, 0))
+        bench.submit()
+        assert not bench.write()
+        assert bench.lost
+        assert bench.stored().version == 0
+
+    def test_a_worker_is_used_after_the_store_names_it(self):
+        bench = Bench()
+        worker = bench.fleet.scheduler.workers["w1"]
+        worker.enrolled = False
+        assert not worker.usable(bench.fleet.now_s)
+        bench.write()
+        assert worker.usable(bench.fleet.now_s)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,203 @@
+"""Tests of the adapter to the users' platform."""
+
+import json
+import pathlib
+import re
+
+import pytest
+
+from baobabdoor import platform
+from baobabdoor import scheduling
+
+PACKAGE = pathlib.Path(__file__).parent.parent / "baobabdoor"
+# Names of the platform's wire that no other package may spell.
+WIRE_NAMES = re.compile(
+    r"/api/|rows-(tx|get|feed|parts)|run-(start|stop)|machine-(move|upkeep)"
+    r"|fencing-token|expected-rev|mem-mb|until-ms|last-seen|clock-ms|now-ms"
+    r"|X-Lease-Holder|X-Fencing-Token|X-Expected-Instance|X-Deadline-Ms"
+    r"|path-prefix|target-latency-ms|max-attempts|long-running|anti-affinity"
+    r"|next-page-token|duration-s|BAOBABDOOR_CONFIG|\"op\"|\"servers\""
+)
+
+WORKER = {
+    "service": "results",
+    "address": "10.0.0.9:8080",
+    "zone": "taal",
+    "machine": "m-1",
+    "state": "ready",
+    "born": 1_700_000_000_000,
+    "capacity": {"cpu": 16000, "mem-mb": 32768, "gpus": 1},
+    "labels": ["a", "r1-3"],
+    "seq": 4,
+}
+
+
+def encode(content):
+    return json.dumps(content).encode()
+
+
+class TestBoundary:
+
+    def test_only_the_adapter_spells_names_of_the_wire(self):
+        found = []
+        for path in PACKAGE.rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if WIRE_NAMES.search(line):
+                    found.append(f"{path.name}:{number}: {line.strip()}")
+        assert not found
+
+
+class TestWorkers:
+
+    def test_an_entry_is_decoded_into_the_products_names(self):
+        worker = platform.decode_worker("i-1", encode(WORKER))
+        assert worker.pool == "results"
+        assert worker.memory_mb == 32768
+        assert worker.labels == {"a", "r1-3"}
+        assert not worker.draining
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"state": "sleeping"},
+            {"address": 7},
+            {"address": "nowhere"},
+            {"service": None},
+            {"capacity": [1]},
+            {"capacity": {"cpu": "many"}},
+            {"zone": 1},
+        ],
+        ids=str,
+    )
+    def test_an_entry_of_another_writer_names_no_worker(self, change):
+        assert platform.decode_worker("i-1", encode(WORKER | change)) is None
+
+    @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", b"7"])
+    def test_bytes_that_cannot_be_read_name_no_worker(self, value):
+        assert platform.decode_worker("i-1", value) is None
+
+
+class TestJobs:
+
+    STEP = {
+        "count": 4,
+        "cpu": 500,
+        "mem-mb": 256,
+        "estimate-ms": 900,
+        "affinity": "r1-3",
+        "anti-affinity": 2,
+        "max-unavailable": 1,
+        "long-running": True,
+    }
+
+    def test_a_job_is_decoded_into_the_products_names(self):
+        body = encode({"spec": "text", "steps": [self.STEP]})
+        spec = platform.decode_job("0" * 16, "race", body)
+        (step,) = spec.steps
+        assert step.task_count == 4
+        assert step.data_rack == "r1-3"
+        assert step.max_per_worker == 2
+        assert step.max_unavailable == 1
+        assert spec.long_running
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            {"steps": []},
+            {"steps": [{"count": 1, "after": [0]}]},
+            {"steps": [{"count": "many"}]},
+            {"steps": [{"cpu": 1.5}]},
+            {"spec": 7, "steps": [{"count": 1}]},
+            {"spec": "x" * 5000, "steps": [{"count": 1}]},
+        ],
+        ids=str,
+    )
+    def test_a_job_of_another_form_is_an_error(self, body):
+        with pytest.raises(platform.MessageError):
+            platform.decode_job("0" * 16, "race", encode(body))
+
+
+class TestConfiguration:
+
+    def configuration(self):
+        content = {
+            "version": 7,
+            "routes": [
+                {
+                    "name": "a",
+                    "host": "H",
+                    "path-prefix": "/a/",
+                    "service": "p",
+                    "priority": 1,
+                    "max-attempts": 4,
+                    "stretch": 1.6,
+                    "target-latency-ms": 600,
+                    "timeout-ms": 3000,
+                },
+                {
+                    "name": "b",
+                    "host": "h",
+                    "path-prefix": "/a/b/",
+                    "service": "p",
+                },
+            ],
+            "services": [{"name": "p", "standby": True}],
+        }
+        return platform.decode_configuration(encode(content))
+
+    def test_the_longest_prefix_selects_the_queue(self):
+        configuration = self.configuration()
+        assert configuration.find_queue("h", "/a/b/1").name == "b"
+        assert configuration.find_queue("h", "/a/1").name == "a"
+        assert configuration.find_queue("other", "/a/1") is None
+        assert configuration.pools["p"].standby
+
+    def test_a_configuration_without_a_version_is_an_error(self):
+        with pytest.raises(platform.MessageError):
+            platform.decode_configuration(
+                encode({"routes": [], "services": []})
+            )
+
+
+class TestSettings:
+
+    TEXT = """
+node-name: edge-1
+ip: 10.0.0.1
+zone: taal
+zones: {taal: luzon}
+listen: {front: "10.0.0.1:80", ready: "10.0.0.1:81"}
+internal-port-range: [7060, 7075]
+bounds: {max-hold-ms: 6000, cancel_ms: 2500}
+platform: {address: "10.0.0.2:80"}
+something-new: 7
+"""
+
+    def test_units_are_converted_and_unknown_fields_ignored(self, tmp_path):
+        path = tmp_path / "boot.yaml"
+        path.write_text(self.TEXT)
+        settings = platform.load_settings(str(path))
+        assert settings.max_lease_s == pytest.approx(6.0)
+        assert settings.cancel_timeout_s == pytest.approx(2.5)
+        assert settings.store_address == "10.0.0.2:80"
+
+    def test_an_error_names_file_field_expected_and_found(self, tmp_path):
+        path = tmp_path / "boot.yaml"
+        path.write_text(self.TEXT.replace("ip: 10.0.0.1", "ip: 7"))
+        with pytest.raises(platform.SettingsError, match=r"boot.yaml: ip: .*7"):
+            platform.load_settings(str(path))
+
+
+class TestWaves:
+
+    def test_a_wave_is_decoded_and_its_state_encoded(self):
+        wave = platform.decode_wave(
+            encode(
+                {"wave": 1, "machines": ["m-1"], "duration-s": 20, "maximum": 2}
+            )
+        )
+        assert wave == scheduling.Wave(1, ("m-1",), 20.0, 2)
+        state = json.loads(platform.encode_wave_state(wave, True))
+        assert state == {"wave": 1, "state": "completed"}
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,68 @@
+"""Tests of HTTP between processes."""
+
+import asyncio
+
+from baobabdoor import base
+from baobabdoor import transport
+
+ADDRESS = "127.0.0.1:39417"
+
+
+class TestTransport:
+
+    def run(self, handle, story):
+        async def main():
+            server = transport.Server(ADDRESS, handle)
+            server.start()
+            client = transport.Client()
+            try:
+                await story(client)
+            finally:
+                server.stop()
+                client.forget(ADDRESS)
+
+        asyncio.run(main())
+
+    async def echo(self, request):
+        return transport.Reply(200, request.body, "X-Path: p\r\n")
+
+    def test_answers_come_over_one_kept_connection(self):
+        async def story(client):
+            for number in range(3):
+                body = f"{number}".encode()
+                answer = await client.fetch(ADDRESS, "POST", "/x", body)
+                assert (answer.status, answer.body) == (200, body)
+            assert len(client.peers_[ADDRESS].idle) == 1
+
+        self.run(self.echo, story)
+
+    def test_a_late_answer_is_unknown_and_closes_its_connection(self):
+        async def slow(request):
+            await asyncio.sleep(0.5)
+            return transport.Reply(200, request.body)
+
+        async def story(client):
+            answer = await client.fetch(
+                ADDRESS, "POST", "/x", b"a", timeout_s=0.1
+            )
+            assert answer.reason is base.Reason.UNKNOWN_RESULT
+            assert not client.peers_[ADDRESS].idle
+
+        self.run(slow, story)
+
+    def test_a_refused_connection_was_not_sent(self):
+        async def story(client):
+            answer = await client.fetch("127.0.0.1:1", "GET", "/")
+            assert answer.reason is base.Reason.CONNECTION_FAILED
+
+        self.run(self.echo, story)
+
+    def test_a_failing_handler_gives_an_error(self):
+        async def fail(request):
+            raise ValueError(request.path)
+
+        async def story(client):
+            answer = await client.fetch(ADDRESS, "GET", "/x")
+            assert answer.status == 500
+
+        self.run(fail, story)
