--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -229,6 +229,20 @@
                 continue
             await self._hold(worker)
 
+    async def _ask(self, question: scheduling.Question) -> None:
+        answer = await self.daemon.advice_client.ask(question)
+        tickets, valid_s = None, 0.0
+        if isinstance(answer, base.Refusal):
+            LOG.warning(
+                "advice_missing", step=question.step, reason=str(answer)
+            )
+        else:
+            tickets, valid_s = answer
+        self.scheduler.advice.observe(
+            question, tickets, valid_s, platform.boot_time_s()
+        )
+        self.wake()
+
     async def _look(self, worker_id: str) -> None:
         """Asks what runs, without waiting for an end."""
         worker = self.scheduler.workers.get(worker_id)
@@ -310,6 +324,8 @@
             self.wave_runner.plan(now_s)
         for order in self.scheduler.plan(now_s, may_start):
             self.spawn(self._send(order))
+        for question in self.scheduler.advice.take_questions():
+            self.spawn(self._ask(question))
         if self.scheduler.dirty:
             self.committer.wanted.set()
         for event in self.scheduler.take_events():
@@ -330,6 +346,9 @@
             result = await self.workers.start(order)
             count("run_starts_total", {"outcome": result.outcome.value})
             self.scheduler.observe_start(order, result, platform.boot_time_s())
+        elif isinstance(order, scheduling.PaceOrder):
+            result = await self.workers.pace(order)
+            self.scheduler.observe_pace(order, result)
         elif isinstance(order, scheduling.StopOrder):
             result = await self.workers.stop(order)
             self.scheduler.observe_stop(order, result, platform.boot_time_s())
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -41,6 +41,9 @@
         self.client = transport.Client()
         self.store = platform.StoreClient(self.client, settings.store_address)
         self.worker_client = platform.WorkerClient(self.client)
+        self.advice_client = platform.AdviceClient(
+            self.client, settings.advice_address
+        )
         self.machine_client = platform.MachineClient(
             self.client, settings.machines_address, settings.node
         )
--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -3,6 +3,7 @@
 Nothing here decides, and nothing outside knows the platform's names.
 """
 
+from baobabdoor.platform._advisor import AdviceClient
 from baobabdoor.platform._machines import MachineClient
 from baobabdoor.platform._machines import MachineOutcome
 from baobabdoor.platform._messages import MessageError
@@ -35,6 +36,7 @@
 REQUEST_ID_HEADER = "Request-Id"
 
 __all__ = [
+    "AdviceClient",
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "Commit",
--- /dev/null
+++ b/baobabdoor/platform/_advisor.py
@@ -0,0 +1,57 @@
+"""Client of the service that advises which workers may run a step."""
+
+import json
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import scheduling
+from baobabdoor import transport
+
+# Calls of one machine are answered in turn, so an answer may take a while.
+ANSWER_TIMEOUT_S = 3.0
+LOG = observability.get_logger("platform.advisor")
+
+
+class AdviceClient:
+    """Asks for tickets.
+
+    Args:
+        client: HTTP client.
+        address: The service as `ip:port`.
+    """
+
+    def __init__(self, client: transport.Client, address: str):
+        self.client = client
+        self.address = address
+
+    async def ask(
+        self, question: scheduling.Question
+    ) -> tuple[dict[str, str], float] | base.Refusal:
+        """Returns tickets by worker and their validity in seconds."""
+        body = {"step": question.step, "workers": list(question.workers)}
+        answer = await self.client.fetch(
+            self.address,
+            "POST",
+            "/api/advise",
+            json.dumps(body).encode(),
+            "Content-Type: application/json\r\n",
+            ANSWER_TIMEOUT_S,
+        )
+        if isinstance(answer, base.Refusal):
+            return answer
+        if answer.status != 200:
+            return base.Refusal(
+                base.Reason.PLATFORM_UNAVAILABLE,
+                "advice.ask",
+                self.address,
+                str(answer.status),
+            )
+        try:
+            content = json.loads(answer.body)
+            tickets = {worker: ticket for worker, ticket in content["allowed"]}
+            return tickets, content.get("valid-ms", 0) / 1000
+        except (ValueError, KeyError, TypeError) as error:
+            LOG.warning("advice_unreadable", error=str(error))
+            return base.Refusal(
+                base.Reason.UNKNOWN_RESULT, "advice.decode", self.address
+            )
--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Batch jobs on workers: admission, placement, runs and their ends."""
 
 from baobabdoor.scheduling._admission import Rejection
+from baobabdoor.scheduling._advice import Question
 from baobabdoor.scheduling._estimates import DurationModel
 from baobabdoor.scheduling._job import Job
 from baobabdoor.scheduling._job import Run
@@ -62,6 +63,7 @@
     "PaceOrder",
     "Phase",
     "PoolSettings",
+    "Question",
     "Queue",
     "Rejection",
     "Run",
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -30,6 +30,8 @@
         progressed_s: When the progress last changed.
         gauge: The worker's rough figure for the run.
         pace: Share at which it works, in percent.
+        paced_s: When a change of it was last ordered.
+        stop_sent_s: When a stop was last ordered.
     """
 
     task: "Task"
@@ -47,6 +49,7 @@
     progressed_s: float = 0.0
     gauge: float = 0.0
     pace: int = 100
+    paced_s: float = -1e9
 
 
 @attrs.define(eq=False)
--- /dev/null
+++ b/baobabdoor/scheduling/_pacing.py
@@ -0,0 +1,75 @@
+"""Slows tasks that fill down where they disturb tasks that serve."""
+
+from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _orders
+from baobabdoor.scheduling import _worker
+
+# Shares of the target from which fillers are slowed, and below which they
+# may go faster again.
+SLOW_SHARE = 0.85
+FAST_SHARE = 0.6
+# Change of pace on the way up, in percent, and time between two of them.
+RISE_PERCENT = 15
+RISE_INTERVAL_S = 1.5
+# Time after which an order without success is repeated.
+RETRY_S = 0.3
+
+
+def plan_paces(scheduler, now_s: float) -> list[_orders.PaceOrder]:
+    """Returns the changes of pace that are due."""
+    orders = []
+    for worker in scheduler.workers.values():
+        fillers = [
+            run
+            for run in worker.runs.values()
+            if run.task.spec.fills and run.confirmed and not run.stopping
+        ]
+        if not fillers or worker.gone:
+            continue
+        pressure = _pressure(worker)
+        for run in fillers:
+            percent = _wanted_percent(run, pressure, now_s)
+            if percent == run.pace or now_s - run.paced_s < RETRY_S:
+                continue
+            run.paced_s = now_s
+            scheduler.note(
+                "run_paced",
+                task=run.task.name,
+                run=run.run_id,
+                worker=worker.worker_id,
+                percent=percent,
+                pressure=round(pressure, 2),
+            )
+            orders.append(
+                _orders.PaceOrder(
+                    worker_id=worker.worker_id,
+                    address=worker.record.address,
+                    token=scheduler.token,
+                    task=run.task.name,
+                    run_id=run.run_id,
+                    percent=percent,
+                )
+            )
+    return orders
+
+
+def _pressure(worker: _worker.Worker) -> float:
+    """Returns the largest tail latency on a worker, in targets."""
+    return max(
+        (
+            run.gauge / run.task.spec.target_ms
+            for run in worker.runs.values()
+            if run.task.spec.target_ms and run.confirmed
+        ),
+        default=0.0,
+    )
+
+
+def _wanted_percent(run: _job.Run, pressure: float, now_s: float) -> int:
+    if pressure >= 1.0:
+        return 0
+    if pressure >= SLOW_SHARE:
+        return run.pace // 2
+    if pressure <= FAST_SHARE and now_s - run.paced_s >= RISE_INTERVAL_S:
+        return min(100, run.pace + RISE_PERCENT)
+    return run.pace
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -73,8 +73,9 @@
         if job.spec.steps[number].gang:
             orders += _place_gang(scheduler, tasks, waiting, workers, now_s)
             continue
+        allowed = scheduler.advice.allowed(waiting[0], workers, now_s)
         for task in waiting:
-            worker = choose_worker(task, workers, due)
+            worker = choose_worker(task, allowed, due)
             if worker is None:
                 if task.spec.long_running:
                     queue = scheduler.configuration.queues[job.spec.queue]
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -7,9 +7,11 @@
 import attrs
 
 from baobabdoor.scheduling import _admission
+from baobabdoor.scheduling import _advice
 from baobabdoor.scheduling import _estimates
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _orders
+from baobabdoor.scheduling import _pacing
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _relocation
 from baobabdoor.scheduling import _stalls
@@ -113,6 +115,7 @@
         self.admission = _admission.Admission(self)
         self.upkeep = _upkeep.Upkeep(self)
         self.relocation = _relocation.Relocation(self)
+        self.advice = _advice.Advice(self)
         # Pools in which a lasting task found no place.
         self.crowded_pools: set[str] = set()
         self.strays: dict[str, dict[tuple[str, int], float]] = {}
@@ -622,6 +625,7 @@
         if may_start:
             _stalls.give_up_stalled(self, now_s)
         orders = self._plan_stops(now_s)
+        orders += _pacing.plan_paces(self, now_s)
         if may_start:
             orders += _placement.place(self, now_s)
         return orders
@@ -654,6 +658,7 @@
             payload=task.job.spec.payload,
             until_ms=worker.lease_until_ms(now_s, LEASE_S),
             checkpoint=task.checkpoint,
+            ticket=self.advice.ticket(task, worker, now_s) or "",
         )
 
     def observe_start(
@@ -700,6 +705,19 @@
         elif outcome is OUTCOMES.UNHEALTHY:
             worker.quarantined_until_s = now_s + 1.0
 
+    def observe_pace(
+        self, order: _orders.PaceOrder, result: _types.OrderResult
+    ) -> None:
+        """Notes what became of a change of pace."""
+        worker = self.workers.get(order.worker_id)
+        run = worker.runs.get(order.task) if worker else None
+        if run is None or run.run_id != order.run_id:
+            return
+        if result.outcome is OUTCOMES.ACCEPTED:
+            run.pace = order.percent
+        elif result.outcome is OUTCOMES.FENCED:
+            self.fenced_off = True
+
     def observe_stop(
         self, order: _orders.StopOrder, result: _types.OrderResult, now_s: float
     ) -> None:
--- /dev/null
+++ b/tests/test_scheduling_advice_and_pace.py
@@ -0,0 +1,108 @@
+"""Tests of tickets, and of fillers that are slowed for serving tasks."""
+
+import attrs
+import scheduling_fixtures
+
+from baobabdoor import scheduling
+
+JOB = "00000000000000a1"
+OTHER = "00000000000000a2"
+
+
+class TestAdvice:
+
+    def fleet(self):
+        fleet = scheduling_fixtures.Fleet()
+        configuration = fleet.scheduler.configuration
+        queue = configuration.queues[scheduling_fixtures.QUEUE]
+        advised = attrs.evolve(
+            queue, advice=scheduling.AdvicePolicy(10, 1, 3000)
+        )
+        fleet.scheduler.configuration = attrs.evolve(
+            configuration, queues={advised.name: advised}
+        )
+        fleet.submit(JOB, [scheduling.StepSpec(2, cpu_milli=1000)])
+        return fleet
+
+    def test_tasks_start_with_a_ticket_where_they_are_allowed(self):
+        fleet = self.fleet()
+        assert not fleet.starts()
+        (question,) = fleet.scheduler.advice.take_questions()
+        assert question.step == f"{JOB}.0.0"
+        fleet.scheduler.advice.observe(
+            question, {"w2": "t-2"}, 3.0, fleet.now_s
+        )
+        orders = fleet.starts()
+        assert {order.worker_id for order in orders} == {"w2"}
+        assert {order.ticket for order in orders} == {"t-2"}
+
+    def test_a_ticket_that_is_over_is_asked_for_again(self):
+        fleet = self.fleet()
+        fleet.starts()
+        (question,) = fleet.scheduler.advice.take_questions()
+        fleet.scheduler.advice.observe(question, {"w2": "t"}, 0.5, fleet.now_s)
+        fleet.advance(1.5)
+        assert not fleet.starts()
+        assert len(fleet.scheduler.advice.take_questions()) == 1
+
+    def test_a_question_without_an_answer_is_repeated(self):
+        fleet = self.fleet()
+        fleet.starts()
+        (question,) = fleet.scheduler.advice.take_questions()
+        assert not fleet.starts()
+        assert not fleet.scheduler.advice.take_questions()
+        fleet.scheduler.advice.observe(question, None, 0.0, fleet.now_s)
+        fleet.advance(1.5)
+        fleet.starts()
+        assert len(fleet.scheduler.advice.take_questions()) == 1
+
+
+class TestPace:
+
+    def fleet(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        serving = scheduling.StepSpec(
+            1, cpu_milli=1000, long_running=True, target_ms=100
+        )
+        filling = scheduling.StepSpec(
+            1, cpu_milli=2000, long_running=True, fills=True
+        )
+        fleet.submit(JOB, [serving])
+        fleet.submit(OTHER, [filling])
+        fleet.accept(fleet.starts(), percent=100)
+        return fleet
+
+    def paces(self, fleet, tail_ms, seconds=0.5):
+        fleet.now_s += seconds
+        fleet.hold("w1")
+        fleet.report("w1")
+        fleet.scheduler.workers["w1"].runs[f"{JOB}.0.0.0"].gauge = tail_ms
+        orders = [
+            order
+            for order in fleet.plan()
+            if isinstance(order, scheduling.PaceOrder)
+        ]
+        for order in orders:
+            fleet.scheduler.observe_pace(
+                order,
+                scheduling.OrderResult(scheduling.OrderOutcome.ACCEPTED, 1),
+            )
+        return [order.percent for order in orders]
+
+    def test_a_filler_is_halted_when_a_target_is_missed(self):
+        fleet = self.fleet()
+        assert self.paces(fleet, 120) == [0]
+
+    def test_a_filler_is_slowed_before_a_target_is_missed(self):
+        fleet = self.fleet()
+        assert self.paces(fleet, 90) == [50]
+
+    def test_a_filler_goes_faster_slowly(self):
+        fleet = self.fleet()
+        self.paces(fleet, 120)
+        assert not self.paces(fleet, 20)
+        assert self.paces(fleet, 20, seconds=2) == [15]
+
+    def test_a_filler_alone_is_left_alone(self):
+        fleet = self.fleet()
+        assert not self.paces(fleet, 20)
--- /dev/null
+++ b/tests/test_scheduling_gangs.py
@@ -0,0 +1,45 @@
+"""Tests of gangs: whole or not at all."""
+
+import scheduling_fixtures
+
+from baobabdoor import scheduling
+
+JOB = "00000000000000b1"
+
+
+class TestGangs:
+
+    def gang(self, count, **fields):
+        return scheduling.StepSpec(
+            count, cpu_milli=2000, gang=True, **fields
+        )
+
+    def test_all_members_start_under_one_number(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [self.gang(3)])
+        orders = fleet.starts()
+        assert len(orders) == 3
+        assert len({order.run_id for order in orders}) == 1
+
+    def test_nothing_starts_without_room_for_all(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [self.gang(5)])
+        assert not fleet.starts()
+        assert all(
+            not worker.runs for worker in fleet.scheduler.workers.values()
+        )
+
+    def test_a_rack_sensitive_gang_stays_on_one_rack(self):
+        fleet = scheduling_fixtures.Fleet([])
+        for number, rack in enumerate(("r-1", "r-1", "r-2", "r-2")):
+            fleet.add_worker(f"w{number}", labels=frozenset(("a", rack)))
+        fleet.submit(JOB, [self.gang(4, rack_sensitive=True)])
+        orders = fleet.starts()
+        assert {order.worker_id for order in orders} == {"w0", "w1"}
+
+    def test_one_end_stands_for_all(self):
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [self.gang(2)])
+        first, _ = fleet.accept(fleet.starts())
+        fleet.end(first.worker_id, first.task, first.run_id)
+        assert job.state is scheduling.JobState.COMPLETED
