--- a/baobabdoor/measure/_main.py
+++ b/baobabdoor/measure/_main.py
@@ -20,6 +20,8 @@
     "flood": "baobabdoor.measure._flood",
     "jobs": "baobabdoor.measure._jobs",
     "rollout": "baobabdoor.measure._rollout",
+    "scheduler-rate": "baobabdoor.measure._scheduler_rate",
+    "scheduling-walks": "baobabdoor.measure._scheduling_walks",
     "slots": "baobabdoor.measure._slots",
 }
 DEPLOYMENTS = ("federation", "nam-rung")
--- /dev/null
+++ b/baobabdoor/measure/_scheduler_rate.py
@@ -0,0 +1,128 @@
+"""Suite `scheduler-rate`: what the scheduler's core costs, without the calls."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import random
+import time
+
+from baobabdoor import scheduling
+from baobabdoor import settings
+from baobabdoor.measure import _result
+
+WORKERS = 200
+WAITING_TASKS = 10_000
+TASKS_PER_JOB = 20
+CPU_MILLI = 16_000
+POOL = "pool"
+QUEUE = "queue"
+# Time of the model between two rounds of ends, and rounds.
+ROUND_S = 0.05
+ROUNDS = 60
+# Part of the running tasks that end in a round.
+ENDING_SHARE = 0.05
+TARGET_PER_S = 2000.0
+
+
+def run(
+    deployment: settings.Deployment, seeds: Iterable[int]
+) -> Iterator[_result.Result]:
+    """Measures starts a second of one core, ends and reports included."""
+    for seed in seeds:
+        yield _result.Result(
+            measure="scheduler-starts",
+            deployment=deployment.deployment,
+            policy="least-slack",
+            value=measure(seed),
+            unit="1/s",
+            reference=TARGET_PER_S,
+            seed=seed,
+        )
+
+
+def measure(seed: int) -> float:
+    """Returns the starts for each second of processor time."""
+    generator = random.Random(seed)
+    now_s = 1000.0
+    scheduler = _build(generator, now_s)
+    running: dict[str, dict] = {worker: {} for worker in scheduler.workers}
+    ends: dict[str, int] = dict.fromkeys(running, 0)
+    starts = 0
+    began_s = time.process_time()
+    for _ in range(ROUNDS):
+        now_s += ROUND_S
+        scheduler.store_ms = now_s * 1000
+        for order in scheduler.plan(now_s, True):
+            starts += 1
+            running[order.worker_id][order.task] = order.run_id
+            scheduler.observe_start(
+                order,
+                scheduling.OrderResult(
+                    scheduling.OrderOutcome.ACCEPTED, int(now_s * 1000)
+                ),
+                now_s,
+            )
+        _end_some(scheduler, running, ends, generator, now_s)
+        snapshot = scheduler.begin_commit()
+        if snapshot is not None:
+            scheduler.finish_commit(snapshot, scheduler.change)
+    return starts / (time.process_time() - began_s)
+
+
+def _build(generator: random.Random, now_s: float) -> scheduling.Scheduler:
+    queue = scheduling.Queue(QUEUE, "h", "/q/", POOL)
+    scheduler = scheduling.Scheduler(
+        1,
+        0,
+        scheduling.Configuration(
+            1, {QUEUE: queue}, {POOL: scheduling.PoolSettings(POOL)}
+        ),
+        scheduling.Options(),
+        now_s,
+        0.0,
+    )
+    for number in range(WORKERS):
+        worker_id = f"w{number}"
+        scheduler.observe_worker(
+            scheduling.WorkerRecord(
+                worker_id, "a:1", POOL, "z", "", False, 1, CPU_MILLI, 10**6, 0,
+                frozenset(),
+            ),  # fmt: skip
+            now_s,
+        )
+        scheduler.observe_report(
+            worker_id,
+            scheduling.WorkerReport(int(now_s * 1000), 1, (), ()),
+            now_s,
+        )
+        scheduler.workers[worker_id].enrolled = True
+    step = scheduling.StepSpec(TASKS_PER_JOB, cpu_milli=1000)
+    for number in range(WAITING_TASKS // TASKS_PER_JOB):
+        spec = scheduling.JobSpec(f"{number:016x}", QUEUE, "", (step,))
+        job = scheduling.Job(spec, now_s * 1000 + generator.random())
+        job.stored_state = scheduling.JobState.QUEUED
+        scheduler.jobs[spec.job_id] = job
+        scheduler.active[spec.job_id] = job
+    return scheduler
+
+
+def _end_some(scheduler, running, ends, generator, now_s: float) -> None:
+    for worker_id, tasks in running.items():
+        entries = []
+        for task in list(tasks):
+            if generator.random() < ENDING_SHARE:
+                ends[worker_id] += 1
+                entries.append(
+                    scheduling.EndEntry(
+                        ends[worker_id], task, tasks.pop(task), "done", ""
+                    )
+                )
+        report = scheduling.WorkerReport(
+            int(now_s * 1000) + 1,
+            1,
+            tuple(
+                scheduling.RunEntry(task, run_id, "", 50, 0.0)
+                for task, run_id in tasks.items()
+            ),
+            tuple(entries),
+        )
+        scheduler.observe_report(worker_id, report, now_s)
