--- a/baobabdoor/cli/_context.py
+++ b/baobabdoor/cli/_context.py
@@ -23,6 +23,7 @@
         operator: Name of the operator.
         change_id: Identifier given on the command line; empty for a new one.
         expected_generation: Generation that the operator has seen, if given.
+        request: Request or job whose lines in log files are wanted.
     """
 
     client: _client.OperatorClient
@@ -30,6 +31,7 @@
     operator: str
     change_id: str = ""
     expected_generation: int | None = None
+    request: str = ""
 
     def show(
         self,
--- a/baobabdoor/cli/_fleet_commands.py
+++ b/baobabdoor/cli/_fleet_commands.py
@@ -9,6 +9,7 @@
 from baobabdoor import timeline
 from baobabdoor.cli import _context
 from baobabdoor.cli import _exit_codes
+from baobabdoor.cli import _log_commands
 
 ExitCode = _exit_codes.ExitCode
 
@@ -111,7 +112,12 @@
     """Merges the events of all processes into one order.
 
     Arguments are filters: `kind=PREFIX`, `process=ID`, `peer=ID`, `cause=ID`.
+    With `--request`, they are the log files of the processes instead.
     """
+    if context.request:
+        return await _log_commands.show_request(
+            context, context.request, arguments
+        )
     event_filter = _parse_filter(arguments)
     first = await context.client.get("/v1/status")
     reports = await _from_all(context, first, "/v1/timeline")
--- a/baobabdoor/cli/_main.py
+++ b/baobabdoor/cli/_main.py
@@ -51,7 +51,10 @@
     "job cancel": CommandSpec(_job_commands.job_cancel, "ID", 1, 1),
     "status": CommandSpec(_fleet_commands.status),
     "timeline": CommandSpec(
-        _fleet_commands.show_timeline, "[kind=PREFIX ...]", 0, ANY_NUMBER
+        _fleet_commands.show_timeline,
+        "[kind=PREFIX ...] | --request ID FILE ...",
+        0,
+        ANY_NUMBER,
     ),
 }
 
@@ -75,6 +78,9 @@
     flags.DEFINE_string(
         "change_id", "", "Identifier of a change that is submitted again."
     )
+    flags.DEFINE_string(
+        "request", "", "Request or job whose lines in log files are wanted."
+    )
     flags.DEFINE_integer(
         "expected_generation",
         None,
@@ -123,6 +129,7 @@
         operator=FLAGS.operator,
         change_id=FLAGS.change_id,
         expected_generation=FLAGS.expected_generation,
+        request=FLAGS.request,
     )
 
 
--- a/baobabdoor/measure/_scheduler_rate.py
+++ b/baobabdoor/measure/_scheduler_rate.py
@@ -1,4 +1,4 @@
-"""Suite `scheduler-rate`: what the scheduler's core costs, without the calls."""
+"""Suite `scheduler-rate`: the cost of the scheduler, without the calls."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -82,10 +82,18 @@
     )
     for number in range(WORKERS):
         worker_id = f"w{number}"
-        scheduler.observe_worker(
-            scheduling.WorkerRecord(
-                worker_id, "a:1", POOL, "z", "", False, 1, CPU_MILLI, 10**6, 0,
-                frozenset(),
+        scheduler.observe_worker(scheduling.WorkerRecord(
+            worker_id,
+            "a:1",
+            POOL,
+            "z",
+            "",
+            False,
+            1,
+            CPU_MILLI,
+            10**6,
+            0,
+            frozenset(),
             ),  # fmt: skip
             now_s,
         )
--- a/tests/test_scheduling_gangs.py
+++ b/tests/test_scheduling_gangs.py
@@ -10,9 +10,7 @@
 class TestGangs:
 
     def gang(self, count, **fields):
-        return scheduling.StepSpec(
-            count, cpu_milli=2000, gang=True, **fields
-        )
+        return scheduling.StepSpec(count, cpu_milli=2000, gang=True, **fields)
 
     def test_all_members_start_under_one_number(self):
         fleet = scheduling_fixtures.Fleet()
