--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -170,8 +170,10 @@
             record = self.machines.get(worker.record.machine)
             if record is None or record.worker_id == worker.worker_id:
                 continue
+            pool = self.scheduler.configuration.pools.get(record.pool)
+            switched_off = pool is not None and pool.standby
             reborn = record.state is _types.MachineState.UP
-            if record.worker_id and reborn:
+            if reborn and (record.worker_id or switched_off):
                 self.scheduler.retire_worker(worker.worker_id, "followed")
             elif record.state in (
                 _types.MachineState.MOVING,
