--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -7,13 +7,13 @@
 from baobabdoor.scheduling._job import Run
 from baobabdoor.scheduling._job import Task
 from baobabdoor.scheduling._job import decode_job
+from baobabdoor.scheduling._order_book import LEASE_S
 from baobabdoor.scheduling._orders import HoldOrder
 from baobabdoor.scheduling._orders import PaceOrder
 from baobabdoor.scheduling._orders import StartOrder
 from baobabdoor.scheduling._orders import StopOrder
 from baobabdoor.scheduling._orders import WorkerOrder
 from baobabdoor.scheduling._relocation import Move
-from baobabdoor.scheduling._scheduler import LEASE_S
 from baobabdoor.scheduling._scheduler import Event
 from baobabdoor.scheduling._scheduler import Options
 from baobabdoor.scheduling._scheduler import Scheduler
--- /dev/null
+++ b/baobabdoor/scheduling/_order_book.py
@@ -0,0 +1,198 @@
+"""Orders to workers and what became of them."""
+
+from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _orders
+from baobabdoor.scheduling import _types
+from baobabdoor.scheduling import _worker
+
+# Lease that every call to a worker asks for: longer than a change of the
+# holder takes, shorter than the platform's longest.
+LEASE_S = 3.6
+# Time after which a stop without an answer is repeated.
+STOP_RETRY_S = 0.4
+# Pause before a task is tried again where a worker had no room or was ill.
+RETRY_DELAY_S = 0.15
+OUTCOMES = _types.OrderOutcome
+
+
+def hold_order(
+    scheduler,
+    worker: _worker.Worker,
+    wait_ms: int,
+    now_s: float,
+    may_extend: bool = True,
+) -> _orders.HoldOrder:
+    """Returns the next hold of a worker.
+
+    Args:
+        scheduler: The scheduler.
+        worker: The worker.
+        wait_ms: How long the answer waits for an end.
+        now_s: Current time.
+        may_extend: Whether the tenure is certain enough to keep runs
+            alive that a successor must know to end.
+    """
+    until_ms = 0
+    # A worker that does not answer gets no longer lease, so that the end
+    # of its runs becomes certain.
+    silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
+    silent |= worker.heard_s <= worker.doubted_s
+    known = worker.fenced and worker.clock_ms
+    if may_extend and known and not silent:
+        until_ms = worker.lease_until_ms(now_s, LEASE_S)
+    return _orders.HoldOrder(
+        worker_id=worker.worker_id,
+        address=worker.record.address,
+        token=scheduler.token,
+        last_seen=worker.acknowledged,
+        until_ms=until_ms,
+        wait_ms=wait_ms if worker.fenced else 0,
+    )
+
+
+def start_order(
+    scheduler, worker: _worker.Worker, task: _job.Task, now_s: float
+) -> _orders.StartOrder:
+    """Reserves room for a task and returns the order to start it."""
+    task.last_run += 1
+    run = _job.Run(
+        task, task.last_run, worker.worker_id, now_s, progressed_s=now_s
+    )
+    task.run = run
+    scheduler.note(
+        "run_ordered",
+        task=task.name,
+        run=run.run_id,
+        worker=worker.worker_id,
+        heard_ms=round((now_s - worker.heard_s) * 1000),
+    )
+    task.inherited = False
+    task.job.begun = True
+    worker.add_run(run)
+    return _orders.StartOrder(
+        worker_id=worker.worker_id,
+        address=worker.record.address,
+        token=scheduler.token,
+        task=task.name,
+        run_id=run.run_id,
+        payload=task.job.spec.payload,
+        until_ms=worker.lease_until_ms(now_s, LEASE_S),
+        checkpoint=task.checkpoint,
+        ticket=scheduler.advice.ticket(task, worker, now_s) or "",
+    )
+
+
+def observe_start(
+    scheduler,
+    order: _orders.StartOrder,
+    result: _types.OrderResult,
+    now_s: float,
+) -> None:
+    """Notes what became of a start."""
+    worker = scheduler.workers.get(order.worker_id)
+    run = worker.runs.get(order.task) if worker else None
+    if run is None or run.run_id != order.run_id:
+        return
+    run.order_pending = False
+    worker.observe_clock(result.clock_ms, now_s)
+    outcome = result.outcome
+    if outcome is OUTCOMES.ACCEPTED:
+        run.confirmed = True
+        run.clock_ms = result.clock_ms or worker.clock_ms
+        return
+    scheduler.note(
+        "start_refused",
+        task=order.task,
+        run=order.run_id,
+        worker=order.worker_id,
+        outcome=outcome.value,
+        detail=result.detail,
+    )
+    if outcome in (OUTCOMES.UNKNOWN, OUTCOMES.NOT_SENT):
+        worker.doubted_s = now_s
+    if outcome is OUTCOMES.UNKNOWN:
+        run.doubtful = True
+        run.stopping = True
+        return
+    if outcome is OUTCOMES.WRONG_WORKER:
+        scheduler.observe_wrong_worker(order.worker_id)
+        return
+    scheduler.release_run(worker, run, outcome.value)
+    run.task.retry_at_s = now_s + RETRY_DELAY_S
+    if outcome is OUTCOMES.FENCED:
+        scheduler.fenced_off = True
+    elif outcome is OUTCOMES.OUTDATED_RUN:
+        run.task.last_run += 10
+    elif outcome is OUTCOMES.UNHEALTHY:
+        worker.quarantined_until_s = now_s + 1.0
+
+
+def observe_pace(
+    scheduler, order: _orders.PaceOrder, result: _types.OrderResult
+) -> None:
+    """Notes what became of a change of pace."""
+    worker = scheduler.workers.get(order.worker_id)
+    run = worker.runs.get(order.task) if worker else None
+    if run is None or run.run_id != order.run_id:
+        return
+    if result.outcome is OUTCOMES.ACCEPTED:
+        run.pace = order.percent
+    elif result.outcome is OUTCOMES.FENCED:
+        scheduler.fenced_off = True
+
+
+def observe_stop(
+    scheduler,
+    order: _orders.StopOrder,
+    result: _types.OrderResult,
+    now_s: float,
+) -> None:
+    """Notes what became of a stop."""
+    worker = scheduler.workers.get(order.worker_id)
+    if worker is None:
+        return
+    worker.observe_clock(result.clock_ms, now_s)
+    if result.outcome is OUTCOMES.FENCED:
+        scheduler.fenced_off = True
+    elif result.outcome is OUTCOMES.WRONG_WORKER:
+        scheduler.observe_wrong_worker(order.worker_id)
+    run = worker.runs.get(order.task)
+    if run is None or run.run_id != order.run_id:
+        return
+    run.order_pending = False
+    if result.outcome is OUTCOMES.ACCEPTED:
+        run.stop_clock_ms = result.clock_ms or worker.clock_ms
+
+
+def plan_stops(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
+    orders: list[_orders.WorkerOrder] = []
+    for worker in scheduler.workers.values():
+        if worker.gone:
+            continue
+        for run in worker.runs.values():
+            waiting = run.order_pending or run.stop_clock_ms
+            if not run.stopping or waiting:
+                continue
+            if now_s - run.stop_sent_s >= STOP_RETRY_S:
+                run.stop_sent_s = now_s
+                run.order_pending = True
+                orders.append(
+                    _stop_order(scheduler, worker, run.task.name, run.run_id)
+                )
+        for key, sent_s in scheduler.strays.get(worker.worker_id, {}).items():
+            if now_s - sent_s >= 2 * STOP_RETRY_S:
+                scheduler.strays[worker.worker_id][key] = now_s
+                orders.append(_stop_order(scheduler, worker, *key))
+    return orders
+
+
+def _stop_order(
+    scheduler, worker: _worker.Worker, task: str, run_id: int
+) -> _orders.StopOrder:
+    return _orders.StopOrder(
+        worker_id=worker.worker_id,
+        address=worker.record.address,
+        token=scheduler.token,
+        task=task,
+        run_id=run_id,
+    )
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -1,6 +1,7 @@
 """Chooses workers for the tasks whose turn has come."""
 
 from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _order_book
 from baobabdoor.scheduling import _orders
 from baobabdoor.scheduling import _worker
 
@@ -81,7 +82,9 @@
                     queue = scheduler.configuration.queues[job.spec.queue]
                     scheduler.crowded_pools.add(queue.pool)
                 break
-            orders.append(scheduler.start_order(worker, task, now_s))
+            orders.append(
+                _order_book.start_order(scheduler, worker, task, now_s)
+            )
     return orders
 
 
@@ -135,7 +138,7 @@
             return []
         task.last_run = run_id
         task.checkpoint = checkpoint
-        orders.append(scheduler.start_order(worker, task, now_s))
+        orders.append(_order_book.start_order(scheduler, worker, task, now_s))
     return orders
 
 
--- /dev/null
+++ b/baobabdoor/scheduling/_reports.py
@@ -0,0 +1,234 @@
+"""What follows from a worker's report of its runs and their ends."""
+
+from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _types
+from baobabdoor.scheduling import _worker
+
+
+def observe_report(
+    scheduler, worker_id: str, report: _types.WorkerReport, now_s: float
+) -> None:
+    """Notes what a worker says of its runs."""
+    worker = scheduler.workers.get(worker_id)
+    if worker is None or not _accept_report(scheduler, worker, report):
+        return
+    # Ends that it lists after its lease was over do not count.
+    worker.lapsed = 0 < worker.lease_end_s < now_s
+    if worker.lapsed:
+        scheduler.lose_runs(worker, "lease over")
+    worker.observe_clock(report.clock_ms, now_s)
+    worker.heard_s = now_s
+    worker.fenced = True
+    scheduler.unfenced.discard(worker_id)
+    lapsed = max(
+        (end.number for end in report.ended if end.how == "lapsed"),
+        default=0,
+    )
+    for end in report.ended:
+        if end.number > worker.processed:
+            _observe_end(scheduler, worker, end, lapsed, now_s)
+    listed = {entry.task for entry in report.running}
+    _observe_strays(scheduler, worker, report)
+    for entry in report.running:
+        _observe_running(scheduler, worker, entry, report.clock_ms, now_s)
+    for name, run in list(worker.runs.items()):
+        if name not in listed:
+            _observe_missing(scheduler, worker, run, report.clock_ms, now_s)
+
+
+def _accept_report(
+    scheduler, worker: _worker.Worker, report: _types.WorkerReport
+) -> bool:
+    """Returns whether a report is of the newest life and not overtaken."""
+    if report.born_ms < worker.born_ms:
+        return False
+    if report.born_ms != worker.born_ms:
+        if worker.born_ms:
+            scheduler.restart_worker(worker, report.born_ms, "report")
+        worker.born_ms = report.born_ms
+    elif report.clock_ms < worker.reported_ms:
+        # Answers on different connections may overtake each other.
+        return False
+    worker.reported_ms = report.clock_ms
+    return True
+
+
+def _observe_end(
+    scheduler,
+    worker: _worker.Worker,
+    end: _types.EndEntry,
+    lapsed: int,
+    now_s: float,
+) -> None:
+    worker.processed = end.number
+    task = scheduler.find_task(end.task)
+    run = worker.runs.get(end.task)
+    if run is not None and run.run_id == end.run_id:
+        worker.remove_run(run)
+        if task.run is run:
+            task.run = None
+        _apply_end(scheduler, worker, task, run, end, lapsed, now_s)
+    elif task is not None and not worker.lapsed:
+        # A run of an earlier tenure, or one that was given up here.
+        open_task = task.inherited and task.run is None
+        if open_task or end.how == "failed":
+            _apply_end(scheduler, worker, task, None, end, lapsed, now_s)
+    worker.unsaved_ends.append((end.number, scheduler.change))
+
+
+def _apply_end(
+    scheduler,
+    worker: _worker.Worker,
+    task: _job.Task,
+    run: _job.Run | None,
+    end: _types.EndEntry,
+    lapsed: int,
+    now_s: float,
+) -> None:
+    job = task.job
+    task.ended_s = now_s
+    if end.how != "done" or end.run_id % 100 == 0:
+        scheduler.note(
+            "run_ended",
+            task=end.task,
+            run=end.run_id,
+            worker=worker.worker_id,
+            how=end.how,
+        )
+    if job.final or task.done:
+        return
+    if end.checkpoint and task.spec.checkpointing:
+        task.checkpoint = end.checkpoint
+    if end.how == "done" and end.number > lapsed:
+        worker.observe_success()
+        _apply_done(scheduler, task, run, now_s)
+    elif end.how == "failed" and end.run_id not in task.failed_runs:
+        task.failed_runs |= {end.run_id}
+        _apply_failure(scheduler, worker, task, now_s)
+
+
+def _apply_done(
+    scheduler, task: _job.Task, run: _job.Run | None, now_s: float
+) -> None:
+    job = task.job
+    if task.spec.long_running:
+        return
+    if run is not None:
+        scheduler.durations.observe(
+            job.spec.queue, task.spec, now_s - run.started_s
+        )
+    job.begun = True
+    if task.spec.gang:
+        for member in job.steps[task.occurrence, task.step]:
+            job.complete_task(member)
+    else:
+        job.complete_task(task)
+    if job.state is _types.JobState.COMPLETED:
+        scheduler.finish_job(job, _types.JobState.COMPLETED, "done")
+    else:
+        scheduler.touch(job)
+
+
+def _apply_failure(
+    scheduler, worker: _worker.Worker, task: _job.Task, now_s: float
+) -> None:
+    job = task.job
+    task.avoided |= {worker.worker_id}
+    if worker.observe_failure(job.spec.job_id, now_s):
+        scheduler.note("worker_quarantined", worker=worker.worker_id)
+    if task.spec.long_running:
+        return
+    failures = task.failures
+    if task.spec.gang:
+        members = job.steps[task.occurrence, task.step]
+        failures = sum(member.failures for member in members)
+    queue = scheduler.configuration.queues.get(job.spec.queue)
+    if queue is not None and failures >= queue.max_attempts:
+        scheduler.finish_job(job, _types.JobState.FAILED, "attempts used up")
+    else:
+        scheduler.touch(job)
+
+
+def _observe_running(
+    scheduler,
+    worker: _worker.Worker,
+    entry: _types.RunEntry,
+    clock_ms: int,
+    now_s: float,
+) -> None:
+    run = worker.runs.get(entry.task)
+    if run is None or run.run_id != entry.run_id:
+        run = _adopt(scheduler, worker, entry, clock_ms, now_s)
+        if run is None:
+            return
+    if not run.confirmed:
+        run.confirmed = True
+        run.clock_ms = clock_ms
+    if entry.percent != run.percent:
+        run.progressed_s = now_s
+    run.percent = entry.percent
+    run.gauge = entry.gauge
+    if entry.checkpoint and run.task.spec.checkpointing:
+        run.task.checkpoint = entry.checkpoint
+
+
+def _adopt(
+    scheduler,
+    worker: _worker.Worker,
+    entry: _types.RunEntry,
+    clock_ms: int,
+    now_s: float,
+) -> _job.Run | None:
+    task = scheduler.find_task(entry.task)
+    wanted = (
+        task is not None
+        and task.run is None
+        and not task.done
+        and not task.job.final
+        and task.inherited
+    )
+    if not wanted:
+        strays = scheduler.strays.setdefault(worker.worker_id, {})
+        strays.setdefault((entry.task, entry.run_id), -1e9)
+        return None
+    run = _job.Run(
+        task,
+        entry.run_id,
+        worker.worker_id,
+        now_s,
+        confirmed=True,
+        clock_ms=clock_ms,
+        order_pending=False,
+        progressed_s=now_s,
+    )
+    task.run = run
+    task.last_run = max(task.last_run, entry.run_id)
+    task.job.begun = True
+    worker.add_run(run)
+    return run
+
+
+def _observe_strays(
+    scheduler, worker: _worker.Worker, report: _types.WorkerReport
+) -> None:
+    strays = scheduler.strays.get(worker.worker_id)
+    if not strays:
+        return
+    running = {(entry.task, entry.run_id) for entry in report.running}
+    for key in list(strays):
+        if key not in running:
+            del strays[key]
+
+
+def _observe_missing(
+    scheduler,
+    worker: _worker.Worker,
+    run: _job.Run,
+    clock_ms: int,
+    now_s: float,
+) -> None:
+    if run.confirmed and clock_ms > run.clock_ms:
+        scheduler.release_run(worker, run, "not listed")
+    elif run.stop_clock_ms and clock_ms > run.stop_clock_ms:
+        # Forbidden before it arrived.
+        scheduler.release_run(worker, run, "stopped before its start")
--- a/tests/test_scheduling_walks.py
+++ b/tests/test_scheduling_walks.py
@@ -46,7 +46,7 @@
         worker = scheduler.workers.get(order.worker_id)
         run = worker.runs.get(order.task) if worker else None
         if run is not None and run.doubtful:
-            scheduler._release(worker, run, "forgotten")
+            scheduler.release_run(worker, run, "forgotten")
 
     scheduler.observe_start = hasty
 
