Answer a request of unclear length once and close its connection

Cause: after the entry's own 400 the HTTP library answered the unreadable body with a second one on the same connection. Not mended: a header of 1 MB still gets a reset instead of 431, since the library closes the connection before the entry sees the request.

--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -110,7 +110,9 @@
                 )
                 return
             self.answer(failure)
-            if "Expect" in headers:
+            if not _clear_length(headers):
+                self._end_connection()
+            elif "Expect" in headers:
                 # The caller has not sent the body yet and need not.
                 self._finish_connection()
 
@@ -263,6 +265,21 @@
             self.unread = self.answer_bytes
             self.server.unread_ += self.unread
 
+    def _end_connection(self) -> None:
+        """Closes the connection once the answer is written.
+
+        The parser would answer a body of unclear length a second time, and a
+        caller behind a shared connection could take that for the answer to
+        its next request.
+        """
+        self.finished = True
+        stream = self.connection.detach()
+        written = stream.write(b"")
+        written.add_done_callback(
+            lambda done: (done.exception(), stream.close())
+        )
+        self.forget()
+
     def forget(self) -> None:
         """Gives back the memory of a request that has ended."""
         if self in self.server.open_:
@@ -290,3 +307,11 @@
 @functools.cache
 def _phrase(status: int) -> str:
     return http.HTTPStatus(status).phrase
+
+
+def _clear_length(headers: httputil.HTTPHeaders) -> bool:
+    """Returns whether a reader can tell where the body ends."""
+    lengths = headers.get_list("Content-Length")
+    if "Transfer-Encoding" in headers:
+        return not lengths
+    return not lengths or (len(lengths) == 1 and lengths[0].isdigit())
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -558,6 +558,24 @@
         assert backend.received == []
         assert bench.server.caller_.buffered_ == 0
 
+    @pytest.mark.parametrize("lengths", [("5", "6"), ("-1",), ("5,6",)])
+    def test_a_body_of_unclear_length_gets_one_answer(self, lengths):
+        bench = Bench()
+        bench.add_backend(echo)
+        fields = "".join(f"Content-Length: {text}\r\n" for text in lengths)
+        request = head_of().decode().removesuffix("\r\n") + fields + "\r\n"
+
+        async def scenario():
+            reader, writer = await bench.connect()
+            writer.write(request.encode() + b"hello")
+            received = await reader.read()
+            writer.close()
+            return received
+
+        received = bench.run(scenario)
+        assert received.count(b"HTTP/1.1 ") == 1
+        assert received.startswith(b"HTTP/1.1 400 ")
+
     def test_slow_body_times_out_and_holds_no_slot(self, monkeypatch):
         monkeypatch.setattr(_caller_request, "BODY_TIMEOUT_S", 0.3)
         bench = Bench(per_worker=1)
