--- a/scripts/planted_faults.py
+++ b/scripts/planted_faults.py
@@ -37,7 +37,11 @@
     path: str
     old: str
     new: str
-    tests: tuple[str, ...] = ("test_entry_server.py",)
+    tests: tuple[str, ...] = (
+        "test_entry_server.py",
+        "test_entry_input.py",
+        "test_entry_stops.py",
+    )
 
 
 FAULTS = (
--- /dev/null
+++ b/tests/entry_bench.py
@@ -0,0 +1,139 @@
+"""One entry server on loopback with raw backend servers, for tests."""
+
+import asyncio
+import json
+import pathlib
+
+import request_fakes as fakes
+from tornado import httpclient
+
+from baobabdoor import base
+from baobabdoor import idempotency
+from baobabdoor import observability
+from baobabdoor import settings
+from baobabdoor import timeline
+from baobabdoor.entry import _entry_server
+from baobabdoor.entry import _slot_sharing
+
+EXAMPLE = pathlib.Path(__file__).parents[1] / "examples" / "federation.yaml"
+HEADERS = {"Baobabdoor-Pool": "jury-desk", "Baobabdoor-Caller": "sailors"}
+
+
+class Bench:
+    """One entry server and its fakes on loopback."""
+
+    def __init__(self, per_worker=8, queue_limit=1000, **options):
+        self.view = fakes.FakeView()
+        self.queue = fakes.Queue(queue_limit)
+        self.timers = observability.LoopTimerService()
+        deployment = settings.load_deployment(str(EXAMPLE))
+        self.control = fakes.FakeControl(self.view, deployment)
+        self.service = None
+        self.port = fakes.free_port()
+        self.control_port = fakes.free_port()
+        recorder = timeline.EventRecorder(
+            "entry-1", base.HybridClock(self.timers.wall_ms)
+        )
+        self.server = _entry_server.EntryServer(
+            _entry_server.Parts(
+                entry_settings=fakes.entry_settings(
+                    self.port, self.control_port, **options
+                ),
+                timers=self.timers,
+                control=self.control,
+                admission_policy=self.queue,
+                slot_sharing=_slot_sharing.SlotSharing(
+                    "entry-1",
+                    "taal",
+                    lambda name, entry_id: fakes.StaticSlots(per_worker),
+                ),
+                tickets=idempotency.Tickets("entry-1", "1", bytes(16)),
+                claims=idempotency.Claims(None, self.timers, "entry-1", "1"),
+                recorder=recorder,
+                metrics=observability.Metrics(),
+                balancer_wait_s=0.05,
+            )
+        )
+        self.backends = []
+
+    def add_backend(self, answer, **more):
+        backend = fakes.RawServer(answer)
+        vm_id = f"vm-{len(self.backends) + 1}"
+        self.view.vms.append(fakes.vm(vm_id, backend.address, **more))
+        self.backends.append(backend)
+        return backend
+
+    async def fetch(self, path="/x", method="GET", headers=(), **options):
+        client = httpclient.AsyncHTTPClient(force_instance=True)
+        return await client.fetch(
+            f"http://127.0.0.1:{self.port}{path}",
+            method=method,
+            headers={**HEADERS, **dict(headers)},
+            raise_error=False,
+            follow_redirects=False,
+            **options,
+        )
+
+    def allow_retries(self):
+        self.server.path_.forwarder.retry_budget.saved_ = 5.0
+
+    def once(self, *arguments, **options):
+        return self.run(lambda: self.fetch(*arguments, **options))
+
+    def run(self, scenario):
+        async def whole():
+            for backend in self.backends:
+                backend.start()
+            await self.server.start()
+            try:
+                return await scenario()
+            finally:
+                await self.server.stop()
+                for backend in self.backends:
+                    backend.stop()
+
+        return asyncio.run(whole())
+
+    async def connect(self):
+        return await asyncio.open_connection("127.0.0.1", self.port)
+
+    async def raw(self, request):
+        """Sends bytes on a new connection; returns status and JSON body."""
+        reader, writer = await self.connect()
+        writer.write(request)
+        status, _, body = await read_answer(reader)
+        writer.close()
+        return status, json.loads(body)
+
+
+async def read_answer(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    headers = dict(
+        line.split(": ", 1) for line in head.split("\r\n")[1:] if line
+    )
+    body = await reader.readexactly(int(headers.get("Content-Length", 0)))
+    return int(head.split(" ")[1]), headers, body
+
+
+def head_of(method="POST", path="/x", **headers):
+    lines = [f"{method} {path} HTTP/1.1", "Host: service"]
+    changed = {name.replace("_", "-"): headers[name] for name in headers}
+    for name, value in {**HEADERS, **changed}.items():
+        lines.append(f"{name}: {value}")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def echo(number, head, body):
+    return fakes.http_answer(head.split(" ")[1].encode())
+
+
+def outcome(response):
+    return response.headers["Baobabdoor-Outcome"]
+
+
+async def until(condition):
+    for _ in range(300):
+        if condition():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition did not come true in 3 s")
