--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -40,6 +40,10 @@
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is None:
             continue
+        if job.spec.repeat_count:
+            # Each occurrence has its own time, so the job is never late.
+            keys.append((1, 0, 0.0, number, job))
+            continue
         slack_s, late_slack_s = scheduler.admission.slacks_s(job, queue)
         if slack_s >= 0:
             keys.append((1, int(not job.timely), slack_s, number, job))
