Ask for the permit to start in the step that sends; small machines wait

Cause: a holder on a slow loop planned a start within its time and could send it after that; on the grown sites holders have half a core.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -312,6 +312,10 @@
         """Returns whether the tenure was confirmed a short time ago."""
         return self._confirmed_age_s() < _tenure.START_LIMIT_S
 
+    def _may_send(self) -> bool:
+        """Returns whether a start that was planned may still be sent."""
+        return self.certain() and not self.ended
+
     def _confirmed_age_s(self) -> float:
         return platform.boot_time_s() - self.committer.confirmed_s
 
@@ -343,7 +347,7 @@
     async def _send(self, order: scheduling.WorkerOrder) -> None:
         count = self.daemon.metrics.count
         if isinstance(order, scheduling.StartOrder):
-            result = await self.workers.start(order)
+            result = await self.workers.start(order, self._may_send)
             count("run_starts_total", {"outcome": result.outcome.value})
             self.scheduler.observe_start(order, result, platform.boot_time_s())
         elif isinstance(order, scheduling.PaceOrder):
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -59,6 +59,7 @@
             address,
             self._eligible,
             self._observe_tenure,
+            settings.cores,
         )
         self.configuration_follower = _following.TableFollower(
             self.store,
--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -44,6 +44,10 @@
 FEED_PAUSE_S = 0.2
 # Largest random delay of a candidate, in seconds.
 CANDIDATE_SPREAD_S = 0.08
+# Cores from which a machine can decide for a large fleet; a smaller one gives
+# the others this time to take the tenure first.
+LARGE_CORES = 1.0
+SMALL_MACHINE_DELAY_S = 0.3
 LOG = observability.get_logger("tenure")
 
 
@@ -90,15 +94,26 @@
         address: This daemon's address for other daemons.
         eligible: Returns whether this daemon may take over now.
         won: Called with the holder's record after this daemon took over.
+        cores: Processor cores of this machine.
     """
 
-    def __init__(self, store, node, incarnation, address, eligible, won):
+    def __init__(
+        self,
+        store,
+        node,
+        incarnation,
+        address,
+        eligible,
+        won,
+        cores=LARGE_CORES,
+    ):
         self.store = store
         self.node = node
         self.incarnation = incarnation
         self.address = address
         self.eligible = eligible
         self.won = won
+        self.delay_s = SMALL_MACHINE_DELAY_S if cores < LARGE_CORES else 0.0
         self.holder: Holder | None = None
         self.holder_version = 0
         self.heartbeat_version = 0
@@ -177,7 +192,8 @@
         try:
             order = zlib.crc32(self.node.encode()) % 7 / 7
             await asyncio.sleep(
-                CANDIDATE_SPREAD_S * (order + random.random()) / 2
+                self.delay_s
+                + CANDIDATE_SPREAD_S * (order + random.random()) / 2
             )
             taken = self.current is not None
             if taken and vacant and not self._is_own_past(self.current):
--- a/baobabdoor/platform/_settings.py
+++ b/baobabdoor/platform/_settings.py
@@ -30,6 +30,7 @@
         store_address: The platform's store.
         machines_address: The platform's machine service; empty if none.
         advice_address: The service that advises on workers; empty if none.
+        cores: Processor cores that the process may use.
         heartbeat_s: Time between the heartbeats of workers.
         max_lease_s: Longest lease of a run.
         stop_timeout_s: Longest time that a stop takes.
@@ -60,6 +61,7 @@
     store_address: str
     machines_address: str
     advice_address: str
+    cores: float
     heartbeat_s: float
     max_lease_s: float
     stop_timeout_s: float
@@ -139,6 +141,9 @@
         store_address=reader.get("platform.address", str),
         machines_address=reader.get("cloud-api.address", str, ""),
         advice_address=reader.get("advice", str, ""),
+        # The share is of one core that is so many times as fast.
+        cores=reader.get("limits.cpu-share", number, 1.0)
+        * reader.get("limits.cores", number, 1),
         heartbeat_s=reader.seconds("heartbeat-ms", 0.001, 1.5),
         max_lease_s=reader.seconds("bounds.max-hold-ms", 0.001, 6.0),
         stop_timeout_s=reader.seconds("bounds.stop-timeout-ms", 0.001, 0.4),
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -1,5 +1,6 @@
 """Client of the platform's workers: starts, stops, holds and paces runs."""
 
+from collections.abc import Callable
 import json
 
 from baobabdoor import base
@@ -33,9 +34,9 @@
         self.client = client
 
     async def start(
-        self, order: scheduling.StartOrder
+        self, order: scheduling.StartOrder, permit: Callable[[], bool]
     ) -> scheduling.OrderResult:
-        """Starts a run."""
+        """Starts a run, if that is still permitted when it can be sent."""
         body = {
             "task": order.task,
             "run-id": order.run_id,
@@ -47,7 +48,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self._order(order, "/api/run-start", body)
+        return await self._order(order, "/api/run-start", body, permit)
 
     async def stop(self, order: scheduling.StopOrder) -> scheduling.OrderResult:
         """Stops a run, or forbids one that has not arrived."""
@@ -96,9 +97,13 @@
             return scheduling.OrderResult(scheduling.OrderOutcome.UNKNOWN)
 
     async def _order(
-        self, order: scheduling.WorkerOrder, target: str, body: dict
+        self,
+        order: scheduling.WorkerOrder,
+        target: str,
+        body: dict,
+        permit: Callable[[], bool] | None = None,
     ) -> scheduling.OrderResult:
-        answer = await self._post(order, target, body, ORDER_TIMEOUT_S)
+        answer = await self._post(order, target, body, ORDER_TIMEOUT_S, permit)
         if isinstance(answer, scheduling.OrderResult):
             return answer
         return _result(*answer)
@@ -109,6 +114,7 @@
         target: str,
         body: dict,
         timeout_s: float,
+        permit: Callable[[], bool] | None = None,
     ) -> tuple[int, dict] | scheduling.OrderResult:
         headers = (
             "Content-Type: application/json\r\n"
@@ -121,6 +127,7 @@
             json.dumps(body).encode(),
             headers,
             timeout_s,
+            permit,
         )
         if isinstance(answer, base.Refusal):
             unsent = answer.reason is base.Reason.CONNECTION_FAILED
--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client with kept connections and a timeout on every call."""
 
 import asyncio
+from collections.abc import Callable
 import socket
 
 import attrs
@@ -92,6 +93,7 @@
         body: bytes = b"",
         headers: str = "",
         timeout_s: float = 1.0,
+        permit: Callable[[], bool] | None = None,
     ) -> Response | base.Refusal:
         """Sends one request and waits for the whole answer.
 
@@ -102,6 +104,8 @@
             body: Body in bytes.
             headers: Further header lines, each ended by CRLF.
             timeout_s: Limit of the whole call in seconds.
+            permit: Asked in the step that sends; `False` if nothing may be
+                sent any more.
 
         Returns:
             The answer; a refusal with `CONNECTION_FAILED` if nothing was
@@ -114,6 +118,9 @@
         stream = await self._obtain(peer, address, deadline_s)
         if isinstance(stream, base.Refusal):
             return stream
+        if permit is not None and not permit():
+            self._release(peer, stream, True)
+            return _not_sent(address, "too late to be sent")
         connection = http1connection.HTTP1Connection(
             stream, True, self.PARAMETERS
         )
--- a/tests/test_dispatch_tenure.py
+++ b/tests/test_dispatch_tenure.py
@@ -10,7 +10,7 @@
 class Candidate:
     """A daemon's tenures over a shared store."""
 
-    def __init__(self, store, node, incarnation="1"):
+    def __init__(self, store, node, incarnation="1", cores=1.0):
         self.won = []
         self.eligible = True
         self.tenures = _tenure.Tenures(
@@ -20,6 +20,7 @@
             f"{node}:1",
             lambda: self.eligible,
             lambda holder, sent_s: self.won.append(holder),
+            cores,
         )
         self.store = store
 
@@ -66,6 +67,17 @@
 
         self.run(story)
 
+    def test_a_small_machine_lets_the_others_go_first(self):
+        async def story(store):
+            small = Candidate(store, "a", cores=0.5)
+            large = Candidate(store, "b", cores=2.0)
+            await asyncio.gather(small.look(), large.look())
+            await asyncio.sleep(_tenure.SMALL_MACHINE_DELAY_S)
+            assert large.won
+            assert not small.won
+
+        self.run(story)
+
     async def holder_and_follower(self, store):
         holder, follower = Candidate(store, "a"), Candidate(store, "b")
         await holder.look()
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -50,6 +50,23 @@
 
         self.run(slow, story)
 
+    def test_nothing_is_sent_once_its_permit_is_over(self):
+        served = []
+
+        async def note(request):
+            served.append(request.path)
+            return transport.Reply(200)
+
+        async def story(client):
+            answer = await client.fetch(
+                ADDRESS, "POST", "/x", permit=lambda: False
+            )
+            assert answer.reason is base.Reason.CONNECTION_FAILED
+            assert (await client.fetch(ADDRESS, "POST", "/y")).status == 200
+            assert served == ["/y"]
+
+        self.run(note, story)
+
     def test_a_refused_connection_was_not_sent(self):
         async def story(client):
             answer = await client.fetch("127.0.0.1:1", "GET", "/")
