Watch background parts: a failure ends the tenure or reads the table anew

Such a failure is now logged and the tenure is given to another process. Removes settings, options and a method that nothing used; queues are served by priority.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -50,19 +50,20 @@
         self.store: platform.StoreClient = daemon.store
         self.workers: platform.WorkerClient = daemon.worker_client
         now_s = platform.boot_time_s()
+        lease_s = min(scheduling.LEASE_S, daemon.settings.max_lease_s)
         self.scheduler = scheduling.Scheduler(
             holder.token,
             holder.number,
             daemon.configuration,
             scheduling.Options(
                 stop_timeout_s=daemon.settings.stop_timeout_s,
-                early_s=daemon.settings.early_s,
+                lease_s=lease_s,
                 status_s=daemon.settings.status_s,
             ),
             now_s,
             _tenure.EXTEND_LIMIT_S
             - _tenure.START_LIMIT_S
-            + scheduling.LEASE_S * 1.025
+            + lease_s * 1.025
             + INHERITED_SLACK_S,
         )
         self.committer = _commits.Committer(
@@ -83,7 +84,20 @@
 
     def start(self) -> None:
         """Begins the tenure."""
-        self.tasks.append(asyncio.ensure_future(self._begin()))
+        self._keep(self._begin())
+
+    def _keep(self, work) -> None:
+        """Runs a part of the tenure; if it fails, the tenure ends."""
+        task = asyncio.ensure_future(work)
+        self.tasks.append(task)
+        task.add_done_callback(self._observe_task_end)
+
+    def _observe_task_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        LOG.error("tenure_failed", error=repr(error), exc_info=error)
+        self.end("a part of it failed")
 
     def end(self, reason: str) -> None:
         """Ends the tenure at once; nothing more is sent."""
@@ -149,7 +163,7 @@
             self._expire_always(),
             self.wave_runner.run(),
         ):
-            self.tasks.append(asyncio.ensure_future(work))
+            self._keep(work)
         self._start_holds()
         self.loaded.set()
 
@@ -214,9 +228,9 @@
         for worker_id in self.scheduler.workers:
             task = self.holds.get(worker_id)
             if task is None or task.done():
-                self.holds[worker_id] = asyncio.ensure_future(
-                    self._hold_always(worker_id)
-                )
+                task = asyncio.ensure_future(self._hold_always(worker_id))
+                task.add_done_callback(self._observe_task_end)
+                self.holds[worker_id] = task
 
     async def _hold_always(self, worker_id: str) -> None:
         while True:
@@ -343,6 +357,7 @@
         task = asyncio.ensure_future(work)
         self.sends.add(task)
         task.add_done_callback(self.sends.discard)
+        task.add_done_callback(self._observe_task_end)
 
     async def _send(self, order: scheduling.WorkerOrder) -> None:
         count = self.daemon.metrics.count
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -112,7 +112,8 @@
     async def _stop(self) -> None:
         LOG.info("stopping", holder=self.controller is not None)
         self.stopping = True
-        linger = asyncio.ensure_future(asyncio.sleep(LINGER_S))
+        linger_s = min(LINGER_S, self.settings.grace_s - 2 * LAST_REQUESTS_S)
+        linger = asyncio.ensure_future(asyncio.sleep(max(0.0, linger_s)))
         if self.controller is not None:
             await self.controller.release()
         await linger
--- a/baobabdoor/dispatch/_following.py
+++ b/baobabdoor/dispatch/_following.py
@@ -46,6 +46,18 @@
 
     async def run(self) -> None:
         """Follows the table until it is cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except Exception as error:
+                # What is followed must not end; the table is read anew.
+                LOG.exception(
+                    "follower_failed", table=self.table, error=repr(error)
+                )
+                self.version = -1
+                await asyncio.sleep(RETRY_S)
+
+    async def _follow(self) -> None:
         while True:
             if self.version < 0:
                 answer = await self.store.read_all(self.table, self.part)
--- a/baobabdoor/dispatch/_waves.py
+++ b/baobabdoor/dispatch/_waves.py
@@ -49,7 +49,7 @@
         if isinstance(answer, base.Refusal):
             LOG.warning("machines_not_listed", reason=str(answer))
             return
-        self.upkeep.observe_machines(answer, platform.boot_time_s(), asked_s)
+        self.upkeep.observe_machines(answer, asked_s)
         self.controller.wake()
 
     def plan(self, now_s: float) -> None:
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -69,7 +69,6 @@
         retry_at_s: Earliest next start.
         avoided: Workers on which it failed.
         inherited: Whether a run of an earlier tenure may exist unseen.
-        ended_s: When its last run ended.
     """
 
     job: "Job"
@@ -84,7 +83,6 @@
     retry_at_s: float = 0.0
     avoided: frozenset[str] = frozenset()
     inherited: bool = False
-    ended_s: float = -1e9
 
     @property
     def failures(self) -> int:
--- a/baobabdoor/scheduling/_order_book.py
+++ b/baobabdoor/scheduling/_order_book.py
@@ -39,7 +39,7 @@
     silent |= worker.heard_s <= worker.doubted_s
     known = worker.fenced and worker.clock_ms
     if may_extend and known and not silent:
-        until_ms = worker.lease_until_ms(now_s, LEASE_S)
+        until_ms = worker.lease_until_ms(now_s, scheduler.options.lease_s)
     return _orders.HoldOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
@@ -76,7 +76,7 @@
         task=task.name,
         run_id=run.run_id,
         payload=task.job.spec.payload,
-        until_ms=worker.lease_until_ms(now_s, LEASE_S),
+        until_ms=worker.lease_until_ms(now_s, scheduler.options.lease_s),
         checkpoint=task.checkpoint,
         ticket=scheduler.advice.ticket(task, worker, now_s) or "",
     )
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -5,9 +5,6 @@
 from baobabdoor.scheduling import _orders
 from baobabdoor.scheduling import _worker
 
-# Pause between the end of a lasting task and its next start at the least.
-LASTING_RETRY_S = 0.05
-
 
 def place(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
     """Returns the starts that are due, the most pressing first."""
@@ -27,31 +24,32 @@
 def _ranked(scheduler) -> list[_job.Job]:
     """Returns active jobs in the order in which they are served.
 
-    Lasting jobs come first, then those that were expected in time, those
-    that may yet be, those that still earn a part, and the rest.
+    Lasting jobs come first, then those that can be in time, then those that
+    still earn a part, and the rest; within each, by the queue's priority.
     """
     keys = []
     for number, job in enumerate(scheduler.active.values()):
         if job.stored_state is None:
             continue
         if job.spec.long_running:
-            keys.append((0, 0, 0.0, number, job))
+            keys.append((0, 0, 0, 0.0, number, job))
             continue
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is None:
             continue
         if job.spec.repeat_count:
             # Each occurrence has its own time, so the job is never late.
-            keys.append((1, 0, 0.0, number, job))
+            keys.append((1, queue.priority, 0, 0.0, number, job))
             continue
         slack_s, late_slack_s = scheduler.admission.slacks_s(job, queue)
         if slack_s >= 0:
-            keys.append((1, int(not job.timely), slack_s, number, job))
+            rank = (1, queue.priority, int(not job.timely), slack_s)
         else:
             worthless = late_slack_s < 0
-            keys.append((2, int(worthless), -slack_s, number, job))
-    keys.sort(key=lambda key: key[:4])
-    return [key[4] for key in keys]
+            rank = (2, queue.priority, int(worthless), -slack_s)
+        keys.append((*rank, number, job))
+    keys.sort(key=lambda key: key[:5])
+    return [key[5] for key in keys]
 
 
 def _place_job(
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -86,7 +86,6 @@
     now_s: float,
 ) -> None:
     job = task.job
-    task.ended_s = now_s
     if end.how != "done" or end.run_id % 100 == 0:
         scheduler.note(
             "run_ended",
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -49,12 +49,12 @@
 
     Attributes:
         stop_timeout_s: Longest time that a stop takes.
-        early_s: Time by which a task may start before it is due.
+        lease_s: Lease that every call to a worker asks for.
         status_s: Time for which the state of an ended job is kept.
     """
 
     stop_timeout_s: float = 0.4
-    early_s: float = 0.25
+    lease_s: float = _order_book.LEASE_S
     status_s: float = 120.0
 
 
@@ -165,12 +165,6 @@
         self.touch(job)
         return job
 
-    def adopt_row(self, job_id: str, value: bytes, version: int) -> None:
-        """Replaces an unsaved job by the row that was found for it."""
-        self.jobs.pop(job_id, None)
-        self.active.pop(job_id, None)
-        self.load_job(job_id, value, version)
-
     def cancel(self, job_id: str) -> _job.Job | None:
         """Cancels a job; its runs are stopped by the next plan."""
         job = self.jobs.get(job_id)
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -131,7 +131,6 @@
         self.scheduler = scheduler
         self.plans: dict[int, WavePlan] = {}
         self.machines: dict[str, _types.MachineRecord] = {}
-        self.listed_s = -1e9
 
     def observe_wave(self, wave: _types.Wave) -> None:
         """Notes a wave that the operator asks for."""
@@ -141,18 +140,15 @@
     def observe_machines(
         self,
         machines: tuple[_types.MachineRecord, ...],
-        now_s: float,
         asked_s: float,
     ) -> None:
         """Notes the platform's list of machines.
 
         Args:
             machines: The list.
-            now_s: When it came.
             asked_s: When it was asked for; it may be as old as that.
         """
         self.machines = {record.machine: record for record in machines}
-        self.listed_s = now_s
         self._retire_replaced(asked_s)
         for plan in self.plans.values():
             for due in plan.due.values():
--- a/baobabdoor/standin/_row_store.py
+++ b/baobabdoor/standin/_row_store.py
@@ -4,6 +4,8 @@
 feeds, writes whose answer is lost and writes that land later.
 """
 
+import asyncio
+
 from baobabdoor import base
 from baobabdoor import platform
 
@@ -93,5 +95,16 @@
         """Returns all rows of a part."""
         return await self.read(table, part, "", timeout_s)
 
+    async def feed(self, table, after, wait_s):
+        """Returns rows of a table changed after a version, or waits."""
+        changed = tuple(
+            row
+            for key, row in sorted(self.rows.items())
+            if key[0] == table and row.version > after
+        )
+        if not changed:
+            await asyncio.sleep(wait_s)
+        return platform.RowSet(changed, self.version, self.time_ms)
+
     def _refusal(self, reason: base.Reason) -> base.Refusal:
         return base.Refusal(reason, "store", "memory")
--- /dev/null
+++ b/tests/test_dispatch_controller.py
@@ -0,0 +1,87 @@
+"""Tests of the controller: a part that fails ends the tenure."""
+
+import asyncio
+import types
+
+import scheduling_fixtures
+
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor.dispatch import _controller
+from baobabdoor.dispatch import _tenure
+from baobabdoor.standin import _row_store
+
+
+class SilentClient:
+    """Answers nothing."""
+
+    async def list_machines(self):
+        await asyncio.sleep(3600)
+
+    async def hold(self, order):
+        await asyncio.sleep(3600)
+
+
+class Bench:
+    """A daemon with a store in memory and platform clients that wait."""
+
+    def __init__(self):
+        self.store = _row_store.MemoryRowStore()
+        self.ended = []
+        self.daemon = types.SimpleNamespace(
+            store=self.store,
+            worker_client=SilentClient(),
+            machine_client=SilentClient(),
+            configuration=scheduling_fixtures.configuration(),
+            waves={},
+            metrics=observability.Metrics(),
+            settings=types.SimpleNamespace(
+                stop_timeout_s=0.4, max_lease_s=6.0, status_s=120.0
+            ),
+            observe_tenure_end=self.ended.append,
+        )
+
+    def controller(self):
+        self.store.version = 1
+        holder = _tenure.Holder("a", "a-1", "a:1", 0, False, 1)
+        key = (_tenure.TABLE, _tenure.PART, _tenure.HOLDER_KEY)
+        self.store.rows[key] = platform.StoredRow(*key, holder.encode(), 1)
+        return _controller.Controller(
+            self.daemon, holder, platform.boot_time_s()
+        )
+
+
+class TestController:
+
+    def test_a_part_that_fails_ends_the_tenure(self):
+        async def story():
+            bench = Bench()
+            controller = bench.controller()
+            controller.start()
+            await asyncio.wait_for(controller.loaded.wait(), 1)
+            assert not bench.ended
+
+            async def fail():
+                raise ValueError("planted")
+
+            controller.spawn(fail())
+            await asyncio.sleep(0.05)
+            assert bench.ended == [controller]
+            assert controller.ended
+
+        asyncio.run(story())
+
+    def test_a_release_gives_the_tenure_up_in_the_store(self):
+        async def story():
+            bench = Bench()
+            controller = bench.controller()
+            controller.start()
+            await asyncio.wait_for(controller.loaded.wait(), 1)
+            await controller.release()
+            row = bench.store.get(
+                _tenure.TABLE, _tenure.HOLDER_KEY, _tenure.PART
+            )
+            assert b'"released": true' in row.value
+            assert bench.ended == [controller]
+
+        asyncio.run(story())
--- /dev/null
+++ b/tests/test_dispatch_following.py
@@ -0,0 +1,66 @@
+"""Tests of following a table: changes, lost history, failing observers."""
+
+import asyncio
+
+from baobabdoor import base
+from baobabdoor import platform
+from baobabdoor.dispatch import _following
+from baobabdoor.standin import _row_store
+
+
+class TestFollower:
+
+    def follow(self, observe, seconds=0.5, store=None):
+        async def story():
+            follower = _following.TableFollower(
+                store or self.store(), "t", "", observe, 0.05
+            )
+            task = asyncio.ensure_future(follower.run())
+            await asyncio.sleep(seconds)
+            assert not task.done()
+            task.cancel()
+
+        asyncio.run(story())
+
+    def store(self):
+        store = _row_store.MemoryRowStore()
+        store.version = 1
+        store.rows["t", "", "k"] = platform.StoredRow("t", "", "k", b"1", 1)
+        return store
+
+    def test_the_table_is_read_whole_first(self):
+        seen = []
+        self.follow(lambda rows, answer, whole: seen.append((rows, whole)))
+        rows, whole = seen[0]
+        assert whole
+        assert [row.key for row in rows] == ["k"]
+        assert not seen[1][1]
+
+    def test_a_table_is_read_whole_again_after_its_history_was_lost(self):
+        store = self.store()
+        feed = store.feed
+        calls = []
+
+        async def lose_history(table, after, wait_s):
+            calls.append(after)
+            if len(calls) == 1:
+                return base.Refusal(base.Reason.OUTDATED_GENERATION, "feed")
+            return await feed(table, after, wait_s)
+
+        store.feed = lose_history
+        wholes = []
+        self.follow(
+            lambda rows, answer, whole: wholes.append(whole), store=store
+        )
+        assert wholes[:2] == [True, True]
+
+    def test_an_observer_that_fails_does_not_end_the_following(self):
+        calls = []
+
+        def fail_once(rows, answer, whole):
+            calls.append(whole)
+            if len(calls) == 1:
+                raise ValueError("planted")
+
+        self.follow(fail_once)
+        assert calls[:2] == [True, True]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -170,7 +170,7 @@
 zones: {taal: luzon}
 listen: {front: "10.0.0.1:80", ready: "10.0.0.1:81"}
 internal-port-range: [7060, 7075]
-bounds: {max-hold-ms: 6000, cancel_ms: 2500}
+bounds: {max-hold-ms: 6000, stop-timeout-ms: 250}
 platform: {address: "10.0.0.2:80"}
 something-new: 7
 """
@@ -180,7 +180,7 @@
         path.write_text(self.TEXT)
         settings = platform.load_settings(str(path))
         assert settings.max_lease_s == pytest.approx(6.0)
-        assert settings.cancel_timeout_s == pytest.approx(2.5)
+        assert settings.stop_timeout_s == pytest.approx(0.25)
         assert settings.store_address == "10.0.0.2:80"
 
     def test_an_error_names_file_field_expected_and_found(self, tmp_path):
--- a/tests/test_scheduling_relocation.py
+++ b/tests/test_scheduling_relocation.py
@@ -31,7 +31,7 @@
 
     def list(self):
         self.scheduler.upkeep.observe_machines(
-            tuple(self.machines), self.fleet.now_s, self.fleet.now_s
+            tuple(self.machines), self.fleet.now_s
         )
 
     def moves(self):
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -187,7 +187,6 @@
                     "",
                 ),
             ),
-            fleet.now_s + 2,
             fleet.now_s + asked_s,
         )
         return fleet.scheduler.workers["w1"].gone
--- a/tests/test_scheduling_upkeep.py
+++ b/tests/test_scheduling_upkeep.py
@@ -46,7 +46,6 @@
         self.upkeep.observe_machines(
             tuple((records | changed).values()),
             self.fleet.now_s,
-            self.fleet.now_s,
         )
 
     def plan(self, store=True):
