--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -2,24 +2,27 @@
 
 import asyncio
 
+import request_fakes
+
 from baobabdoor import base
 from baobabdoor import transport
 
-ADDRESS = "127.0.0.1:39417"
-
 
 class TestTransport:
 
     def run(self, handle, story):
+        # Tests run at once in several processes, so each takes a free port.
+        address = f"127.0.0.1:{request_fakes.free_port()}"
+
         async def main():
-            server = transport.Server(ADDRESS, handle)
+            server = transport.Server(address, handle)
             server.start()
             client = transport.Client()
             try:
-                await story(client)
+                await story(client, address)
             finally:
                 server.stop()
-                client.forget(ADDRESS)
+                client.forget(address)
 
         asyncio.run(main())
 
@@ -27,12 +30,12 @@
         return transport.Reply(200, request.body, "X-Path: p\r\n")
 
     def test_answers_come_over_one_kept_connection(self):
-        async def story(client):
+        async def story(client, address):
             for number in range(3):
                 body = f"{number}".encode()
-                answer = await client.fetch(ADDRESS, "POST", "/x", body)
+                answer = await client.fetch(address, "POST", "/x", body)
                 assert (answer.status, answer.body) == (200, body)
-            assert len(client.peers_[ADDRESS].idle) == 1
+            assert len(client.peers_[address].idle) == 1
 
         self.run(self.echo, story)
 
@@ -41,12 +44,12 @@
             await asyncio.sleep(0.5)
             return transport.Reply(200, request.body)
 
-        async def story(client):
+        async def story(client, address):
             answer = await client.fetch(
-                ADDRESS, "POST", "/x", b"a", timeout_s=0.1
+                address, "POST", "/x", b"a", timeout_s=0.1
             )
             assert answer.reason is base.Reason.UNKNOWN_RESULT
-            assert not client.peers_[ADDRESS].idle
+            assert not client.peers_[address].idle
 
         self.run(slow, story)
 
@@ -57,18 +60,18 @@
             served.append(request.path)
             return transport.Reply(200)
 
-        async def story(client):
+        async def story(client, address):
             answer = await client.fetch(
-                ADDRESS, "POST", "/x", permit=lambda: False
+                address, "POST", "/x", permit=lambda: False
             )
             assert answer.reason is base.Reason.CONNECTION_FAILED
-            assert (await client.fetch(ADDRESS, "POST", "/y")).status == 200
+            assert (await client.fetch(address, "POST", "/y")).status == 200
             assert served == ["/y"]
 
         self.run(note, story)
 
     def test_a_refused_connection_was_not_sent(self):
-        async def story(client):
+        async def story(client, address):
             answer = await client.fetch("127.0.0.1:1", "GET", "/")
             assert answer.reason is base.Reason.CONNECTION_FAILED
 
@@ -78,8 +81,8 @@
         async def fail(request):
             raise ValueError(request.path)
 
-        async def story(client):
-            answer = await client.fetch(ADDRESS, "GET", "/x")
+        async def story(client, address):
+            answer = await client.fetch(address, "GET", "/x")
             assert answer.status == 500
 
         self.run(fail, story)
