--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -7,7 +7,7 @@
 from baobabdoor.scheduling import _types
 
 ROW_FORMAT = 1
-# The payload and the steps of an ended job are not needed any more.
+# Fields with these values are left out of a row.
 _STEP_DEFAULTS = attrs.asdict(_types.StepSpec(task_count=0))
 
 
@@ -181,6 +181,7 @@
             "state": self.state.value,
             "submitted_ms": round(self.submitted_ms),
         }
+        # The payload and the steps of an ended job are not needed any more.
         if self.final:
             content["ended_ms"] = round(self.ended_ms)
             content["reason"] = self.reason
--- a/baobabdoor/scheduling/_order_book.py
+++ b/baobabdoor/scheduling/_order_book.py
@@ -165,6 +165,7 @@
 
 
 def plan_stops(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
+    """Returns the stops that are due, of runs that were given up and strays."""
     orders: list[_orders.WorkerOrder] = []
     for worker in scheduler.workers.values():
         if worker.gone:
