Leave a new holder alone that a waiting candidate learned of

Cause: a candidate decides to take over, waits (0.3 s on a machine below one core, up to 0.08 s elsewhere) and then expected the versions it knew by then, not those it had decided on. On the grown sites each takeover by a large machine was therefore followed by one by a small machine 0.3 s later, which could not carry the load (loading 1,711 jobs took it 1.4 to 5.7 s). Ruled out: lapses by a slow store (heartbeat ages were 1.82 s at each second takeover, and the first one's beats were in the store). Test: test_a_candidate_that_waits_leaves_a_new_holder_alone, failed first.

--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -173,7 +173,7 @@
         age_ms = store_ms - self.unchanged_since_ms
         if vacant or age_ms > LAPSE_MS:
             self.campaigning = True
-            asyncio.ensure_future(self._campaign(age_ms, vacant))
+            asyncio.ensure_future(self._campaign(age_ms))
 
     def _is_own_past(self, holder: Holder) -> bool:
         """Returns whether a record can have no living holder but this one.
@@ -188,17 +188,20 @@
         )
         return same_machine or self.is_self(holder)
 
-    async def _campaign(self, age_ms: float, vacant: bool) -> None:
+    def _seen(self) -> tuple[int, int]:
+        """Returns the versions read; a beat or a takeover changes them."""
+        return self.holder_version, self.heartbeat_version
+
+    async def _campaign(self, age_ms: float) -> None:
         try:
+            seen = self._seen()
             order = zlib.crc32(self.node.encode()) % 7 / 7
             await asyncio.sleep(
                 self.delay_s
                 + CANDIDATE_SPREAD_S * (order + random.random()) / 2
             )
-            taken = self.current is not None
-            if taken and vacant and not self._is_own_past(self.current):
-                return
-            await self._take(age_ms)
+            if self._seen() == seen:
+                await self._take(age_ms)
         finally:
             self.campaigning = False
 
--- a/tests/test_dispatch_tenure.py
+++ b/tests/test_dispatch_tenure.py
@@ -107,6 +107,23 @@
 
         self.run(story)
 
+    def test_a_candidate_that_waits_leaves_a_new_holder_alone(self):
+        async def story(store):
+            await self.holder_and_follower(store)
+            small = Candidate(store, "c", cores=0.5)
+            large = Candidate(store, "d", cores=2.0)
+            await asyncio.gather(small.look(), large.look())
+            for _ in range(4):
+                store.time_ms += 500
+                await asyncio.gather(small.look(), large.look())
+            # The small one learns of the new holder while it waits.
+            await small.look()
+            await asyncio.sleep(2 * _tenure.SMALL_MACHINE_DELAY_S)
+            assert large.won
+            assert not small.won
+
+        self.run(story)
+
     def test_a_gap_of_the_store_does_not_end_a_tenure_at_once(self):
         async def story(store):
             _, follower = await self.holder_and_follower(store)
