Ask for no further machine while one is on its way to a crowded pool

Now the machines that its lasting tasks lack are counted against those that are in use; two tests failed first.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -1,5 +1,7 @@
 """Chooses workers for the tasks whose turn has come."""
 
+import math
+
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _order_book
 from baobabdoor.scheduling import _orders
@@ -77,12 +79,11 @@
             orders += _place_gang(scheduler, tasks, waiting, workers, now_s)
             continue
         allowed = scheduler.advice.allowed(waiting[0], workers, now_s)
-        for task in waiting:
+        for placed, task in enumerate(waiting):
             worker = choose_worker(task, allowed, due)
             if worker is None:
                 if task.spec.long_running:
-                    queue = scheduler.configuration.queues[job.spec.queue]
-                    scheduler.crowded_pools.add(queue.pool)
+                    _note_crowded(scheduler, task, len(waiting) - placed)
                 break
             orders.append(
                 _order_book.start_order(scheduler, worker, task, now_s)
@@ -90,6 +91,19 @@
     return orders
 
 
+def _note_crowded(scheduler, task: _job.Task, count: int) -> None:
+    """Notes the machines that tasks without a place lack."""
+    spec = task.spec
+    queue = scheduler.configuration.queues[task.job.spec.queue]
+    cores = scheduler.relocation.machine_cores()
+    each = count
+    if spec.cpu_milli and not spec.fills:
+        each = max(1, int(cores * 1000 / spec.cpu_milli))
+    if spec.max_per_worker:
+        each = min(each, spec.max_per_worker)
+    scheduler.note_crowded(queue.pool, math.ceil(count / each))
+
+
 def _turn_has_come(
     scheduler, job: _job.Job, occurrence: int, step: int
 ) -> bool:
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -35,6 +35,8 @@
 # Time for which a machine must not have been needed before it is switched
 # off: a move costs as much as about a second of a machine.
 IDLE_S = 2.0
+# Time within which a worker that was listed takes its first run, in seconds.
+ARRIVAL_S = 1.0
 # Time after which a move that was accepted is forgotten.
 MOVE_LIMIT_S = 6.0
 # Most moves ordered in one plan.
@@ -173,17 +175,18 @@
             self.rate_cores(pool, now_s) * RATE_WEIGHT,
             self._demand_cores(pool),
         )
-        size = self._machine_cores()
+        size = self.machine_cores()
         lasting = self._lasting_cores(pool)
         need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
-        # The set is made anew by the plans until the next look.
-        crowded = pool in scheduler.crowded_pools
-        scheduler.crowded_pools.discard(pool)
-        if crowded:
-            need = max(need, self.have_machines(pool) + 1)
+        # Found anew by the plans until the next look.
+        lack = scheduler.crowded_pools.pop(pool, 0)
+        if lack:
+            # Those that are on their way may be enough.
+            present = self.have_machines(pool) - self._coming(pool, now_s)
+            need = max(need, present + lack)
         return max(LEAST_MACHINES, need)
 
-    def _machine_cores(self) -> float:
+    def machine_cores(self) -> float:
         """Returns the cores of a machine, on average."""
         sizes = [
             worker.record.cpu_milli / 1000
@@ -195,7 +198,7 @@
     def coming_cores(self, pool: str) -> float:
         """Returns the cores of the machines that a pool has or gets."""
         lasting = self._lasting_cores(pool)
-        return self.have_machines(pool) * self._machine_cores() - lasting
+        return self.have_machines(pool) * self.machine_cores() - lasting
 
     def _demand_cores(self, pool: str) -> float:
         """Returns the cores that jobs need to end within their objectives.
@@ -231,14 +234,35 @@
 
     def have_machines(self, pool: str) -> int:
         """Returns how many machines a pool has or is about to have."""
-        count = 0
+        return len(self._members(pool))
+
+    def _members(self, pool: str) -> list[_types.MachineRecord]:
+        members = []
         for record in self.scheduler.upkeep.machines.values():
             move = self.moves.get(record.machine)
             if move is not None:
-                count += move.pool == pool
-            elif record.pool == pool:
-                count += self._serves(record)
-        return count
+                counts = move.pool == pool
+            else:
+                counts = record.pool == pool and self._serves(record)
+            if counts:
+                members.append(record)
+        return members
+
+    def _coming(self, pool: str, now_s: float) -> int:
+        """Returns how many machines of a pool are not in use yet."""
+        coming = 0
+        for record in self._members(pool):
+            worker = self.scheduler.workers.get(record.worker_id)
+            coming += (
+                record.machine in self.moves
+                or record.state is not _types.MachineState.UP
+                or worker is None
+                or (
+                    not (worker.fenced and worker.enrolled)
+                    and now_s - worker.known_s < ARRIVAL_S
+                )
+            )
+        return coming
 
     def _serves(self, record: _types.MachineRecord) -> bool:
         if record.state in (
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -110,8 +110,8 @@
         self.upkeep = _upkeep.Upkeep(self)
         self.relocation = _relocation.Relocation(self)
         self.advice = _advice.Advice(self)
-        # Pools in which a lasting task found no place.
-        self.crowded_pools: set[str] = set()
+        # Machines that lasting tasks without a place lack, by pool.
+        self.crowded_pools: dict[str, int] = {}
         self.strays: dict[str, dict[tuple[str, int], float]] = {}
         self.change = 0
         self.dirty: dict[str, _job.Job] = {}
@@ -425,6 +425,11 @@
                 del self.workers[worker_id]
                 self.strays.pop(worker_id, None)
 
+    def note_crowded(self, pool: str, machines: int) -> None:
+        """Notes how many machines a pool lacks for its lasting tasks."""
+        known = self.crowded_pools.get(pool, 0)
+        self.crowded_pools[pool] = max(known, machines)
+
     def inherited_blocked(self) -> bool:
         """Returns whether unseen runs of earlier tenures may exist."""
         return bool(self.unfenced)
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -386,7 +386,7 @@
         and other.usable(now_s)
     ]
     if _placement.choose_worker(task, others) is None:
-        scheduler.crowded_pools.add(queue.pool)
+        scheduler.note_crowded(queue.pool, 1)
         return False
     return True
 
--- a/tests/test_scheduling_relocation.py
+++ b/tests/test_scheduling_relocation.py
@@ -71,6 +71,25 @@
         assert not pools.fleet.starts()
         assert [move.pool for move in pools.moves()] == [POOL]
 
+    def test_a_crowded_pool_waits_for_the_machine_on_its_way(self):
+        pools = Pools(count=1)
+        pools.fleet.scheduler.workers["w1"].closed = True
+        self.lasting(pools)
+        ordered = []
+        for _ in range(3):
+            pools.fleet.starts()
+            ordered += pools.moves()
+        assert len(ordered) == 1
+
+    def test_tasks_apart_get_as_many_machines_as_they_lack(self):
+        pools = Pools(count=1)
+        step = scheduling.StepSpec(
+            3, cpu_milli=100, long_running=True, max_per_worker=1
+        )
+        pools.fleet.submit(JOB, [step])
+        assert len(pools.fleet.starts()) == 1
+        assert len(pools.moves()) == 2
+
     def test_a_machine_that_is_being_emptied_does_not_count(self):
         pools = Pools(count=2)
         relocation = pools.scheduler.relocation
