--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -16,6 +16,9 @@
 # Earliest times of rejected jobs that are remembered, for their retries.
 REMEMBERED_JOBS = 2000
 MIN_RETRY_S = 1
+# Time after the start of a tenure within which the workers report and are
+# enrolled; until then the room of a pool without any is not known.
+SURVEY_S = 2.5
 # A job that ends within so many objectives still earns a part of its worth;
 # the platform counts up to three.
 LATE_FACTOR = 2.5
@@ -79,16 +82,17 @@
         if spec.long_running or spec.repeat_count or queue is None:
             return Verdict(True, None, {})
         capacity = self.capacity_cores(queue.pool, now_s) * USABLE_SHARE
+        if not capacity and now_s < scheduler.began_s + SURVEY_S:
+            return Verdict(True, None, {"capacity_cores": "unknown"})
         chain_s, work = self.measure(spec)
         objective_s = self.objective_s(queue, chain_s)
         waited_s = (scheduler.store_ms - first_ms) / 1000
         left_s = objective_s * OBJECTIVE_SHARE - waited_s - OVERHEAD_S
         backlog, deferred = self.backlog_core_s(queue.pool)
+        coming = scheduler.relocation.coming_cores(queue.pool)
         inputs = {
             "capacity_cores": round(capacity, 1),
-            "coming_cores": round(
-                self.scheduler.relocation.coming_cores(queue.pool), 1
-            ),
+            "coming_cores": round(coming, 1),
             "backlog_core_s": round(backlog, 1),
             "deferred_core_s": round(deferred, 1),
             "work_core_s": round(work, 1),
@@ -97,7 +101,6 @@
         }
         timely = left_s >= chain_s and backlog + work <= capacity * left_s
         late_s = objective_s * LATE_FACTOR - waited_s
-        coming = self.scheduler.relocation.coming_cores(queue.pool)
         room = max(capacity, coming * USABLE_SHARE, 1.0)
         need_s = (backlog + deferred + work) / room
         if timely or need_s + chain_s <= late_s:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -97,6 +97,7 @@
         self.run_base = tenure * RUNS_PER_TENURE
         self.configuration = configuration
         self.options = options
+        self.began_s = now_s
         self.inherited_until_s = now_s + inherited_bound_s
         # Until then a stop of an earlier tenure may be at work unseen.
         self.settled_s = now_s + options.stop_timeout_s + SETTLE_S
