Look for a transaction without an answer; wait for a slow store

Cause: a commit was given up after 0.3 s and sent again. Ruled out: the rate limits (30 writes a second against 800) and the length of the first timeout alone (a store with lost answers needs a short one). Now the first call is waited for up to 1.5 s while a read of one of its rows, and of the holder's row after it, shows whether it was applied. The read is not believed while an earlier write may yet land.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -18,11 +18,16 @@
 WAVES_TABLE = "waves"
 # Time for which changes are gathered before they are written.
 GATHER_S = 0.015
-# Bounds of the time that a transaction may take; in between it follows what
-# the last ones took.
+# Bounds of the time after which a transaction without an answer is looked
+# for; in between it follows what the last ones took.
 SHORTEST_TIMEOUT_S = 0.3
-LONGEST_TIMEOUT_S = 1.5
+LONGEST_TIMEOUT_S = 1.0
 TIMEOUT_FACTOR = 6.0
+# Time after which a transaction is given up: shorter than the time for which
+# a holder may start runs after its last heartbeat.
+TRANSACTION_LIMIT_S = 1.5
+# A look that took longer shows a slow store, where the answer may yet come.
+QUICK_LOOK_S = 0.1
 RETRY_S = 0.1
 LOG = observability.get_logger("commits")
 
@@ -80,6 +85,9 @@
         self.committed = asyncio.Event()
         self.timeout_s = SHORTEST_TIMEOUT_S
         self.latency_s = 0.02
+        self.heartbeat_version = holder.token
+        # Whether a write was given up that may yet be applied.
+        self.unsettled = False
         self.reachable = True
         self.releasing = False
         self.released = asyncio.Event()
@@ -170,11 +178,11 @@
                     JOBS_TABLE, _tenure.PART, job_id, version=job.row_version
                 )
             )
-        answer = await self.store.transact(
-            puts, (), expected, timeout_s=self.timeout_s
-        )
+        answer = await self._transact(puts, expected)
         if isinstance(answer, platform.Commit):
             self._confirm(now_s, due)
+            if due:
+                self.heartbeat_version = answer.version
             for document, content in documents:
                 document.content = content
                 document.version = answer.version
@@ -190,6 +198,77 @@
             self._observe_refusal(answer)
         return False
 
+    async def _transact(
+        self, puts: list[platform.StoredRow], expected: list[platform.StoredRow]
+    ) -> platform.Commit | platform.Conflict | base.Refusal:
+        """Sends a transaction; looks for its rows if no answer comes.
+
+        A slow store is not asked again, since it works off what waits one
+        by one.
+        """
+        started_s = platform.boot_time_s()
+        call = asyncio.ensure_future(
+            self.store.transact(
+                puts, (), expected, timeout_s=TRANSACTION_LIMIT_S
+            )
+        )
+        try:
+            await asyncio.wait({call}, timeout=self.timeout_s)
+            while not call.done() or _is_unknown(call.result()):
+                version, took_s = await self._look(puts[0], expected)
+                if version and not self.unsettled:
+                    return platform.Commit(version)
+                late = platform.boot_time_s() - started_s > TRANSACTION_LIMIT_S
+                if call.done() or late or took_s < QUICK_LOOK_S:
+                    break
+                await asyncio.wait({call}, timeout=self.timeout_s)
+            if call.done() and not _is_unknown(call.result()):
+                answer = call.result()
+                self.unsettled &= not isinstance(answer, platform.Commit)
+                return answer
+            self.unsettled = True
+            return base.Refusal(
+                base.Reason.UNKNOWN_RESULT, "commits.transact", "store"
+            )
+        finally:
+            call.cancel()
+
+    async def _look(
+        self, put: platform.StoredRow, expected: list[platform.StoredRow]
+    ) -> tuple[int, float]:
+        """Looks whether a transaction was applied.
+
+        Returns:
+            The version of one of its rows, 0 if it is not known to be
+            applied, and the seconds that the look took.
+        """
+        known = {(row.table, row.key): row.version for row in expected}
+        before = known.get((put.table, put.key), self.heartbeat_version)
+        started_s = platform.boot_time_s()
+        version = await self._read_version(put)
+        took_s = platform.boot_time_s() - started_s
+        if version <= before:
+            return 0, took_s
+        # Only this tenure can have written the row if it still lasts.
+        holder = self.holder_row()
+        if await self._read_version(holder) != holder.version:
+            return 0, took_s
+        LOG.info("commit_found", version=version)
+        return version, took_s
+
+    async def _read_version(self, wanted: platform.StoredRow) -> int:
+        """Returns the version of a row; 0 if it is missing or not read."""
+        answer = await self.store.read(
+            wanted.table, wanted.part, wanted.key, LONGEST_TIMEOUT_S, 1
+        )
+        if isinstance(answer, base.Refusal):
+            LOG.info("row_not_read", key=wanted.key, reason=str(answer))
+            return 0
+        return max(
+            (row.version for row in answer.rows if row.key == wanted.key),
+            default=0,
+        )
+
     def holder_row(self) -> platform.StoredRow:
         """Returns the row that must be unchanged for anything to be written."""
         return platform.StoredRow(
@@ -242,7 +321,7 @@
         LOG.info("commit_conflict", rows=len(conflict.rows))
 
     def _observe_refusal(self, refusal: base.Refusal) -> None:
-        if refusal.reason is base.Reason.UNKNOWN_RESULT:
+        if _is_unknown(refusal):
             self.timeout_s = min(LONGEST_TIMEOUT_S, self.timeout_s * 2)
         if self.reachable:
             self.reachable = False
@@ -263,3 +342,10 @@
         LOG.info("tenure_released", token=mine.token)
         self.released.set()
         self.lost("released")
+
+
+def _is_unknown(answer: object) -> bool:
+    return (
+        isinstance(answer, base.Refusal)
+        and answer.reason is base.Reason.UNKNOWN_RESULT
+    )
--- a/baobabdoor/platform/_store.py
+++ b/baobabdoor/platform/_store.py
@@ -138,9 +138,10 @@
         part: str = "",
         start: str = "",
         timeout_s: float = READ_TIMEOUT_S,
+        limit: int = PAGE_ROWS,
     ) -> RowSet | base.Refusal:
-        """Reads up to 500 rows of a part from key `start` on."""
-        query = {"table": table, "part": part, "limit": PAGE_ROWS}
+        """Reads up to `limit` rows of a part from key `start` on."""
+        query = {"table": table, "part": part, "limit": limit}
         if start:
             query["from"] = start
         return await self._rows("rows-get", query, timeout_s, "store.read")
