Commands for the platform's store; check daemon settings; odd machine entries

A machine of an unknown state, or a list that is no JSON, ended the tenure (the reader of the list raised): such an entry is now left out with a log line, such a list is refused. A row whose value is not base64 is logged.

--- a/baobabdoor/cli/_config_commands.py
+++ b/baobabdoor/cli/_config_commands.py
@@ -4,6 +4,9 @@
 import sys
 from typing import Any
 
+import attrs
+
+from baobabdoor import platform
 from baobabdoor import settings
 from baobabdoor.cli import _client
 from baobabdoor.cli import _context
@@ -22,7 +25,9 @@
 async def config_check(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
-    """Checks a deployment file without sending it."""
+    """Checks a deployment file, or a daemon's settings on the platform."""
+    if platform.is_settings(arguments[0]):
+        return _check_daemon(context, arguments[0])
     deployment = _load(arguments[0])
     fleet = sum(pool.workers for pool in deployment.pools.values())
     summary = {
@@ -39,6 +44,18 @@
     return ExitCode.DONE
 
 
+def _check_daemon(context: _context.Context, path: str) -> ExitCode:
+    try:
+        daemon = platform.load_settings(path)
+    except platform.SettingsError as error:
+        raise _exit_codes.CommandError(ExitCode.USAGE, str(error)) from error
+    context.say(
+        attrs.asdict(daemon),
+        f"{path}: valid; daemon {daemon.node} in zone {daemon.zone}",
+    )
+    return ExitCode.DONE
+
+
 async def config_apply(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
--- a/baobabdoor/cli/_context.py
+++ b/baobabdoor/cli/_context.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from baobabdoor import platform
 from baobabdoor.cli import _client
 from baobabdoor.cli import _output
 
@@ -24,6 +25,7 @@
         change_id: Identifier given on the command line; empty for a new one.
         expected_generation: Generation that the operator has seen, if given.
         request: Request or job whose lines in log files are wanted.
+        store: Client of the platform's store, if its address was given.
     """
 
     client: _client.OperatorClient
@@ -32,6 +34,7 @@
     change_id: str = ""
     expected_generation: int | None = None
     request: str = ""
+    store: platform.StoreClient | None = None
 
     def show(
         self,
--- a/baobabdoor/cli/_main.py
+++ b/baobabdoor/cli/_main.py
@@ -8,12 +8,15 @@
 from absl import flags
 import attrs
 
+from baobabdoor import platform
+from baobabdoor import transport
 from baobabdoor.cli import _client
 from baobabdoor.cli import _config_commands
 from baobabdoor.cli import _context
 from baobabdoor.cli import _exit_codes
 from baobabdoor.cli import _fleet_commands
 from baobabdoor.cli import _job_commands
+from baobabdoor.cli import _store_commands
 
 FLAGS = flags.FLAGS
 ANY_NUMBER = 99
@@ -50,6 +53,11 @@
     "job show": CommandSpec(_job_commands.job_show, "ID", 1, 1),
     "job cancel": CommandSpec(_job_commands.job_cancel, "ID", 1, 1),
     "status": CommandSpec(_fleet_commands.status),
+    "store owner": CommandSpec(_store_commands.store_owner),
+    "store jobs": CommandSpec(_store_commands.store_jobs),
+    "store job": CommandSpec(_store_commands.store_job, "ID", 1, 1),
+    "store workers": CommandSpec(_store_commands.store_workers),
+    "store waves": CommandSpec(_store_commands.store_waves),
     "timeline": CommandSpec(
         _fleet_commands.show_timeline,
         "[kind=PREFIX ...] | --request ID FILE ...",
@@ -81,6 +89,11 @@
     flags.DEFINE_string(
         "request", "", "Request or job whose lines in log files are wanted."
     )
+    flags.DEFINE_string(
+        "store",
+        os.environ.get("BAOBABDOOR_STORE", ""),
+        "The platform's store as IP:PORT, for the commands `store ...`.",
+    )
     flags.DEFINE_integer(
         "expected_generation",
         None,
@@ -123,6 +136,9 @@
 
 
 def _make_context() -> _context.Context:
+    store = None
+    if FLAGS.store:
+        store = platform.StoreClient(transport.Client(), FLAGS.store)
     return _context.Context(
         client=_client.OperatorClient(FLAGS.entry, FLAGS.token),
         json=FLAGS.json,
@@ -130,6 +146,7 @@
         change_id=FLAGS.change_id,
         expected_generation=FLAGS.expected_generation,
         request=FLAGS.request,
+        store=store,
     )
 
 
--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -17,6 +17,7 @@
 from baobabdoor.platform._settings import VARIABLE
 from baobabdoor.platform._settings import ProcessSettings
 from baobabdoor.platform._settings import SettingsError
+from baobabdoor.platform._settings import is_settings
 from baobabdoor.platform._settings import load_settings
 from baobabdoor.platform._store import Commit
 from baobabdoor.platform._store import Conflict
@@ -65,5 +66,6 @@
     "encode_job_state",
     "encode_pending",
     "encode_wave_state",
+    "is_settings",
     "load_settings",
 ]
--- a/baobabdoor/platform/_machines.py
+++ b/baobabdoor/platform/_machines.py
@@ -5,10 +5,13 @@
 from urllib import parse
 
 from baobabdoor import base
+from baobabdoor import observability
 from baobabdoor import scheduling
 from baobabdoor import transport
+from baobabdoor.platform import _messages
 
 CALL_TIMEOUT_S = 1.5
+LOG = observability.get_logger("platform.machines")
 
 
 class MachineOutcome(enum.Enum):
@@ -67,8 +70,18 @@
                     self.address,
                     str(answer.status),
                 )
-            content = json.loads(answer.body)
-            records += [_decode(entry) for entry in content["machines"]]
+            try:
+                content = _messages.decode_object(answer.body)
+                entries = content["machines"]
+            except (_messages.MessageError, KeyError) as error:
+                return base.Refusal(
+                    base.Reason.UNKNOWN_RESULT,
+                    "machines.decode",
+                    self.address,
+                    str(error),
+                )
+            decoded = (_decode(entry) for entry in entries)
+            records += [record for record in decoded if record is not None]
             page = content.get("next-page-token")
             if not page:
                 return tuple(records)
@@ -116,11 +129,16 @@
         return MachineOutcome.UNKNOWN
 
 
-def _decode(entry: dict) -> scheduling.MachineRecord:
-    return scheduling.MachineRecord(
-        entry["machine"],
-        entry.get("pool") or "",
-        scheduling.MachineState(entry["state"]),
-        entry.get("zone") or "",
-        entry.get("id") or "",
-    )
+def _decode(entry: dict) -> scheduling.MachineRecord | None:
+    """Returns a machine; `None`, after a log line, for another form."""
+    try:
+        return scheduling.MachineRecord(
+            entry["machine"],
+            entry.get("pool") or "",
+            scheduling.MachineState(entry["state"]),
+            entry.get("zone") or "",
+            entry.get("id") or "",
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        LOG.warning("machine_entry_ignored", entry=entry, error=repr(error))
+        return None
--- a/baobabdoor/platform/_settings.py
+++ b/baobabdoor/platform/_settings.py
@@ -76,6 +76,16 @@
         return self.get(field, (int, float), default / scale) * scale
 
 
+def is_settings(path: str) -> bool:
+    """Returns whether a file has the form of the platform's settings."""
+    try:
+        content = yaml.safe_load(pathlib.Path(path).read_text("utf-8"))
+    except (OSError, yaml.YAMLError):
+        # The reader of the form that is expected instead names the error.
+        return False
+    return isinstance(content, dict) and "node-name" in content
+
+
 def load_settings(path: str) -> ProcessSettings:
     """Reads the settings file.
 
--- a/baobabdoor/platform/_store.py
+++ b/baobabdoor/platform/_store.py
@@ -253,7 +253,13 @@
         removed = bool(row.get("deleted"))
         try:
             value = base64.b64decode(row.get("value") or "")
-        except ValueError:
+        except ValueError as error:
+            LOG.warning(
+                "row_unreadable",
+                table=row["table"],
+                key=row["key"],
+                error=str(error),
+            )
             value = b""
         # A row that does not exist is listed with version 0.
         yield StoredRow(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,13 +1,16 @@
 """Tests of the adapter to the users' platform."""
 
+import asyncio
 import json
 import pathlib
 import re
 
 import pytest
 
+from baobabdoor import base
 from baobabdoor import platform
 from baobabdoor import scheduling
+from baobabdoor import transport
 
 PACKAGE = pathlib.Path(__file__).parent.parent / "baobabdoor"
 # Names of the platform's wire that no other package may spell.
@@ -190,6 +193,33 @@
             platform.load_settings(str(path))
 
 
+class TestMachines:
+
+    class Client:
+        """Answers each call with one body."""
+
+        def __init__(self, body):
+            self.body = body
+
+        async def fetch(self, *arguments, **options):
+            del arguments, options
+            return transport.Response(200, self.body, None)
+
+    def list(self, body):
+        client = platform.MachineClient(self.Client(body), "10.0.0.7:1", "e")
+        return asyncio.run(client.list_machines())
+
+    def test_an_entry_of_another_form_is_left_out(self):
+        good = {"machine": "m1", "pool": "p", "state": "up", "id": "w1"}
+        entries = [good, good | {"state": "melted"}, {"state": "up"}, 7]
+        (record,) = self.list(encode({"machines": entries}))
+        assert record.machine == "m1"
+
+    @pytest.mark.parametrize("body", [b"{", b"[]", b"{}"])
+    def test_a_list_that_cannot_be_read_is_refused(self, body):
+        assert isinstance(self.list(body), base.Refusal)
+
+
 class TestWaves:
 
     def test_a_wave_is_decoded_and_its_state_encoded(self):
