Stop an unanswered start in the next life of its worker

Ruled out: a low fence, late orders of the stand-in. Runs that were not confirmed stay reserved over a restart and are stopped in the new life; a stop that does not show is repeated; answers to orders, which name no life, no longer move the clock that leases are computed from.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -58,6 +58,7 @@
             scheduling.Options(
                 stop_timeout_s=daemon.settings.stop_timeout_s,
                 lease_s=lease_s,
+                longest_lease_s=daemon.settings.max_lease_s,
                 status_s=daemon.settings.status_s,
             ),
             now_s,
@@ -370,7 +371,7 @@
             self.scheduler.observe_pace(order, result)
         elif isinstance(order, scheduling.StopOrder):
             result = await self.workers.stop(order)
-            self.scheduler.observe_stop(order, result, platform.boot_time_s())
+            self.scheduler.observe_stop(order, result)
             if result.outcome is OUTCOMES.ACCEPTED:
                 await self._look(order.worker_id)
         if result.outcome is not OUTCOMES.ACCEPTED:
--- a/baobabdoor/scheduling/_order_book.py
+++ b/baobabdoor/scheduling/_order_book.py
@@ -10,6 +10,8 @@
 LEASE_S = 3.6
 # Time after which a stop without an answer is repeated.
 STOP_RETRY_S = 0.4
+# Time after which a stop that was taken is repeated if the run is still there.
+STOP_SHOWN_S = 1.5
 # Pause before a task is tried again where a worker had no room or was ill.
 RETRY_DELAY_S = 0.15
 OUTCOMES = _types.OrderOutcome
@@ -87,11 +89,12 @@
     if run is None or run.run_id != order.run_id:
         return
     run.order_pending = False
-    worker.observe_clock(result.clock_ms, now_s)
     outcome = result.outcome
     if outcome is OUTCOMES.ACCEPTED:
-        run.confirmed = True
-        run.clock_ms = result.clock_ms or worker.clock_ms
+        # One that is doubtful is stopped in the worker's next life.
+        if not run.doubtful:
+            run.confirmed = True
+            run.clock_ms = result.clock_ms or worker.clock_ms
         return
     scheduler.note(
         "start_refused",
@@ -101,6 +104,16 @@
         outcome=outcome.value,
         detail=result.detail,
     )
+    _observe_refused_start(scheduler, worker, run, outcome, now_s)
+
+
+def _observe_refused_start(
+    scheduler,
+    worker: _worker.Worker,
+    run: _job.Run,
+    outcome: _types.OrderOutcome,
+    now_s: float,
+) -> None:
     if outcome in (OUTCOMES.UNKNOWN, OUTCOMES.NOT_SENT):
         worker.doubted_s = now_s
     if outcome is OUTCOMES.UNKNOWN:
@@ -108,7 +121,7 @@
         run.stopping = True
         return
     if outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(order.worker_id)
+        scheduler.observe_wrong_worker(worker.worker_id)
         return
     scheduler.release_run(worker, run, outcome.value)
     run.task.retry_at_s = now_s + RETRY_DELAY_S
@@ -138,13 +151,11 @@
     scheduler,
     order: _orders.StopOrder,
     result: _types.OrderResult,
-    now_s: float,
 ) -> None:
     """Notes what became of a stop."""
     worker = scheduler.workers.get(order.worker_id)
     if worker is None:
         return
-    worker.observe_clock(result.clock_ms, now_s)
     if result.outcome is OUTCOMES.FENCED:
         scheduler.fenced_off = True
     elif result.outcome is OUTCOMES.WRONG_WORKER:
@@ -164,10 +175,12 @@
         if worker.gone:
             continue
         for run in worker.runs.values():
-            waiting = run.order_pending or run.stop_clock_ms
-            if not run.stopping or waiting:
+            if not run.stopping or run.order_pending:
                 continue
-            if now_s - run.stop_sent_s >= STOP_RETRY_S:
+            # A stop that was taken shows soon, unless it was an earlier life
+            # of the worker that took it.
+            pause_s = STOP_SHOWN_S if run.stop_clock_ms else STOP_RETRY_S
+            if now_s - run.stop_sent_s >= pause_s:
                 run.stop_sent_s = now_s
                 run.order_pending = True
                 orders.append(
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -10,7 +10,9 @@
 ) -> None:
     """Notes what a worker says of its runs."""
     worker = scheduler.workers.get(worker_id)
-    if worker is None or not _accept_report(scheduler, worker, report):
+    if worker is None:
+        return
+    if not _accept_report(scheduler, worker, report, now_s):
         return
     # Ends that it lists after its lease was over do not count.
     worker.lapsed = 0 < worker.lease_end_s < now_s
@@ -37,14 +39,17 @@
 
 
 def _accept_report(
-    scheduler, worker: _worker.Worker, report: _types.WorkerReport
+    scheduler,
+    worker: _worker.Worker,
+    report: _types.WorkerReport,
+    now_s: float,
 ) -> bool:
     """Returns whether a report is of the newest life and not overtaken."""
     if report.born_ms < worker.born_ms:
         return False
     if report.born_ms != worker.born_ms:
         if worker.born_ms:
-            scheduler.restart_worker(worker, report.born_ms, "report")
+            scheduler.restart_worker(worker, report.born_ms, "report", now_s)
         worker.born_ms = report.born_ms
     elif report.clock_ms < worker.reported_ms:
         # Answers on different connections may overtake each other.
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -50,11 +50,13 @@
     Attributes:
         stop_timeout_s: Longest time that a stop takes.
         lease_s: Lease that every call to a worker asks for.
+        longest_lease_s: Longest lease that a worker takes.
         status_s: Time for which the state of an ended job is kept.
     """
 
     stop_timeout_s: float = 0.4
     lease_s: float = _order_book.LEASE_S
+    longest_lease_s: float = 6.0
     status_s: float = 120.0
 
 
@@ -275,7 +277,7 @@
             or worker.record.pool != record.pool
         )
         if moved or record.born_ms > max(worker.born_ms, 1):
-            self.restart_worker(worker, record.born_ms, "list")
+            self.restart_worker(worker, record.born_ms, "list", now_s)
             worker.gone = False
             worker.fenced = False
             worker.known_s = now_s
@@ -316,21 +318,38 @@
             self.lose_runs(worker, f"worker {reason}")
 
     def restart_worker(
-        self, worker: _worker.Worker, born_ms: int, source: str
+        self,
+        worker: _worker.Worker,
+        born_ms: int,
+        source: str,
+        now_s: float,
     ) -> None:
-        """Notes a new life under a worker's id; nothing of before runs."""
+        """Notes a new life under a worker's id; nothing of before runs.
+
+        A start that was not answered may be carried out by the new life, so
+        its run is stopped there before its task starts elsewhere.
+        """
         self.note(
             "worker_restarted",
             worker=worker.worker_id,
             born_ms=born_ms,
             source=source,
         )
-        self.lose_runs(worker, "worker restarted")
+        for run in list(worker.runs.values()):
+            if run.confirmed:
+                self.release_run(worker, run, "worker restarted")
+            else:
+                run.doubtful = run.stopping = True
+                run.stop_clock_ms = 0
         self.strays.pop(worker.worker_id, None)
         worker.born_ms = born_ms
         worker.clock_ms = 0
         worker.reported_ms = 0
         worker.lease_end_s = 0.0
+        if worker.runs:
+            # The clock of the order was that of the life before.
+            longest_s = self.options.longest_lease_s * _worker.CLOCK_SLOWNESS
+            worker.lease_end_s = now_s + longest_s
         worker.processed = 0
         worker.acknowledged = 0
         worker.unsaved_ends = []
@@ -384,10 +403,10 @@
         _order_book.observe_start(self, order, result, now_s)
 
     def observe_stop(
-        self, order: _orders.StopOrder, result: _types.OrderResult, now_s: float
+        self, order: _orders.StopOrder, result: _types.OrderResult
     ) -> None:
         """Notes what became of a stop."""
-        _order_book.observe_stop(self, order, result, now_s)
+        _order_book.observe_stop(self, order, result)
 
     def observe_pace(
         self, order: _orders.PaceOrder, result: _types.OrderResult
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -76,9 +76,12 @@
             and now_s >= self.quarantined_until_s
         )
 
-    def observe_clock(self, clock_ms: int | None, now_s: float) -> None:
-        """Notes the worker's clock; answers may overtake each other."""
-        if clock_ms is not None and clock_ms >= self.clock_ms:
+    def observe_clock(self, clock_ms: int, now_s: float) -> None:
+        """Notes the clock of a report, which names the life that it is of.
+
+        Answers to orders do not, and may come from the life before.
+        """
+        if clock_ms >= self.clock_ms:
             self.clock_ms = clock_ms
             self.clock_at_s = now_s
 
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -202,7 +202,7 @@
         if isinstance(order, scheduling.StartOrder):
             self.scheduler.observe_start(order, result, now_s)
         else:
-            self.scheduler.observe_stop(order, result, now_s)
+            self.scheduler.observe_stop(order, result)
 
 
 class Walk:
--- a/tests/scheduling_fixtures.py
+++ b/tests/scheduling_fixtures.py
@@ -129,7 +129,7 @@
         if isinstance(order, scheduling.StartOrder):
             self.scheduler.observe_start(order, result, self.now_s)
         else:
-            self.scheduler.observe_stop(order, result, self.now_s)
+            self.scheduler.observe_stop(order, result)
 
     def end(self, worker_id, task, run_id, how="done"):
         self.running[worker_id].pop((task, run_id), None)
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -76,6 +76,45 @@
         (again,) = fleet.starts()
         assert again.run_id == order.run_id + 1
 
+    def restarted(self, outcome):
+        """A worker restarts under its id around a start."""
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.starts()
+        if outcome is not None:
+            fleet.answer(order, outcome)
+        fleet.now_s += 0.1
+        fleet.scheduler.observe_worker(
+            scheduling_fixtures.record(order.worker_id, born_ms=2), fleet.now_s
+        )
+        return fleet, order
+
+    def test_a_start_without_an_answer_may_run_in_the_next_life(self):
+        fleet, order = self.restarted(OUTCOMES.UNKNOWN)
+        fleet.running[order.worker_id][order.task, order.run_id] = 0
+        fleet.report(order.worker_id, born_ms=2)
+        (stop,) = fleet.plan()
+        assert isinstance(stop, scheduling.StopOrder)
+        assert (stop.task, stop.run_id) == (order.task, order.run_id)
+        fleet.answer(stop, OUTCOMES.ACCEPTED)
+        assert not fleet.starts()
+        fleet.running[order.worker_id].clear()
+        fleet.now_s += 0.1
+        fleet.report(order.worker_id, born_ms=2)
+        assert len(fleet.starts()) == 1
+
+    def test_a_late_answer_of_the_life_before_confirms_nothing(self):
+        fleet, order = self.restarted(None)
+        fleet.answer(order, OUTCOMES.ACCEPTED)
+        fleet.now_s += 0.1
+        fleet.report(order.worker_id, born_ms=2)
+        (stop,) = fleet.plan()
+        assert isinstance(stop, scheduling.StopOrder)
+        fleet.answer(stop, OUTCOMES.ACCEPTED)
+        fleet.now_s += 0.1
+        fleet.report(order.worker_id, born_ms=2)
+        assert len(fleet.starts()) == 1
+
 
 class TestEnds:
 
