--- a/tests/soak.py
+++ b/tests/soak.py
@@ -492,7 +492,9 @@
                 *(sys.executable, __file__, "--one", str(seed)),
                 *("--seconds", str(seconds), "--folder", str(folder)),
             )
-            broken += bool(await process.wait())
+            # Counted after the wait, since others count meanwhile.
+            failed = bool(await process.wait())
+            broken += failed
 
     await asyncio.gather(*(play_one(seed) for seed in seeds))
     return broken
