--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -26,6 +26,9 @@
 LEAST_SPAN_S = 0.5
 # Part of the work that arrives for which room is made before it is late.
 RATE_WEIGHT = 1.1
+# Most that the rate of arrivals asks for, in parts of what the jobs that are
+# there need: one large job is no sign of more.
+RATE_CAP = 2.0
 # Work of a job that will miss its objective by more is worth less than a
 # machine.
 LATE_SLACK_S = 0.3
@@ -194,10 +197,9 @@
     def need_machines(self, pool: str, now_s: float) -> int:
         """Returns how many machines a pool needs for its demand."""
         scheduler = self.scheduler
-        cores = max(
-            self.rate_cores(pool, now_s) * RATE_WEIGHT,
-            self._demand_cores(pool),
-        )
+        demand = self._demand_cores(pool)
+        rate = self.rate_cores(pool, now_s) * RATE_WEIGHT
+        cores = max(demand, min(rate, RATE_CAP * demand))
         size = self.machine_cores()
         lasting = self._lasting_cores(pool)
         need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
