Let machines come for jobs that were rejected; test the cap of the rate

The work rejected in the last second now counts beside the cap. One test fails without the cap, one without this change.

--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -96,10 +96,22 @@
         # When each pool last needed all of its machines.
         self.needed_s_: dict[tuple[str, int], float] = {}
 
-    def observe_arrival(self, pool: str, work: float, now_s: float) -> None:
+    def observe_arrival(
+        self, pool: str, work: float, now_s: float, accepted: bool = True
+    ) -> None:
         """Notes the work of a job that came, in core-seconds."""
         arrivals = self.arrivals_.setdefault(pool, collections.deque())
-        arrivals.append((now_s, work))
+        arrivals.append((now_s, work, accepted))
+
+    def rejected_cores(self, pool: str, now_s: float) -> float:
+        """Returns the work rejected in a second, in cores."""
+        since_s = now_s - RATE_WINDOW_S
+        rejected = (
+            work
+            for at_s, work, accepted in self.arrivals_.get(pool, ())
+            if at_s >= since_s and not accepted
+        )
+        return sum(rejected) / RATE_WINDOW_S
 
     def rate_cores(self, pool: str, now_s: float) -> float:
         """Returns the work that arrives in a second, in cores."""
@@ -110,7 +122,7 @@
         if len(arrivals) > RATE_ARRIVALS:
             since_s = now_s - arrivals[-RATE_ARRIVALS][0]
             span_s = max(SHORTEST_WINDOW_S, since_s)
-        recent = (work for at_s, work in arrivals if at_s >= now_s - span_s)
+        recent = (work for at_s, work, _ in arrivals if at_s >= now_s - span_s)
         return sum(recent) / span_s
 
     def plan(self, now_s: float) -> list[Move]:
@@ -199,7 +211,8 @@
         scheduler = self.scheduler
         demand = self._demand_cores(pool)
         rate = self.rate_cores(pool, now_s) * RATE_WEIGHT
-        cores = max(demand, min(rate, RATE_CAP * demand))
+        rejected = self.rejected_cores(pool, now_s)
+        cores = max(demand, min(rate, RATE_CAP * demand + rejected))
         size = self.machine_cores()
         lasting = self._lasting_cores(pool)
         need = math.ceil((cores / FILL_SHARE + lasting) / max(size, 0.1))
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -150,7 +150,8 @@
         verdict = self.admission.check(spec, now_s)
         if queue is not None and new and not spec.long_running:
             work = self.admission.measure(spec)[1]
-            self.relocation.observe_arrival(queue.pool, work, now_s)
+            accepted = verdict.rejection is None
+            self.relocation.observe_arrival(queue.pool, work, now_s, accepted)
         if verdict.rejection is not None:
             return verdict.rejection
         first_ms = self.admission.first_seen_ms(spec.job_id, self.store_ms)
--- a/tests/test_scheduling_relocation.py
+++ b/tests/test_scheduling_relocation.py
@@ -63,16 +63,25 @@
     def test_a_rate_is_known_early_where_many_jobs_arrive(self):
         assert 40 <= self.arrive(Pools(), 20, 0.02) <= 60
 
-    def test_one_large_job_asks_for_little_more_than_it_needs(self):
-        pools = Pools(count=1)
-        step = scheduling.StepSpec(60, cpu_milli=1000, estimate_ms=4000)
+    def need_after(self, step, count=1):
+        """Machines that a pool needs for one job, and its rate in them."""
+        pools = Pools(count=count)
         pools.fleet.submit(JOB, [step])
         relocation = pools.scheduler.relocation
         now_s = pools.fleet.now_s
-        rate = relocation.rate_cores(POOL, now_s)
         need = relocation.need_machines(POOL, now_s)
-        size = relocation.machine_cores()
-        assert need * size < rate
+        rate = relocation.rate_cores(POOL, now_s)
+        return need, rate / relocation.machine_cores()
+
+    def test_one_large_job_asks_for_little_more_than_it_needs(self):
+        step = scheduling.StepSpec(30, cpu_milli=1000, estimate_ms=4000)
+        need, rate = self.need_after(step, count=4)
+        assert 4 <= need < rate / 2
+
+    def test_machines_come_for_jobs_that_were_rejected(self):
+        step = scheduling.StepSpec(60, cpu_milli=1000, estimate_ms=4000)
+        need, rate = self.need_after(step)
+        assert need >= rate
 
     def test_a_rate_of_few_arrivals_is_taken_over_a_second(self):
         assert self.arrive(Pools(), 4, 0.05) == 4.0
