A list of machines asked for before an order says nothing about its upkeep

Ruled out: the count of intents (stored before each order), two holders (one). Beside it, an order accepted because the upkeep was over already left the machine down for good; a list 2.5 s later ends that and revives its worker. Two tests failed first; an existing test lets 0.1 s pass between order and list, since both had the same time.

--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -318,6 +318,14 @@
             self.unfenced.discard(worker_id)
             self.lose_runs(worker, f"worker {reason}")
 
+    def revive_worker(self, worker_id: str) -> None:
+        """Notes that the life of a worker is not over after all."""
+        worker = self.workers.get(worker_id)
+        if worker is not None and worker.gone:
+            self.note("worker_revived", worker=worker_id)
+            worker.gone = False
+            worker.fenced = False
+
     def restart_worker(
         self,
         worker: _worker.Worker,
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -23,6 +23,9 @@
 PATIENCE = 0.35
 # Use of a pool above which its machines wait, while there is time.
 BUSY_SHARE = 0.5
+# Time after which a machine that is listed with the worker it had cannot be on
+# its way down any more: an upkeep takes 2 s.
+SETTLED_S = 2.5
 # Pause before an order that was refused is repeated.
 RETRY_S = 0.6
 
@@ -48,6 +51,8 @@
         retry_at_s: When the next order may be given.
         worker_id: The worker that was on it.
         order_pending: Whether an order awaits its answer.
+        accepted_s: When an order was accepted; what was asked for before
+            does not show it.
     """
 
     machine: str
@@ -55,6 +60,7 @@
     retry_at_s: float = 0.0
     worker_id: str = ""
     order_pending: bool = False
+    accepted_s: float = -1e9
 
 
 @attrs.frozen
@@ -152,7 +158,7 @@
         self._retire_replaced(asked_s)
         for plan in self.plans.values():
             for due in plan.due.values():
-                self._observe_machine(due)
+                self._observe_machine(due, asked_s)
 
     def _retire_replaced(self, asked_s: float) -> None:
         """Retires workers whose machine has begun another life.
@@ -177,7 +183,7 @@
             ):
                 self.scheduler.retire_worker(worker.worker_id, "down")
 
-    def _observe_machine(self, due: Due) -> None:
+    def _observe_machine(self, due: Due, asked_s: float) -> None:
         record = self.machines.get(due.machine)
         if record is None:
             # Removed for good; nothing is left to do.
@@ -185,8 +191,7 @@
         elif record.state is not _types.MachineState.UP:
             return
         elif due.phase is Phase.DOWN:
-            if record.worker_id != due.worker_id or not record.worker_id:
-                due.phase = Phase.DONE
+            self._observe_down(due, record, asked_s - due.accepted_s)
         elif (
             due.phase in (Phase.CLOSING, Phase.INTENDED)
             and record.worker_id != due.worker_id
@@ -196,6 +201,19 @@
             due.phase = Phase.CLOSING
             due.worker_id = record.worker_id
 
+    def _observe_down(
+        self, due: Due, record: _types.MachineRecord, age_s: float
+    ) -> None:
+        """Notes that a machine which was taken down is listed as up."""
+        if age_s <= 0:
+            return
+        if record.worker_id != due.worker_id or not record.worker_id:
+            due.phase = Phase.DONE
+        elif age_s > SETTLED_S:
+            # It had its upkeep by an earlier order whose answer was lost.
+            due.phase = Phase.DONE
+            self.scheduler.revive_worker(due.worker_id)
+
     @property
     def active(self) -> bool:
         """Whether any wave is not completed."""
@@ -351,6 +369,7 @@
         due.order_pending = False
         if outcome == "accepted":
             due.phase = Phase.DOWN
+            due.accepted_s = now_s
             self.scheduler.retire_worker(due.worker_id, "in upkeep")
         elif outcome in ("not-due", "invalid"):
             due.phase = Phase.DONE
--- a/tests/test_scheduling_upkeep.py
+++ b/tests/test_scheduling_upkeep.py
@@ -72,6 +72,38 @@
         assert len(waves.plan()) == 2
         assert not waves.plan()
 
+    def take_down(self, waves):
+        """Has one machine taken down; returns what is due."""
+        ((plan, due, _),) = waves.plan()
+        waves.upkeep.observe_order(plan, due, "accepted", waves.fleet.now_s)
+        return due
+
+    def test_a_list_asked_for_before_the_order_does_not_end_an_upkeep(self):
+        waves = Waves(count=1)
+        waves.start()
+        waves.list(m1=machine("m1", ""))
+        due = self.take_down(waves)
+        waves.fleet.now_s -= 0.1
+        waves.list(m1=machine("m1", ""))
+        assert due.phase is scheduling.Phase.DOWN
+        waves.fleet.now_s += 0.2
+        waves.list(m1=machine("m1", ""))
+        assert due.phase is scheduling.Phase.DONE
+
+    def test_an_upkeep_that_was_over_before_the_order_ends_with_the_list(self):
+        waves = Waves(count=1)
+        waves.start()
+        due = self.take_down(waves)
+        worker = waves.fleet.scheduler.workers["w1"]
+        assert worker.gone
+        waves.fleet.now_s += 1.0
+        waves.list()
+        assert due.phase is scheduling.Phase.DOWN
+        waves.fleet.now_s += 2.0
+        waves.list()
+        assert due.phase is scheduling.Phase.DONE
+        assert not worker.gone
+
     def test_an_order_without_an_answer_counts_as_down(self):
         waves = Waves(count=3, maximum=1)
         waves.start()
@@ -87,6 +119,7 @@
         waves.start()
         ((plan, due, _),) = waves.plan()
         waves.upkeep.observe_order(plan, due, "accepted", waves.fleet.now_s)
+        waves.fleet.now_s += 0.1
         waves.list(m1=machine("m1", "", scheduling.MachineState.UPKEEP))
         assert not plan.completed
         waves.list(m1=machine("m1", "w9"))
