Acknowledge nothing to a worker that fell silent before it has answered

Ruled out: a wrong order of reports (the new life's first report came after the hold), late orders (none in this run). The test failed first.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test format check fuzz properties
+.PHONY: run test format check fuzz soak properties
 
 $(VENV)/.installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -27,6 +27,10 @@
 fuzz: $(VENV)/.installed
 	$(BIN)/python tests/test_fuzz_control.py --seconds 600
 
+# Plays real daemons under random faults; `--first N --seeds 1` repeats one.
+soak: $(VENV)/.installed
+	$(BIN)/python tests/soak.py --seeds 50 --parallel 2
+
 # Lists each property with the planted faults that it rejects.
 properties: $(VENV)/.installed
 	$(BIN)/python -m pytest -n 4 -v -k "planted or variant or property_rejects" tests
--- a/baobabdoor/scheduling/_order_book.py
+++ b/baobabdoor/scheduling/_order_book.py
@@ -38,17 +38,19 @@
     # A worker that does not answer gets no longer lease, so that the end
     # of its runs becomes certain.
     silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
-    silent |= worker.heard_s <= worker.doubted_s
+    # After a silence the worker may be in another life, which would take the
+    # numbers of the one before for its own and forget ends that nobody saw.
+    doubted = worker.heard_s <= worker.doubted_s
     known = worker.fenced and worker.clock_ms
-    if may_extend and known and not silent:
+    if may_extend and known and not silent and not doubted:
         until_ms = worker.lease_until_ms(now_s, scheduler.options.lease_s)
     return _orders.HoldOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
         token=scheduler.token,
-        last_seen=worker.acknowledged,
+        last_seen=0 if doubted else worker.acknowledged,
         until_ms=until_ms,
-        wait_ms=wait_ms if worker.fenced else 0,
+        wait_ms=wait_ms if worker.fenced and not doubted else 0,
     )
 
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -118,6 +118,20 @@
 
 class TestEnds:
 
+    def test_nothing_is_acknowledged_to_a_worker_that_fell_silent(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.end("w1", order.task, order.run_id)
+        fleet.commit()
+        assert fleet.hold("w1").last_seen == 1
+        fleet.scheduler.observe_silence("w1", fleet.now_s)
+        hold = fleet.hold("w1")
+        assert (hold.last_seen, hold.wait_ms) == (0, 0)
+        fleet.now_s += 0.1
+        fleet.report("w1")
+        assert fleet.hold("w1").last_seen == 1
+
     def test_an_end_is_acknowledged_after_it_is_stored(self):
         fleet = scheduling_fixtures.Fleet(["w1"])
         fleet.submit(JOB, [step(2)])
