Acknowledge nothing to a worker that was not heard of for a moment

Change: a hold that follows a report by more than 0.6 s acknowledges nothing and waits for nothing; it still extends the lease. The three judgements of a worker's silence are now three methods of `Worker`, used everywhere.

Ruled out: to extend no lease either; a starved holder would let runs lapse. Test: fails before (last_seen 1), passes after.

--- a/baobabdoor/scheduling/_order_book.py
+++ b/baobabdoor/scheduling/_order_book.py
@@ -35,22 +35,21 @@
             alive that a successor must know to end.
     """
     until_ms = 0
+    # Another life would take the numbers of the one before for its own and
+    # forget ends that nobody saw.
+    new_life = worker.may_have_restarted(now_s)
+    known = worker.fenced and worker.clock_ms
     # A worker that does not answer gets no longer lease, so that the end
     # of its runs becomes certain.
-    silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
-    # After a silence the worker may be in another life, which would take the
-    # numbers of the one before for its own and forget ends that nobody saw.
-    doubted = worker.heard_s <= worker.doubted_s
-    known = worker.fenced and worker.clock_ms
-    if may_extend and known and not silent and not doubted:
+    if may_extend and known and worker.answers(now_s):
         until_ms = worker.lease_until_ms(now_s, scheduler.options.lease_s)
     return _orders.HoldOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
         token=scheduler.token,
-        last_seen=0 if doubted else worker.acknowledged,
+        last_seen=0 if new_life else worker.acknowledged,
         until_ms=until_ms,
-        wait_ms=wait_ms if worker.fenced and not doubted else 0,
+        wait_ms=wait_ms if worker.fenced and not new_life else 0,
     )
 
 
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -446,7 +446,7 @@
             self.unfenced.clear()
         for worker_id, worker in list(self.workers.items()):
             over = now_s > worker.lease_end_s
-            silent = now_s - worker.heard_s > _worker.SILENCE_LIMIT_S
+            silent = worker.silent(now_s)
             if worker.runs and over and silent:
                 self.lose_runs(worker, "lease over")
             if worker.fenced and over and silent:
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -416,8 +416,7 @@
     worker = scheduler.workers.get(run.worker_id) if run else None
     return (
         worker is not None
-        and now_s - worker.heard_s < _worker.SILENCE_LIMIT_S
-        and worker.heard_s > worker.doubted_s
+        and worker.answers(now_s)
         and run.confirmed
         and not run.stopping
         and run.percent >= 100
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -9,6 +9,9 @@
 CLOCK_SLACK_S = 0.1
 # A worker that was not heard of for so long gets no new run.
 SILENCE_LIMIT_S = 1.8
+# Time after a report for which its life is taken to go on: above the pause
+# between two holds and a wait for the store.
+SAME_LIFE_S = 0.6
 # Runs that failed in a row, of so many jobs, before a worker is quarantined.
 QUARANTINE_JOBS = 2
 QUARANTINE_S = 4.0
@@ -71,11 +74,23 @@
             and not self.gone
             and not self.closed
             and not self.record.draining
-            and now_s - self.heard_s < SILENCE_LIMIT_S
-            and self.heard_s > self.doubted_s
+            and self.answers(now_s)
             and now_s >= self.quarantined_until_s
         )
 
+    def answers(self, now_s: float) -> bool:
+        """Returns whether it was heard of a moment ago and not missed since."""
+        return not self.silent(now_s) and self.heard_s > self.doubted_s
+
+    def silent(self, now_s: float) -> bool:
+        """Returns whether nothing was heard of it for too long."""
+        return now_s - self.heard_s > SILENCE_LIMIT_S
+
+    def may_have_restarted(self, now_s: float) -> bool:
+        """Returns whether it may be in another life than the one reported."""
+        unheard = now_s - self.heard_s > SAME_LIFE_S
+        return unheard or self.heard_s <= self.doubted_s
+
     def observe_clock(self, clock_ms: int, now_s: float) -> None:
         """Notes the clock of a report, which names the life that it is of.
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -132,6 +132,17 @@
         fleet.report("w1")
         assert fleet.hold("w1").last_seen == 1
 
+    def test_nothing_is_acknowledged_to_a_worker_that_was_not_asked(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.end("w1", order.task, order.run_id)
+        fleet.commit()
+        fleet.now_s += 1.0
+        hold = fleet.hold("w1")
+        assert (hold.last_seen, hold.wait_ms) == (0, 0)
+        assert hold.until_ms
+
     def test_an_end_is_acknowledged_after_it_is_stored(self):
         fleet = scheduling_fixtures.Fleet(["w1"])
         fleet.submit(JOB, [step(2)])
