Fewer bytes: compressed job rows, one row for a state, one shared read

Change: requests that wait share one read, one more if it began too early; both reads ask for one row; rows are compressed.

--- a/baobabdoor/cli/_store_commands.py
+++ b/baobabdoor/cli/_store_commands.py
@@ -63,8 +63,8 @@
     del arguments
     counts: collections.Counter = collections.Counter()
     for row in await _read(context, dispatch.JOBS_TABLE):
-        content = json.loads(row.value)
-        counts[content["queue"], content["state"]] += 1
+        job = scheduling.decode_job(row.key, row.value, row.version)
+        counts[job.spec.queue, job.state.value] += 1
     table = sorted((*key, count) for key, count in counts.items())
     names = ("queue", "state", "jobs")
     context.show(
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -14,6 +14,7 @@
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _following
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _refresh
 from baobabdoor.dispatch import _tenure
 
 CONFIGURATION_WAIT_S = 1.2
@@ -68,6 +69,9 @@
             self._observe_configuration,
             CONFIGURATION_WAIT_S,
         )
+        self.refresher = _refresh.Refresher(
+            lambda: self.version, self._read_configuration
+        )
         gateway = _gateway.Gateway(self)
         callers = _callers.CallerHandler(self, gateway)
         self.servers = [transport.Server(address, gateway.serve)]
@@ -164,15 +168,18 @@
                 )
             self.waves[wave.number] = wave
 
-    async def refresh_configuration(self) -> None:
-        """Reads the configuration at once."""
+    async def _read_configuration(self) -> bool:
         answer = await self.store.read(
-            platform.CONFIGURATION_TABLE, "", platform.CONFIGURATION_KEY
+            platform.CONFIGURATION_TABLE,
+            "",
+            platform.CONFIGURATION_KEY,
+            limit=1,
         )
         if isinstance(answer, base.Refusal):
             LOG.warning("configuration_not_read", reason=str(answer))
-            return
+            return False
         self._observe_configuration(answer.rows, answer, False)
+        return True
 
     # Tenure.
 
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -145,14 +145,14 @@
 
     async def _stored_state(self, job_id: str) -> Outcome:
         answer = await self.daemon.store.read(
-            _commits.JOBS_TABLE, _tenure.PART, job_id
+            _commits.JOBS_TABLE, _tenure.PART, job_id, limit=1
         )
         if isinstance(answer, base.Refusal):
             return Outcome("unavailable", 1, detail=str(answer))
         for row in answer.rows:
             if row.key == job_id:
-                content = json.loads(row.value)
-                return Outcome("state", value=content["state"])
+                job = scheduling.decode_job(job_id, row.value, row.version)
+                return Outcome("state", value=job.state.value)
         return Outcome("no-job")
 
     async def serve(self, request: transport.Request) -> transport.Reply:
@@ -160,8 +160,7 @@
         verb = request.path.removeprefix("/v1/")
         message = json.loads(request.body)
         timeout_s = message.get("timeout_s", PEER_TIMEOUT_S)
-        if message.get("version", 0) > self.daemon.version:
-            await self.daemon.refresh_configuration()
+        await self.daemon.refresher.refresh(message.get("version", 0))
         if self.daemon.controller is None:
             outcome = Outcome("not-holder")
         else:
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -1,12 +1,15 @@
 """A job with its tasks, and its row in the store."""
 
 import json
+import zlib
 
 import attrs
 
 from baobabdoor.scheduling import _types
 
 ROW_FORMAT = 1
+# Rows are written often and hold much repeated text; level 1 halves them.
+COMPRESSION_LEVEL = 1
 # Fields with these values are left out of a row.
 _STEP_DEFAULTS = attrs.asdict(_types.StepSpec(task_count=0))
 
@@ -197,7 +200,8 @@
             content["payload"] = self.spec.payload
             content["steps"] = [_encode_step(step) for step in self.spec.steps]
             content |= self._encode_progress()
-        return json.dumps(content, separators=(",", ":")).encode()
+        text = json.dumps(content, separators=(",", ":"))
+        return zlib.compress(text.encode(), COMPRESSION_LEVEL)
 
     def _encode_progress(self) -> dict:
         progress: dict = {}
@@ -240,7 +244,10 @@
     Raises:
         ValueError: If the row was not written by this program.
     """
-    content = json.loads(value)
+    try:
+        content = json.loads(zlib.decompress(value))
+    except zlib.error as error:
+        raise ValueError(f"not a compressed row: {error}") from error
     if not isinstance(content, dict) or content.get("format") != ROW_FORMAT:
         raise ValueError(f"unknown row format: {content!r:.80}")
     steps = tuple(
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -97,9 +97,12 @@
 class TestState:
 
     def store_job(self, front, state):
+        step = scheduling.StepSpec(1, cpu_milli=100)
+        spec = scheduling.JobSpec(JOB, QUEUE.name, "text", (step,))
+        job = scheduling.Job(spec, 0)
+        job.state = scheduling.JobState(state)
         key = (_commits.JOBS_TABLE, _tenure.PART, JOB)
-        content = json.dumps({"state": state}).encode()
-        row = _row_store.platform.StoredRow(*key, content, 1)
+        row = _row_store.platform.StoredRow(*key, job.encode(), 1)
         front.store.rows[key] = row
 
     def test_the_store_answers_if_the_holder_does_not(self):
@@ -107,6 +110,20 @@
         self.store_job(front, "completed")
         assert front.state().value == "completed"
 
+    def test_only_the_row_of_the_job_is_read(self, monkeypatch):
+        front = Front()
+        self.store_job(front, "completed")
+        limits = []
+        read = front.store.read
+
+        async def watched(*arguments, limit=500, **options):
+            limits.append(limit)
+            return await read(*arguments, limit=limit, **options)
+
+        monkeypatch.setattr(front.store, "read", watched)
+        assert front.state().value == "completed"
+        assert limits == [1]
+
     def test_a_job_that_is_not_stored_was_not_accepted(self):
         assert Front().state().kind == "no-job"
 
