Starts in turns, and limits of calls that follow how long answers take

Change: at most 64 starts await an answer, 4 at one worker; one that gets no turn in 0.4 s is withheld, which says nothing of the worker. Limits of orders and holds follow six times the mean time of answers (0.45 to 1.2 s, 0.6 to 1.8).

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -11,6 +11,7 @@
 from baobabdoor import scheduling
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _following
+from baobabdoor.dispatch import _start_gate
 from baobabdoor.dispatch import _tenure
 from baobabdoor.dispatch import _waves
 
@@ -75,6 +76,7 @@
             self.end,
             daemon.metrics,
         )
+        self.gate = _start_gate.StartGate()
         self.wave_runner = _waves.WaveRunner(daemon, self)
         self.loaded = asyncio.Event()
         self.ended = False
@@ -364,7 +366,10 @@
     async def _send(self, order: scheduling.WorkerOrder) -> None:
         count = self.daemon.metrics.count
         if isinstance(order, scheduling.StartOrder):
-            result = await self.workers.start(order, self._may_send)
+            result = await self.gate.run(
+                order.worker_id,
+                lambda: self.workers.start(order, self._may_send),
+            )
             count("run_starts_total", {"outcome": result.outcome.value})
             self.scheduler.observe_start(order, result, platform.boot_time_s())
         elif isinstance(order, scheduling.PaceOrder):
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -2,16 +2,19 @@
 
 from collections.abc import Callable
 import json
+import time
 
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import scheduling
 from baobabdoor import transport
 
-# An order that takes longer is treated as unanswered.
+# Bounds of the time after which an order is treated as unanswered.
 ORDER_TIMEOUT_S = 0.45
-# Time added to a hold's own wait before it is given up.
+LONGEST_ORDER_TIMEOUT_S = 1.2
+# Bounds of the time added to a hold's own wait before it is given up.
 HOLD_GRACE_S = 0.6
+LONGEST_HOLD_GRACE_S = 1.8
 LOG = observability.get_logger("platform.workers")
 
 _REASONS = {
@@ -32,6 +35,7 @@
 
     def __init__(self, client: transport.Client):
         self.client = client
+        self.latency = transport.Latency()
 
     async def start(
         self, order: scheduling.StartOrder, permit: Callable[[], bool]
@@ -78,11 +82,15 @@
             body["until-ms"] = order.until_ms
         if order.wait_ms:
             body["wait-ms"] = order.wait_ms
+        grace_s = self.latency.limit_s(HOLD_GRACE_S, LONGEST_HOLD_GRACE_S)
+        started_s = time.monotonic()
         answer = await self._post(
-            order, "/api/hold", body, order.wait_ms / 1000 + HOLD_GRACE_S
+            order, "/api/hold", body, order.wait_ms / 1000 + grace_s
         )
         if isinstance(answer, scheduling.OrderResult):
             return answer
+        if not order.wait_ms:
+            self.latency.observe(time.monotonic() - started_s)
         status, content = answer
         if status != 200:
             return _result(status, content)
@@ -103,9 +111,12 @@
         body: dict,
         permit: Callable[[], bool] | None = None,
     ) -> scheduling.OrderResult:
-        answer = await self._post(order, target, body, ORDER_TIMEOUT_S, permit)
+        limit_s = self.latency.limit_s(ORDER_TIMEOUT_S, LONGEST_ORDER_TIMEOUT_S)
+        started_s = time.monotonic()
+        answer = await self._post(order, target, body, limit_s, permit)
         if isinstance(answer, scheduling.OrderResult):
             return answer
+        self.latency.observe(time.monotonic() - started_s)
         return _result(*answer)
 
     async def _post(
--- a/baobabdoor/scheduling/_types.py
+++ b/baobabdoor/scheduling/_types.py
@@ -279,6 +279,7 @@
     INVALID = "invalid"
     UNKNOWN = "unknown"
     NOT_SENT = "not-sent"
+    WITHHELD = "withheld"
 
 
 @attrs.frozen
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -86,3 +86,25 @@
             assert answer.status == 500
 
         self.run(fail, story)
+
+
+class TestLatency:
+
+    def test_an_idle_link_keeps_the_shortest_limit(self):
+        latency = transport.Latency()
+        for _ in range(200):
+            latency.observe(0.004)
+        assert latency.limit_s(0.5, 2.0) == 0.5
+
+    def test_late_answers_of_a_full_link_are_waited_for(self):
+        latency = transport.Latency()
+        for _ in range(200):
+            latency.observe(0.2)
+        assert 1.0 < latency.limit_s(0.5, 2.0) < 1.3
+        assert latency.limit_s(0.5, 0.9) == 0.9
+
+    def test_a_few_late_answers_change_little(self):
+        latency = transport.Latency()
+        for index in range(200):
+            latency.observe(0.4 if index % 20 == 0 else 0.004)
+        assert latency.limit_s(0.5, 2.0) == 0.5
