Deny no queue on an outdated configuration

Change: a holder whose configuration is older than the asker's refuses (503, retry) what it does not know; so does a front that has had no answer of the store for 2.0 s. Tests fail before, pass after.

Ruled out: to hold requests until the configuration is read; the link is full.

--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -11,6 +11,9 @@
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 # Part of a caller's time that is kept for the way back, in seconds.
 RETURN_S = 0.15
+# Age of the configuration, in seconds, from which a queue that is not in it
+# may yet have been added: above a whole wait for changes with its grace.
+STALE_S = 2.0
 LOG = observability.get_logger("callers")
 RETRY = "Retry-After: {}\r\n"
 
@@ -44,7 +47,7 @@
             return transport.Reply(503, headers=RETRY.format(1))
         queue = configuration.find_queue(request.host, request.path)
         if queue is None:
-            return transport.Reply(404)
+            return self._unknown_queue(request)
         job_id = request.path[len(queue.path_prefix) :]
         limit_s = self._limit_s(request, queue)
         if not job_id and request.method == "GET":
@@ -65,6 +68,14 @@
             return transport.Reply(405)
         return self._reply(request, job_id, outcome)
 
+    def _unknown_queue(self, request: transport.Request) -> transport.Reply:
+        if self.daemon.configuration_age_s() <= STALE_S:
+            return transport.Reply(404)
+        outcome = _gateway.Outcome(
+            "unavailable", 1, detail="the configuration may be outdated"
+        )
+        return self._reply(request, "", outcome)
+
     def _limit_s(
         self, request: transport.Request, queue: scheduling.Queue
     ) -> float:
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -94,6 +94,11 @@
         """Version of the configuration in force; 0 for none."""
         return self.configuration.version if self.configuration else 0
 
+    def configuration_age_s(self) -> float:
+        """Returns how long ago the configuration was certainly the newest."""
+        answered_s = self.configuration_follower.answered_s
+        return platform.boot_time_s() - answered_s
+
     async def run(self) -> None:
         """Serves until the process is told to stop."""
         for server in self.servers:
--- a/baobabdoor/dispatch/_following.py
+++ b/baobabdoor/dispatch/_following.py
@@ -43,6 +43,8 @@
         self.pause_s = pause_s
         self.version = -1
         self.reachable = True
+        # When the store last answered, on the clock of `boot_time_s`.
+        self.answered_s = -1e9
 
     async def run(self) -> None:
         """Follows the table until it is cancelled."""
@@ -71,6 +73,7 @@
             if not self.reachable:
                 LOG.info("table_regained", table=self.table)
                 self.reachable = True
+            self.answered_s = platform.boot_time_s()
             whole = self.version < 0
             self.version = answer.version
             rows = [row for row in answer.rows if row.part == self.part]
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -179,7 +179,7 @@
         if self.daemon.controller is not controller or controller.ended:
             return Outcome("not-holder")
         if message["queue"] not in self.daemon.configuration.queues:
-            return Outcome("no-queue")
+            return self._unknown_queue(message)
         if verb == "submit":
             return await self._submit(controller, message, timeout_s)
         if verb == "cancel":
@@ -191,6 +191,12 @@
             return Outcome("pending", value=count)
         return Outcome("invalid", detail=f"unknown verb {verb}")
 
+    def _unknown_queue(self, message: dict) -> Outcome:
+        if message.get("version", 0) > self.daemon.version:
+            detail = "the holder's configuration is older"
+            return Outcome("unavailable", 1, detail=detail)
+        return Outcome("no-queue")
+
     async def _submit(self, controller, message, timeout_s) -> Outcome:
         job = controller.scheduler.jobs.get(message["job"])
         if job is not None:
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -6,10 +6,13 @@
 
 import attrs
 import scheduling_fixtures
+from tornado import httputil
 
 from baobabdoor import base
+from baobabdoor import observability
 from baobabdoor import scheduling
 from baobabdoor import transport
+from baobabdoor.dispatch import _callers
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _gateway
 from baobabdoor.dispatch import _tenure
@@ -131,3 +134,35 @@
         front = Front()
         front.store.reachable = False
         assert front.state().kind == "unavailable"
+
+
+class TestUnknownQueue:
+
+    def ask_holder(self, version):
+        front = Front()
+        front.gateway.daemon.version = 3
+        message = {"queue": "new", "version": version}
+        front.gateway.daemon.controller = types.SimpleNamespace(
+            loaded=asyncio.Event(), ended=False
+        )
+        front.gateway.daemon.controller.loaded.set()
+        return asyncio.run(front.gateway.answer("pending", message, 1.0))
+
+    def test_a_holder_with_an_older_configuration_denies_no_queue(self):
+        assert self.ask_holder(4).kind == "unavailable"
+        assert self.ask_holder(3).kind == "no-queue"
+
+    def ask_front(self, age_s):
+        front = Front()
+        daemon = front.gateway.daemon
+        daemon.version = 3
+        daemon.metrics = observability.Metrics()
+        daemon.configuration_age_s = lambda: age_s
+        handler = _callers.CallerHandler(daemon, front.gateway)
+        headers = httputil.HTTPHeaders()
+        request = transport.Request("GET", "/new/", "host", headers, b"")
+        return asyncio.run(handler.serve(request)).status
+
+    def test_a_front_without_news_of_the_configuration_denies_no_queue(self):
+        assert self.ask_front(_callers.STALE_S + 0.1) == 503
+        assert self.ask_front(1.0) == 404
