Soak: wait until the daemons take connections

Change: the run begins 2.5 s after all daemons listen (at most 60 s), not 2.5 s after they were started. Bounds and checks are unchanged.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -32,6 +32,8 @@
 REQUEST_TIMEOUT_S = 3.0
 # Time for the daemons to come up, and for jobs to end after the last fault.
 START_S = 2.5
+# Longest time until all daemons take connections, on a busy machine.
+LISTEN_LIMIT_S = 60.0
 SETTLE_S = 25.0
 # Latest start of a cancelled job's task: late orders take up to 5 s.
 CANCEL_LIMIT_S = 9.0
@@ -180,6 +182,7 @@
         for daemon in self.daemons:
             daemon.start()
         try:
+            await self._wait_listening()
             await asyncio.sleep(START_S)
             end_s = time.monotonic() + self.seconds
             callers = [
@@ -195,6 +198,21 @@
         self._judge()
         return self.oracle.violations
 
+    async def _wait_listening(self) -> None:
+        """Waits for the processes, whose start depends on the machine."""
+        end_s = time.monotonic() + LISTEN_LIMIT_S
+        for daemon in self.daemons:
+            host, _, port = daemon.front.partition(":")
+            while True:
+                try:
+                    _, writer = await asyncio.open_connection(host, port)
+                    writer.close()
+                    break
+                except OSError:
+                    if time.monotonic() > end_s:
+                        raise
+                    await asyncio.sleep(0.1)
+
     def _stop(self) -> None:
         for daemon in self.daemons:
             daemon.end()
