Enrol workers anew at each commit, also without a change of the roster

Cause (read-through of the roster in sixteen rows): enrolment was worked out only after a row of the roster was written. A worker that was forgotten and listed again between two commits leaves its row as it was and would never be used again.

Tests: the first fails before; both pass after.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -86,6 +86,8 @@
         self.lost = lost
         self.metrics = metrics
         self.roster: dict[str, Document] = {}
+        # Workers that the stored roster names.
+        self.enrolled: set[str] = set()
         self.waves: dict[int, Document] = {}
         self.wanted = asyncio.Event()
         self.committed = asyncio.Event()
@@ -161,6 +163,15 @@
         """Returns a row of the roster."""
         return self.roster.setdefault(key, Document(ROSTER_TABLE, key, b"{}"))
 
+    def load_roster(self, row: platform.StoredRow) -> dict[str, list]:
+        """Takes in a stored row of the roster and returns its entries."""
+        document = self.roster_document(row.key)
+        document.version = row.version
+        document.content = row.value
+        entries = json.loads(row.value)
+        self.enrolled |= entries.keys()
+        return entries
+
     def wave_document(self, number: int) -> Document:
         """Returns the row of a wave's plan."""
         return self.waves.setdefault(number, Document(WAVES_TABLE, str(number)))
@@ -319,19 +330,18 @@
 
     def _confirm_documents(self, written: list[tuple[Document, bytes]]) -> None:
         if any(document.table == ROSTER_TABLE for document, _ in written):
-            self._confirm_roster()
+            self.enrolled = {
+                worker_id
+                for document in self.roster.values()
+                for worker_id in json.loads(document.content)
+            }
+        for worker in self.scheduler.workers.values():
+            worker.enrolled = worker.worker_id in self.enrolled
         for number, plan in self.scheduler.upkeep.plans.items():
             content = self.wave_document(number).content
             if content:
                 plan.note_saved(content)
 
-    def _confirm_roster(self) -> None:
-        enrolled = set()
-        for document in self.roster.values():
-            enrolled |= json.loads(document.content).keys()
-        for worker in self.scheduler.workers.values():
-            worker.enrolled = worker.worker_id in enrolled
-
     def _observe_conflict(self, conflict: platform.Conflict) -> None:
         for row in conflict.rows:
             if row.table == _tenure.TABLE and row.key == _tenure.HOLDER_KEY:
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import json
 import time
 
 from baobabdoor import base
@@ -179,10 +178,7 @@
             await asyncio.sleep(_following.RETRY_S)
 
     def _load_roster(self, row: platform.StoredRow) -> None:
-        document = self.committer.roster_document(row.key)
-        document.version = row.version
-        document.content = row.value
-        for worker_id, entry in json.loads(row.value).items():
+        for worker_id, entry in self.committer.load_roster(row).items():
             address, pool, zone, born_ms, machine = entry
             # Its room is unknown until it is listed.
             record = scheduling.WorkerRecord(
--- a/tests/test_dispatch_commits.py
+++ b/tests/test_dispatch_commits.py
@@ -186,3 +186,23 @@
         bench.write()
         assert bench.roster()["workers"] == {}
         assert bench.fleet.scheduler.workers["w1"].enrolled
+
+    def test_a_worker_that_was_forgotten_and_heard_again_is_enrolled(self):
+        bench = Bench()
+        bench.write()
+        bench.fleet.scheduler.workers["w1"].enrolled = False
+        bench.submit()
+        assert bench.write()
+        assert bench.fleet.scheduler.workers["w1"].enrolled
+
+    def test_the_roster_of_an_earlier_tenure_stays_in_force(self):
+        first, second = Bench(), Bench()
+        assert first.write()
+        for key, row in first.store.rows.items():
+            if row.table == _commits.ROSTER_TABLE:
+                second.store.rows[key] = row
+                second.committer.load_roster(row)
+        second.submit()
+        assert second.write()
+        assert second.fleet.scheduler.workers["w1"].enrolled
+        assert second.roster() == first.roster()
