--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -13,6 +13,9 @@
 else
     scenario_status=0
 fi
+if [ -s KNOWN-RED.txt ]; then
+    cat KNOWN-RED.txt
+fi
 python scripts/totals.py "$report"
 totals_status=$?
 [ "$unit_status" -eq 0 ] && [ "$scenario_status" -eq 0 ] &&
