--- a/baobabdoor/cli/_store_commands.py
+++ b/baobabdoor/cli/_store_commands.py
@@ -30,6 +30,14 @@
     return list(answer.rows)
 
 
+def _show_rows(
+    context: _context.Context, names: Sequence[str], rows: list[tuple]
+) -> None:
+    """Shows rows whose columns are also the names of their JSON fields."""
+    value = [dict(zip(names, row, strict=True)) for row in rows]
+    context.show(value, names, rows)
+
+
 async def store_owner(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
@@ -67,9 +75,7 @@
         counts[job.spec.queue, job.state.value] += 1
     table = sorted((*key, count) for key, count in counts.items())
     names = ("queue", "state", "jobs")
-    context.show(
-        [dict(zip(names, row, strict=True)) for row in table], names, table
-    )
+    _show_rows(context, names, table)
     return ExitCode.DONE
 
 
@@ -135,9 +141,7 @@
         for worker_id, entry in sorted(enrolled.items())
     ]
     names = ("worker", "pool", "machine", "state", "enrolled")
-    context.show(
-        [dict(zip(names, row, strict=True)) for row in table], names, table
-    )
+    _show_rows(context, names, table)
     return ExitCode.DONE
 
 
@@ -155,7 +159,5 @@
             (row.key, phases["intended"], phases["down"], phases["done"])
         )
     names = ("wave", "intended", "down", "done")
-    context.show(
-        [dict(zip(names, row, strict=True)) for row in table], names, table
-    )
+    _show_rows(context, names, table)
     return ExitCode.DONE
--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -11,6 +11,7 @@
 from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import scheduling
+from baobabdoor import transport
 from baobabdoor.dispatch import _tenure
 
 JOBS_TABLE = "jobs"
@@ -28,7 +29,10 @@
 # for; in between it follows what the last ones took.
 SHORTEST_TIMEOUT_S = 0.3
 LONGEST_TIMEOUT_S = 1.0
-TIMEOUT_FACTOR = 6.0
+# Weight of the newest transaction in the mean that it follows, and the mean
+# that is assumed before the first.
+LATENCY_WEIGHT = 0.2
+FIRST_LATENCY_S = 0.02
 # Time after which a transaction is given up: shorter than the time for which
 # a holder may start runs after its last heartbeat.
 TRANSACTION_LIMIT_S = 1.5
@@ -54,6 +58,11 @@
     content: bytes = b""
     version: int = 0
 
+    def load(self, row: platform.StoredRow) -> None:
+        """Takes over the row as it is stored."""
+        self.content = row.value
+        self.version = row.version
+
 
 class Committer:
     """Stores jobs, the roster of workers and the heartbeat.
@@ -92,7 +101,7 @@
         self.wanted = asyncio.Event()
         self.committed = asyncio.Event()
         self.timeout_s = SHORTEST_TIMEOUT_S
-        self.latency_s = 0.02
+        self.latency = transport.Latency(LATENCY_WEIGHT, FIRST_LATENCY_S)
         self.heartbeat_version = holder.token
         # Whether a write was given up that may yet be applied.
         self.unsettled = False
@@ -165,9 +174,7 @@
 
     def load_roster(self, row: platform.StoredRow) -> dict[str, list]:
         """Takes in a stored row of the roster and returns its entries."""
-        document = self.roster_document(row.key)
-        document.version = row.version
-        document.content = row.value
+        self.roster_document(row.key).load(row)
         entries = json.loads(row.value)
         self.enrolled |= entries.keys()
         return entries
@@ -317,10 +324,9 @@
     def _confirm(self, sent_s: float, heartbeat: bool) -> None:
         latency_s = platform.boot_time_s() - sent_s
         self.metrics.observe("store_commit_seconds", latency_s)
-        self.latency_s += 0.2 * (latency_s - self.latency_s)
-        self.timeout_s = min(
-            LONGEST_TIMEOUT_S,
-            max(SHORTEST_TIMEOUT_S, TIMEOUT_FACTOR * self.latency_s),
+        self.latency.observe(latency_s)
+        self.timeout_s = self.latency.limit_s(
+            SHORTEST_TIMEOUT_S, LONGEST_TIMEOUT_S
         )
         if heartbeat:
             self.confirmed_s = sent_s
@@ -366,10 +372,7 @@
             LOG.warning("store_lost", reason=str(refusal))
 
     async def _release(self) -> None:
-        mine = self.holder
-        released = _tenure.Holder(
-            mine.node, mine.incarnation, mine.address, mine.number, True, 0
-        )
+        released = attrs.evolve(self.holder, released=True)
         row = platform.StoredRow(
             _tenure.TABLE, _tenure.PART, _tenure.HOLDER_KEY, released.encode()
         )
@@ -377,7 +380,7 @@
         if isinstance(answer, base.Refusal):
             LOG.warning("release_unanswered", reason=str(answer))
             return
-        LOG.info("tenure_released", token=mine.token)
+        LOG.info("tenure_released", token=self.holder.token)
         self.released.set()
         self.lost("released")
 
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -139,9 +139,7 @@
         for row in roster:
             self._load_roster(row)
         for row in waves:
-            document = self.committer.wave_document(int(row.key))
-            document.version = row.version
-            document.content = row.value
+            self.committer.wave_document(int(row.key)).load(row)
         LOG.info(
             "tenure_loaded",
             token=self.holder.token,
--- a/baobabdoor/dispatch/_start_gate.py
+++ b/baobabdoor/dispatch/_start_gate.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import weakref
 
 from baobabdoor import scheduling
@@ -43,23 +44,13 @@
         if turns is None:
             turns = asyncio.Semaphore(WORKER_START_LIMIT)
             self.workers_[worker_id] = turns
-        try:
-            async with asyncio.timeout(TURN_WAIT_S):
-                await turns.acquire()
-                await self._enter(turns)
-        except TimeoutError:
-            return scheduling.OrderResult(
-                scheduling.OrderOutcome.WITHHELD, detail="no turn in time"
-            )
-        try:
+        async with contextlib.AsyncExitStack() as held:
+            try:
+                async with asyncio.timeout(TURN_WAIT_S):
+                    await held.enter_async_context(turns)
+                    await held.enter_async_context(self.total_)
+            except TimeoutError:
+                return scheduling.OrderResult(
+                    scheduling.OrderOutcome.WITHHELD, detail="no turn in time"
+                )
             return await send()
-        finally:
-            self.total_.release()
-            turns.release()
-
-    async def _enter(self, turns: asyncio.Semaphore) -> None:
-        try:
-            await self.total_.acquire()
-        except asyncio.CancelledError:
-            turns.release()
-            raise
--- a/baobabdoor/platform/_advisor.py
+++ b/baobabdoor/platform/_advisor.py
@@ -6,6 +6,7 @@
 from baobabdoor import observability
 from baobabdoor import scheduling
 from baobabdoor import transport
+from baobabdoor.platform import _messages
 
 # Calls of one machine are answered in turn, so an answer may take a while.
 ANSWER_TIMEOUT_S = 3.0
@@ -40,14 +41,9 @@
         if isinstance(answer, base.Refusal):
             return answer
         if answer.status != 200:
-            return base.Refusal(
-                base.Reason.PLATFORM_UNAVAILABLE,
-                "advice.ask",
-                self.address,
-                str(answer.status),
-            )
+            return _messages.refused("advice.ask", self.address, answer.status)
         try:
-            content = json.loads(answer.body)
+            content = _messages.decode_object(answer.body)
             tickets = {worker: ticket for worker, ticket in content["allowed"]}
             return tickets, content.get("valid-ms", 0) / 1000
         except (ValueError, KeyError, TypeError) as error:
--- a/baobabdoor/platform/_machines.py
+++ b/baobabdoor/platform/_machines.py
@@ -64,11 +64,8 @@
             if isinstance(answer, base.Refusal):
                 return answer
             if answer.status != 200:
-                return base.Refusal(
-                    base.Reason.PLATFORM_UNAVAILABLE,
-                    "machines.list",
-                    self.address,
-                    str(answer.status),
+                return _messages.refused(
+                    "machines.list", self.address, answer.status
                 )
             try:
                 content = _messages.decode_object(answer.body)
--- a/baobabdoor/platform/_messages.py
+++ b/baobabdoor/platform/_messages.py
@@ -2,6 +2,7 @@
 
 import json
 
+from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import scheduling
 
@@ -14,6 +15,13 @@
     """A message that does not have the published form."""
 
 
+def refused(step: str, address: str, status: int) -> base.Refusal:
+    """Returns the refusal for a status that says that nothing was done."""
+    return base.Refusal(
+        base.Reason.PLATFORM_UNAVAILABLE, step, address, str(status)
+    )
+
+
 def decode_object(value: bytes) -> dict:
     """Parses a JSON object.
 
--- a/baobabdoor/platform/_store.py
+++ b/baobabdoor/platform/_store.py
@@ -11,6 +11,7 @@
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import transport
+from baobabdoor.platform import _messages
 
 # Time added to a feed's own wait before the call is given up, in seconds.
 FEED_GRACE_S = 0.7
@@ -130,7 +131,7 @@
             return Commit(content.get("ver", 0))
         if status == 412:
             return Conflict(tuple(_rows(content)))
-        return self._refused("store.transact", status)
+        return _messages.refused("store.transact", self.address, status)
 
     async def read(
         self,
@@ -194,7 +195,7 @@
                 base.Reason.OUTDATED_GENERATION, step, self.address
             )
         if status != 200:
-            return self._refused(step, status)
+            return _messages.refused(step, self.address, status)
         return RowSet(
             tuple(_rows(content)),
             content["ver"],
@@ -233,11 +234,6 @@
         if self.clock_offset_ms_ is None or offset > self.clock_offset_ms_:
             self.clock_offset_ms_ = offset
 
-    def _refused(self, step: str, status: int) -> base.Refusal:
-        return base.Refusal(
-            base.Reason.PLATFORM_UNAVAILABLE, step, self.address, f"{status}"
-        )
-
 
 def boot_time_s() -> float:
     """Returns the steady clock that counts suspension, in seconds."""
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -9,12 +9,10 @@
 from baobabdoor import scheduling
 from baobabdoor import transport
 
-# Bounds of the time after which an order is treated as unanswered.
-ORDER_TIMEOUT_S = 0.45
-LONGEST_ORDER_TIMEOUT_S = 1.2
-# Bounds of the time added to a hold's own wait before it is given up.
-HOLD_GRACE_S = 0.6
-LONGEST_HOLD_GRACE_S = 1.8
+# Shortest and longest time after which an order is treated as unanswered.
+ORDER_TIMEOUT_S = (0.45, 1.2)
+# The same for a hold, beyond its own wait.
+HOLD_GRACE_S = (0.6, 1.8)
 LOG = observability.get_logger("platform.workers")
 
 _REASONS = {
@@ -82,15 +80,11 @@
             body["until-ms"] = order.until_ms
         if order.wait_ms:
             body["wait-ms"] = order.wait_ms
-        grace_s = self.latency.limit_s(HOLD_GRACE_S, LONGEST_HOLD_GRACE_S)
-        started_s = time.monotonic()
         answer = await self._post(
-            order, "/api/hold", body, order.wait_ms / 1000 + grace_s
+            order, "/api/hold", body, HOLD_GRACE_S, order.wait_ms / 1000
         )
         if isinstance(answer, scheduling.OrderResult):
             return answer
-        if not order.wait_ms:
-            self.latency.observe(time.monotonic() - started_s)
         status, content = answer
         if status != 200:
             return _result(status, content)
@@ -111,12 +105,11 @@
         body: dict,
         permit: Callable[[], bool] | None = None,
     ) -> scheduling.OrderResult:
-        limit_s = self.latency.limit_s(ORDER_TIMEOUT_S, LONGEST_ORDER_TIMEOUT_S)
-        started_s = time.monotonic()
-        answer = await self._post(order, target, body, limit_s, permit)
+        answer = await self._post(
+            order, target, body, ORDER_TIMEOUT_S, permit=permit
+        )
         if isinstance(answer, scheduling.OrderResult):
             return answer
-        self.latency.observe(time.monotonic() - started_s)
         return _result(*answer)
 
     async def _post(
@@ -124,20 +117,32 @@
         order: scheduling.WorkerOrder,
         target: str,
         body: dict,
-        timeout_s: float,
+        bounds_s: tuple[float, float],
+        wait_s: float = 0.0,
         permit: Callable[[], bool] | None = None,
     ) -> tuple[int, dict] | scheduling.OrderResult:
+        """Posts an order.
+
+        Args:
+            order: The order, which names the worker.
+            target: Path.
+            body: Body.
+            bounds_s: Shortest and longest limit, beyond `wait_s`.
+            wait_s: Time for which the worker may wait before it answers.
+            permit: Whether the order may still be sent.
+        """
         headers = (
             "Content-Type: application/json\r\n"
             f"X-Expected-Instance: {order.worker_id}\r\n"
         )
+        started_s = time.monotonic()
         answer = await self.client.fetch(
             order.address,
             "POST",
             target,
             json.dumps(body).encode(),
             headers,
-            timeout_s,
+            wait_s + self.latency.limit_s(*bounds_s),
             permit,
         )
         if isinstance(answer, base.Refusal):
@@ -148,6 +153,8 @@
                 else scheduling.OrderOutcome.UNKNOWN,
                 detail=str(answer),
             )
+        if not wait_s:
+            self.latency.observe(time.monotonic() - started_s)
         try:
             content = json.loads(answer.body) if answer.body else {}
         except ValueError as error:
--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -1,6 +1,7 @@
 """Decides whether a job can still be in time."""
 
 import collections
+from collections.abc import Sequence
 
 import attrs
 
@@ -116,14 +117,16 @@
 
     def measure(self, spec: _types.JobSpec) -> tuple[float, float]:
         """Returns the longest chain in seconds and the work in core-seconds."""
-        ends: list[float] = []
-        work = 0.0
-        for step in spec.steps:
-            duration_s = self.scheduler.durations.predict_s(spec.queue, step)
-            start_s = max((ends[i] for i in step.after), default=0.0)
-            ends.append(start_s + duration_s)
-            work += duration_s * step.task_count * step.cpu_milli / 1000
-        return max(ends), work
+        durations_s = self._durations_s(spec)
+        work = sum(
+            duration_s * step.task_count * step.cpu_milli / 1000
+            for step, duration_s in zip(spec.steps, durations_s, strict=True)
+        )
+        return _chain_s(spec.steps, durations_s), work
+
+    def _durations_s(self, spec: _types.JobSpec) -> list[float]:
+        predict_s = self.scheduler.durations.predict_s
+        return [predict_s(spec.queue, step) for step in spec.steps]
 
     def capacity_cores(self, pool: str, now_s: float) -> float:
         """Returns the cores of a pool that batch tasks may use."""
@@ -139,13 +142,9 @@
 
     def backlog_core_s(self, pool: str) -> tuple[float, float]:
         """Returns the work left in core-seconds, of timely and other jobs."""
-        scheduler = self.scheduler
         totals = [0.0, 0.0]
-        for job in scheduler.active.values():
-            if job.spec.long_running:
-                continue
-            queue = scheduler.configuration.queues.get(job.spec.queue)
-            if queue is not None and queue.pool == pool:
+        for job, _ in self.scheduler.pool_jobs(pool):
+            if not job.spec.long_running:
                 totals[not job.timely] += self.work_left(job)
         return totals[0], totals[1]
 
@@ -185,15 +184,23 @@
 
     def _expect(self, job, queue: _types.Queue) -> tuple[float, float]:
         """Returns a job's objective and its longest chain left, in seconds."""
-        durations = self.scheduler.durations
+        steps = job.spec.steps
         left_steps = {step for (_, step), left in job.left.items() if left}
-        ends: list[float] = []
-        whole: list[float] = []
-        for number, step in enumerate(job.spec.steps):
-            duration_s = durations.predict_s(job.spec.queue, step)
-            start_s = max((ends[i] for i in step.after), default=0.0)
-            rest_s = duration_s if number in left_steps else 0.0
-            ends.append(start_s + rest_s)
-            start_s = max((whole[i] for i in step.after), default=0.0)
-            whole.append(start_s + duration_s)
-        return self.objective_s(queue, max(whole)), max(ends)
+        whole_s = self._durations_s(job.spec)
+        rest_s = [
+            duration_s if number in left_steps else 0.0
+            for number, duration_s in enumerate(whole_s)
+        ]
+        objective_s = self.objective_s(queue, _chain_s(steps, whole_s))
+        return objective_s, _chain_s(steps, rest_s)
+
+
+def _chain_s(
+    steps: Sequence[_types.StepSpec], durations_s: Sequence[float]
+) -> float:
+    """Returns how long the longest chain of steps takes, in seconds."""
+    ends: list[float] = []
+    for step, duration_s in zip(steps, durations_s, strict=True):
+        start_s = max((ends[i] for i in step.after), default=0.0)
+        ends.append(start_s + duration_s)
+    return max(ends)
--- a/baobabdoor/scheduling/_order_book.py
+++ b/baobabdoor/scheduling/_order_book.py
@@ -86,8 +86,8 @@
 ) -> None:
     """Notes what became of a start."""
     worker = scheduler.workers.get(order.worker_id)
-    run = worker.runs.get(order.task) if worker else None
-    if run is None or run.run_id != order.run_id:
+    run = worker.find_run(order.task, order.run_id) if worker else None
+    if run is None:
         return
     run.order_pending = False
     outcome = result.outcome
@@ -97,13 +97,8 @@
             run.confirmed = True
             run.clock_ms = result.clock_ms or worker.clock_ms
         return
-    scheduler.note(
-        "start_refused",
-        task=order.task,
-        run=order.run_id,
-        worker=order.worker_id,
-        outcome=outcome.value,
-        detail=result.detail,
+    scheduler.note_run(
+        "start_refused", run, outcome=outcome.value, detail=result.detail
     )
     _observe_refused_start(scheduler, worker, run, outcome, now_s)
 
@@ -139,8 +134,8 @@
 ) -> None:
     """Notes what became of a change of pace."""
     worker = scheduler.workers.get(order.worker_id)
-    run = worker.runs.get(order.task) if worker else None
-    if run is None or run.run_id != order.run_id:
+    run = worker.find_run(order.task, order.run_id) if worker else None
+    if run is None:
         return
     if result.outcome is OUTCOMES.ACCEPTED:
         run.pace = order.percent
@@ -161,8 +156,8 @@
         scheduler.fenced_off = True
     elif result.outcome is OUTCOMES.WRONG_WORKER:
         scheduler.observe_wrong_worker(order.worker_id)
-    run = worker.runs.get(order.task)
-    if run is None or run.run_id != order.run_id:
+    run = worker.find_run(order.task, order.run_id)
+    if run is None:
         return
     run.order_pending = False
     if result.outcome is OUTCOMES.ACCEPTED:
--- a/baobabdoor/scheduling/_pacing.py
+++ b/baobabdoor/scheduling/_pacing.py
@@ -32,11 +32,9 @@
             if percent == run.pace or now_s - run.paced_s < RETRY_S:
                 continue
             run.paced_s = now_s
-            scheduler.note(
+            scheduler.note_run(
                 "run_paced",
-                task=run.task.name,
-                run=run.run_id,
-                worker=worker.worker_id,
+                run,
                 percent=percent,
                 pressure=round(pressure, 2),
             )
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -194,6 +194,19 @@
     )
 
 
+def other_workers(
+    scheduler, worker: _worker.Worker, pool: str, now_s: float
+) -> list[_worker.Worker]:
+    """Returns the usable workers of a pool but for one."""
+    return [
+        other
+        for other in scheduler.workers.values()
+        if other is not worker
+        and other.record.pool == pool
+        and other.usable(now_s)
+    ]
+
+
 def choose_worker(
     task: _job.Task,
     workers: list[_worker.Worker],
--- a/baobabdoor/scheduling/_relocation.py
+++ b/baobabdoor/scheduling/_relocation.py
@@ -244,27 +244,20 @@
         Each job that can still be in time needs the work that it has left,
         spread over the time that it has left when a machine could come.
         """
-        scheduler = self.scheduler
+        admission = self.scheduler.admission
         total = 0.0
-        for job in scheduler.active.values():
+        for job, queue in self.scheduler.pool_jobs(pool):
             if job.spec.long_running:
                 continue
-            queue = scheduler.configuration.queues.get(job.spec.queue)
-            if queue is None or queue.pool != pool:
-                continue
-            left_s, chain_s = scheduler.admission.time_left_s(job, queue)
+            left_s, chain_s = admission.time_left_s(job, queue)
             if left_s - chain_s > -LATE_SLACK_S:
                 span_s = max(left_s - MOVE_DELAY_S, chain_s, LEAST_SPAN_S)
-                total += scheduler.admission.work_left(job) / span_s
+                total += admission.work_left(job) / span_s
         return total
 
     def _lasting_cores(self, pool: str) -> float:
-        scheduler = self.scheduler
         total = 0
-        for job in scheduler.active.values():
-            queue = scheduler.configuration.queues.get(job.spec.queue)
-            if queue is None or queue.pool != pool:
-                continue
+        for job, _ in self.scheduler.pool_jobs(pool):
             for step in job.spec.steps:
                 if step.long_running and not step.fills:
                     total += step.cpu_milli * step.task_count
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -67,8 +67,8 @@
 ) -> None:
     worker.processed = end.number
     task = scheduler.find_task(end.task)
-    run = worker.runs.get(end.task)
-    if run is not None and run.run_id == end.run_id:
+    run = worker.find_run(end.task, end.run_id)
+    if run is not None:
         worker.remove_run(run)
         if task.run is run:
             task.run = None
@@ -160,8 +160,8 @@
     clock_ms: int,
     now_s: float,
 ) -> None:
-    run = worker.runs.get(entry.task)
-    if run is None or run.run_id != entry.run_id:
+    run = worker.find_run(entry.task, entry.run_id)
+    if run is None:
         run = _adopt(scheduler, worker, entry, clock_ms, now_s)
         if run is None:
             return
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -4,6 +4,8 @@
 orders that follow. Times are seconds of the clock that counts suspension.
 """
 
+from collections.abc import Iterator
+
 import attrs
 
 from baobabdoor.scheduling import _admission
@@ -178,6 +180,13 @@
             self.finish_job(job, _types.JobState.CANCELLED, "caller")
         return job
 
+    def pool_jobs(self, pool: str) -> Iterator[tuple[_job.Job, _types.Queue]]:
+        """Returns the jobs of a pool that have not ended, with their queues."""
+        for job in self.active.values():
+            queue = self.configuration.queues.get(job.spec.queue)
+            if queue is not None and queue.pool == pool:
+                yield job, queue
+
     def pending(self, queue: str) -> int:
         """Returns how many jobs of a queue have not begun."""
         return sum(
@@ -376,13 +385,7 @@
         if run.task.run is run:
             run.task.run = None
         if not run.task.job.final:
-            self.note(
-                "run_lost",
-                task=run.task.name,
-                run=run.run_id,
-                worker=worker.worker_id,
-                reason=reason,
-            )
+            self.note_run("run_lost", run, reason=reason)
 
     def find_task(self, name: str) -> _job.Task | None:
         """Returns a task by its name; `None` if it is not known."""
@@ -470,6 +473,16 @@
         """Adds an event for the log."""
         self.events.append(Event(name, fields))
 
+    def note_run(self, name: str, run: _job.Run, **fields: object) -> None:
+        """Adds an event about a run."""
+        self.note(
+            name,
+            task=run.task.name,
+            run=run.run_id,
+            worker=run.worker_id,
+            **fields,
+        )
+
     def take_events(self) -> list[Event]:
         """Returns the events since the last call."""
         events, self.events = self.events, []
--- a/baobabdoor/scheduling/_stalls.py
+++ b/baobabdoor/scheduling/_stalls.py
@@ -76,11 +76,10 @@
 ) -> bool:
     others = [
         other
-        for other in scheduler.workers.values()
-        if other is not worker
-        and other.record.pool == worker.record.pool
-        and other.usable(now_s)
-        and other.worker_id not in run.task.avoided
+        for other in _placement.other_workers(
+            scheduler, worker, worker.record.pool, now_s
+        )
+        if other.worker_id not in run.task.avoided
     ]
     return _placement.choose_worker(run.task, others) is not None
 
@@ -94,11 +93,9 @@
 ) -> None:
     run.stopping = True
     run.task.avoided |= {worker.worker_id}
-    scheduler.note(
+    scheduler.note_run(
         "run_given_up",
-        task=run.task.name,
-        run=run.run_id,
-        worker=worker.worker_id,
+        run,
         reason=reason,
         percent=run.percent,
         ran_ms=round((now_s - run.started_s) * 1000),
--- a/baobabdoor/scheduling/_upkeep.py
+++ b/baobabdoor/scheduling/_upkeep.py
@@ -333,11 +333,9 @@
         for run in list(worker.runs.values()) if worker else ():
             movable = run.task.spec.long_running and not run.stopping
             if movable and may_move(self.scheduler, run.task, worker, now_s):
-                self.scheduler.note(
+                self.scheduler.note_run(
                     "run_evacuated",
-                    task=run.task.name,
-                    run=run.run_id,
-                    worker=worker.worker_id,
+                    run,
                     machine=due.machine,
                     wave=plan.wave.number,
                 )
@@ -397,13 +395,7 @@
     queue = scheduler.configuration.queues.get(task.job.spec.queue)
     if queue is None:
         return False
-    others = [
-        other
-        for other in scheduler.workers.values()
-        if other is not worker
-        and other.record.pool == queue.pool
-        and other.usable(now_s)
-    ]
+    others = _placement.other_workers(scheduler, worker, queue.pool, now_s)
     if _placement.choose_worker(task, others) is None:
         scheduler.note_crowded(queue.pool, 1)
         return False
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -119,6 +119,11 @@
         self.runs[run.task.name] = run
         self._reserve(run.task.spec, 1)
 
+    def find_run(self, task: str, run_id: int) -> _job.Run | None:
+        """Returns the run of a task here if it has that number."""
+        run = self.runs.get(task)
+        return run if run is not None and run.run_id == run_id else None
+
     def remove_run(self, run: _job.Run) -> None:
         """Frees the room of a run that certainly does not exist."""
         if self.runs.get(run.task.name) is run:
--- a/scripts/totals.py
+++ b/scripts/totals.py
@@ -12,16 +12,23 @@
 SHOWN_LINES = 12
 
 
-def failures(report: pathlib.Path) -> list[str]:
-    """Returns the name and the report of each failed test below a path."""
-    found = []
-    for path in sorted(report.rglob("*.xml")):
-        for case in ElementTree.parse(path).iter("testcase"):
-            for kind in ("failure", "error"):
-                seen = case.find(kind)
-                if seen is not None:
-                    found.append(_describe(case, seen))
-    return found
+def read_cases(report: pathlib.Path) -> list[ElementTree.Element]:
+    """Returns the tests of all reports below a path."""
+    return [
+        case
+        for path in sorted(report.rglob("*.xml"))
+        for case in ElementTree.parse(path).iter("testcase")
+    ]
+
+
+def failures(cases: list[ElementTree.Element]) -> list[str]:
+    """Returns the name and the report of each failed test."""
+    return [
+        _describe(case, seen)
+        for case in cases
+        for seen in (case.find("failure"), case.find("error"))
+        if seen is not None
+    ]
 
 
 def _describe(case: ElementTree.Element, seen: ElementTree.Element) -> str:
@@ -31,29 +38,25 @@
     return "\n  ".join([name, *lines[:SHOWN_LINES]])
 
 
-def count(report: pathlib.Path) -> tuple[int, int, int]:
-    """Returns passed, failed and skipped tests of all reports below a path."""
+def count(cases: list[ElementTree.Element]) -> tuple[int, int, int]:
+    """Returns how many tests passed, failed and were skipped."""
     passed = failed = skipped = 0
-    for path in sorted(report.rglob("*.xml")):
-        for case in ElementTree.parse(path).iter("testcase"):
-            if (
-                case.find("failure") is not None
-                or case.find("error") is not None
-            ):
-                failed += 1
-            elif case.find("skipped") is not None:
-                skipped += 1
-            else:
-                passed += 1
+    for case in cases:
+        if case.find("failure") is not None or case.find("error") is not None:
+            failed += 1
+        elif case.find("skipped") is not None:
+            skipped += 1
+        else:
+            passed += 1
     return passed, failed, skipped
 
 
 def main() -> int:
     """Prints the totals; fails if a test failed or none ran."""
-    report = pathlib.Path(sys.argv[1])
-    for failure in failures(report):
+    cases = read_cases(pathlib.Path(sys.argv[1]))
+    for failure in failures(cases):
         print(failure)
-    passed, failed, skipped = count(report)
+    passed, failed, skipped = count(cases)
     suffix = f", {skipped} skipped" if skipped else ""
     print(f"{passed} passed, {failed} failed{suffix}")
     return 1 if failed or not passed else 0
--- a/tests/test_totals.py
+++ b/tests/test_totals.py
@@ -16,14 +16,17 @@
 
     def totals(self, tmp_path):
         (tmp_path / "report.xml").write_text(REPORT)
-        return runpy.run_path(str(ROOT / "scripts" / "totals.py"))
+        totals = runpy.run_path(str(ROOT / "scripts" / "totals.py"))
+        return totals, totals["read_cases"](tmp_path)
 
     def test_failed_test_is_printed_with_what_it_saw(self, tmp_path):
-        (failure,) = self.totals(tmp_path)["failures"](tmp_path)
+        totals, cases = self.totals(tmp_path)
+        (failure,) = totals["failures"](cases)
 
         assert failure.splitlines()[0] == "budget: reboots"
         assert "4 are out" in failure
         assert "{'unavailable': 4}" in failure
 
     def test_counts(self, tmp_path):
-        assert self.totals(tmp_path)["count"](tmp_path) == (1, 1, 0)
+        totals, cases = self.totals(tmp_path)
+        assert totals["count"](cases) == (1, 1, 0)
