Limits of a tenure in one place, also for the model

The walk copied four limits of dispatch and the formula of the bound on inherited runs, which the controller spelled with a literal 1.025 of its own. Both now call dispatch.inherited_bound_s; the values are the same.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -28,9 +28,6 @@
 WORKERS_WAIT_S = 1.0
 WORKERS_PAUSE_S = 0.25
 EXPIRY_INTERVAL_S = 20.0
-# Clock slack of the bound on runs that an earlier tenure may have kept alive.
-# Its heartbeat is at least START_LIMIT_S old when it is replaced.
-INHERITED_SLACK_S = 0.2
 LOG = observability.get_logger("controller")
 OUTCOMES = scheduling.OrderOutcome
 
@@ -62,10 +59,7 @@
                 status_s=daemon.settings.status_s,
             ),
             now_s,
-            _tenure.EXTEND_LIMIT_S
-            - _tenure.START_LIMIT_S
-            + lease_s * 1.025
-            + INHERITED_SLACK_S,
+            _tenure.inherited_bound_s(lease_s),
         )
         self.committer = _commits.Committer(
             self.store,
--- a/baobabdoor/dispatch/_tenure.py
+++ b/baobabdoor/dispatch/_tenure.py
@@ -16,6 +16,7 @@
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
+from baobabdoor import scheduling
 from baobabdoor.dispatch import _following
 
 TABLE = "tenure"
@@ -40,6 +41,8 @@
 # The same for extending leases, so that runs outlive an outage of the store
 # of some seconds.
 EXTEND_LIMIT_S = 3.0
+# Clock slack of the bound on runs that an earlier tenure may have kept alive.
+INHERITED_SLACK_S = 0.2
 FEED_WAIT_S = 0.4
 FEED_PAUSE_S = 0.2
 # Largest random delay of a candidate, in seconds.
@@ -51,6 +54,15 @@
 LOG = observability.get_logger("tenure")
 
 
+def inherited_bound_s(lease_s: float) -> float:
+    """Returns how long runs of an earlier tenure may outlive its end.
+
+    Its heartbeat is at least START_LIMIT_S old when it is replaced.
+    """
+    extended_s = EXTEND_LIMIT_S - START_LIMIT_S
+    return extended_s + lease_s * scheduling.CLOCK_SLOWNESS + INHERITED_SLACK_S
+
+
 @attrs.frozen
 class Holder:
     """Who decides.
--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -39,9 +39,11 @@
 from baobabdoor.scheduling._upkeep import Phase
 from baobabdoor.scheduling._upkeep import UpkeepOrder
 from baobabdoor.scheduling._upkeep import WavePlan
+from baobabdoor.scheduling._worker import CLOCK_SLOWNESS
 from baobabdoor.scheduling._worker import Worker
 
 __all__ = [
+    "CLOCK_SLOWNESS",
     "AdvicePolicy",
     "Configuration",
     "Due",
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from baobabdoor import dispatch
 from baobabdoor import scheduling
 from baobabdoor.standin import _worker_model
 
@@ -18,14 +19,6 @@
 MAX_ATTEMPTS = 3
 WORKERS = 6
 CPU_MILLI = 4000
-# The limits of `dispatch._tenure`: a holder whose heartbeat is as old as a
-# lapse is replaced.
-START_LIMIT_S = 1.6
-EXTEND_LIMIT_S = 3.0
-LAPSE_S = 1.8
-INHERITED_BOUND_S = (
-    EXTEND_LIMIT_S - START_LIMIT_S + scheduling.LEASE_S * 1.025 + 0.2
-)
 OUTCOMES = scheduling.OrderOutcome
 
 
@@ -116,7 +109,7 @@
             configuration=walk.configuration,
             options=scheduling.Options(),
             now_s=walk.now_s,
-            inherited_bound_s=INHERITED_BOUND_S,
+            inherited_bound_s=dispatch.inherited_bound_s(scheduling.LEASE_S),
         )
         for job_id, (content, version) in walk.store.items():
             self.scheduler.load_job(job_id, content, version)
@@ -137,7 +130,7 @@
         self._hold_workers()
         if current and walk.store_up:
             self._commit()
-        certain = walk.now_s - self.confirmed_s < START_LIMIT_S
+        certain = walk.now_s - self.confirmed_s < dispatch.START_LIMIT_S
         for order in scheduler.plan(walk.now_s, certain):
             self._send(order)
         self.ended |= scheduler.fenced_off
@@ -153,7 +146,7 @@
 
     def _hold_workers(self) -> None:
         walk = self.walk
-        certain = walk.now_s - self.confirmed_s < EXTEND_LIMIT_S
+        certain = walk.now_s - self.confirmed_s < dispatch.EXTEND_LIMIT_S
         for worker in list(self.scheduler.workers.values()):
             if walk.now_s < self.next_hold_s.get(worker.worker_id, 0):
                 continue
@@ -284,7 +277,9 @@
         """Begins another tenure; the one before does not know."""
         if self.holders:
             before = self.holders[-1]
-            before.confirmed_s = min(before.confirmed_s, self.now_s - LAPSE_S)
+            # A holder whose heartbeat is as old as a lapse is replaced.
+            lapsed_s = self.now_s - dispatch.LAPSE_MS / 1000
+            before.confirmed_s = min(before.confirmed_s, lapsed_s)
         holder = Holder(self, self.tenures)
         if self.plant is not None:
             self.plant(holder.scheduler)
