Malformed messages cost only themselves; no order without a current lease

Orders to the machine service were planned under a current lease, but nothing checked it when they were sent, and that platform does not compare fences. - a call that timed out closed its connection in order, so bytes that a partition held up could be delivered after it. - a worker's answer that was no object, a report with fields of other types, or an unreadable 409 of the machine service ended the leader's term; a job with 10^9 occurrences filled the leader's memory; integers beyond the range of floats in a stored job ended every later term. - a follower answered 503 (never runs) when the leader answered 500, although the leader may have accepted the job.

Ruled out: rejections by a leader of an outdated term speak of the submission that they answer.

Change: a permit is checked right before machine orders are sent; timed-out calls reset their connection; the adapter checks types and ranges of all answers; unreadable answers of a leader are unknown; unreadable leader and roster rows are logged and wait for the leases.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -129,10 +129,16 @@
         for row in jobs:
             try:
                 self.scheduler.load_job(row.key, row.value, row.version)
-            except (ValueError, KeyError, TypeError) as error:
-                LOG.error("job_row_ignored", job=row.key, error=str(error))
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
+                LOG.error("job_row_ignored", job=row.key, error=repr(error))
         for row in roster:
-            self._load_roster(row)
+            try:
+                self._load_roster(row)
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
+                # The workers of this row may have runs of earlier terms, which
+                # delays inherited tasks until their leases have expired.
+                LOG.error("roster_unreadable", row=row.key, error=repr(error))
+                self.scheduler.unfenced.add(f"roster row {row.key}")
         for row in waves:
             self.committer.wave_document(int(row.key)).load(row)
         LOG.info(
@@ -321,8 +327,8 @@
         """Returns whether leadership was confirmed recently enough."""
         return self._confirmed_age_s() < _election.START_WINDOW_S
 
-    def _may_send(self) -> bool:
-        """Returns whether a planned start may still be sent."""
+    def may_send(self) -> bool:
+        """Returns whether a planned order may still be sent."""
         return self.recently_confirmed() and not self.ended
 
     def _confirmed_age_s(self) -> float:
@@ -359,7 +365,7 @@
         if isinstance(order, scheduling.StartOrder):
             result = await self.start_limiter.run(
                 order.worker_id,
-                lambda: self.worker_client.start(order, self._may_send),
+                lambda: self.worker_client.start(order, self.may_send),
             )
             count("run_starts_total", {"outcome": result.outcome.value})
             self.scheduler.observe_start(order, result, platform.boot_time_s())
--- a/baobabdoor/dispatch/_election.py
+++ b/baobabdoor/dispatch/_election.py
@@ -98,9 +98,23 @@
 
 
 def _decode(row: platform.StoredRow) -> Leader | None:
+    """Returns the leader in a row; `None` if there is none or it is unreadable.
+
+    Fields that another version of the software added are ignored.
+    """
     if row.removed or not row.value:
         return None
-    return Leader(**json.loads(row.value), token=row.version)
+    try:
+        content = json.loads(row.value)
+        known = {
+            name: content[name]
+            for name in attrs.fields_dict(Leader)
+            if name != "token"
+        }
+        return Leader(**known, token=row.version)
+    except (KeyError, TypeError, ValueError) as error:
+        LOG.error("holder_unreadable", version=row.version, error=repr(error))
+        return None
 
 
 class LeaderElection:
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -147,9 +147,7 @@
             timeout_s=timeout_s,
         )
         if isinstance(answer, transport.Response):
-            if answer.status == 200:
-                return Outcome(**json.loads(answer.body))
-            return UNAVAILABLE
+            return _decode_outcome(answer)
         if answer.reason is base.Reason.CONNECTION_FAILED:
             return UNAVAILABLE
         return Outcome("unknown", detail=str(answer))
@@ -246,6 +244,21 @@
         return Outcome("state", value=state.value)
 
 
+def _decode_outcome(response: transport.Response) -> Outcome:
+    """Returns the outcome in a leader's response.
+
+    A leader that fails while it handles a request may have carried it out, so
+    any other response means that the result is unknown.
+    """
+    if response.status != 200:
+        return Outcome("unknown", detail=f"status {response.status}")
+    try:
+        return Outcome(**json.loads(response.body))
+    except (TypeError, ValueError) as error:
+        LOG.warning("peer_answer_unreadable", error=str(error))
+        return Outcome("unknown", detail=str(error))
+
+
 def _refusal_outcome(refusal: base.Refusal) -> Outcome:
     if refusal.reason is base.Reason.NOT_HOLDER:
         return Outcome("not-holder")
--- a/baobabdoor/dispatch/_waves.py
+++ b/baobabdoor/dispatch/_waves.py
@@ -68,7 +68,10 @@
         order: scheduling.MaintenanceOrder,
     ) -> None:
         outcome = await self.daemon.machine_client.start_maintenance(
-            order.machine, order.wave, self.controller.leader.token
+            order.machine,
+            order.wave,
+            self.controller.leader.token,
+            self.controller.may_send,
         )
         LOG.info(
             "upkeep_ordered",
@@ -86,7 +89,10 @@
 
     async def _order_move(self, move: scheduling.Move) -> None:
         outcome = await self.daemon.machine_client.move(
-            move.machine, move.pool, self.controller.leader.token
+            move.machine,
+            move.pool,
+            self.controller.leader.token,
+            self.controller.may_send,
         )
         LOG.info(
             "move_ordered",
--- a/baobabdoor/platform/_advisor.py
+++ b/baobabdoor/platform/_advisor.py
@@ -47,9 +47,13 @@
             )
         try:
             content = _messages.decode_object(answer.body)
-            tickets = {worker: ticket for worker, ticket in content["allowed"]}
-            return tickets, content.get("valid-ms", 0) / 1000
-        except (ValueError, KeyError, TypeError) as error:
+            rows = _messages.field(content, "allowed", list)
+            tickets = {str(worker): str(ticket) for worker, ticket in rows}
+            return (
+                tickets,
+                _messages.field(content, "valid-ms", float, 0) / 1000,
+            )
+        except (ValueError, TypeError) as error:
             LOG.warning("advice_unreadable", error=str(error))
             return base.Refusal(
                 base.Reason.UNKNOWN_RESULT, "advice.decode", self.address
--- a/baobabdoor/platform/_machines.py
+++ b/baobabdoor/platform/_machines.py
@@ -1,5 +1,6 @@
 """Client of the platform's machine service: lists, moves and maintenance."""
 
+from collections.abc import Callable
 import enum
 import json
 from urllib import parse
@@ -71,8 +72,9 @@
                 )
             try:
                 content = _messages.decode_object(answer.body)
-                entries = content["machines"]
-            except (_messages.MessageError, KeyError) as error:
+                entries = _messages.field(content, "machines", list)
+                page = _messages.field(content, "next-page-token", str, "")
+            except _messages.MessageError as error:
                 return base.Refusal(
                     base.Reason.UNKNOWN_RESULT,
                     "machines.decode",
@@ -81,24 +83,40 @@
                 )
             decoded = (_decode(entry) for entry in entries)
             records += [record for record in decoded if record is not None]
-            page = content.get("next-page-token")
             if not page:
                 return tuple(records)
 
     async def start_maintenance(
-        self, machine: str, wave: int, token: int
+        self, machine: str, wave: int, token: int, permit: Callable[[], bool]
     ) -> MachineOutcome:
-        """Starts maintenance of a machine; its runs end immediately."""
+        """Starts maintenance of a machine; its runs end immediately.
+
+        Args:
+            machine: Name of the machine.
+            wave: Number of the wave.
+            token: Fencing token of the term that sends the order.
+            permit: Returns whether the order may still be sent. Not every
+                platform rejects outdated tokens.
+        """
         body = {"machine": machine, "wave": wave}
-        return await self._order("/api/machine-upkeep", body, token)
+        return await self._order("/api/machine-upkeep", body, token, permit)
 
-    async def move(self, machine: str, pool: str, token: int) -> MachineOutcome:
-        """Moves a machine to a pool; its runs end immediately."""
+    async def move(
+        self, machine: str, pool: str, token: int, permit: Callable[[], bool]
+    ) -> MachineOutcome:
+        """Moves a machine to a pool; its runs end immediately.
+
+        Args:
+            machine: Name of the machine.
+            pool: Destination pool.
+            token: Fencing token of the term that sends the order.
+            permit: Returns whether the order may still be sent.
+        """
         body = {"machine": machine, "pool": pool}
-        return await self._order("/api/machine-move", body, token)
+        return await self._order("/api/machine-move", body, token, permit)
 
     async def _order(
-        self, target: str, body: dict, token: int
+        self, target: str, body: dict, token: int, permit: Callable[[], bool]
     ) -> MachineOutcome:
         headers = (
             "Content-Type: application/json\r\n"
@@ -112,6 +130,7 @@
             json.dumps(body).encode(),
             headers,
             CALL_TIMEOUT_S,
+            permit,
         )
         if isinstance(answer, base.Refusal):
             if answer.reason is base.Reason.CONNECTION_FAILED:
@@ -120,8 +139,7 @@
         if answer.status == 200:
             return MachineOutcome.ACCEPTED
         if answer.status == 409:
-            reason = json.loads(answer.body or b"{}").get("reason", "")
-            return _OUTCOMES_BY_REASON.get(reason, MachineOutcome.BUSY)
+            return _refused_outcome(answer.body)
         if answer.status in (429, 503):
             return MachineOutcome.THROTTLED
         if answer.status == 400:
@@ -129,6 +147,17 @@
         return MachineOutcome.UNKNOWN
 
 
+def _refused_outcome(body: bytes) -> MachineOutcome:
+    """Returns the outcome of a refused order, `BUSY` for unknown reasons."""
+    try:
+        content = _messages.decode_object(body or b"{}")
+    except _messages.MessageError as error:
+        LOG.warning("machine_answer_unreadable", error=str(error))
+        return MachineOutcome.BUSY
+    reason = str(content.get("reason", ""))
+    return _OUTCOMES_BY_REASON.get(reason, MachineOutcome.BUSY)
+
+
 def _decode(entry: dict) -> scheduling.MachineRecord | None:
     """Returns a machine; logs and returns `None` if the entry is malformed."""
     try:
--- a/baobabdoor/platform/_messages.py
+++ b/baobabdoor/platform/_messages.py
@@ -1,6 +1,7 @@
 """Message formats of the platform, its workers and its callers."""
 
 import json
+import math
 
 from baobabdoor import base
 from baobabdoor import observability
@@ -8,7 +9,11 @@
 
 LOG = observability.get_logger("platform.messages")
 MAX_PAYLOAD_BYTES = 4000
+# Maximum tasks of a job, over all its occurrences.
 MAX_TASKS = 10_000
+# Largest integer in a message: milliseconds since 1970 are far below it, and
+# every product of two such integers is a finite `float`.
+MAX_INTEGER = 2**53
 
 
 class MessageError(ValueError):
@@ -30,20 +35,59 @@
     """
     try:
         content = json.loads(value)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise MessageError(f"expected JSON: {error}") from error
     if not isinstance(content, dict):
         raise MessageError(f"expected an object, found {type(content)}")
     return content
 
 
-def _field(content: dict, name: str, kind: type, default: object = None):
+def is_integer(value: object) -> bool:
+    """Returns whether a value is an integer that arithmetic can use."""
+    return (
+        isinstance(value, int)
+        and not isinstance(value, bool)
+        and abs(value) <= MAX_INTEGER
+    )
+
+
+def has_type(value: object, kind: type) -> bool:
+    """Returns whether a decoded value has a type; an integer is a `float`.
+
+    Numbers that are not finite or too large for arithmetic have no type.
+    """
+    if kind in (int, float) and is_integer(value):
+        return True
+    if kind is float:
+        return isinstance(value, float) and math.isfinite(value)
+    return kind is not int and isinstance(value, kind)
+
+
+def field(content: dict, name: str, kind: type, default: object = None):
+    """Returns a field of a message.
+
+    Raises:
+        MessageError: If the message is no object or the value has another type.
+    """
+    if not isinstance(content, dict):
+        raise MessageError(f"expected an object, found {content!r:.80}")
     value = content.get(name, default)
-    if kind is float and isinstance(value, int):
-        value = float(value)
-    wrong = not isinstance(value, kind)
-    if wrong or (isinstance(value, bool) and kind is not bool):
-        raise MessageError(f"{name}: expected {kind.__name__}, found {value!r}")
+    if not has_type(value, kind):
+        raise MessageError(
+            f"{name}: expected {kind.__name__}, found {value!r:.80}"
+        )
+    return float(value) if kind is float else value
+
+
+def natural(content: dict, name: str, default: int = 0) -> int:
+    """Returns a field that is an integer and not negative.
+
+    Raises:
+        MessageError: If the field has another value.
+    """
+    value = field(content, name, int, default)
+    if value < 0:
+        raise MessageError(f"{name}: expected 0 or more, found {value}")
     return value
 
 
@@ -58,25 +102,25 @@
     """
     try:
         content = decode_object(value)
-        capacity = _field(content, "capacity", dict)
-        state = _field(content, "state", str)
+        capacity = field(content, "capacity", dict)
+        state = field(content, "state", str)
         if state not in ("ready", "draining"):
             raise MessageError(f"state: found {state!r}")
-        address = _field(content, "address", str)
+        address = field(content, "address", str)
         if not address.rpartition(":")[2].isdigit():
             raise MessageError(f"address: found {address!r}")
-        labels = _field(content, "labels", list, [])
+        labels = field(content, "labels", list, [])
         return scheduling.WorkerRecord(
             worker_id=worker_id,
             address=address,
-            pool=_field(content, "service", str),
-            zone=_field(content, "zone", str),
-            machine=_field(content, "machine", str, ""),
+            pool=field(content, "service", str),
+            zone=field(content, "zone", str),
+            machine=field(content, "machine", str, ""),
             draining=state == "draining",
-            start_time_ms=_field(content, "born", int, 0),
-            cpu_milli=_field(capacity, "cpu", int, 0),
-            memory_mb=_field(capacity, "mem-mb", int, 0),
-            gpus=_field(capacity, "gpus", int, 0),
+            start_time_ms=field(content, "born", int, 0),
+            cpu_milli=field(capacity, "cpu", int, 0),
+            memory_mb=field(capacity, "mem-mb", int, 0),
+            gpus=field(capacity, "gpus", int, 0),
             labels=frozenset(str(label) for label in labels),
         )
     except MessageError as error:
@@ -92,19 +136,19 @@
     """
     content = decode_object(value)
     pools = {}
-    for entry in _field(content, "services", list):
+    for entry in field(content, "services", list):
         pool = scheduling.PoolSettings(
-            name=_field(entry, "name", str),
+            name=field(entry, "name", str),
             enforces_capacity=bool(entry.get("enforces-capacity")),
             standby=bool(entry.get("standby")),
         )
         pools[pool.name] = pool
     queues = {}
-    for entry in _field(content, "routes", list):
+    for entry in field(content, "routes", list):
         queue = _decode_queue(entry)
         queues[queue.name] = queue
     return scheduling.Configuration(
-        _field(content, "version", int), queues, pools
+        field(content, "version", int), queues, pools
     )
 
 
@@ -112,22 +156,22 @@
     advice = entry.get("advice")
     if isinstance(advice, dict):
         advice = scheduling.AdvicePolicy(
-            _field(advice, "decide-ms", float, 0.0),
-            _field(advice, "per-worker-ms", float, 0.0),
-            _field(advice, "valid-ms", float, 0.0),
+            field(advice, "decide-ms", float, 0.0),
+            field(advice, "per-worker-ms", float, 0.0),
+            field(advice, "valid-ms", float, 0.0),
         )
     else:
         advice = None
     return scheduling.Queue(
-        name=_field(entry, "name", str),
-        host=_field(entry, "host", str).lower(),
-        path_prefix=_field(entry, "path-prefix", str),
-        pool=_field(entry, "service", str),
-        priority=_field(entry, "priority", int, 0),
-        max_attempts=_field(entry, "max-attempts", int, 1),
-        stretch=_field(entry, "stretch", float, 2.0),
-        target_ms=_field(entry, "target-latency-ms", float, 1000.0),
-        timeout_ms=_field(entry, "timeout-ms", float, 3000.0),
+        name=field(entry, "name", str),
+        host=field(entry, "host", str).lower(),
+        path_prefix=field(entry, "path-prefix", str),
+        pool=field(entry, "service", str),
+        priority=field(entry, "priority", int, 0),
+        max_attempts=field(entry, "max-attempts", int, 1),
+        stretch=field(entry, "stretch", float, 2.0),
+        target_ms=field(entry, "target-latency-ms", float, 1000.0),
+        timeout_ms=field(entry, "timeout-ms", float, 3000.0),
         advice=advice,
     )
 
@@ -139,53 +183,59 @@
         MessageError: If it does not conform to the published format.
     """
     content = decode_object(body)
-    payload = _field(content, "spec", str, "")
+    payload = field(content, "spec", str, "")
     if len(payload.encode()) > MAX_PAYLOAD_BYTES:
         raise MessageError(f"spec: over {MAX_PAYLOAD_BYTES} bytes")
     steps = tuple(
         _decode_step(number, entry)
-        for number, entry in enumerate(_field(content, "steps", list))
+        for number, entry in enumerate(field(content, "steps", list))
     )
-    if not steps or sum(step.task_count for step in steps) > MAX_TASKS:
-        raise MessageError(f"steps: expected 1 to {MAX_TASKS} tasks")
+    repeat_count = natural(content, "repeat-count")
+    tasks = sum(step.task_count for step in steps) * max(1, repeat_count)
+    if not 0 < tasks <= MAX_TASKS:
+        raise MessageError(
+            f"steps, repeat-count: expected 1 to {MAX_TASKS} tasks,"
+            f" found {tasks}"
+        )
     return scheduling.JobSpec(
         job_id=job_id,
         queue=queue,
         payload=payload,
         steps=steps,
-        repeat_count=_field(content, "repeat-count", int, 0),
-        start_at_ms=_field(content, "start-at-ms", int, 0),
-        interval_ms=_field(content, "interval-ms", int, 0),
+        repeat_count=repeat_count,
+        start_at_ms=field(content, "start-at-ms", int, 0),
+        interval_ms=field(content, "interval-ms", int, 0),
     )
 
 
 def _decode_step(number: int, entry: object) -> scheduling.StepSpec:
     if not isinstance(entry, dict):
         raise MessageError(f"steps.{number}: expected an object")
-    after = tuple(_field(entry, "after", list, []))
-    if any(not isinstance(i, int) or not 0 <= i < number for i in after):
+    after = tuple(field(entry, "after", list, []))
+    if any(not is_integer(i) or not 0 <= i < number for i in after):
         raise MessageError(f"steps.{number}.after: found {after}")
     unavailable = entry.get("max-unavailable")
+    limited = is_integer(unavailable) and unavailable >= 0
     long_running = bool(entry.get("long-running"))
     return scheduling.StepSpec(
-        task_count=max(1, _field(entry, "count", int, 1)),
-        cpu_milli=_field(entry, "cpu", int, 0),
-        memory_mb=_field(entry, "mem-mb", int, 0),
-        gpus=_field(entry, "gpus", int, 0),
-        estimate_ms=_field(entry, "estimate-ms", int, 1000),
+        task_count=max(1, natural(entry, "count", 1)),
+        cpu_milli=natural(entry, "cpu"),
+        memory_mb=natural(entry, "mem-mb"),
+        gpus=natural(entry, "gpus"),
+        estimate_ms=natural(entry, "estimate-ms", 1000),
         after=after,
         checkpointing=bool(entry.get("checkpointing")),
         gang=bool(entry.get("gang")),
         rack_sensitive=bool(entry.get("rack-sensitive")),
-        required_label=_field(entry, "requires", str, ""),
-        data_rack=_field(entry, "affinity", str, ""),
-        max_per_worker=_field(entry, "anti-affinity", int, 0),
+        required_label=field(entry, "requires", str, ""),
+        data_rack=field(entry, "affinity", str, ""),
+        max_per_worker=natural(entry, "anti-affinity"),
         speculative=bool(entry.get("speculative")),
         long_running=long_running,
-        image=_field(entry, "image", str, ""),
-        target_ms=_field(entry, "target-ms", int, 0),
+        image=field(entry, "image", str, ""),
+        target_ms=natural(entry, "target-ms"),
         fills=bool(entry.get("fills")),
-        max_unavailable=unavailable if isinstance(unavailable, int) else None,
+        max_unavailable=unavailable if limited else None,
     )
 
 
@@ -197,10 +247,10 @@
     """
     content = decode_object(value)
     return scheduling.Wave(
-        number=_field(content, "wave", int),
-        machines=tuple(str(name) for name in _field(content, "machines", list)),
-        duration_s=_field(content, "duration-s", float, 0.0),
-        maximum=max(1, _field(content, "maximum", int, 1)),
+        number=field(content, "wave", int),
+        machines=tuple(str(name) for name in field(content, "machines", list)),
+        duration_s=field(content, "duration-s", float, 0.0),
+        maximum=max(1, field(content, "maximum", int, 1)),
     )
 
 
--- a/baobabdoor/platform/_store.py
+++ b/baobabdoor/platform/_store.py
@@ -49,13 +49,13 @@
     Attributes:
         rows: The rows.
         version: Latest version of the store.
-        store_ms: Monotonic clock of the store.
+        store_ms: Monotonic clock of the store in milliseconds.
         more: Whether more rows follow.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
-    store_ms: int
+    store_ms: float
     more: bool = False
 
 
@@ -127,10 +127,13 @@
         if isinstance(answer, base.Refusal):
             return answer
         status, content = answer
-        if status == 200:
-            return Commit(content.get("ver", 0))
-        if status == 412:
-            return Conflict(tuple(_rows(content)))
+        try:
+            if status == 200:
+                return Commit(_messages.field(content, "ver", int))
+            if status == 412:
+                return Conflict(tuple(_rows(content)))
+        except _messages.MessageError as error:
+            return self._unreadable("store.transact", error)
         return _messages.refusal_for_status(
             "store.transact", self.address, status
         )
@@ -198,11 +201,20 @@
             )
         if status != 200:
             return _messages.refusal_for_status(step, self.address, status)
-        return RowSet(
-            tuple(_rows(content)),
-            content["ver"],
-            content["now-ms"],
-            bool(content.get("has-more")),
+        try:
+            return RowSet(
+                tuple(_rows(content)),
+                _messages.field(content, "ver", int),
+                _messages.field(content, "now-ms", float),
+                bool(content.get("has-more")),
+            )
+        except _messages.MessageError as error:
+            return self._unreadable(step, error)
+
+    def _unreadable(self, step: str, error: Exception) -> base.Refusal:
+        LOG.warning("store_answer_unreadable", step=step, error=str(error))
+        return base.Refusal(
+            base.Reason.UNKNOWN_RESULT, step, self.address, str(error)
         )
 
     async def _call(
@@ -218,12 +230,9 @@
             return answer
         self.last_answer_s_ = boot_time_s()
         try:
-            content = json.loads(answer.body) if answer.body else {}
-        except ValueError as error:
-            LOG.warning("store_answer_unreadable", error=str(error))
-            return base.Refusal(
-                base.Reason.UNKNOWN_RESULT, "store.decode", self.address
-            )
+            content = _messages.decode_object(answer.body or b"{}")
+        except _messages.MessageError as error:
+            return self._unreadable("store.decode", error)
         self._observe_clock(content.get("now-ms"), sent_s)
         return answer.status, content
 
@@ -247,24 +256,22 @@
 
 
 def _rows(content: dict) -> Iterable[StoredRow]:
-    for row in content.get("rows", ()):
-        removed = bool(row.get("deleted"))
+    for row in _messages.field(content, "rows", list, []):
+        table = _messages.field(row, "table", str)
+        key = _messages.field(row, "key", str)
         try:
             value = base64.b64decode(row.get("value") or "")
-        except ValueError as error:
+        except (TypeError, ValueError) as error:
             LOG.warning(
-                "row_unreadable",
-                table=row["table"],
-                key=row["key"],
-                error=str(error),
+                "row_unreadable", table=table, key=key, error=str(error)
             )
             value = b""
-        # A row that does not exist is listed with version 0.
         yield StoredRow(
-            row["table"],
-            row.get("part", ""),
-            row["key"],
+            table,
+            _messages.field(row, "part", str, ""),
+            key,
             value,
-            row.get("ver", 0),
-            removed,
+            # A row that does not exist is listed with version 0.
+            _messages.field(row, "ver", int, 0),
+            bool(row.get("deleted")),
         )
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -8,6 +8,7 @@
 from baobabdoor import observability
 from baobabdoor import scheduling
 from baobabdoor import transport
+from baobabdoor.platform import _messages
 
 # Minimum and maximum timeout of an order.
 ORDER_TIMEOUT_RANGE_S = (0.45, 1.2)
@@ -90,7 +91,7 @@
             return _result(status, content)
         try:
             return _decode_report(content)
-        except (TypeError, ValueError, KeyError) as error:
+        except _messages.MessageError as error:
             LOG.warning(
                 "worker_report_ignored",
                 worker=order.worker_id,
@@ -156,16 +157,22 @@
         if not wait_s:
             self.adaptive_timeout.observe(time.monotonic() - started_s)
         try:
-            content = json.loads(answer.body) if answer.body else {}
-        except ValueError as error:
-            LOG.warning("worker_answer_unreadable", error=str(error))
+            content = _messages.decode_object(answer.body or b"{}")
+        except _messages.MessageError as error:
+            LOG.warning(
+                "worker_answer_unreadable",
+                worker=order.worker_id,
+                target=target,
+                error=str(error),
+            )
             content = {}
         return answer.status, content
 
 
 def _result(status: int, content: dict) -> scheduling.OrderResult:
     outcomes = scheduling.OrderOutcome
-    reason = content.get("reason", "")
+    reason = str(content.get("reason", ""))
+    clock_ms = content.get("clock-ms")
     if status == 200:
         outcome = outcomes.ACCEPTED
     elif status == 409:
@@ -179,19 +186,49 @@
     else:
         outcome = outcomes.UNKNOWN
     return scheduling.OrderResult(
-        outcome, content.get("clock-ms"), f"{status} {reason}".strip()
+        outcome,
+        int(clock_ms) if _messages.has_type(clock_ms, float) else None,
+        f"{status} {reason}".strip(),
     )
 
 
 def _decode_report(content: dict) -> scheduling.WorkerReport:
-    # The fifth field of a run is missing if tasks do not share a worker.
-    running = tuple(
-        scheduling.RunEntry(*(entry[:5] if len(entry) > 4 else [*entry, 0.0]))
-        for entry in content.get("running", ())
-    )
-    ended = tuple(
-        scheduling.EndEntry(*entry[:5]) for entry in content.get("ended", ())
-    )
+    """Decodes a report.
+
+    Raises:
+        MessageError: If it does not conform to the published format.
+    """
     return scheduling.WorkerReport(
-        int(content["clock-ms"]), int(content.get("born", 0)), running, ended
+        int(_messages.field(content, "clock-ms", float)),
+        _messages.field(content, "born", int, 0),
+        tuple(map(_decode_run, _messages.field(content, "running", list, []))),
+        tuple(map(_decode_end, _messages.field(content, "ended", list, []))),
     )
+
+
+def _decode_run(entry: object) -> scheduling.RunEntry:
+    # The fifth field of a run is missing if tasks do not share a worker.
+    values = [*_list(entry)[:5], 0.0][:5]
+    _check_types(values, (str, int, str, float, float))
+    return scheduling.RunEntry(*values)
+
+
+def _decode_end(entry: object) -> scheduling.EndEntry:
+    values = _list(entry)[:5]
+    _check_types(values, (int, str, int, str, str))
+    return scheduling.EndEntry(*values)
+
+
+def _list(entry: object) -> list:
+    if not isinstance(entry, list):
+        raise _messages.MessageError(f"expected a list, found {entry!r:.80}")
+    return entry
+
+
+def _check_types(values: list, kinds: tuple[type, ...]) -> None:
+    """Raises an error unless the values have the given types, in order."""
+    if len(values) != len(kinds) or not all(
+        _messages.has_type(value, kind)
+        for value, kind in zip(values, kinds, strict=True)
+    ):
+        raise _messages.MessageError(f"found {values!r:.80}")
--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import socket
+import struct
 
 import attrs
 from tornado import http1connection
@@ -69,8 +70,9 @@
 class Client:
     """Sends requests to peers by IP address and port.
 
-    A call that times out closes its connection, so that a late response cannot
-    be taken for that of another call. Requests are never retried.
+    A call that times out resets its connection, so that a late response cannot
+    be taken for that of another call, and bytes that a partition holds up are
+    not delivered after it. Requests are never retried.
 
     Example:
         >>> client = Client()
@@ -126,7 +128,7 @@
         )
         collector = _Collector()
         timer = loop.call_later(
-            max(0.0, deadline_s - loop.time()), stream.close
+            max(0.0, deadline_s - loop.time()), _abort, stream
         )
         head = (
             f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{headers}"
@@ -231,6 +233,15 @@
     )
 
 
+def _abort(stream: iostream.IOStream) -> None:
+    """Closes a connection and discards the bytes that were not delivered."""
+    if not stream.closed():
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    stream.close()
+
+
 def _usable(stream: iostream.IOStream) -> bool:
     """Returns whether an idle connection is open and has no unread bytes."""
     if stream.closed():
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -9,6 +9,7 @@
 import types
 
 import attrs
+import pytest
 import scheduling_fixtures
 from tornado import httputil
 
@@ -36,7 +37,7 @@
     async def fetch(self, address, method, target, body=b"", **_):
         self.sent.append((address, target, json.loads(body)))
         answer = self.answers.pop(0) if self.answers else refused()
-        if isinstance(answer, base.Refusal):
+        if isinstance(answer, base.Refusal | transport.Response):
             return answer
         body = json.dumps(attrs.asdict(answer)).encode()
         return transport.Response(200, body, None)
@@ -91,6 +92,13 @@
         follower = Follower(unanswered(), _gateway.Outcome("rejected", 1))
         assert follower.submit().kind == "unknown"
 
+    @pytest.mark.parametrize(
+        "response", [(500, b""), (200, b"["), (200, b"[]"), (200, b'{"a": 1}')]
+    )
+    def test_failed_leader_may_have_accepted_the_job(self, response):
+        answers = [transport.Response(*response, None) for _ in range(200)]
+        assert Follower(*answers).submit(0.3).kind == "unknown"
+
     def test_unreachable_leader_is_a_refusal(self):
         outcome = Follower().submit()
         assert outcome.kind == "unavailable"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -5,7 +5,10 @@
 import pathlib
 import re
 
+from hypothesis import given
+from hypothesis import strategies
 import pytest
+import scheduling_fixtures
 
 from baobabdoor import base
 from baobabdoor import platform
@@ -193,20 +196,32 @@
             platform.load_settings(str(path))
 
 
-class TestMachines:
+class FixedClient:
+    """HTTP client that answers each call with the same response."""
+
+    def __init__(self, body, status=200):
+        self.response = transport.Response(status, body, None)
+        self.permits = []
 
-    class Client:
-        """HTTP client that answers each call with the same body."""
+    async def fetch(
+        self,
+        address,
+        method,
+        target,
+        body=b"",
+        headers="",
+        timeout_s=1.0,
+        permit=None,
+    ):
+        del address, method, target, body, headers, timeout_s
+        self.permits.append(permit)
+        return self.response
 
-        def __init__(self, body):
-            self.body = body
 
-        async def fetch(self, *arguments, **options):
-            del arguments, options
-            return transport.Response(200, self.body, None)
+class TestMachines:
 
     def list(self, body):
-        client = platform.MachineClient(self.Client(body), "10.0.0.7:1", "e")
+        client = platform.MachineClient(FixedClient(body), "10.0.0.7:1", "e")
         return asyncio.run(client.list_machines())
 
     def test_malformed_entry_is_skipped(self):
@@ -219,6 +234,115 @@
     def test_unreadable_list_is_a_refusal(self, body):
         assert isinstance(self.list(body), base.Refusal)
 
+    def test_orders_are_sent_only_with_a_permit(self):
+        fixed = FixedClient(b"{}")
+        client = platform.MachineClient(fixed, "10.0.0.7:1", "e")
+
+        def permit():
+            return True
+
+        asyncio.run(client.move("m1", "p", 3, permit))
+        asyncio.run(client.start_maintenance("m1", 1, 3, permit))
+        assert fixed.permits == [permit, permit]
+
+
+# Values of wrong types, out of range, and of the right type.
+VALUES = strategies.recursive(
+    strategies.sampled_from(
+        [None, True, -1, 0, 7, 10**400, 1.5, float("nan"), "", "x", 2**53]
+    ),
+    lambda inner: strategies.lists(inner, max_size=5)
+    | strategies.dictionaries(strategies.text(max_size=2), inner, max_size=2),
+    max_leaves=6,
+)
+
+
+def messages(template):
+    """Messages that differ from a valid one in one or two fields."""
+    change = strategies.dictionaries(
+        strategies.sampled_from(sorted(template)), VALUES, max_size=2
+    )
+    return strategies.one_of(
+        change.map(lambda fields: encode(template | fields)),
+        VALUES.map(encode),
+        strategies.sampled_from([b"", b"{", b"\xff", b"[" * 100_000]),
+    )
+
+
+class TestMalformedMessages:
+    """A malformed message costs only itself: no other error is raised."""
+
+    REPORT = {
+        "clock-ms": 5,
+        "born": 1,
+        "running": [["a.0.0.0", 1, "", 40, 7]],
+        "ended": [[1, "a.0.0.1", 1, "done", ""]],
+    }
+    ROWS = {
+        "rows": [{"table": "t", "key": "k", "value": "", "ver": 1}],
+        "ver": 4,
+        "now-ms": 9,
+    }
+    JOB = {
+        "spec": "text",
+        "steps": [{"count": 2, "cpu": 100, "estimate-ms": 900}],
+        "repeat-count": 0,
+        "start-at-ms": 0,
+        "interval-ms": 0,
+    }
+    ORDER = {"worker_id": "w", "address": "a:1", "token": 1}
+    STATUSES = strategies.sampled_from([200, 400, 409, 412, 421, 500, 503])
+
+    @given(messages(REPORT), STATUSES)
+    def test_answers_of_workers(self, body, status):
+        client = platform.WorkerClient(FixedClient(body, status))
+        hold = scheduling.HoldOrder(last_seen=0, **self.ORDER)
+        report = asyncio.run(client.hold(hold))
+        if isinstance(report, scheduling.WorkerReport):
+            scheduler = scheduling_fixtures.Fleet().scheduler
+            scheduler.observe_report("w1", report, 1001.0)
+            scheduler.plan(1001.0, True)
+        stop = scheduling.StopOrder(task="a.0.0.0", run_id=1, **self.ORDER)
+        result = asyncio.run(client.stop(stop))
+        assert isinstance(result, scheduling.OrderResult)
+
+    @given(messages(ROWS), STATUSES)
+    def test_answers_of_the_store(self, body, status):
+        client = platform.StoreClient(FixedClient(body, status), "a:1")
+        asyncio.run(client.read("t"))
+        asyncio.run(client.transact())
+
+    @given(messages({"machines": [], "reason": "fence"}), STATUSES)
+    def test_answers_of_the_machine_service(self, body, status):
+        client = platform.MachineClient(FixedClient(body, status), "a:1", "e")
+        outcome = asyncio.run(client.move("m", "p", 1, lambda: True))
+        assert isinstance(outcome, platform.MachineOutcome)
+
+    @given(messages({"allowed": [["w", "t"]], "valid-ms": 1}), STATUSES)
+    def test_answers_of_the_advice_service(self, body, status):
+        client = platform.AdviceClient(FixedClient(body, status), "a:1")
+        asyncio.run(client.ask(scheduling.AdviceRequest("a.0.0", ("w",))))
+
+    @given(messages(JOB), VALUES, VALUES)
+    def test_jobs_of_callers(self, body, cpu, estimate):
+        steps = [{"count": 2, "cpu": cpu, "estimate-ms": estimate}]
+        for content in (body, encode(self.JOB | {"steps": steps})):
+            try:
+                spec = platform.decode_job("00000000000000a1", "race", content)
+            except platform.MessageError:
+                continue
+            scheduler = scheduling_fixtures.Fleet().scheduler
+            job = scheduler.submit(spec, 1000.0)
+            scheduler.plan(1000.0, True)
+            scheduler.autoscaler.plan(1000.0)
+            if isinstance(job, scheduling.Job):
+                scheduling.decode_job(spec.job_id, job.encode(), 1)
+
+    def test_job_with_too_many_occurrences_is_refused(self):
+        body = encode(self.JOB | {"repeat-count": 10**9})
+        with pytest.raises(platform.MessageError, match="repeat-count"):
+            platform.decode_job("00000000000000a1", "race", body)
+
 
 class TestWaves:
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -53,6 +53,34 @@
 
         self.run(slow, scenario)
 
+    def test_timed_out_call_resets_its_connection(self):
+        """Undelivered bytes would be delivered once a partition heals."""
+
+        async def scenario():
+            ends = []
+            ended = asyncio.Event()
+
+            async def accept(reader, writer):
+                try:
+                    while await reader.read(1000):
+                        pass
+                    ends.append("closed")
+                except ConnectionResetError:
+                    ends.append("reset")
+                writer.close()
+                ended.set()
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            await transport.Client().fetch(
+                f"127.0.0.1:{port}", "POST", "/x", b"a", timeout_s=0.1
+            )
+            await asyncio.wait_for(ended.wait(), 2)
+            server.close()
+            assert ends == ["reset"]
+
+        asyncio.run(scenario())
+
     def test_nothing_is_sent_after_the_permit_expired(self):
         served = []
 
