--- a/baobabdoor/platform/_messages.py
+++ b/baobabdoor/platform/_messages.py
@@ -64,14 +64,16 @@
 
 
 def field(content: dict, name: str, kind: type, default: object = None):
-    """Returns a field of a message.
+    """Returns a field of a message; the default if it is missing or null.
 
     Raises:
         MessageError: If the message is no object or the value has another type.
     """
     if not isinstance(content, dict):
         raise MessageError(f"expected an object, found {content!r:.80}")
-    value = content.get(name, default)
+    value = content.get(name)
+    if value is None:
+        value = default
     if not has_type(value, kind):
         raise MessageError(
             f"{name}: expected {kind.__name__}, found {value!r:.80}"
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -230,6 +230,10 @@
         (record,) = self.list(encode({"machines": entries}))
         assert record.machine == "m1"
 
+    @pytest.mark.parametrize("page", [{}, {"next-page-token": None}])
+    def test_last_page_names_no_other(self, page):
+        assert self.list(encode({"machines": []} | page)) == ()
+
     @pytest.mark.parametrize("body", [b"{", b"[]", b"{}"])
     def test_unreadable_list_is_a_refusal(self, body):
         assert isinstance(self.list(body), base.Refusal)
