Pools follow their load: scale-down by a window, forecast of growing rates

A machine left only when its count had been unneeded for 2 s, and that clock began anew at each count that the pool had never needed: one machine per pool and 2 s.

Change: a pool releases all machines beyond the highest requirement of the last second (_pool_sizing.ScaleDownWindow).

--- a/baobabdoor/scheduling/_autoscaler.py
+++ b/baobabdoor/scheduling/_autoscaler.py
@@ -5,31 +5,21 @@
 off. Machines that no pool needs return to the standby pool.
 """
 
-import collections
 import enum
 import math
 
 import attrs
 
+from baobabdoor.scheduling import _arrivals
 from baobabdoor.scheduling import _maintenance
+from baobabdoor.scheduling import _pool_sizing
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
-# Longest and shortest window over which the arrival rate is measured, in
-# seconds, and the number of arrivals to which the window is shortened: a rate
-# that is measured from so many has an error of about a third.
-RATE_WINDOW_S = 1.0
-MIN_RATE_WINDOW_S = 0.3
-MIN_RATE_ARRIVALS = 12
 # Time from ordering a move to the first start on the machine, in seconds.
 MOVE_DELAY_S = 1.5
 # Minimum time over which the work of a job is spread, in seconds.
 MIN_SPAN_S = 0.5
-# Factor of the arrival rate for which capacity is provided in advance.
-RATE_WEIGHT = 1.1
-# Limit of the arrival rate's effect, as a multiple of the demand of the present
-# jobs: one large job does not mean that more will arrive.
-MAX_RATE_FACTOR = 2.0
 # A job that will miss its objective by more than this, in seconds, does not
 # justify another machine.
 LATE_SLACK_S = 0.3
@@ -39,9 +29,6 @@
 SPARE_MACHINES = 1
 # Minimum machines of a pool.
 MIN_MACHINES = 1
-# Time for which a machine must be unneeded before it moves to standby. A move
-# costs as much as about one second of a machine.
-SCALE_DOWN_DELAY_S = 2.0
 # Time from the first listing of a worker to its first run, in seconds.
 FIRST_RUN_DELAY_S = 1.0
 # Time after which a move is no longer tracked.
@@ -93,38 +80,32 @@
         self.refused: set[tuple[str, str]] = set()
         self.planned_s_ = -1e9
         self.emitted_: dict[str, tuple[tuple, float]] = {}
-        self.arrivals_: dict[str, collections.deque] = {}
-        # When each pool last needed a given number of machines.
-        self.last_needed_s_: dict[tuple[str, int], float] = {}
+        self.arrivals_: dict[str, _arrivals.ArrivalRate] = {}
+        self.scale_down_windows_: dict[str, _pool_sizing.ScaleDownWindow] = {}
 
     def observe_arrival(
-        self, pool: str, work: float, now_s: float, accepted: bool = True
+        self,
+        pool: str,
+        work: float,
+        now_s: float,
+        accepted: bool = True,
     ) -> None:
-        """Records the work of a submitted job in core-seconds."""
-        arrivals = self.arrivals_.setdefault(pool, collections.deque())
-        arrivals.append((now_s, work, accepted))
-
-    def rejected_cores(self, pool: str, now_s: float) -> float:
-        """Returns the rate of rejected work, in cores."""
-        since_s = now_s - RATE_WINDOW_S
-        rejected = (
-            work
-            for at_s, work, accepted in self.arrivals_.get(pool, ())
-            if at_s >= since_s and not accepted
-        )
-        return sum(rejected) / RATE_WINDOW_S
+        """Records a submitted job.
+
+        Args:
+            pool: Pool of the job.
+            work: Its work in core-seconds.
+            now_s: Time of the submission.
+            accepted: Whether it was accepted.
+        """
+        self._arrivals(pool).observe(now_s, work, accepted)
+
+    def _arrivals(self, pool: str) -> _arrivals.ArrivalRate:
+        return self.arrivals_.setdefault(pool, _arrivals.ArrivalRate())
 
     def arrival_rate_cores(self, pool: str, now_s: float) -> float:
         """Returns the rate of arriving work, in cores."""
-        arrivals = self.arrivals_.get(pool, ())
-        while arrivals and arrivals[0][0] < now_s - RATE_WINDOW_S:
-            arrivals.popleft()
-        span_s = RATE_WINDOW_S
-        if len(arrivals) > MIN_RATE_ARRIVALS:
-            since_s = now_s - arrivals[-MIN_RATE_ARRIVALS][0]
-            span_s = max(MIN_RATE_WINDOW_S, since_s)
-        recent = (work for at_s, work, _ in arrivals if at_s >= now_s - span_s)
-        return sum(recent) / span_s
+        return self._arrivals(pool).cores(now_s)
 
     def plan(self, now_s: float) -> list[Move]:
         """Returns the moves to order now."""
@@ -158,9 +139,8 @@
                     current[machine.pool] -= 1
                 moves.append(self._order(machine, pool, now_s))
                 shortage -= 1
-        if not moves:
-            moves += self._scale_down(required, current, standby, now_s)
-        return moves
+        surpluses = self._surpluses(required, current, now_s)
+        return moves or self._scale_down(surpluses, standby, now_s)
 
     def _emit_capacity(
         self, required: dict[str, int], current: dict[str, int], now_s: float
@@ -214,10 +194,9 @@
     def required_machines(self, pool: str, now_s: float) -> int:
         """Returns how many machines a pool needs for its demand."""
         scheduler = self.scheduler
-        demand = self._demand_cores(pool)
-        rate = self.arrival_rate_cores(pool, now_s) * RATE_WEIGHT
-        rejected = self.rejected_cores(pool, now_s)
-        cores = max(demand, min(rate, MAX_RATE_FACTOR * demand + rejected))
+        cores = _pool_sizing.batch_cores(
+            self._demand_cores(pool), self._arrivals(pool), now_s, MOVE_DELAY_S
+        )
         size = self.machine_cores()
         long_running = self._long_running_cores(pool)
         need = math.ceil(
@@ -372,29 +351,33 @@
                 best, best_key = record, key
         return best
 
+    def _surpluses(
+        self, required: dict[str, int], current: dict[str, int], now_s: float
+    ) -> dict[str, int]:
+        """Returns how many machines each pool has not needed recently."""
+        surpluses = {}
+        for pool, need in required.items():
+            window = self.scale_down_windows_.setdefault(
+                pool, _pool_sizing.ScaleDownWindow()
+            )
+            surpluses[pool] = window.surplus(
+                now_s, need + SPARE_MACHINES, current[pool]
+            )
+        return surpluses
+
     def _scale_down(
-        self,
-        required: dict[str, int],
-        current: dict[str, int],
-        standby: set[str],
-        now_s: float,
+        self, surpluses: dict[str, int], standby: set[str], now_s: float
     ) -> list[Move]:
         """Returns moves of unneeded machines to standby."""
-        moves = []
-        target = min(standby, default=None)
-        for pool, need in required.items():
-            for count in range(1, current[pool] + 1):
-                if count <= need + SPARE_MACHINES:
-                    self.last_needed_s_[pool, count] = now_s
-            idle_s = now_s - self.last_needed_s_.setdefault(
-                (pool, current[pool]), now_s
-            )
-            if target is None or idle_s < SCALE_DOWN_DELAY_S:
-                continue
-            if len(moves) >= MAX_MOVES_PER_PLAN:
-                break
-            record = self._choose_idle_machine(pool, target)
-            if record is not None:
+        moves: list[Move] = []
+        if not standby:
+            return moves
+        target = min(standby)
+        for pool, surplus in surpluses.items():
+            for _ in range(min(surplus, MAX_MOVES_PER_PLAN - len(moves))):
+                record = self._choose_idle_machine(pool, target)
+                if record is None:
+                    break
                 moves.append(self._order(record, target, now_s))
         return moves
 
--- a/tests/test_scheduling_autoscaler.py
+++ b/tests/test_scheduling_autoscaler.py
@@ -94,6 +94,16 @@
         pools.fleet.advance(3)
         assert {move.pool for move in pools.moves()} == {"off"}
 
+    def test_all_unneeded_machines_of_a_large_pool_move_at_once(self):
+        """A pool starts with many more machines than it needs."""
+        pools = Pools(count=60, spare=0)
+        pools.moves()
+        moved = 0
+        for _ in range(12):
+            pools.fleet.advance(0.25)
+            moved += len(pools.moves())
+        assert moved >= 20
+
     def test_a_machine_in_standby_can_return_at_once(self):
         pools = Pools(count=4, spare=0)
         pools.moves()
