--- a/baobabdoor/dispatch/_election.py
+++ b/baobabdoor/dispatch/_election.py
@@ -253,7 +253,9 @@
             self.campaigning = False
 
     async def _acquire(self, age_ms: float) -> None:
-        number = self.leader.number + 1 if self.leader else 0
+        # Numbers must grow. Every term has written a version of its own, so
+        # the version of an unreadable record exceeds all earlier numbers.
+        number = self.leader.number + 1 if self.leader else self.leader_version
         candidate = Leader(
             self.node, self.incarnation, self.address, number, False, 0
         )
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -7,6 +7,8 @@
 
 from baobabdoor import observability
 from baobabdoor import platform
+from baobabdoor import scheduling
+from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _election
 from baobabdoor.standin import _row_store
@@ -51,6 +53,57 @@
         )
 
 
+class MovingClient(SilentClient):
+    """Machine client that records whether a move may still be sent."""
+
+    def __init__(self):
+        self.permitted = []
+
+    async def move(self, machine, pool, token, permit):
+        del machine, pool, token
+        self.permitted.append(permit())
+        return platform.MachineOutcome.THROTTLED
+
+
+class TestPause:
+    """The process is suspended between planning an order and sending it."""
+
+    def order_move(self, pause_s):
+        async def scenario():
+            bench = Bench()
+            bench.daemon.machine_client = MovingClient()
+            controller = bench.controller()
+            controller.committer.confirmed_s -= pause_s
+            move = scheduling.Move("m1", "results", "", 0.0)
+            await controller.wave_runner._order_move(move)
+            return bench.daemon.machine_client.permitted
+
+        return asyncio.run(scenario())
+
+    def test_move_is_sent_under_a_current_lease(self):
+        assert self.order_move(0.0) == [True]
+
+    def test_move_is_not_sent_after_the_lease_expired(self):
+        assert self.order_move(_election.START_WINDOW_S + 0.1) == [False]
+
+
+class TestUnreadableRows:
+
+    def test_tasks_wait_for_the_workers_of_an_unreadable_roster(self):
+        async def scenario():
+            bench = Bench()
+            key = (_commits.ROSTER_TABLE, _election.PART, "00")
+            controller = bench.controller()
+            bench.store.rows[key] = platform.StoredRow(*key, b"[", 1)
+            controller.start()
+            await asyncio.wait_for(controller.loaded.wait(), 1)
+            assert not bench.ended
+            assert controller.scheduler.inherited_blocked()
+            controller.end("test")
+
+        asyncio.run(scenario())
+
+
 class TestController:
 
     def test_failing_background_task_ends_the_term(self):
--- a/tests/test_dispatch_election.py
+++ b/tests/test_dispatch_election.py
@@ -1,6 +1,7 @@
 """Tests of leader election: takeover, timeouts and unanswered writes."""
 
 import asyncio
+import json
 
 from baobabdoor import platform
 from baobabdoor.dispatch import _election
@@ -65,6 +66,32 @@
 
         self.run(scenario)
 
+    def write_leader(self, store, value):
+        key = (_election.TABLE, _election.PART, _election.LEADER_KEY)
+        store.version += 7
+        store.rows[key] = platform.StoredRow(*key, value, store.version)
+
+    def test_unreadable_leader_is_replaced_under_a_higher_number(self):
+        async def scenario(store):
+            self.write_leader(store, b"{")
+            candidate = Candidate(store, "a")
+            await candidate.poll()
+            assert [leader.number for leader in candidate.won] == [7]
+
+        self.run(scenario)
+
+    def test_fields_of_a_newer_version_are_ignored(self):
+        async def scenario(store):
+            leader = _election.Leader("b", "b-1", "b:1", 3, False, 0)
+            content = json.loads(leader.encode()) | {"added": 1}
+            self.write_leader(store, json.dumps(content).encode())
+            candidate = Candidate(store, "a")
+            await candidate.poll()
+            assert candidate.election.current.number == 3
+            assert not candidate.won
+
+        self.run(scenario)
+
     def test_one_of_two_candidates_is_elected(self):
         async def scenario(store):
             first, second = Candidate(store, "a"), Candidate(store, "b")
