--- a/baobabdoor/cli/_fleet_commands.py
+++ b/baobabdoor/cli/_fleet_commands.py
@@ -35,35 +35,77 @@
 async def pool_list(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
-    """Lists the pools with their promised and available capacity."""
-    del arguments
-    return await _show_list(context, "pools", POOL_COLUMNS)
+    """Lists the pools with their promised and available capacity.
+
+    The arguments are filters, such as `pool=results-desk`.
+    """
+    return await _show_list(context, "pools", POOL_COLUMNS, arguments)
 
 
 async def vm_list(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
-    """Lists the VMs with their pool and phase."""
-    del arguments
-    return await _show_list(context, "vms", VM_COLUMNS, empty="-")
+    """Lists the VMs with their pool and phase.
+
+    The arguments are filters, such as `zone=taal` or `phase=failed`.
+    """
+    return await _show_list(context, "vms", VM_COLUMNS, arguments, empty="-")
 
 
 async def _show_list(
     context: _context.Context,
     name: str,
     columns: Mapping[str, str],
+    arguments: Sequence[str],
     empty: str = "",
 ) -> ExitCode:
-    """Shows the items of `/v1/<name>`; `columns` maps headers to fields."""
+    """Shows the selected items of `/v1/<name>`, sorted by the first column.
+
+    Args:
+        context: Context of the command.
+        name: Name of the list.
+        columns: Fields of the items by header.
+        arguments: Filters; an item is shown if it matches all of them.
+        empty: Text of an empty cell.
+    """
+    filters = _parse_filters(name, columns, arguments)
     reply = await context.client.get(f"/v1/{name}")
+    items = [
+        item
+        for item in reply.body[name]
+        if all(str(item[field]) == value for field, value in filters.items())
+    ]
+    first_field = next(iter(columns.values()))
+    items.sort(key=lambda item: item[first_field])
     rows = []
-    for item in reply.body[name]:
+    for item in items:
         cells = [item[field] for field in columns.values()]
         rows.append([empty if cell == "" else cell for cell in cells])
-    context.show(reply.body, list(columns), rows)
+    context.show({**reply.body, name: items}, list(columns), rows)
     return ExitCode.DONE
 
 
+def _parse_filters(
+    name: str, columns: Mapping[str, str], arguments: Sequence[str]
+) -> dict[str, str]:
+    """Returns the wanted values by field.
+
+    Raises:
+        CommandError: A filter does not have the form COLUMN=VALUE.
+    """
+    filters = {}
+    for argument in arguments:
+        column, separator, value = argument.partition("=")
+        if column not in columns or not separator:
+            expected = ", ".join(f"{header}=" for header in columns)
+            raise _exit_codes.CommandError(
+                ExitCode.USAGE,
+                f"{name}: expected {expected}; found {argument!r}",
+            )
+        filters[columns[column]] = value
+    return filters
+
+
 async def status(
     context: _context.Context, arguments: Sequence[str]
 ) -> ExitCode:
--- a/baobabdoor/cli/_main.py
+++ b/baobabdoor/cli/_main.py
@@ -47,8 +47,12 @@
     "preset list": CommandSpec(_config_commands.preset_list),
     "preset show": CommandSpec(_config_commands.preset_show, "[NAME]", 0, 1),
     "preset switch": CommandSpec(_config_commands.preset_switch, "NAME", 1, 1),
-    "pool list": CommandSpec(_fleet_commands.pool_list),
-    "vm list": CommandSpec(_fleet_commands.vm_list),
+    "pool list": CommandSpec(
+        _fleet_commands.pool_list, "[COLUMN=VALUE ...]", 0, UNLIMITED
+    ),
+    "vm list": CommandSpec(
+        _fleet_commands.vm_list, "[COLUMN=VALUE ...]", 0, UNLIMITED
+    ),
     "job submit": CommandSpec(_job_commands.job_submit, "FILE", 1, 1),
     "job show": CommandSpec(_job_commands.job_show, "ID", 1, 1),
     "job cancel": CommandSpec(_job_commands.job_cancel, "ID", 1, 1),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -112,6 +112,41 @@
         assert client.sent[0][2]["change_id"] in str(error.value)
 
 
+class TestLists:
+
+    VMS = [
+        {
+            "vm_id": f"vm-{number:03}",
+            "availability_zone": f"z{number % 5}",
+            "rack": "r1",
+            "pool": "results",
+            "phase": "failed" if number % 10 == 0 else "serving",
+            "target_pool": "",
+        }
+        for number in reversed(range(400))
+    ]
+
+    def list(self, capsys, *arguments):
+        client = FakeClient({"/v1/vms": {"vms": self.VMS}})
+        assert run(_fleet_commands.vm_list, client, *arguments) == 0
+        shown = json.loads(capsys.readouterr().out)["vms"]
+        return [vm["vm_id"] for vm in shown]
+
+    def test_vms_are_sorted(self, capsys):
+        names = self.list(capsys)
+        assert len(names) == 400
+        assert names == sorted(names)
+
+    def test_all_filters_must_match(self, capsys):
+        names = self.list(capsys, "zone=z0", "phase=failed")
+        assert names == [f"vm-{number:03}" for number in range(0, 400, 10)]
+
+    def test_unknown_column_is_a_usage_error(self):
+        with pytest.raises(_exit_codes.CommandError) as error:
+            run(_fleet_commands.vm_list, FakeClient({}), "area=z0")
+        assert error.value.code is ExitCode.USAGE
+
+
 class TestTimeline:
 
     def test_invalid_filter_is_a_usage_error(self):
