scheduling: durations of moves and maintenance from the platform's settings

MOVE_DELAY_S 1.5 and DOWN_TIMEOUT_S 2.5 were fitted to the sites seen, whose migrate-s and maintenance-s are 1.5 and 2 s. They are read from the settings file now; on those sites nothing changes.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -58,6 +58,8 @@
                 lease_s=lease_s,
                 max_lease_s=daemon.settings.max_lease_s,
                 status_s=daemon.settings.status_s,
+                move_s=daemon.settings.move_s,
+                maintenance_s=daemon.settings.maintenance_s,
             ),
             now_s,
             _election.inherited_bound_s(lease_s),
--- a/baobabdoor/platform/_settings.py
+++ b/baobabdoor/platform/_settings.py
@@ -34,6 +34,8 @@
         stop_timeout_s: Maximum time to stop a run.
         grace_s: Time between the stop signal and the kill.
         status_s: Retention of the state of ended jobs.
+        move_s: Duration of a move to another pool.
+        maintenance_s: Duration of a machine's maintenance.
     """
 
     node: str
@@ -51,6 +53,8 @@
     stop_timeout_s: float
     grace_s: float
     status_s: float
+    move_s: float
+    maintenance_s: float
 
 
 class _FieldReader:
@@ -131,4 +135,6 @@
         stop_timeout_s=reader.seconds("bounds.stop-timeout-ms", 0.001, 0.4),
         grace_s=reader.seconds("bounds.grace-s", 1, 6.0),
         status_s=reader.seconds("bounds.status_s", 1, 120.0),
+        move_s=reader.seconds("bounds.migrate-s", 1, 1.5),
+        maintenance_s=reader.seconds("bounds.maintenance-s", 1, 2.0),
     )
--- a/baobabdoor/scheduling/_autoscaler.py
+++ b/baobabdoor/scheduling/_autoscaler.py
@@ -16,8 +16,6 @@
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
-# Time from ordering a move to the first start on the machine, in seconds.
-MOVE_DELAY_S = 1.5
 # Minimum time over which the work of a job is spread, in seconds.
 MIN_SPAN_S = 0.5
 # A job that will miss its objective by more than this, in seconds, does not
@@ -31,8 +29,8 @@
 MIN_MACHINES = 1
 # Time from the first listing of a worker to its first run, in seconds.
 FIRST_RUN_DELAY_S = 1.0
-# Time after which a move is no longer tracked.
-MOVE_TIMEOUT_S = 6.0
+# Time after which a move is no longer tracked, as a multiple of its duration.
+MOVE_TIMEOUT_FACTOR = 4.0
 # Interval of planning, short against the duration of a move.
 PLAN_INTERVAL_S = 0.05
 # Minimum time between two capacity events of a pool, in seconds.
@@ -172,10 +170,11 @@
 
     def _expire(self, now_s: float) -> None:
         machines = self.scheduler.maintenance.machines
+        timeout_s = MOVE_TIMEOUT_FACTOR * self.scheduler.options.move_s
         for move in list(self.moves.values()):
             record = machines.get(move.machine)
             arrived = record is not None and self._has_arrived(move, record)
-            if arrived or now_s - move.since_s > MOVE_TIMEOUT_S:
+            if arrived or now_s - move.since_s > timeout_s:
                 del self.moves[move.machine]
 
     def _has_arrived(self, move: Move, record: _types.MachineRecord) -> bool:
@@ -195,7 +194,10 @@
         """Returns how many machines a pool needs for its demand."""
         scheduler = self.scheduler
         cores = _pool_sizing.batch_cores(
-            self._demand_cores(pool), self._arrivals(pool), now_s, MOVE_DELAY_S
+            self._demand_cores(pool),
+            self._arrivals(pool),
+            now_s,
+            scheduler.options.move_s,
         )
         size = self.machine_cores()
         long_running = self._long_running_cores(pool)
@@ -235,13 +237,14 @@
         late are ignored.
         """
         admission = self.scheduler.admission
+        move_s = self.scheduler.options.move_s
         total = 0.0
         for job, queue in self.scheduler.pool_jobs(pool):
             if job.spec.long_running:
                 continue
             left_s, critical_path_s = admission.time_left_s(job, queue)
             if left_s - critical_path_s > -LATE_SLACK_S:
-                span_s = max(left_s - MOVE_DELAY_S, critical_path_s, MIN_SPAN_S)
+                span_s = max(left_s - move_s, critical_path_s, MIN_SPAN_S)
                 total += admission.remaining_work(job) / span_s
         return total
 
--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -24,9 +24,9 @@
 IDLE_WAIT_SHARE = 0.35
 # CPU utilization above which a pool is busy.
 BUSY_UTILIZATION = 0.5
-# Time after which a machine that is still listed with its previous worker
-# cannot be going down any more: maintenance takes 2 s.
-DOWN_TIMEOUT_S = 2.5
+# A machine that is still listed with its previous worker this long after the
+# duration of a maintenance cannot be going down any more, in seconds.
+DOWN_SLACK_S = 0.5
 # Delay before a refused order is repeated.
 RETRY_S = 0.6
 
@@ -219,7 +219,7 @@
             return
         if record.worker_id != target.worker_id or not record.worker_id:
             target.phase = Phase.DONE
-        elif age_s > DOWN_TIMEOUT_S:
+        elif age_s > self.scheduler.options.maintenance_s + DOWN_SLACK_S:
             # Its maintenance was done by an earlier order whose response was
             # lost.
             target.phase = Phase.DONE
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -55,12 +55,16 @@
         lease_s: Lease that every order to a worker requests.
         max_lease_s: Longest lease that a worker accepts.
         status_s: Retention time of the state of an ended job.
+        move_s: Duration of a machine's move to another pool.
+        maintenance_s: Duration of a machine's maintenance.
     """
 
     stop_timeout_s: float = 0.4
     lease_s: float = _order_handling.LEASE_S
     max_lease_s: float = 6.0
     status_s: float = 120.0
+    move_s: float = 1.5
+    maintenance_s: float = 2.0
 
 
 @attrs.define
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -38,7 +38,11 @@
             waves={},
             metrics=observability.Metrics(),
             settings=types.SimpleNamespace(
-                stop_timeout_s=0.4, max_lease_s=6.0, status_s=120.0
+                stop_timeout_s=0.4,
+                max_lease_s=6.0,
+                status_s=120.0,
+                move_s=3.0,
+                maintenance_s=4.0,
             ),
             observe_term_end=self.ended.append,
         )
@@ -124,6 +128,13 @@
 
         asyncio.run(scenario())
 
+    def test_durations_of_the_platform_reach_the_scheduler(self):
+        async def scenario():
+            options = Bench().controller().scheduler.options
+            assert (options.move_s, options.maintenance_s) == (3.0, 4.0)
+
+        asyncio.run(scenario())
+
     def test_release_is_recorded_in_the_store(self):
         async def scenario():
             bench = Bench()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -176,7 +176,7 @@
 zones: {taal: luzon}
 listen: {front: "10.0.0.1:80", ready: "10.0.0.1:81"}
 internal-port-range: [7060, 7075]
-bounds: {max-hold-ms: 6000, stop-timeout-ms: 250}
+bounds: {max-hold-ms: 6000, stop-timeout-ms: 250, migrate-s: 3}
 platform: {address: "10.0.0.2:80"}
 something-new: 7
 """
@@ -188,6 +188,7 @@
         assert settings.max_lease_s == pytest.approx(6.0)
         assert settings.stop_timeout_s == pytest.approx(0.25)
         assert settings.store_address == "10.0.0.2:80"
+        assert (settings.move_s, settings.maintenance_s) == (3, 2.0)
 
     def test_error_names_file_field_and_found_value(self, tmp_path):
         path = tmp_path / "boot.yaml"
