A job that no write contained is refused as not run

Change: a job that no transaction contained is dropped as soon as the store is lost, when its caller's time is over or when the term ends, and its caller is told that it has not run (or the front submits it to the next leader). A job that a transaction contained stays unknown. Tests fail on the code before.

Ruled out: dropping jobs whose transaction was refused with 503 (the store may serve the retry 0.1 s later).

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -137,6 +137,11 @@
         except TimeoutError:
             return
 
+    def _notify_committed(self) -> None:
+        """Wakes those who wait for a transaction; they check its effect."""
+        self.committed.set()
+        self.committed = asyncio.Event()
+
     def _desired_roster(self) -> dict[str, dict[str, list]]:
         """Returns entries of workers that may have runs, by roster row."""
         desired: dict[str, dict[str, list]] = {key: {} for key in self.roster}
@@ -234,8 +239,7 @@
             self._confirm_documents(documents)
             if snapshot is not None:
                 self.scheduler.finish_commit(snapshot, answer.version)
-            self.committed.set()
-            self.committed = asyncio.Event()
+            self._notify_committed()
             return not self.scheduler.dirty and len(documents) < max_documents
         if isinstance(answer, platform.Conflict):
             self._observe_conflict(answer)
@@ -383,6 +387,11 @@
         if self.reachable:
             self.reachable = False
             LOG.warning("store_lost", reason=str(refusal))
+            if (
+                _is_unknown(refusal)
+                and self.scheduler.withdraw_unwritten_jobs()
+            ):
+                self._notify_committed()
 
     async def _release(self) -> None:
         released = attrs.evolve(self.leader, released=True)
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -432,9 +432,22 @@
                 **result.inputs,
             )
             return result
-        return await self._wait_stored(
-            lambda: result.stored_state is not None, timeout_s
+        refusal = await self._wait_stored(
+            lambda: result.stored_state is not None or result.withdrawn,
+            timeout_s,
         )
+        withdrawn = result.withdrawn or (
+            refusal is not None and self.scheduler.withdraw(result)
+        )
+        if withdrawn:
+            # No write contained the job, so it certainly never runs.
+            return base.Refusal(
+                base.Reason.NOT_HOLDER
+                if self.ended
+                else base.Reason.PLATFORM_UNAVAILABLE,
+                "controller.submit",
+            )
+        return refusal
 
     async def cancel(self, job_id: str, timeout_s: float):
         """Cancels a job and stores the cancellation.
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -125,6 +125,10 @@
         self.stored_state: _types.JobState | None = None
         self.ended_ms = 0.0
         self.row_version = 0
+        # Whether a write of the job was prepared; if not, it is not stored.
+        self.write_attempted = False
+        # Whether it was dropped before any write; it never runs.
+        self.withdrawn = False
         self.changed_revision = 0
         self.saved_revision = 0
         self.first_unsaved_revision = 0
@@ -261,6 +265,7 @@
     )
     job = Job(spec, content["submitted_ms"])
     job.row_version = version
+    job.write_attempted = True
     _restore_progress(job, content)
     job.state = _types.JobState(content["state"])
     job.stored_state = job.state
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -259,8 +259,29 @@
             self.dirty.values(), key=lambda job: job.first_unsaved_revision
         )
         chosen = dirty[:MAX_COMMIT_JOBS]
+        for job in chosen:
+            job.write_attempted = True
         return Snapshot([(job, job.encode()) for job in chosen], self.revision)
 
+    def withdraw(self, job: _job.Job) -> bool:
+        """Drops a job that no write contained.
+
+        Returns:
+            Whether it was dropped. If so, it certainly never runs; if not, it
+            may be stored.
+        """
+        if job.write_attempted or self.active.get(job.spec.job_id) is not job:
+            return False
+        job.withdrawn = True
+        for jobs in (self.jobs, self.active, self.dirty):
+            jobs.pop(job.spec.job_id, None)
+        self.emit("job_withdrawn", job=job.spec.job_id, queue=job.spec.queue)
+        return True
+
+    def withdraw_unwritten_jobs(self) -> int:
+        """Drops all jobs that no write contained; returns their number."""
+        return sum(self.withdraw(job) for job in list(self.active.values()))
+
     def finish_commit(self, snapshot: Snapshot, version: int) -> None:
         """Records that a snapshot was stored."""
         for job, _ in snapshot.jobs:
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -5,6 +5,7 @@
 
 import scheduling_fixtures
 
+from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import scheduling
@@ -91,6 +92,61 @@
         assert self.order_move(_election.START_WINDOW_S + 0.1) == [False]
 
 
+class TestStoreOutage:
+    """Jobs arrive while a transaction waits for a silent store."""
+
+    STEP = scheduling.StepSpec(1, cpu_milli=100)
+
+    async def start(self, bench):
+        controller = bench.controller()
+        controller.start()
+        await asyncio.wait_for(controller.loaded.wait(), 1)
+        return controller
+
+    def submit(self, controller, job_id, timeout_s):
+        spec = scheduling.JobSpec(
+            job_id, scheduling_fixtures.QUEUE, "text", (self.STEP,)
+        )
+        return asyncio.ensure_future(controller.submit(spec, timeout_s))
+
+    def test_job_that_no_write_contained_is_refused_at_once(self):
+        async def scenario():
+            bench = Bench()
+            controller = await self.start(bench)
+            bench.store.reachable = False
+            controller.committer.timeout_s = 0.3
+            written = self.submit(controller, "00000000000000a1", 2.0)
+            while (
+                not controller.scheduler.jobs
+                or not next(
+                    iter(controller.scheduler.jobs.values())
+                ).write_attempted
+            ):
+                await asyncio.sleep(0.005)
+            unwritten = self.submit(controller, "00000000000000a2", 2.0)
+            refusal = await asyncio.wait_for(unwritten, 1.8)
+            assert refusal.reason is base.Reason.PLATFORM_UNAVAILABLE
+            assert "00000000000000a2" not in controller.scheduler.jobs
+            # The write of the other job may still be applied.
+            result = await written
+            assert result.reason is base.Reason.UNKNOWN_RESULT
+            controller.end("test")
+
+        asyncio.run(scenario())
+
+    def test_job_of_an_ended_term_is_submitted_to_the_next_leader(self):
+        async def scenario():
+            controller = await self.start(Bench())
+            controller.committer.write_requested = asyncio.Event()
+            submission = self.submit(controller, "00000000000000a1", 2.0)
+            await asyncio.sleep(0)
+            controller.end("test")
+            refusal = await asyncio.wait_for(submission, 1)
+            assert refusal.reason is base.Reason.NOT_HOLDER
+
+        asyncio.run(scenario())
+
+
 class TestUnreadableRows:
 
     def test_tasks_wait_for_the_workers_of_an_unreadable_roster(self):
