--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -307,19 +307,10 @@
         return self.scheduler.workers.get(record.worker_id)
 
     def _drain_priority(self, target: MaintenanceTarget) -> tuple:
-        """Returns the sort key of a machine that waits, smallest first.
-
-        Machines with `long_running` tasks come first: their tasks are evicted
-        one after the other as their steps allow, which takes longest.
-        """
         worker = self._find_worker(target)
         if worker is None:
-            return (True, 0.0, 0, target.machine)
-        long_running = any(
-            run.task.spec.long_running for run in worker.runs.values()
-        )
+            return (0.0, 0, target.machine)
         return (
-            not long_running,
             self.pool_utilization(worker.record.pool),
             worker.cpu_used,
             target.machine,
