A pool replaces machines that are drained of lasting tasks

Change: a pool needs at least as many machines as run lasting tasks, those that are being drained included; they are no members any more, so a replacement is ordered for each as soon as it is cordoned.

Test: fails on the code before.

--- a/baobabdoor/scheduling/_autoscaler.py
+++ b/baobabdoor/scheduling/_autoscaler.py
@@ -204,6 +204,7 @@
         need = math.ceil(
             (cores / TARGET_UTILIZATION + long_running) / max(size, 0.1)
         )
+        need = max(need, self._long_running_hosts(pool))
         # If the shortage persists, placement reports it again before the next
         # call.
         shortage = scheduler.machine_shortages.pop(pool, 0)
@@ -256,6 +257,19 @@
                     total += step.cpu_milli * step.task_count
         return total / 1000
 
+    def _long_running_hosts(self, pool: str) -> int:
+        """Returns how many machines of a pool run `long_running` tasks.
+
+        Machines that are drained count, although they are not members any
+        more: each of them needs a replacement before its tasks can move.
+        """
+        return sum(
+            worker.record.pool == pool
+            and not worker.retired
+            and any(run.task.spec.long_running for run in worker.runs.values())
+            for worker in self.scheduler.workers.values()
+        )
+
     def machine_count(self, pool: str) -> int:
         """Returns how many machines a pool has, including incoming ones."""
         return len(self._members(pool))
--- a/tests/test_scheduling_autoscaler.py
+++ b/tests/test_scheduling_autoscaler.py
@@ -166,3 +166,17 @@
         assert autoscaler.machine_count(POOL) == 2
         pools.scheduler.workers["w1"].cordoned = True
         assert autoscaler.machine_count(POOL) == 1
+
+    def test_drained_machines_are_replaced_before_their_tasks_move(self):
+        """Tasks that must be spread find no room on the other machines."""
+        pools = Pools(count=3, spare=6)
+        step = scheduling.StepSpec(
+            3, cpu_milli=100, long_running=True, max_per_worker=1
+        )
+        pools.fleet.submit(JOB, [step])
+        pools.fleet.accept(pools.fleet.starts(), percent=100)
+        assert not pools.moves()
+        for name in ("w1", "w2"):
+            pools.scheduler.workers[name].cordoned = True
+        pools.fleet.now_s += 0.1
+        assert [move.pool for move in pools.moves()] == [POOL, POOL]
