A job that is too large for a row no longer stops all commits

Callers would have seen: after one job of a few thousand steps (a body of 224 kB is enough, 1 MB is allowed) every commit of the leader was refused, its heartbeats among them, since they share a transaction. No job was accepted, no end was stored, the term ended, and a retry of the caller did the same to the next leader.

Cause: the number of rows in a transaction was limited, their size was not, neither for a row nor for the transaction.

A new job whose row takes up more than half of the store's limit is rejected for good (400). A commit holds at most 375 kB of jobs. Records of failures and crashes that make a row outgrow the limit later are left out of it.

Evidence: the in-memory store now refuses what the platform refuses.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -62,6 +62,7 @@
                 move_s=daemon.settings.move_s,
                 maintenance_s=daemon.settings.maintenance_s,
                 max_entry_age_s=daemon.settings.contact_s,
+                row_bytes=daemon.settings.row_bytes,
             ),
             now_s,
             _election.inherited_bound_s(lease_s),
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -221,9 +221,8 @@
         if result is None:
             return Outcome("accepted")
         if isinstance(result, scheduling.Rejection):
-            return Outcome(
-                "rejected", result.retry_after_s, detail=result.reason
-            )
+            kind = "rejected" if result.retry_after_s else "invalid"
+            return Outcome(kind, result.retry_after_s, detail=result.reason)
         return _refusal_outcome(result)
 
     async def _cancel(self, controller, message, timeout_s) -> Outcome:
--- a/baobabdoor/platform/_settings.py
+++ b/baobabdoor/platform/_settings.py
@@ -39,6 +39,7 @@
         heartbeat_s: Interval in which workers write their entry in the list.
         contact_s: Time that the platform allows to notice a change of a
             worker's capacity, in addition to a heartbeat.
+        row_bytes: Maximum size of a row of the store.
     """
 
     node: str
@@ -60,6 +61,7 @@
     maintenance_s: float
     heartbeat_s: float
     contact_s: float
+    row_bytes: int
 
 
 class _FieldReader:
@@ -144,4 +146,5 @@
         maintenance_s=reader.seconds("bounds.maintenance-s", 1, 2.0),
         heartbeat_s=reader.seconds("heartbeat-ms", 0.001, 1.5),
         contact_s=reader.seconds("bounds.contact-ms", 0.001, 3.0),
+        row_bytes=reader.get("platform.row-bytes", int, 65_536),
     )
--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -34,7 +34,8 @@
 
     Attributes:
         reason: Reason of the rejection.
-        retry_after_s: Time after which to retry, in seconds.
+        retry_after_s: Time after which to retry, in seconds; 0 if a retry
+            is rejected as well.
         inputs: Inputs of the decision, for the log.
     """
 
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -159,6 +159,9 @@
         self.write_attempted = False
         # Whether it was dropped before any write; it never runs.
         self.withdrawn = False
+        # Whether its row was larger than the store accepts, so that records of
+        # attempts were left out.
+        self.oversized = False
         self.changed_revision = 0
         self.saved_revision = 0
         self.first_unsaved_revision = 0
@@ -219,8 +222,13 @@
         if not any(self.remaining.values()):
             self.state = _types.JobState.COMPLETED
 
-    def encode(self) -> bytes:
-        """Returns the content of the job's row."""
+    def encode(self, with_attempts: bool = True) -> bytes:
+        """Returns the content of the job's row.
+
+        Args:
+            with_attempts: Whether to include the failures and crashes of each
+                task, whose size grows during the job.
+        """
         content = {
             "format": ROW_FORMAT,
             "queue": self.spec.queue,
@@ -235,6 +243,8 @@
             content["payload"] = self.spec.payload
             content["steps"] = [_encode_step(step) for step in self.spec.steps]
             content |= self._encode_progress()
+            if with_attempts:
+                content |= self._encode_attempts()
         text = json.dumps(content, separators=(",", ":"))
         return zlib.compress(text.encode(), COMPRESSION_LEVEL)
 
@@ -253,6 +263,10 @@
                 done[f"{occurrence}.{step}"] = f"{bits:x}"
         if done:
             progress["done"] = done
+        return progress
+
+    def _encode_attempts(self) -> dict:
+        attempts = {}
         for name, encode in _TASK_FIELDS.items():
             values = {
                 _task_key(task): value
@@ -260,8 +274,8 @@
                 if (value := encode(task)) is not None
             }
             if values:
-                progress[name] = values
-        return progress
+                attempts[name] = values
+        return attempts
 
 
 def _task_key(task: Task) -> str:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -35,6 +35,11 @@
 SETTLE_S = 0.8
 # Maximum jobs written in one transaction.
 MAX_COMMIT_JOBS = 45
+# Maximum bytes of their rows. In base64 they take half of the megabyte that a
+# transaction may have; the rest is for other rows.
+MAX_COMMIT_BYTES = 375_000
+# Maximum share of a row that a new job takes up. The rest is for its progress.
+MAX_NEW_JOB_SHARE = 0.5
 
 
 @attrs.frozen
@@ -63,6 +68,7 @@
         maintenance_s: Duration of a machine's maintenance.
         max_entry_age_s: Maximum age of a worker's entry in the list for a
             start, since its capacity may have shrunk since.
+        row_bytes: Maximum size of a row of the store.
     """
 
     stop_timeout_s: float = 0.4
@@ -72,6 +78,7 @@
     move_s: float = 1.5
     maintenance_s: float = 2.0
     max_entry_age_s: float = math.inf
+    row_bytes: int = 65_536
 
 
 @attrs.define
@@ -175,6 +182,9 @@
             return decision.rejection
         first_ms = self.admission.first_seen_ms(spec.job_id, self.store_ms)
         job = _job.Job(spec, first_ms)
+        row_bytes = len(job.encode())
+        if row_bytes > self.options.row_bytes * MAX_NEW_JOB_SHARE:
+            return _admission.Rejection("too large", 0, {"bytes": row_bytes})
         job.timely = decision.timely
         self.emit(
             "job_accepted",
@@ -268,10 +278,27 @@
         dirty = sorted(
             self.dirty.values(), key=lambda job: job.first_unsaved_revision
         )
-        chosen = dirty[:MAX_COMMIT_JOBS]
-        for job in chosen:
+        rows = []
+        left_bytes = MAX_COMMIT_BYTES
+        for job in dirty:
+            row = self._encode_row(job)
+            left_bytes -= len(row)
+            if rows and (left_bytes < 0 or len(rows) == MAX_COMMIT_JOBS):
+                break
+            rows.append((job, row))
+        for job, _ in rows:
             job.write_attempted = True
-        return Snapshot([(job, job.encode()) for job in chosen], self.revision)
+        return Snapshot(rows, self.revision)
+
+    def _encode_row(self, job: _job.Job) -> bytes:
+        """Returns a job's row, which the store refuses if it is too large."""
+        row = job.encode()
+        if len(row) <= self.options.row_bytes:
+            return row
+        if not job.oversized:
+            job.oversized = True
+            self.emit("job_row_shortened", job=job.spec.job_id, bytes=len(row))
+        return job.encode(with_attempts=False)
 
     def withdraw(self, job: _job.Job) -> bool:
         """Drops a job that no write contained.
--- a/baobabdoor/standin/_row_store.py
+++ b/baobabdoor/standin/_row_store.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from baobabdoor import base
 from baobabdoor import platform
@@ -26,6 +27,8 @@
         delay_s: Latency of a response.
         max_transaction_entries: Maximum number of entries of a write, including
             expected rows.
+        max_transaction_bytes: Maximum size of the values of a write, in base64.
+        max_row_bytes: Maximum size of the value of a row.
         transaction_count_: Number of requested writes.
     """
 
@@ -40,6 +43,8 @@
         self.lose_reads = 0
         self.delay_s = 0.0
         self.max_transaction_entries = 100
+        self.max_transaction_bytes = 1_000_000
+        self.max_row_bytes = 65_536
         self.transaction_count_ = 0
         self.last_answer_s_ = 0.0
 
@@ -53,7 +58,7 @@
         if not self.reachable:
             return self._refusal(base.Reason.UNKNOWN_RESULT)
         changes = (list(puts), list(removes), list(expected))
-        if sum(map(len, changes)) > self.max_transaction_entries:
+        if self._exceeds_limits(*changes):
             return self._refusal(base.Reason.BAD_REQUEST)
         if self.delay_writes:
             self.delay_writes -= 1
@@ -68,6 +73,16 @@
             return self._refusal(base.Reason.UNKNOWN_RESULT)
         return result
 
+    def _exceeds_limits(self, puts, removes, expected) -> bool:
+        entries = len(puts) + len(removes) + len(expected)
+        sizes = [len(row.value) for row in puts]
+        encoded_bytes = sum(4 * math.ceil(size / 3) for size in sizes)
+        return (
+            entries > self.max_transaction_entries
+            or encoded_bytes > self.max_transaction_bytes
+            or max(sizes, default=0) > self.max_row_bytes
+        )
+
     def apply_delayed(self) -> None:
         """Applies all delayed writes."""
         for changes in self.delayed:
--- a/tests/test_dispatch_commits.py
+++ b/tests/test_dispatch_commits.py
@@ -1,6 +1,7 @@
 """Tests of group commits: conditions, lost answers and the end of a term."""
 
 import asyncio
+import hashlib
 import json
 
 import scheduling_fixtures
@@ -63,6 +64,63 @@
         return self.store.get(_commits.JOBS_TABLE, JOB, _election.PART)
 
 
+def steps_of_a_large_job(count):
+    """Returns steps that take about 45 bytes each in a compressed row."""
+    return tuple(
+        scheduling.StepSpec(
+            1, image=hashlib.sha256(str(number).encode()).hexdigest()
+        )
+        for number in range(count)
+    )
+
+
+class TestSizeLimits:
+
+    def submit_steps(self, bench, job_id, count):
+        spec = scheduling.JobSpec(
+            job_id,
+            scheduling_fixtures.QUEUE,
+            "text",
+            steps_of_a_large_job(count),
+            # A scheduled job is accepted however long it takes.
+            repeat_count=1,
+        )
+        return bench.fleet.scheduler.submit(spec, bench.fleet.now_s)
+
+    def test_job_with_a_row_above_the_limit_does_not_stop_other_commits(self):
+        bench = Bench()
+        result = self.submit_steps(bench, "00000000000000ff", 2000)
+        job = bench.submit()
+        assert bench.write()
+        assert job.stored_state is scheduling.JobState.QUEUED
+        assert isinstance(result, scheduling.Rejection)
+        assert not result.retry_after_s
+
+    def test_large_jobs_are_written_in_several_transactions(self):
+        bench = Bench()
+        jobs = [
+            self.submit_steps(bench, f"{number:016x}", 500)
+            for number in range(45)
+        ]
+        writes = 1
+        while not bench.write() and writes < 10:
+            writes += 1
+        assert {job.stored_state for job in jobs} == {
+            scheduling.JobState.QUEUED
+        }
+
+    def test_records_that_outgrow_a_row_do_not_stop_commits(self):
+        bench = Bench()
+        large = self.submit_steps(bench, "00000000000000ff", 700)
+        for number, task in enumerate(large.tasks()):
+            name = hashlib.sha256(str(number).encode()).hexdigest()
+            task.crashes = frozenset((f"{name}@1", f"{name}@2"))
+        job = bench.submit()
+        assert bench.write()
+        assert job.stored_state is scheduling.JobState.QUEUED
+        assert large.stored_state is scheduling.JobState.QUEUED
+
+
 class TestCommits:
 
     def test_job_is_accepted_once_it_is_stored(self):
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -49,6 +49,7 @@
                 maintenance_s=4.0,
                 heartbeat_s=1.5,
                 contact_s=2.5,
+                row_bytes=65_536,
             ),
             election=types.SimpleNamespace(outage_ended_ms=0.0),
             observe_term_end=self.ended.append,
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -24,6 +24,7 @@
 from baobabdoor.standin import _row_store
 
 JOB = "00000000000000f1"
+SMALL_JOB = '{"steps": [{"count": 1}]}'
 QUEUE = scheduling.Queue(scheduling_fixtures.QUEUE, "h", "/q/", "p")
 
 
@@ -109,6 +110,29 @@
         assert follower.submit(0.3).kind == "unknown"
 
 
+class TestLeader:
+
+    def submit(self, rejection):
+        async def reject(spec, timeout_s):
+            return rejection
+
+        controller = types.SimpleNamespace(
+            scheduler=types.SimpleNamespace(jobs={}), submit=reject
+        )
+        message = {"job": JOB, "queue": QUEUE.name, "body": SMALL_JOB}
+        gateway = Follower().gateway
+        return asyncio.run(gateway._submit(controller, message, 1.0))
+
+    @pytest.mark.parametrize(
+        ("retry_after_s", "kind"), [(0, "invalid"), (3, "rejected")]
+    )
+    def test_caller_is_not_asked_to_retry_what_is_always_rejected(
+        self, retry_after_s, kind
+    ):
+        rejection = scheduling.Rejection("reason", retry_after_s, {})
+        assert self.submit(rejection).kind == kind
+
+
 class TestState:
 
     def store_job(self, follower, state):
