Tasks of a crashed worker restart once its machine is listed as down

Callers saw: each task that ran on a worker when it crashed waited 3 to 3.8 s before it started again, also with most of the pool free.

Cause: runs were released when the machine had a successor or when their lease had expired. The list of machines shows the machine as down much earlier; that was only used to attribute the crash.

The new test failed before (`expected 1, got 0` starts 1.2 s after the crash).

The list shows a state that is at least as new as its request. If the worker was neither listed nor heard in the second before that, it cannot be a later incarnation, so its confirmed runs have ended. A start without an answer may still reach the next incarnation; its run is kept as before.

--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -15,6 +15,7 @@
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
+from baobabdoor.scheduling import _worker_events
 
 # Machines that are drained in advance, beyond those that may be down at once.
 DRAIN_AHEAD = 1
@@ -194,7 +195,13 @@
             if max(worker.first_listed_s, worker.last_report_s) >= requested_s:
                 continue
             record = self.machines.get(worker.record.machine)
-            if record is None or record.worker_id == worker.worker_id:
+            if record is None:
+                continue
+            if record.state is _types.MachineState.DOWN:
+                _worker_events.observe_machine_down(
+                    self.scheduler, worker, requested_s
+                )
+            if record.worker_id == worker.worker_id:
                 continue
             pool = self.scheduler.configuration.pools.get(record.pool)
             standby = pool is not None and pool.standby
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -2,6 +2,7 @@
 
 import math
 
+from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
@@ -114,6 +115,33 @@
     worker.unsaved_ends = []
 
 
+def observe_machine_down(
+    scheduler, worker: _worker.Worker, requested_s: float
+) -> None:
+    """Releases the runs of a worker whose machine is listed as down.
+
+    A start that has not been confirmed may still arrive at the worker's next
+    incarnation, so its run is kept until that is seen or its lease expires.
+
+    Args:
+        scheduler: The scheduler.
+        worker: The worker.
+        requested_s: Time of the request for the list.
+    """
+    known_s = max(worker.first_listed_s, worker.last_report_s)
+    if known_s >= requested_s - _crashes.LISTING_DELAY_S:
+        # The list may show the machine as it was before the worker's start.
+        return
+    confirmed = [run for run in worker.runs.values() if run.confirmed]
+    if not confirmed:
+        return
+    emit_lost_runs(scheduler, worker, "machine down")
+    scheduler.crashes.observe_crash(worker)
+    worker.observe_no_response(requested_s)
+    for run in confirmed:
+        scheduler.release_run(worker, run, "machine down")
+
+
 def emit_lost_runs(scheduler, worker: _worker.Worker, reason: str) -> None:
     """Appends an event about the runs that ended with their worker."""
     runs = worker.runs.values()
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -303,6 +303,47 @@
         assert not self.list_in_maintenance(requested_s=-1)
 
 
+class TestMachinesListedAsDown:
+
+    def starts_after_crash(self, listed_after_s, confirmed=True):
+        """Returns the starts of a task whose machine is listed as down."""
+        fleet = scheduling_fixtures.Fleet([])
+        for name in ("1", "2"):
+            fleet.add_worker(f"w{name}", machine=f"m{name}")
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.starts()
+        if confirmed:
+            fleet.accept([order])
+        fleet.now_s += listed_after_s
+        for worker_id in ("w1", "w2"):
+            if worker_id != order.worker_id:
+                fleet.report(worker_id)
+        fleet.scheduler.maintenance.observe_machines(
+            (
+                scheduling.MachineRecord(
+                    order.worker_id.replace("w", "m"),
+                    scheduling_fixtures.POOL,
+                    scheduling.MachineState.DOWN,
+                    "z",
+                    "",
+                ),
+            ),
+            fleet.now_s,
+        )
+        fleet.commit()
+        return [start for start in fleet.starts() if start.task == order.task]
+
+    def test_runs_on_a_crashed_machine_do_not_wait_for_their_leases(self):
+        (again,) = self.starts_after_crash(listed_after_s=1.2)
+        assert again.run_id == 2
+
+    def test_a_list_that_may_be_older_than_the_worker_ends_no_run(self):
+        assert not self.starts_after_crash(listed_after_s=0.3)
+
+    def test_a_start_that_may_still_arrive_is_not_repeated(self):
+        assert not self.starts_after_crash(listed_after_s=1.2, confirmed=False)
+
+
 class TestAttempts:
 
     def take_over(self, fleet, job):
