Event for suspects that wait long for a trial

A task that waits for a worker that starts nothing else left no line: logs could not tell its wait from a full pool, from a wait for a ticket or from a run whose worker was lost. trial_delayed names the task, how long it has waited, and how many workers have room, are empty, or are kept for this and other suspects. One line for each wait of more than MAX_WAIT_S.

--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -95,8 +95,10 @@
         suspect = _crashes.is_suspect(task)
         if suspect and task.trial_wanted_s is None:
             task.trial_wanted_s = now_s
+            task.trial_delayed = False
         if not suspect:
             return self._free_workers(workers, self.reserved_until_s)
+        self._report_delay([task], workers, now_s)
         overdue = now_s - task.trial_wanted_s > MAX_WAIT_S
         if overdue and not task.start_crashes:
             return [
@@ -130,6 +132,11 @@
         suspects = [task for task in tasks if _crashes.is_suspect(task)]
         if not suspects:
             return self._free_workers(workers, self.reserved_until_s)
+        for task in suspects:
+            if task.trial_wanted_s is None:
+                task.trial_wanted_s = now_s
+                task.trial_delayed = False
+        self._report_delay(suspects, workers, now_s)
         return [
             worker
             for worker in self._free_workers(workers)
@@ -158,6 +165,35 @@
             self.trial_workers.add(task.run.worker_id)
             self.reserved_until_s.pop(task.run.worker_id, None)
 
+    def _report_delay(
+        self,
+        suspects: Sequence[_job.Task],
+        workers: list[_worker.Worker],
+        now_s: float,
+    ) -> None:
+        """Emits one event for each wait that takes too long."""
+        first = min(suspects, key=lambda task: task.trial_wanted_s)
+        waited_s = now_s - first.trial_wanted_s
+        if waited_s <= MAX_WAIT_S or first.trial_delayed:
+            return
+        for task in suspects:
+            task.trial_delayed = True
+        names = {worker.worker_id for worker in workers}
+        self.crashes.scheduler.emit(
+            "trial_delayed",
+            task=first.name,
+            gang=first.spec.gang,
+            waited_ms=round(waited_s * 1000),
+            crashes=len(first.crashes),
+            start_crashes=len(first.start_crashes),
+            workers=len(workers),
+            with_room=sum(worker.fits(first.spec) for worker in workers),
+            without_runs=sum(not worker.runs for worker in workers),
+            in_trials=len(names & self.trial_workers),
+            isolated=len(names & self.isolated_workers),
+            reserved=len(names & self.reserved_until_s.keys()),
+        )
+
     def _free_workers(
         self,
         workers: list[_worker.Worker],
--- a/tests/test_scheduling_trials.py
+++ b/tests/test_scheduling_trials.py
@@ -226,3 +226,25 @@
             not workers[crashing_fleet.CRASHING]
             & workers[crashing_fleet.HARMLESS]
         )
+
+
+class TestEvents:
+
+    def test_a_wait_that_takes_too_long_is_reported_once(self):
+        fleet = crashing_fleet.CrashingFleet(1)
+        suspects = fleet.submit(
+            crashing_fleet.CRASHING, [crashing_fleet.step(10)]
+        )
+        for task in suspects.tasks():
+            task.start_crashes = frozenset(("a@1",))
+            fleet.scheduler.crashes.accused_tasks.add(task)
+        for _ in range(8):
+            fleet.starts()
+            fleet.advance(0.5)
+        delayed = [
+            event.fields
+            for event in fleet.scheduler.take_events()
+            if event.name == "trial_delayed"
+        ]
+        assert len(delayed) == len({fields["task"] for fields in delayed}) > 0
+        assert delayed[0]["waited_ms"] > 2000
