A suspect is offered only workers that may run one more task of its step

Seen: a task that is held responsible for one crash, of a step with max_per_worker (lasting tasks that want distinct workers), is not started again although a worker has room for it; callers see a replica less for as long as its sibling runs (LOST).

Cause: the placement of suspects chose the worker with the fewest runs and offered no other, without regard to max_per_worker. If a sibling ran there, the task was refused at each plan, and the worker was closed to other starts at each plan.

Why it works: both places now ask the same question, _placement.may_run.

Not shown: that this is the cause of the users' report; has no trials.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -244,11 +244,7 @@
     best = None
     best_key: tuple = ()
     for worker in workers:
-        if not worker.fits(spec):
-            continue
-        if spec.max_per_worker and spec.max_per_worker <= _count_same_step(
-            worker, task
-        ):
+        if not may_run(worker, task):
             continue
         remote = bool(
             spec.data_rack and spec.data_rack not in worker.record.labels
@@ -282,6 +278,17 @@
     return best
 
 
+def may_run(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a worker has room for a task and its step allows it."""
+    return worker.fits(task.spec) and may_run_more(worker, task)
+
+
+def may_run_more(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a worker may run one more task of the same step."""
+    limit = task.spec.max_per_worker
+    return not limit or _count_same_step(worker, task) < limit
+
+
 def _count_same_step(worker: _worker.Worker, task: _job.Task) -> int:
     return sum(
         run.task.job is task.job
--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -10,6 +10,7 @@
 
 from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _worker
 
 # Maximum time that a task waits for a worker of its own, and within which all
@@ -107,7 +108,9 @@
                 if worker.worker_id not in self.trial_workers
             ]
         free = self._free_workers(workers)
-        fitting = [worker for worker in free if worker.fits(task.spec)]
+        fitting = [
+            worker for worker in free if _placement.may_run(worker, task)
+        ]
         suitable = [
             worker for worker in fitting if _is_suitable(task, worker, now_s)
         ]
@@ -187,7 +190,9 @@
             crashes=len(first.crashes),
             start_crashes=len(first.start_crashes),
             workers=len(workers),
-            with_room=sum(worker.fits(first.spec) for worker in workers),
+            with_room=sum(
+                _placement.may_run(worker, first) for worker in workers
+            ),
             without_runs=sum(not worker.runs for worker in workers),
             in_trials=len(names & self.trial_workers),
             isolated=len(names & self.isolated_workers),
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -10,8 +10,8 @@
 MAX_STARTS = 4
 
 
-def step(count=1, **fields):
-    return scheduling.StepSpec(count, cpu_milli=500, **fields)
+def step(count=1, cpu_milli=500, **fields):
+    return scheduling.StepSpec(count, cpu_milli=cpu_milli, **fields)
 
 
 class CrashingFleet(scheduling_fixtures.Fleet):
