Every wait of a suspect for its trial is bounded

Seen: a gang whose tasks are held responsible for three crashes, or a single task with three crashes one of which was right after a start, never starts in a pool in which each worker has a lasting task, although most room is free (LOST).

Cause: such a task waited for a worker without any run. Reservations keep new starts off a worker, but a lasting run does not end. The limit of the wait covered neither gangs nor tasks with a crash right after a start.

Why it works: the wait relaxes the isolation in steps, for gangs and single tasks alike. At first any run that has passed its probation may run beside the suspect, since a crash is not held against it. After MAX_WAIT_S a worker is enough on which nothing has just started, so that a crash soon after the start is still certain. After twice that time any worker but one on which another suspect has just started, so two suspects still never start together. The wait counts from its own beginning: a later accusation does not set it back.

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -146,7 +146,7 @@
             task = run.task
             if not task.accused or not run.confirmed:
                 continue
-            if _has_passed_probation(worker, run):
+            if has_passed_probation(worker, run):
                 self._clear(task, task.crashes | task.start_crashes)
             elif task.start_crashes and not _is_starting(worker, run):
                 task.start_crashes = frozenset()
@@ -213,7 +213,6 @@
                 task.crashes |= {crash_id}
             if task in losses.starting:
                 task.start_crashes |= {crash_id}
-            task.trial_wanted_s = None
             self.accused_tasks.add(task)
             self.scheduler.mark_dirty(task.job)
             task.accused_revision = self.scheduler.revision
@@ -260,6 +259,7 @@
             task.start_crashes -= crash_ids
             self.scheduler.mark_dirty(task.job)
         if not task.accused:
+            task.trial_wanted_s = None
             self.accused_tasks.discard(task)
 
     def discard_ended(self) -> None:
@@ -275,7 +275,7 @@
     causes = [
         run
         for run in worker.runs.values()
-        if not _has_passed_probation(worker, run)
+        if not has_passed_probation(worker, run)
     ]
     return _Losses(
         _crash_id(worker.worker_id, worker.start_time_ms),
@@ -297,7 +297,8 @@
     return worker.heard_s - run.started_s < TRIAL_S
 
 
-def _has_passed_probation(worker: _worker.Worker, run: _job.Run) -> bool:
+def has_passed_probation(worker: _worker.Worker, run: _job.Run) -> bool:
+    """Returns whether a run has lasted too long to cause a crash."""
     ran_s = worker.heard_s - run.started_s
     return run.task.spec.long_running and ran_s >= PROBATION_S
 
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -87,7 +87,8 @@
         stored_trial: Worker, start of the worker and machine of the run that
             an earlier term stored; `None` if there is none.
         trial_wanted_s: Time from which a suspect waits for a worker that
-            starts nothing else; `None` if it does not.
+            starts nothing else; `None` if it does not. A further accusation
+            does not change it, so that the wait is bounded.
         trial_delayed: Whether an event has reported that this wait takes too
             long.
         lost_runs: Number of runs in this term that ended without a record.
--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -17,6 +17,10 @@
 # suspects are to be tried. It is shorter than the time after which a waiting
 # job counts as forgotten.
 MAX_WAIT_S = 2.0
+# Time after which a suspect starts beside any other runs but those of another
+# trial. A crash may then prove nothing, but `_crashes` gives it up after a
+# limited number in any case.
+UNPROVEN_WAIT_S = 2 * MAX_WAIT_S
 # Maximum number of machines that a pool gets to try its suspects, so that some
 # remain while others restart after a crash.
 MAX_TRIAL_MACHINES = 3
@@ -93,34 +97,24 @@
         """Returns the workers on which a task may start now."""
         if not self.crashes.accused_tasks:
             return workers
-        suspect = _crashes.is_suspect(task)
-        if suspect and task.trial_wanted_s is None:
-            task.trial_wanted_s = now_s
-            task.trial_delayed = False
-        if not suspect:
+        if not _crashes.is_suspect(task):
             return self._free_workers(workers, self.reserved_until_s)
-        self._report_delay([task], workers, now_s)
-        overdue = now_s - task.trial_wanted_s > MAX_WAIT_S
-        if overdue and not task.start_crashes:
-            return [
-                worker
-                for worker in workers
-                if worker.worker_id not in self.trial_workers
-            ]
-        free = self._free_workers(workers)
+        waited_s = self._observe_wait([task], workers, now_s)
         fitting = [
-            worker for worker in free if _placement.may_run(worker, task)
+            worker
+            for worker in self._trial_candidates(workers, waited_s)
+            if _placement.may_run(worker, task)
         ]
         suitable = [
-            worker for worker in fitting if _is_suitable(task, worker, now_s)
+            worker
+            for worker in fitting
+            if _is_suitable(task, worker, waited_s, now_s)
         ]
         if not suitable:
             self._reserve(fitting, len(workers), now_s)
             return []
-        # A further crash ends as few other runs as possible.
-        best = min(suitable, key=lambda worker: len(worker.runs))
-        self.trial_workers.add(best.worker_id)
-        self.reserved_until_s.pop(best.worker_id, None)
+        best = min(suitable, key=lambda worker: self._trial_rank(worker, now_s))
+        self._begin_trial(task, best.worker_id)
         return [best]
 
     def allowed_gang_workers(
@@ -135,15 +129,13 @@
         suspects = [task for task in tasks if _crashes.is_suspect(task)]
         if not suspects:
             return self._free_workers(workers, self.reserved_until_s)
-        for task in suspects:
-            if task.trial_wanted_s is None:
-                task.trial_wanted_s = now_s
-                task.trial_delayed = False
-        self._report_delay(suspects, workers, now_s)
+        waited_s = self._observe_wait(suspects, workers, now_s)
         return [
             worker
-            for worker in self._free_workers(workers)
-            if all(_is_suitable(task, worker, now_s) for task in suspects)
+            for worker in self._trial_candidates(workers, waited_s)
+            if all(
+                _is_suitable(task, worker, waited_s, now_s) for task in suspects
+            )
         ]
 
     def observe_gang_placement(
@@ -165,33 +157,52 @@
             self._reserve(fitting, len(workers), now_s)
             return
         for task in tasks:
-            self.trial_workers.add(task.run.worker_id)
-            self.reserved_until_s.pop(task.run.worker_id, None)
+            self._begin_trial(task, task.run.worker_id)
+
+    def _begin_trial(self, task: _job.Task, worker_id: str) -> None:
+        task.trial_wanted_s = None
+        self.trial_workers.add(worker_id)
+        self.reserved_until_s.pop(worker_id, None)
 
-    def _report_delay(
+    def _observe_wait(
         self,
         suspects: Sequence[_job.Task],
         workers: list[_worker.Worker],
         now_s: float,
-    ) -> None:
-        """Emits one event for each wait that takes too long."""
+    ) -> float:
+        """Returns how long suspects have waited for their start, in seconds.
+
+        Emits one event for each wait that takes too long.
+        """
+        for task in suspects:
+            if task.trial_wanted_s is None:
+                task.trial_wanted_s = now_s
+                task.trial_delayed = False
         first = min(suspects, key=lambda task: task.trial_wanted_s)
         waited_s = now_s - first.trial_wanted_s
-        if waited_s <= MAX_WAIT_S or first.trial_delayed:
-            return
-        for task in suspects:
-            task.trial_delayed = True
+        if waited_s > MAX_WAIT_S and not first.trial_delayed:
+            for task in suspects:
+                task.trial_delayed = True
+            self._emit_delay(first, waited_s, workers)
+        return waited_s
+
+    def _emit_delay(
+        self,
+        task: _job.Task,
+        waited_s: float,
+        workers: list[_worker.Worker],
+    ) -> None:
         names = {worker.worker_id for worker in workers}
         self.crashes.scheduler.emit(
             "trial_delayed",
-            task=first.name,
-            gang=first.spec.gang,
+            task=task.name,
+            gang=task.spec.gang,
             waited_ms=round(waited_s * 1000),
-            crashes=len(first.crashes),
-            start_crashes=len(first.start_crashes),
+            crashes=len(task.crashes),
+            start_crashes=len(task.start_crashes),
             workers=len(workers),
             with_room=sum(
-                _placement.may_run(worker, first) for worker in workers
+                _placement.may_run(worker, task) for worker in workers
             ),
             without_runs=sum(not worker.runs for worker in workers),
             in_trials=len(names & self.trial_workers),
@@ -199,6 +210,34 @@
             reserved=len(names & self.reserved_until_s.keys()),
         )
 
+    def _trial_candidates(
+        self, workers: list[_worker.Worker], waited_s: float
+    ) -> list[_worker.Worker]:
+        """Returns the workers that are not used up by another suspect.
+
+        Two suspects never start together, however long they wait: a crash
+        would prove nothing.
+        """
+        if waited_s <= MAX_WAIT_S:
+            return self._free_workers(workers)
+        return [
+            worker
+            for worker in workers
+            if worker.worker_id not in self.trial_workers
+        ]
+
+    def _trial_rank(self, worker: _worker.Worker, now_s: float) -> tuple:
+        """Returns a sort key: the best worker for a trial comes first.
+
+        A further crash is to prove as much, and to end as few other runs, as
+        possible.
+        """
+        return (
+            worker.worker_id in self.isolated_workers,
+            _has_young_run(worker, now_s),
+            len(worker.runs),
+        )
+
     def _free_workers(
         self,
         workers: list[_worker.Worker],
@@ -228,11 +267,27 @@
             self.reserved_until_s[best.worker_id] = now_s + 2 * _crashes.TRIAL_S
 
 
-def _is_suitable(task: _job.Task, worker: _worker.Worker, now_s: float) -> bool:
-    """Returns whether a crash after a start would be due to this task."""
-    if _crashes.must_isolate(task):
-        return not worker.runs
-    return all(
-        now_s - run.started_s >= _crashes.TRIAL_S
-        for run in worker.runs.values()
+def _is_suitable(
+    task: _job.Task, worker: _worker.Worker, waited_s: float, now_s: float
+) -> bool:
+    """Returns whether a worker is isolated enough for a suspect.
+
+    A crash after its start is then due to the suspect. The longer it waits,
+    the less isolation it requires, so that the wait ends even if each worker
+    has runs that do not end, or starts new ones all the time.
+    """
+    if waited_s > UNPROVEN_WAIT_S:
+        return True
+    if waited_s <= MAX_WAIT_S and _crashes.must_isolate(task):
+        return all(
+            _crashes.has_passed_probation(worker, run)
+            for run in worker.runs.values()
+        )
+    return not _has_young_run(worker, now_s)
+
+
+def _has_young_run(worker: _worker.Worker, now_s: float) -> bool:
+    """Returns whether a crash may be due to a run that has just started."""
+    return any(
+        now_s - run.started_s < _crashes.TRIAL_S for run in worker.runs.values()
     )
--- a/tests/test_scheduling_waits.py
+++ b/tests/test_scheduling_waits.py
@@ -1,11 +1,16 @@
 """Tests that every wait because of a crash ends within a bound."""
 
+import random
+
 import crashing_fleet
+import pytest
 
 # Bound of a wait in these tests: less than the 3 s after which a job that could
 # run counts as forgotten, once it is known that its last run has ended.
 WAIT_S = 2.5
 STEP_S = 0.1
+# Long enough for lasting tasks to pass their probation.
+PROBATION_S = 11
 
 
 class WaitingFleet(crashing_fleet.CrashingFleet):
@@ -15,6 +20,14 @@
         super().__init__(worker_count)
         self.crashing_steps = set()
 
+    def start_lasting_tasks(self, count):
+        """Starts a lasting task on each of some workers."""
+        self.submit(
+            "00000000000000dd",
+            [crashing_fleet.step(count, long_running=True, max_per_worker=1)],
+        )
+        assert len(self.run_starts(percent=100)) == count
+
     def submit_suspects(self, steps, crashes, start_crashes):
         """Submits a job against whose tasks crashes are held."""
         job = self.submit(crashing_fleet.CRASHING, steps)
@@ -43,6 +56,30 @@
 
 class TestSuspects:
 
+    @pytest.mark.parametrize("gang", [False, True])
+    @pytest.mark.parametrize("passed_probation", [False, True])
+    @pytest.mark.parametrize("start_crashes", [0, 1, 3])
+    @pytest.mark.parametrize("crashes", [1, 3])
+    def test_suspects_start_where_each_worker_has_a_lasting_task(
+        self, crashes, start_crashes, passed_probation, gang
+    ):
+        fleet = WaitingFleet()
+        fleet.start_lasting_tasks(4)
+        fleet.advance(PROBATION_S if passed_probation else 1)
+        fleet.submit_suspects(
+            [crashing_fleet.step(2, gang=gang)], crashes, start_crashes
+        )
+        assert len(fleet.started_within(crashing_fleet.CRASHING, WAIT_S)) == 2
+
+    def test_a_lasting_task_that_passed_its_probation_does_not_delay_a_trial(
+        self,
+    ):
+        fleet = WaitingFleet(1)
+        fleet.start_lasting_tasks(1)
+        fleet.advance(PROBATION_S)
+        fleet.submit_suspects([crashing_fleet.step()], 3, 0)
+        assert len(fleet.run_starts()) == 1
+
     def test_a_suspect_is_not_kept_for_a_worker_that_runs_enough_of_its_step(
         self,
     ):
@@ -58,3 +95,29 @@
         for task in job.tasks():
             fleet.accuse(task, 1, task.run is None)
         assert fleet.started_within(crashing_fleet.CRASHING, WAIT_S)
+
+
+class TestRandomStates:
+
+    @pytest.mark.parametrize("seed", range(60))
+    def test_a_task_that_fits_twice_starts_in_a_pool_that_is_half_empty(
+        self, seed
+    ):
+        draw = random.Random(seed)
+        worker_count = draw.randint(2, 8)
+        fleet = WaitingFleet(worker_count)
+        fleet.start_lasting_tasks(draw.randint(0, worker_count))
+        fleet.advance(draw.choice((0.1, 1, PROBATION_S)))
+        jobs = []
+        for number in range(draw.randint(1, 2)):
+            step = crashing_fleet.step(
+                draw.randint(1, 3),
+                gang=draw.random() < 0.4,
+                long_running=draw.random() < 0.3,
+                max_per_worker=draw.choice((0, 0, 2)),
+            )
+            jobs.append(fleet.submit(f"{number:016x}", [step]))
+        for task in [task for job in jobs for task in job.tasks()]:
+            fleet.accuse(task, draw.randint(0, 4), draw.randint(0, 3))
+        started = fleet.started_within("00000000000000", WAIT_S)
+        assert started == {task.name for job in jobs for task in job.tasks()}
