A suspect gets a worker in a pool without room

Cause: only workers with room for the suspect could be reserved for it, and the others counted as reserved. In a pool in which more than half of the workers had no room, none was kept free, and each room that a run left went to other tasks. A reservation ended 0.6 s later although the suspect still waited.

Evidence: test_a_suspect_starts_while_every_worker_is_full failed before: 'assert set()', not started within 6 s.

Why it works: only workers that are reserved count as such. A worker without room is reserved if the suspect fits once the runs that end have ended, and the reservation belongs to the suspect and lasts as long as it waits, so the room of that worker adds up until the suspect fits. At most half of a pool is reserved, as before.

--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -8,6 +8,8 @@
 from collections.abc import Sequence
 import math
 
+import attrs
+
 from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _placement
@@ -28,6 +30,19 @@
 MAX_RESERVED_SHARE = 0.5
 
 
+@attrs.frozen
+class _Reservation:
+    """A worker that starts nothing else until a suspect fits on it.
+
+    Attributes:
+        task: The suspect, or the first task of its gang.
+        until_s: Time at which it ends unless the suspect still waits.
+    """
+
+    task: _job.Task
+    until_s: float
+
+
 class TrialPlacement:
     """Keeps the starts of suspects apart from other starts.
 
@@ -37,8 +52,8 @@
 
     def __init__(self, crashes: _crashes.CrashTracker):
         self.crashes = crashes
-        # Workers that start nothing until a time, to become free for a suspect.
-        self.reserved_until_s: dict[str, float] = {}
+        # Workers that start nothing else, to become free for a suspect.
+        self.reservations: dict[str, _Reservation] = {}
         # Workers that start nothing else because they have just started a
         # suspect, and those that run a task that needs a worker of its own.
         self.trial_workers: set[str] = set()
@@ -46,10 +61,10 @@
 
     def prepare(self, now_s: float) -> None:
         """Finds the workers that start nothing else because of a suspect."""
-        self.reserved_until_s = {
-            worker_id: until_s
-            for worker_id, until_s in self.reserved_until_s.items()
-            if until_s > now_s
+        self.reservations = {
+            worker_id: reservation
+            for worker_id, reservation in self.reservations.items()
+            if reservation.until_s > now_s
         }
         self.trial_workers = set()
         self.isolated_workers = set()
@@ -98,20 +113,17 @@
         if not self.crashes.accused_tasks:
             return workers
         if not _crashes.is_suspect(task):
-            return self._free_workers(workers, self.reserved_until_s)
+            return self._free_workers(workers, self.reservations)
         waited_s = self._observe_wait([task], workers, now_s)
-        fitting = [
-            worker
-            for worker in self._trial_candidates(workers, waited_s)
-            if _placement.may_run(worker, task)
-        ]
+        candidates = self._trial_candidates(workers, waited_s)
         suitable = [
             worker
-            for worker in fitting
-            if _is_suitable(task, worker, waited_s, now_s)
+            for worker in candidates
+            if _placement.may_run(worker, task)
+            and _is_suitable(task, worker, waited_s, now_s)
         ]
         if not suitable:
-            self._reserve(fitting, len(workers), now_s)
+            self._reserve([task], candidates, len(workers), now_s)
             return []
         best = min(suitable, key=lambda worker: self._trial_rank(worker, now_s))
         self._begin_trial(task, best.worker_id)
@@ -128,7 +140,7 @@
             return workers
         suspects = [task for task in tasks if _crashes.is_suspect(task)]
         if not suspects:
-            return self._free_workers(workers, self.reserved_until_s)
+            return self._free_workers(workers, self.reservations)
         waited_s = self._observe_wait(suspects, workers, now_s)
         return [
             worker
@@ -152,9 +164,8 @@
         if not any(_crashes.is_suspect(task) for task in tasks):
             return
         if tasks[0].run is None:
-            free = self._free_workers(workers)
-            fitting = [worker for worker in free if worker.fits(tasks[0].spec)]
-            self._reserve(fitting, len(workers), now_s)
+            candidates = self._free_workers(workers)
+            self._reserve(tasks, candidates, len(workers), now_s)
             return
         for task in tasks:
             self._begin_trial(task, task.run.worker_id)
@@ -162,7 +173,7 @@
     def _begin_trial(self, task: _job.Task, worker_id: str) -> None:
         task.trial_wanted_s = None
         self.trial_workers.add(worker_id)
-        self.reserved_until_s.pop(worker_id, None)
+        self.reservations.pop(worker_id, None)
 
     def _observe_wait(
         self,
@@ -207,7 +218,7 @@
             without_runs=sum(not worker.runs for worker in workers),
             in_trials=len(names & self.trial_workers),
             isolated=len(names & self.isolated_workers),
-            reserved=len(names & self.reserved_until_s.keys()),
+            reserved=len(names & self.reservations.keys()),
         )
 
     def _trial_candidates(
@@ -253,18 +264,46 @@
         ]
 
     def _reserve(
-        self, fitting: list[_worker.Worker], pool_size: int, now_s: float
+        self,
+        tasks: Sequence[_job.Task],
+        candidates: list[_worker.Worker],
+        pool_size: int,
+        now_s: float,
     ) -> None:
-        """Lets one more worker become free for a suspect, if any may."""
-        candidates = [
+        """Keeps other starts off workers until they are free for suspects.
+
+        Args:
+            tasks: A suspect, or the tasks of a gang with one.
+            candidates: Workers that may become free for it.
+            pool_size: Number of workers of the pool.
+            now_s: Current time.
+        """
+        reservation = _Reservation(tasks[0], now_s + 2 * _crashes.TRIAL_S)
+        usable = [
             worker
-            for worker in fitting
-            if worker.worker_id not in self.reserved_until_s
+            for worker in candidates
+            if _has_room_without_batch(worker, tasks[0])
         ]
-        reserved = pool_size - len(candidates)
-        if candidates and reserved < max(1, pool_size * MAX_RESERVED_SHARE):
-            best = min(candidates, key=lambda worker: len(worker.runs))
-            self.reserved_until_s[best.worker_id] = now_s + 2 * _crashes.TRIAL_S
+        owned = [worker for worker in usable if self._owner(worker) is tasks[0]]
+        for worker in owned:
+            self.reservations[worker.worker_id] = reservation
+        missing = len(tasks) - len(owned)
+        reserved = sum(self._owner(worker) is not None for worker in candidates)
+        allowed = math.ceil(pool_size * MAX_RESERVED_SHARE) - reserved
+        unowned = [worker for worker in usable if self._owner(worker) is None]
+        unowned.sort(
+            key=lambda worker: (
+                not _placement.may_run(worker, tasks[0]),
+                len(worker.runs),
+            )
+        )
+        for worker in unowned[: max(0, min(missing, allowed))]:
+            self.reservations[worker.worker_id] = reservation
+
+    def _owner(self, worker: _worker.Worker) -> _job.Task | None:
+        """Returns the suspect for which a worker is reserved, if any."""
+        reservation = self.reservations.get(worker.worker_id)
+        return reservation.task if reservation is not None else None
 
 
 def _is_suitable(
@@ -286,6 +325,18 @@
     return not _has_young_run(worker, now_s)
 
 
+def _has_room_without_batch(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a task fits once the runs that end have ended."""
+    lasting = [
+        run.task.spec
+        for run in worker.runs.values()
+        if run.task.spec.long_running
+    ]
+    return worker.could_fit(task.spec, lasting) and _placement.may_run_more(
+        worker, task
+    )
+
+
 def _has_young_run(worker: _worker.Worker, now_s: float) -> bool:
     """Returns whether a crash may be due to a run that has just started."""
     return any(
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -1,5 +1,6 @@
 """State of a worker as known to the scheduler."""
 
+from collections.abc import Sequence
 import math
 
 from baobabdoor.scheduling import _job
@@ -198,13 +199,24 @@
             )
         )
 
-    def could_fit(self, spec: _types.StepSpec) -> bool:
-        """Returns whether the worker would have room if it were empty."""
+    def could_fit(
+        self,
+        spec: _types.StepSpec,
+        beside: Sequence[_types.StepSpec] = (),
+    ) -> bool:
+        """Returns whether a task would have room.
+
+        Args:
+            spec: Step of the task.
+            beside: Steps of the only other tasks that would run on the worker.
+        """
         record = self.record
+        steps = (spec, *beside)
+        cpu = sum(step.cpu_milli for step in steps if not step.fills)
         return (
-            (spec.fills or spec.cpu_milli <= record.cpu_milli)
-            and spec.memory_mb <= record.memory_mb
-            and spec.gpus <= record.gpus
+            (spec.fills or cpu <= record.cpu_milli)
+            and sum(step.memory_mb for step in steps) <= record.memory_mb
+            and sum(step.gpus for step in steps) <= record.gpus
             and (
                 not spec.required_label or spec.required_label in record.labels
             )
--- a/tests/test_scheduling_waits.py
+++ b/tests/test_scheduling_waits.py
@@ -96,6 +96,22 @@
             fleet.accuse(task, 1, task.run is None)
         assert fleet.started_within(crashing_fleet.CRASHING, WAIT_S)
 
+    def test_a_suspect_starts_while_every_worker_is_full(self):
+        fleet = WaitingFleet(4)
+        jobs = iter(range(1000))
+
+        def keep_full():
+            fleet.submit(f"{next(jobs):016x}", [crashing_fleet.step(8)])
+            for worker_id, runs in list(fleet.running.items()):
+                for task, run_id in list(runs)[:1]:
+                    fleet.end(worker_id, task, run_id)
+
+        for _ in range(8):
+            keep_full()
+            fleet.run_starts()
+        fleet.submit_suspects([crashing_fleet.step(cpu_milli=4000)], 2, 2)
+        assert fleet.started_within(crashing_fleet.CRASHING, 6, keep_full)
+
 
 class TestRandomStates:
 
