A task waits a bounded time for workers that are kept for suspects

Seen: beside a task that runs on a worker of its own, or a suspect that does not fit yet, harmless tasks of the pool are not started although the worker has room for them, for as long as that run lasts.

Cause: workers that are isolated or reserved because of a suspect are closed to all other starts, without a limit of the time.

Evidence: failed before with 'assert 0 == 3', tasks started within 2.5 s: test_a_task_does_not_wait_for_the_end_of_an_isolated_task, the same for a gang, and test_a_task_does_not_wait_for_a_suspect_that_does_not_fit_yet.

Why it works: a step for whose tasks only such workers have room starts there after MAX_WAIT_S. Workers on which a suspect has just started stay closed, for TRIAL_S each.

--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -58,6 +58,9 @@
         # suspect, and those that run a task that needs a worker of its own.
         self.trial_workers: set[str] = set()
         self.isolated_workers: set[str] = set()
+        # Time from which only workers that are kept for suspects have room for
+        # the tasks of a step.
+        self.held_back_s: dict[str, float] = {}
 
     def prepare(self, now_s: float) -> None:
         """Finds the workers that start nothing else because of a suspect."""
@@ -69,6 +72,7 @@
         self.trial_workers = set()
         self.isolated_workers = set()
         if not self.crashes.accused_tasks:
+            self.held_back_s.clear()
             return
         self.crashes.discard_ended()
         for task in self.crashes.accused_tasks:
@@ -113,7 +117,7 @@
         if not self.crashes.accused_tasks:
             return workers
         if not _crashes.is_suspect(task):
-            return self._free_workers(workers, self.reservations)
+            return self._workers_for_others(task, workers, now_s)
         waited_s = self._observe_wait([task], workers, now_s)
         candidates = self._trial_candidates(workers, waited_s)
         suitable = [
@@ -140,7 +144,7 @@
             return workers
         suspects = [task for task in tasks if _crashes.is_suspect(task)]
         if not suspects:
-            return self._free_workers(workers, self.reservations)
+            return self._workers_for_others(tasks[0], workers, now_s)
         waited_s = self._observe_wait(suspects, workers, now_s)
         return [
             worker
@@ -161,6 +165,8 @@
         Workers of a suspected gang start nothing else. If it was not placed,
         one more worker becomes free for it.
         """
+        if tasks[0].run is not None:
+            self.held_back_s.pop(tasks[0].step_name, None)
         if not any(_crashes.is_suspect(task) for task in tasks):
             return
         if tasks[0].run is None:
@@ -249,6 +255,40 @@
             len(worker.runs),
         )
 
+    def _workers_for_others(
+        self, task: _job.Task, workers: list[_worker.Worker], now_s: float
+    ) -> list[_worker.Worker]:
+        """Returns the workers on which a task that is no suspect may start.
+
+        Workers that are kept for suspects are left out, but no longer than
+        MAX_WAIT_S if only they have room. A member of a gang that finds room
+        does not show that the others do.
+        """
+        free = self._free_workers(workers, self.reservations)
+        if len(free) == len(workers):
+            return free
+        untried = [
+            worker
+            for worker in workers
+            if worker.worker_id not in self.trial_workers
+        ]
+        kept = [
+            worker
+            for worker in untried
+            if worker.worker_id in self.isolated_workers
+            or worker.worker_id in self.reservations
+        ]
+        has_room = not task.spec.gang and any(
+            _placement.may_run(worker, task) for worker in free
+        )
+        if has_room or not any(
+            _placement.may_run(worker, task) for worker in kept
+        ):
+            self.held_back_s.pop(task.step_name, None)
+            return free
+        since_s = self.held_back_s.setdefault(task.step_name, now_s)
+        return untried if now_s - since_s > MAX_WAIT_S else free
+
     def _free_workers(
         self,
         workers: list[_worker.Worker],
--- a/tests/test_scheduling_waits.py
+++ b/tests/test_scheduling_waits.py
@@ -113,6 +113,34 @@
         assert fleet.started_within(crashing_fleet.CRASHING, 6, keep_full)
 
 
+class TestOtherTasks:
+
+    def test_a_task_does_not_wait_for_the_end_of_an_isolated_task(self):
+        fleet = WaitingFleet(1)
+        fleet.submit_suspects([crashing_fleet.step()], 3, 0)
+        assert fleet.run_starts()
+        fleet.submit(crashing_fleet.HARMLESS, [crashing_fleet.step(3)])
+        assert len(fleet.started_within(crashing_fleet.HARMLESS, WAIT_S)) == 3
+
+    def test_a_gang_does_not_wait_for_the_end_of_an_isolated_task(self):
+        fleet = WaitingFleet(1)
+        fleet.submit_suspects([crashing_fleet.step()], 3, 0)
+        assert fleet.run_starts()
+        fleet.submit(
+            crashing_fleet.HARMLESS, [crashing_fleet.step(3, gang=True)]
+        )
+        assert len(fleet.started_within(crashing_fleet.HARMLESS, WAIT_S)) == 3
+
+    def test_a_task_does_not_wait_for_a_suspect_that_does_not_fit_yet(self):
+        fleet = WaitingFleet(1)
+        fleet.submit("00000000000000cc", [crashing_fleet.step(cpu_milli=2000)])
+        fleet.run_starts()
+        fleet.advance(1)
+        fleet.submit_suspects([crashing_fleet.step(cpu_milli=3000)], 1, 1)
+        fleet.submit(crashing_fleet.HARMLESS, [crashing_fleet.step(3)])
+        assert len(fleet.started_within(crashing_fleet.HARMLESS, WAIT_S)) == 3
+
+
 class TestRandomStates:
 
     @pytest.mark.parametrize("seed", range(60))
