A lasting gang is given up as a whole

Seen: after a member of a lasting gang was given up because it crashes its workers, the job stayed queued, and its members never started again.

Cause: a lasting job keeps the tasks that are not given up, but a gang starts with all its members or not at all.

Evidence: test_a_lasting_gang_without_one_of_its_tasks_does_not_wait_for_ever failed before: 'assert <JobState.QUEUED> is <JobState.FAILED>'.

Why it works: the members of a gang are given up together, so the job fails.

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -237,7 +237,10 @@
         Its job fails. A `long_running` job keeps the tasks that run.
         """
         job = cause.job
-        cause.given_up = True
+        # Without one of its members a gang never starts again.
+        step = job.steps[cause.occurrence, cause.step]
+        for task in step if cause.spec.gang else (cause,):
+            task.given_up = True
         self.scheduler.emit("task_given_up", task=cause.name)
         if cause.spec.long_running and not all(
             task.given_up for task in job.tasks()
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -126,6 +126,23 @@
         started = {order.task for order in successor.run_starts()}
         assert started == {f"{crashing_fleet.CRASHING}.0.0.1"}
 
+    def test_a_lasting_gang_without_one_of_its_tasks_does_not_wait_for_ever(
+        self,
+    ):
+        fleet = crashing_fleet.CrashingFleet(6)
+        job = fleet.submit(
+            crashing_fleet.CRASHING,
+            [crashing_fleet.step(2, long_running=True, gang=True)],
+        )
+        for _ in range(16):
+            fleet.run_starts(percent=100)
+            fleet.advance(1)
+            for task in job.tasks():
+                if task.run is not None:
+                    run = task.run
+                    fleet.end(run.worker_id, task.name, run.run_id, "broken")
+        assert job.state is scheduling.JobState.FAILED
+
     def test_a_job_without_any_other_task_fails(self):
         _, job, _ = self.crash_first_task(1)
         assert job.state is scheduling.JobState.FAILED
