--- a/tests/test_scheduling_waits.py
+++ b/tests/test_scheduling_waits.py
@@ -5,6 +5,9 @@
 import crashing_fleet
 import pytest
 
+from baobabdoor import scheduling
+from baobabdoor.scheduling import _crashes
+
 # Bound of a wait in these tests: less than the 3 s after which a job that could
 # run counts as forgotten, once it is known that its last run has ended.
 WAIT_S = 2.5
@@ -28,6 +31,15 @@
         )
         assert len(self.run_starts(percent=100)) == count
 
+    def end_batch_runs(self):
+        """Ends all runs but those of lasting tasks."""
+        for worker_id, runs in list(self.running.items()):
+            for name, run_id in list(runs):
+                task = self.scheduler.find_task(name)
+                if not task.spec.long_running:
+                    how = "broken" if task.spec.gang else "done"
+                    self.end(worker_id, name, run_id, how)
+
     def submit_suspects(self, steps, crashes, start_crashes):
         """Submits a job against whose tasks crashes are held."""
         job = self.submit(crashing_fleet.CRASHING, steps)
@@ -165,3 +177,36 @@
             fleet.accuse(task, draw.randint(0, 4), draw.randint(0, 3))
         started = fleet.started_within("00000000000000", WAIT_S)
         assert started == {task.name for job in jobs for task in job.tasks()}
+
+
+class TestRelaxedTrials:
+
+    @pytest.mark.parametrize("gang", [False, True])
+    @pytest.mark.parametrize("crashes_after_s", [0, 1])
+    @pytest.mark.parametrize("passed_probation", [False, True])
+    def test_a_task_that_crashes_its_workers_is_given_up_beside_lasting_ones(
+        self, passed_probation, crashes_after_s, gang
+    ):
+        fleet = WaitingFleet(6)
+        fleet.start_lasting_tasks(6)
+        fleet.advance(PROBATION_S if passed_probation else 1)
+        steps = [crashing_fleet.step(2, gang=gang)]
+        job = fleet.submit(crashing_fleet.CRASHING, steps)
+        first = next(job.tasks())
+        starts = 0
+        for number in range(100):
+            fleet.submit(f"{number:016x}", [crashing_fleet.step(4)])
+            orders = fleet.run_starts(percent=100)
+            deadly = crashing_fleet.starts_of(first.name, orders)
+            starts += len(deadly)
+            fleet.advance(max(crashes_after_s, 0.1))
+            fleet.crash(*{order.worker_id for order in deadly})
+            fleet.end_batch_runs()
+        assert job.state is scheduling.JobState.FAILED
+        assert starts <= _crashes.MAX_UNPROVEN_CRASHES
+        assert not any(
+            task.given_up or task.job.state is scheduling.JobState.FAILED
+            for other in fleet.scheduler.jobs.values()
+            for task in other.tasks()
+            if other is not job
+        )
