A lasting task after a crash requests the machine that it lacks

Seen: a lasting task against which a crash is held, and which no worker of its pool may run any more, for example since its tasks want distinct workers and a machine was lost for good, waits without a request for another machine. The crash is cleared only while the task runs, so this does not end by itself.

Cause: the placement skips an accused task before it reports a shortage, since a suspect may wait although there is room.

Evidence: test_a_lasting_task_after_a_crash_requests_the_machine_that_it_lacks failed before: "assert {} == {'results': 1}", with and without a crash right after a start.

Why it works: an accused task counts as lacking a machine if no worker may run it. One that only waits for its trial does not.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -103,20 +103,24 @@
 ) -> list[_orders.WorkerOrder]:
     """Starts the waiting tasks of a step until no worker has room."""
     orders = []
+    unplaced = 0
     eligible = scheduler.advice.eligible_workers(waiting[0], workers, now_s)
     for placed, task in enumerate(waiting):
         allowed = scheduler.trials.allowed_workers(task, eligible, now_s)
         worker = choose_worker(task, allowed, due_workers)
         if worker is None:
             if task.accused:
-                # The others may run where a suspect may not.
+                # The others may run where a suspect may not. It lacks a
+                # machine only if it has room nowhere.
+                unplaced += not any(may_run(other, task) for other in eligible)
                 continue
-            if task.spec.long_running:
-                _report_shortage(scheduler, task, len(waiting) - placed)
+            unplaced += len(waiting) - placed
             break
         orders.append(
             _order_handling.start_order(scheduler, worker, task, now_s)
         )
+    if unplaced and waiting[0].spec.long_running:
+        _report_shortage(scheduler, waiting[0], unplaced)
     return orders
 
 
--- a/tests/test_scheduling_waits.py
+++ b/tests/test_scheduling_waits.py
@@ -4,6 +4,7 @@
 
 import crashing_fleet
 import pytest
+import scheduling_fixtures
 
 from baobabdoor import scheduling
 from baobabdoor.scheduling import _crashes
@@ -108,6 +109,22 @@
             fleet.accuse(task, 1, task.run is None)
         assert fleet.started_within(crashing_fleet.CRASHING, WAIT_S)
 
+    @pytest.mark.parametrize("start_crashes", [0, 1])
+    def test_a_lasting_task_after_a_crash_requests_the_machine_that_it_lacks(
+        self, start_crashes
+    ):
+        fleet = WaitingFleet(2)
+        steps = [crashing_fleet.step(3, long_running=True, max_per_worker=1)]
+        fleet.submit_suspects(steps, 1, start_crashes)
+        for _ in range(5):
+            fleet.run_starts(percent=100)
+            fleet.advance(STEP_S)
+        fleet.scheduler.machine_shortages.clear()
+        fleet.run_starts(percent=100)
+        assert fleet.scheduler.machine_shortages == {
+            scheduling_fixtures.POOL: 1
+        }
+
     def test_a_suspect_starts_while_every_worker_is_full(self):
         fleet = WaitingFleet(4)
         jobs = iter(range(1000))
