Reservations look at the workers of a pool only if one may be reserved

A suspect that has a worker reserved, or finds half of the pool reserved, no longer compares all workers, and only lasting tasks are checked for a missing machine.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -112,7 +112,9 @@
             if task.accused:
                 # The others may run where a suspect may not. It lacks a
                 # machine only if it has room nowhere.
-                unplaced += not any(may_run(other, task) for other in eligible)
+                unplaced += task.spec.long_running and not any(
+                    may_run(other, task) for other in eligible
+                )
                 continue
             unplaced += len(waiting) - placed
             break
--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -319,32 +319,33 @@
             now_s: Current time.
         """
         reservation = _Reservation(tasks[0], now_s + 2 * _crashes.TRIAL_S)
+        reserved = 0
+        unreserved = []
+        missing = len(tasks)
+        for worker in candidates:
+            known = self.reservations.get(worker.worker_id)
+            if known is None:
+                unreserved.append(worker)
+                continue
+            reserved += 1
+            if known.task is tasks[0] and _may_have_room(worker, tasks[0]):
+                self.reservations[worker.worker_id] = reservation
+                missing -= 1
+        allowed = math.ceil(pool_size * MAX_RESERVED_SHARE) - reserved
+        if min(missing, allowed) <= 0:
+            return
         usable = [
-            worker
-            for worker in candidates
-            if _has_room_without_batch(worker, tasks[0])
+            worker for worker in unreserved if _may_have_room(worker, tasks[0])
         ]
-        owned = [worker for worker in usable if self._owner(worker) is tasks[0]]
-        for worker in owned:
-            self.reservations[worker.worker_id] = reservation
-        missing = len(tasks) - len(owned)
-        reserved = sum(self._owner(worker) is not None for worker in candidates)
-        allowed = math.ceil(pool_size * MAX_RESERVED_SHARE) - reserved
-        unowned = [worker for worker in usable if self._owner(worker) is None]
-        unowned.sort(
+        usable.sort(
             key=lambda worker: (
                 not _placement.may_run(worker, tasks[0]),
                 len(worker.runs),
             )
         )
-        for worker in unowned[: max(0, min(missing, allowed))]:
+        for worker in usable[: min(missing, allowed)]:
             self.reservations[worker.worker_id] = reservation
 
-    def _owner(self, worker: _worker.Worker) -> _job.Task | None:
-        """Returns the suspect for which a worker is reserved, if any."""
-        reservation = self.reservations.get(worker.worker_id)
-        return reservation.task if reservation is not None else None
-
 
 def _is_suitable(
     task: _job.Task, worker: _worker.Worker, waited_s: float, now_s: float
@@ -365,7 +366,7 @@
     return not _has_young_run(worker, now_s)
 
 
-def _has_room_without_batch(worker: _worker.Worker, task: _job.Task) -> bool:
+def _may_have_room(worker: _worker.Worker, task: _job.Task) -> bool:
     """Returns whether a task fits once the runs that end have ended."""
     lasting = [
         run.task.spec
