--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -103,20 +103,26 @@
 ) -> list[_orders.WorkerOrder]:
     """Starts the waiting tasks of a step until no worker has room."""
     orders = []
+    unplaced = 0
     eligible = scheduler.advice.eligible_workers(waiting[0], workers, now_s)
     for placed, task in enumerate(waiting):
         allowed = scheduler.trials.allowed_workers(task, eligible, now_s)
         worker = choose_worker(task, allowed, due_workers)
         if worker is None:
             if task.accused:
-                # The others may run where a suspect may not.
+                # The others may run where a suspect may not. It lacks a
+                # machine only if it has room nowhere.
+                unplaced += task.spec.long_running and not any(
+                    may_run(other, task) for other in eligible
+                )
                 continue
-            if task.spec.long_running:
-                _report_shortage(scheduler, task, len(waiting) - placed)
+            unplaced += len(waiting) - placed
             break
         orders.append(
             _order_handling.start_order(scheduler, worker, task, now_s)
         )
+    if unplaced and waiting[0].spec.long_running:
+        _report_shortage(scheduler, waiting[0], unplaced)
     return orders
 
 
@@ -244,11 +250,7 @@
     best = None
     best_key: tuple = ()
     for worker in workers:
-        if not worker.fits(spec):
-            continue
-        if spec.max_per_worker and spec.max_per_worker <= _count_same_step(
-            worker, task
-        ):
+        if not may_run(worker, task):
             continue
         remote = bool(
             spec.data_rack and spec.data_rack not in worker.record.labels
@@ -282,6 +284,17 @@
     return best
 
 
+def may_run(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a worker has room for a task and its step allows it."""
+    return worker.fits(task.spec) and may_run_more(worker, task)
+
+
+def may_run_more(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a worker may run one more task of the same step."""
+    limit = task.spec.max_per_worker
+    return not limit or _count_same_step(worker, task) < limit
+
+
 def _count_same_step(worker: _worker.Worker, task: _job.Task) -> int:
     return sum(
         run.task.job is task.job
--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -8,14 +8,21 @@
 from collections.abc import Sequence
 import math
 
+import attrs
+
 from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _worker
 
 # Maximum time that a task waits for a worker of its own, and within which all
 # suspects are to be tried. It is shorter than the time after which a waiting
 # job counts as forgotten.
 MAX_WAIT_S = 2.0
+# Time after which a suspect starts beside any other runs but those of another
+# trial. A crash may then prove nothing, but `_crashes` gives it up after a
+# limited number in any case.
+UNPROVEN_WAIT_S = 2 * MAX_WAIT_S
 # Maximum number of machines that a pool gets to try its suspects, so that some
 # remain while others restart after a crash.
 MAX_TRIAL_MACHINES = 3
@@ -23,6 +30,19 @@
 MAX_RESERVED_SHARE = 0.5
 
 
+@attrs.frozen
+class _Reservation:
+    """A worker that starts nothing else until a suspect fits on it.
+
+    Attributes:
+        task: The suspect, or the first task of its gang.
+        until_s: Time at which it ends unless the suspect still waits.
+    """
+
+    task: _job.Task
+    until_s: float
+
+
 class TrialPlacement:
     """Keeps the starts of suspects apart from other starts.
 
@@ -32,23 +52,27 @@
 
     def __init__(self, crashes: _crashes.CrashTracker):
         self.crashes = crashes
-        # Workers that start nothing until a time, to become free for a suspect.
-        self.reserved_until_s: dict[str, float] = {}
+        # Workers that start nothing else, to become free for a suspect.
+        self.reservations: dict[str, _Reservation] = {}
         # Workers that start nothing else because they have just started a
         # suspect, and those that run a task that needs a worker of its own.
         self.trial_workers: set[str] = set()
         self.isolated_workers: set[str] = set()
+        # Time from which only workers that are kept for suspects have room for
+        # the tasks of a step.
+        self.held_back_s: dict[str, float] = {}
 
     def prepare(self, now_s: float) -> None:
         """Finds the workers that start nothing else because of a suspect."""
-        self.reserved_until_s = {
-            worker_id: until_s
-            for worker_id, until_s in self.reserved_until_s.items()
-            if until_s > now_s
+        self.reservations = {
+            worker_id: reservation
+            for worker_id, reservation in self.reservations.items()
+            if reservation.until_s > now_s
         }
         self.trial_workers = set()
         self.isolated_workers = set()
         if not self.crashes.accused_tasks:
+            self.held_back_s.clear()
             return
         self.crashes.discard_ended()
         for task in self.crashes.accused_tasks:
@@ -92,30 +116,21 @@
         """Returns the workers on which a task may start now."""
         if not self.crashes.accused_tasks:
             return workers
-        suspect = _crashes.is_suspect(task)
-        if suspect and task.trial_wanted_s is None:
-            task.trial_wanted_s = now_s
-        if not suspect:
-            return self._free_workers(workers, self.reserved_until_s)
-        overdue = now_s - task.trial_wanted_s > MAX_WAIT_S
-        if overdue and not task.start_crashes:
-            return [
-                worker
-                for worker in workers
-                if worker.worker_id not in self.trial_workers
-            ]
-        free = self._free_workers(workers)
-        fitting = [worker for worker in free if worker.fits(task.spec)]
+        if not _crashes.is_suspect(task):
+            return self._workers_for_others(task, workers, now_s)
+        waited_s = self._observe_wait([task], workers, now_s)
+        candidates = self._trial_candidates(workers, waited_s)
         suitable = [
-            worker for worker in fitting if _is_suitable(task, worker, now_s)
+            worker
+            for worker in candidates
+            if _placement.may_run(worker, task)
+            and _is_suitable(task, worker, waited_s, now_s)
         ]
         if not suitable:
-            self._reserve(fitting, len(workers), now_s)
+            self._reserve([task], candidates, len(workers), now_s)
             return []
-        # A further crash ends as few other runs as possible.
-        best = min(suitable, key=lambda worker: len(worker.runs))
-        self.trial_workers.add(best.worker_id)
-        self.reserved_until_s.pop(best.worker_id, None)
+        best = min(suitable, key=lambda worker: self._trial_rank(worker, now_s))
+        self._begin_trial(task, best.worker_id)
         return [best]
 
     def allowed_gang_workers(
@@ -129,11 +144,14 @@
             return workers
         suspects = [task for task in tasks if _crashes.is_suspect(task)]
         if not suspects:
-            return self._free_workers(workers, self.reserved_until_s)
+            return self._workers_for_others(tasks[0], workers, now_s)
+        waited_s = self._observe_wait(suspects, workers, now_s)
         return [
             worker
-            for worker in self._free_workers(workers)
-            if all(_is_suitable(task, worker, now_s) for task in suspects)
+            for worker in self._trial_candidates(workers, waited_s)
+            if all(
+                _is_suitable(task, worker, waited_s, now_s) for task in suspects
+            )
         ]
 
     def observe_gang_placement(
@@ -147,16 +165,129 @@
         Workers of a suspected gang start nothing else. If it was not placed,
         one more worker becomes free for it.
         """
+        if tasks[0].run is not None:
+            self.held_back_s.pop(tasks[0].step_name, None)
         if not any(_crashes.is_suspect(task) for task in tasks):
             return
         if tasks[0].run is None:
-            free = self._free_workers(workers)
-            fitting = [worker for worker in free if worker.fits(tasks[0].spec)]
-            self._reserve(fitting, len(workers), now_s)
+            candidates = self._free_workers(workers)
+            self._reserve(tasks, candidates, len(workers), now_s)
             return
         for task in tasks:
-            self.trial_workers.add(task.run.worker_id)
-            self.reserved_until_s.pop(task.run.worker_id, None)
+            self._begin_trial(task, task.run.worker_id)
+
+    def _begin_trial(self, task: _job.Task, worker_id: str) -> None:
+        task.trial_wanted_s = None
+        self.trial_workers.add(worker_id)
+        self.reservations.pop(worker_id, None)
+
+    def _observe_wait(
+        self,
+        suspects: Sequence[_job.Task],
+        workers: list[_worker.Worker],
+        now_s: float,
+    ) -> float:
+        """Returns how long suspects have waited for their start, in seconds.
+
+        Emits one event for each wait that takes too long.
+        """
+        for task in suspects:
+            if task.trial_wanted_s is None:
+                task.trial_wanted_s = now_s
+                task.trial_delayed = False
+        first = min(suspects, key=lambda task: task.trial_wanted_s)
+        waited_s = now_s - first.trial_wanted_s
+        if waited_s > MAX_WAIT_S and not first.trial_delayed:
+            for task in suspects:
+                task.trial_delayed = True
+            self._emit_delay(first, waited_s, workers)
+        return waited_s
+
+    def _emit_delay(
+        self,
+        task: _job.Task,
+        waited_s: float,
+        workers: list[_worker.Worker],
+    ) -> None:
+        names = {worker.worker_id for worker in workers}
+        self.crashes.scheduler.emit(
+            "trial_delayed",
+            task=task.name,
+            gang=task.spec.gang,
+            waited_ms=round(waited_s * 1000),
+            crashes=len(task.crashes),
+            start_crashes=len(task.start_crashes),
+            workers=len(workers),
+            with_room=sum(
+                _placement.may_run(worker, task) for worker in workers
+            ),
+            without_runs=sum(not worker.runs for worker in workers),
+            in_trials=len(names & self.trial_workers),
+            isolated=len(names & self.isolated_workers),
+            reserved=len(names & self.reservations.keys()),
+        )
+
+    def _trial_candidates(
+        self, workers: list[_worker.Worker], waited_s: float
+    ) -> list[_worker.Worker]:
+        """Returns the workers that are not used up by another suspect.
+
+        Two suspects never start together, however long they wait: a crash
+        would prove nothing.
+        """
+        if waited_s <= MAX_WAIT_S:
+            return self._free_workers(workers)
+        return [
+            worker
+            for worker in workers
+            if worker.worker_id not in self.trial_workers
+        ]
+
+    def _trial_rank(self, worker: _worker.Worker, now_s: float) -> tuple:
+        """Returns a sort key: the best worker for a trial comes first.
+
+        A further crash is to prove as much, and to end as few other runs, as
+        possible.
+        """
+        return (
+            worker.worker_id in self.isolated_workers,
+            _has_young_run(worker, now_s),
+            len(worker.runs),
+        )
+
+    def _workers_for_others(
+        self, task: _job.Task, workers: list[_worker.Worker], now_s: float
+    ) -> list[_worker.Worker]:
+        """Returns the workers on which a task that is no suspect may start.
+
+        Workers that are kept for suspects are left out, but no longer than
+        MAX_WAIT_S if only they have room. A member of a gang that finds room
+        does not show that the others do.
+        """
+        free = self._free_workers(workers, self.reservations)
+        if len(free) == len(workers):
+            return free
+        untried = [
+            worker
+            for worker in workers
+            if worker.worker_id not in self.trial_workers
+        ]
+        kept = [
+            worker
+            for worker in untried
+            if worker.worker_id in self.isolated_workers
+            or worker.worker_id in self.reservations
+        ]
+        has_room = not task.spec.gang and any(
+            _placement.may_run(worker, task) for worker in free
+        )
+        if has_room or not any(
+            _placement.may_run(worker, task) for worker in kept
+        ):
+            self.held_back_s.pop(task.step_name, None)
+            return free
+        since_s = self.held_back_s.setdefault(task.step_name, now_s)
+        return untried if now_s - since_s > MAX_WAIT_S else free
 
     def _free_workers(
         self,
@@ -173,25 +304,82 @@
         ]
 
     def _reserve(
-        self, fitting: list[_worker.Worker], pool_size: int, now_s: float
+        self,
+        tasks: Sequence[_job.Task],
+        candidates: list[_worker.Worker],
+        pool_size: int,
+        now_s: float,
     ) -> None:
-        """Lets one more worker become free for a suspect, if any may."""
-        candidates = [
-            worker
-            for worker in fitting
-            if worker.worker_id not in self.reserved_until_s
+        """Keeps other starts off workers until they are free for suspects.
+
+        Args:
+            tasks: A suspect, or the tasks of a gang with one.
+            candidates: Workers that may become free for it.
+            pool_size: Number of workers of the pool.
+            now_s: Current time.
+        """
+        reservation = _Reservation(tasks[0], now_s + 2 * _crashes.TRIAL_S)
+        reserved = 0
+        unreserved = []
+        missing = len(tasks)
+        for worker in candidates:
+            known = self.reservations.get(worker.worker_id)
+            if known is None:
+                unreserved.append(worker)
+                continue
+            reserved += 1
+            if known.task is tasks[0] and _may_have_room(worker, tasks[0]):
+                self.reservations[worker.worker_id] = reservation
+                missing -= 1
+        allowed = math.ceil(pool_size * MAX_RESERVED_SHARE) - reserved
+        if min(missing, allowed) <= 0:
+            return
+        usable = [
+            worker for worker in unreserved if _may_have_room(worker, tasks[0])
         ]
-        reserved = pool_size - len(candidates)
-        if candidates and reserved < max(1, pool_size * MAX_RESERVED_SHARE):
-            best = min(candidates, key=lambda worker: len(worker.runs))
-            self.reserved_until_s[best.worker_id] = now_s + 2 * _crashes.TRIAL_S
-
-
-def _is_suitable(task: _job.Task, worker: _worker.Worker, now_s: float) -> bool:
-    """Returns whether a crash after a start would be due to this task."""
-    if _crashes.must_isolate(task):
-        return not worker.runs
-    return all(
-        now_s - run.started_s >= _crashes.TRIAL_S
+        usable.sort(
+            key=lambda worker: (
+                not _placement.may_run(worker, tasks[0]),
+                len(worker.runs),
+            )
+        )
+        for worker in usable[: min(missing, allowed)]:
+            self.reservations[worker.worker_id] = reservation
+
+
+def _is_suitable(
+    task: _job.Task, worker: _worker.Worker, waited_s: float, now_s: float
+) -> bool:
+    """Returns whether a worker is isolated enough for a suspect.
+
+    A crash after its start is then due to the suspect. The longer it waits,
+    the less isolation it requires, so that the wait ends even if each worker
+    has runs that do not end, or starts new ones all the time.
+    """
+    if waited_s > UNPROVEN_WAIT_S:
+        return True
+    if waited_s <= MAX_WAIT_S and _crashes.must_isolate(task):
+        return all(
+            _crashes.has_passed_probation(worker, run)
+            for run in worker.runs.values()
+        )
+    return not _has_young_run(worker, now_s)
+
+
+def _may_have_room(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a task fits once the runs that end have ended."""
+    lasting = [
+        run.task.spec
         for run in worker.runs.values()
+        if run.task.spec.long_running
+    ]
+    return worker.could_fit(task.spec, lasting) and _placement.may_run_more(
+        worker, task
+    )
+
+
+def _has_young_run(worker: _worker.Worker, now_s: float) -> bool:
+    """Returns whether a crash may be due to a run that has just started."""
+    return any(
+        now_s - run.started_s < _crashes.TRIAL_S for run in worker.runs.values()
     )
