Each incarnation of a worker has a fencing token of its own

At 120.40 worker w1.1 restarts under its id while no call to it is open. At 120.70 a hold with `last-seen` 2 is sent, since the last report is 0.55 s old; it is delayed. At 120.75 the next hold shows the restart. At 123.95 the delayed hold is carried out by the new incarnation in the moment in which its end 2 is listed. The end is acknowledged without having been processed, the run is reported as missing, and its task starts again.

Cause: orders before and after the restart carry the same token, so that the new incarnation cannot tell that the hold was meant for the previous one.

Change: a restart (seen in the list or in a report) and the revival of a retired worker give the worker a higher token: the version of the newest transaction of this term, or of the next one if orders to the worker carry that already. A worker gets starts after it has answered a hold with its token. A worker that is removed and listed again gets a higher token than every removed one. A refusal for a token that is lower than the worker's own does not end the term, since the order was overtaken by one with the new token.

Why it works: a worker does nothing for a lower token than it has seen. All orders of before the restart carry a lower one, and the new incarnation runs nothing before it has seen the new one. Every transaction requires that the leader's row is unchanged, so its version lies between the token of its term and those of all later ones.

In the walks and the load model tokens are versions, and every commit has one.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -231,6 +231,7 @@
         answer = await self._transact(puts, expected)
         if isinstance(answer, platform.Commit):
             self._confirm(now_s, heartbeat_due)
+            self.scheduler.observe_commit(answer.version)
             if heartbeat_due:
                 self.heartbeat_version = answer.version
             for document, content in documents:
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -292,7 +292,7 @@
         result = await self.worker_client.hold(order)
         if isinstance(result, scheduling.WorkerReport):
             self.scheduler.observe_report(
-                worker_id, result, platform.boot_time_s()
+                worker_id, result, order.token, platform.boot_time_s()
             )
             self.request_plan()
 
@@ -310,19 +310,23 @@
         now_s = platform.boot_time_s()
         if isinstance(result, scheduling.WorkerReport):
             fenced = worker.fenced
-            self.scheduler.observe_report(worker.worker_id, result, now_s)
-            if not fenced:
+            self.scheduler.observe_report(
+                worker.worker_id, result, order.token, now_s
+            )
+            if not fenced or worker.token_outdated:
                 self.committer.write_requested.set()
             self.request_plan()
             if worker.processed > processed:
                 self.committer.write_requested.set()
                 self.scheduler.release_acknowledgements()
-            if worker.processed > worker.acknowledged:
+            if worker.processed > worker.acknowledged or worker.token_outdated:
                 await self.committer.wait_committed(COMMIT_WAIT_S)
             await asyncio.sleep(HOLD_PAUSE_S)
             return
         if result.outcome is OUTCOMES.FENCED:
-            self.end(f"fenced by {worker.worker_id}")
+            self.scheduler.observe_fenced(order)
+            if self.scheduler.fenced_off:
+                self.end(f"fenced by {worker.worker_id}")
         elif result.outcome is OUTCOMES.WRONG_WORKER:
             self.scheduler.observe_wrong_worker(worker.worker_id)
         else:
--- a/baobabdoor/measure/_scheduler_rate.py
+++ b/baobabdoor/measure/_scheduler_rate.py
@@ -100,6 +100,7 @@
         scheduler.observe_report(
             worker_id,
             scheduling.WorkerReport(int(now_s * 1000), 1, (), ()),
+            scheduler.token,
             now_s,
         )
         scheduler.workers[worker_id].enrolled = True
@@ -133,4 +134,4 @@
             ),
             tuple(entries),
         )
-        scheduler.observe_report(worker_id, report, now_s)
+        scheduler.observe_report(worker_id, report, scheduler.token, now_s)
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -47,10 +47,10 @@
     return _orders.HoldOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
-        token=scheduler.token,
+        token=worker.token,
         last_seen=0 if new_incarnation else worker.acknowledged,
         until_ms=until_ms,
-        wait_ms=wait_ms if worker.fenced and not new_incarnation else 0,
+        wait_ms=0 if new_incarnation or not worker.token_confirmed else wait_ms,
     )
 
 
@@ -78,7 +78,7 @@
     return _orders.StartOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
-        token=scheduler.token,
+        token=worker.token,
         task=task.name,
         run_id=run.run_id,
         payload=task.job.spec.payload,
@@ -115,6 +115,8 @@
     scheduler.emit_run(
         "start_refused", run, outcome=outcome.value, detail=result.detail
     )
+    if outcome is OUTCOMES.FENCED:
+        scheduler.observe_fenced(order)
     _observe_refused_start(scheduler, worker, run, outcome, now_s)
 
 
@@ -136,9 +138,7 @@
         return
     scheduler.release_run(worker, run, outcome.value)
     run.task.retry_at_s = now_s + RETRY_DELAY_S
-    if outcome is OUTCOMES.FENCED:
-        scheduler.fenced_off = True
-    elif outcome is OUTCOMES.OUTDATED_RUN:
+    if outcome is OUTCOMES.OUTDATED_RUN:
         run.task.last_run += 10
     elif outcome is OUTCOMES.UNHEALTHY:
         worker.quarantined_until_s = now_s + 1.0
@@ -155,7 +155,7 @@
     if result.outcome is OUTCOMES.ACCEPTED:
         run.pace = order.percent
     elif result.outcome is OUTCOMES.FENCED:
-        scheduler.fenced_off = True
+        scheduler.observe_fenced(order)
 
 
 def observe_stop(
@@ -168,7 +168,7 @@
     if worker is None:
         return
     if result.outcome is OUTCOMES.FENCED:
-        scheduler.fenced_off = True
+        scheduler.observe_fenced(order)
     elif result.outcome is OUTCOMES.WRONG_WORKER:
         scheduler.observe_wrong_worker(order.worker_id)
     run = worker.find_run(order.task, order.run_id)
@@ -212,7 +212,7 @@
     return _orders.StopOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
-        token=scheduler.token,
+        token=worker.token,
         task=task,
         run_id=run_id,
     )
--- a/baobabdoor/scheduling/_pacing.py
+++ b/baobabdoor/scheduling/_pacing.py
@@ -42,7 +42,7 @@
                 _orders.PaceOrder(
                     worker_id=worker.worker_id,
                     address=worker.record.address,
-                    token=scheduler.token,
+                    token=worker.token,
                     task=run.task.name,
                     run_id=run.run_id,
                     percent=percent,
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -6,9 +6,21 @@
 
 
 def observe_report(
-    scheduler, worker_id: str, report: _types.WorkerReport, now_s: float
+    scheduler,
+    worker_id: str,
+    report: _types.WorkerReport,
+    token: int,
+    now_s: float,
 ) -> None:
-    """Applies a worker's report."""
+    """Applies a worker's report.
+
+    Args:
+        scheduler: The scheduler.
+        worker_id: The worker.
+        report: The report.
+        token: Fencing token of the hold that it answers.
+        now_s: Current time.
+    """
     worker = scheduler.workers.get(worker_id)
     if worker is None:
         return
@@ -23,6 +35,7 @@
     worker.partitioned = False
     worker.observe_response(now_s)
     worker.fenced = True
+    scheduler.fencing.observe_answer(worker, token)
     scheduler.unfenced.discard(worker_id)
     last_lapsed = max(
         (end.number for end in report.ended if end.outcome == "lapsed"),
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -15,6 +15,7 @@
 from baobabdoor.scheduling import _autoscaler
 from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _estimates
+from baobabdoor.scheduling import _fencing
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _maintenance
 from baobabdoor.scheduling import _order_handling
@@ -122,6 +123,7 @@
         self.workers: dict[str, _worker.Worker] = {}
         # Workers used by earlier terms that have not reported to this one.
         self.unfenced: set[str] = set()
+        self.fencing = _fencing.WorkerFencing(token)
         self.durations = _estimates.DurationModel()
         self.admission = _admission.Admission(self)
         self.maintenance = _maintenance.MaintenancePlanner(self)
@@ -138,7 +140,6 @@
         self.stalls_checked_s = -1e9
         self.revision = 0
         self.dirty: dict[str, _job.Job] = {}
-        self.fenced_off = False
         self.wall_ms = 0.0
         self.store_ms = 0.0
         self.events: list[Event] = []
@@ -306,6 +307,10 @@
                 job.stored_state = _types.JobState.QUEUED
         self.release_acknowledgements()
 
+    def observe_commit(self, version: int) -> None:
+        """Records the version of a transaction of this term."""
+        self.fencing.observe_commit(version)
+
     def release_acknowledgements(self) -> None:
         """Allows the acknowledgement of ended runs whose effects are stored."""
         unsaved = [job.first_unsaved_revision for job in self.dirty.values()]
@@ -339,10 +344,31 @@
             worker.listed = False
 
     def observe_report(
-        self, worker_id: str, report: _types.WorkerReport, now_s: float
+        self,
+        worker_id: str,
+        report: _types.WorkerReport,
+        token: int,
+        now_s: float,
     ) -> None:
-        """Applies a worker's report."""
-        _reports.observe_report(self, worker_id, report, now_s)
+        """Applies a worker's report.
+
+        Args:
+            worker_id: The worker.
+            report: The report.
+            token: Fencing token of the hold that it answers.
+            now_s: Current time.
+        """
+        _reports.observe_report(self, worker_id, report, token, now_s)
+
+    def observe_fenced(self, order: _orders.WorkerOrder) -> None:
+        """Applies the refusal of an order for its fencing token."""
+        worker = self.workers.get(order.worker_id)
+        self.fencing.observe_refusal(worker, order)
+
+    @property
+    def fenced_off(self) -> bool:
+        """Whether a worker has shown that there is a later leader."""
+        return self.fencing.fenced_off
 
     def observe_no_response(self, worker_id: str, now_s: float) -> None:
         """Records that a worker did not respond."""
@@ -380,6 +406,7 @@
             self.emit("worker_revived", worker=worker_id)
             worker.retired = False
             worker.fenced = False
+            self.fencing.renew(worker)
 
     def restart_worker(
         self,
@@ -487,6 +514,7 @@
             unused = not worker.listed and not worker.runs
             if unused and overdue and worker_id not in self.unfenced:
                 del self.workers[worker_id]
+                self.fencing.remove(worker)
                 self.unneeded_runs.pop(worker_id, None)
 
     def report_shortage(self, pool: str, machines: int) -> None:
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -36,6 +36,11 @@
         # Whether it has responded to this term and so rejects orders of
         # earlier ones.
         self.fenced = False
+        # Fencing token of orders to it, whether its incarnation has answered a
+        # hold with it, and whether it is one of an earlier incarnation.
+        self.token = 0
+        self.token_confirmed = False
+        self.token_outdated = False
         self.start_time_ms = 0
         self.clock_ms = 0
         self.clock_at_s = 0.0
@@ -89,6 +94,7 @@
         """Returns whether new runs may be sent to it."""
         return (
             self.fenced
+            and self.token_confirmed
             and self.enrolled
             and self.listed
             and not self.retired
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -26,6 +26,7 @@
         worker.first_listed_s = now_s
         worker.entry_s = written_s
         scheduler.workers[record.worker_id] = worker
+        scheduler.fencing.add(worker)
         return
     moved = (
         worker.record.address != record.address
@@ -99,6 +100,7 @@
             run.outcome_unknown = run.stopping = True
             run.stop_clock_ms = 0
     scheduler.unneeded_runs.pop(worker.worker_id, None)
+    scheduler.fencing.renew(worker)
     worker.start_time_ms = start_time_ms
     # The new incarnation may have another capacity.
     worker.entry_s = -math.inf
--- a/baobabdoor/standin/_load_model.py
+++ b/baobabdoor/standin/_load_model.py
@@ -180,15 +180,18 @@
             return
         order = self.scheduler.hold_order(worker, 0, self.now_s)
         report = model.hold(order, self.now_s)
-        self.scheduler.observe_report(worker.worker_id, report, self.now_s)
+        self.scheduler.observe_report(
+            worker.worker_id, report, order.token, self.now_s
+        )
 
     def _commit(self) -> None:
         for worker in self.scheduler.workers.values():
             worker.enrolled = True
         snapshot = self.scheduler.begin_commit()
+        self.version += 1
+        self.scheduler.observe_commit(self.version)
         if snapshot is None:
             return
-        self.version += 1
         self.scheduler.finish_commit(snapshot, self.version)
         for job in self.jobs:
             known = self.scheduler.jobs.get(job.spec.job_id)
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -154,7 +154,7 @@
         # Time of the last read of the list of workers.
         self.synced_s = -math.inf
         self.scheduler = scheduling.Scheduler(
-            token=number + 1,
+            token=walk.next_version(),
             term=number,
             configuration=walk.configuration,
             options=scheduling.Options(max_entry_age_s=MAX_ENTRY_AGE_S),
@@ -233,10 +233,10 @@
             result = walk.deliver(self, order)
             if isinstance(result, scheduling.WorkerReport):
                 self.scheduler.observe_report(
-                    worker.worker_id, result, walk.now_s
+                    worker.worker_id, result, order.token, walk.now_s
                 )
             elif result.outcome is OUTCOMES.FENCED:
-                self.stopped = True
+                self.scheduler.observe_fenced(order)
             else:
                 self.scheduler.observe_no_response(worker.worker_id, walk.now_s)
 
@@ -253,15 +253,17 @@
         for worker in self.scheduler.workers.values():
             worker.enrolled = worker.worker_id in walk.roster
         snapshot = self.scheduler.begin_commit()
+        version = walk.next_version()
         if snapshot is None:
+            self.scheduler.observe_commit(version)
             self.scheduler.release_acknowledgements()
             return
-        walk.version += 1
         for job, content in snapshot.jobs:
-            walk.store[job.spec.job_id] = (content, walk.version)
+            walk.store[job.spec.job_id] = (content, version)
         if walk.random.random() < walk.response_loss_rate:
             return
-        self.scheduler.finish_commit(snapshot, walk.version)
+        self.scheduler.observe_commit(version)
+        self.scheduler.finish_commit(snapshot, version)
         for job, _ in snapshot.jobs:
             walk.oracle.check_visible_state(job, walk.now_s)
 
@@ -426,6 +428,11 @@
         job_id, _, step, _ = task.split(".")
         return self.specs[job_id].steps[int(step)]
 
+    def next_version(self) -> int:
+        """Returns the version of a further transaction."""
+        self.version += 1
+        return self.version
+
     def change_leader(self) -> None:
         """Starts a new term without informing the previous leader."""
         if self.leaders:
--- a/tests/test_dispatch_commits.py
+++ b/tests/test_dispatch_commits.py
@@ -140,6 +140,27 @@
         job = scheduling.decode_job(JOB, bench.stored().value, 1)
         assert job.state is scheduling.JobState.CANCELLED
 
+    def test_write_renews_the_token_of_a_restarted_worker(self):
+        bench = Bench()
+        bench.store.version = 100
+        bench.write()
+        worker = bench.fleet.scheduler.workers["w1"]
+        for start_time_ms in (2, 3):
+            bench.fleet.report("w1", start_time_ms)
+        assert worker.token_outdated
+        assert bench.write()
+        assert not worker.token_outdated
+        assert worker.token == bench.store.version
+
+    def test_write_of_an_ended_term_renews_no_token(self):
+        bench = Bench()
+        bench.put_leader(_election.Leader("b", "b-1", "b:1", 1, False, 0))
+        bench.store.version = 100
+        worker = bench.fleet.scheduler.workers["w1"]
+        bench.fleet.report("w1", start_time_ms=2)
+        assert not bench.write()
+        assert worker.token_outdated
+
     def test_nothing_is_written_after_another_leader_was_elected(self):
         bench = Bench()
         bench.put_leader(_election.Leader("b", "b-1", "b:1", 1, False, 0))
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -153,6 +153,79 @@
         asyncio.run(scenario())
 
 
+class FencingClient(SilentClient):
+    """Worker client that answers every hold, after another call ended.
+
+    Args:
+        result: Result of each hold.
+        interrupt: Called while the worker carries out the hold.
+    """
+
+    def __init__(self, result, interrupt=lambda: None):
+        self.result = result
+        self.interrupt = interrupt
+
+    async def hold(self, order):
+        self.interrupt()
+        return self.result
+
+
+class TestFencing:
+
+    REFUSAL = scheduling.OrderResult(scheduling.OrderOutcome.FENCED)
+
+    def hold(self, result, restarts):
+        """Returns the controller after a hold during which w1 may restart."""
+
+        async def scenario():
+            bench = Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            scheduler.observe_worker(
+                scheduling_fixtures.record("w1"), platform.boot_time_s()
+            )
+            worker = scheduler.workers["w1"]
+
+            def interrupt():
+                scheduler.observe_commit(5)
+                scheduler.restart_worker(worker, 2, "list", 0.0)
+
+            controller.worker_client = FencingClient(
+                result, interrupt if restarts else lambda: None
+            )
+            await controller._hold(worker)
+            return controller
+
+        return asyncio.run(scenario())
+
+    def test_a_hold_with_the_newest_token_that_is_refused_ends_the_term(self):
+        assert self.hold(self.REFUSAL, restarts=False).ended
+
+    def test_a_hold_of_before_a_restart_that_is_refused_does_not(self):
+        assert not self.hold(self.REFUSAL, restarts=True).ended
+
+    def test_a_restart_requests_a_transaction_at_once(self):
+        async def scenario():
+            bench = Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            scheduler.observe_worker(
+                scheduling_fixtures.record("w1"), platform.boot_time_s()
+            )
+            worker = scheduler.workers["w1"]
+            for start_time_ms in (1, 2):
+                controller.committer.write_requested.clear()
+                report = scheduling.WorkerReport(1000, start_time_ms, (), ())
+                controller.worker_client = FencingClient(report)
+                await controller._hold(worker)
+            assert worker.token_outdated
+            assert controller.committer.write_requested.is_set()
+            assert await controller.committer._write()
+            assert not worker.token_outdated
+
+        asyncio.run(scenario())
+
+
 class TestUnreadableRows:
 
     def test_tasks_wait_for_the_workers_of_an_unreadable_roster(self):
--- a/tests/test_scheduling_capacity.py
+++ b/tests/test_scheduling_capacity.py
@@ -101,8 +101,10 @@
         fleet = ChangingFleet()
         fleet.now_s += 0.1
         fleet.report("w1", start_time_ms=2)
-        fleet.write_entry(4000, start_time_ms=1)
         fleet.submit_tasks(4)
+        fleet.report("w1", start_time_ms=2)
+        fleet.write_entry(4000, start_time_ms=1)
+        assert fleet.scheduler.workers["w1"].usable(fleet.now_s)
         assert not fleet.starts()
         fleet.write_entry(1000, start_time_ms=2)
         assert len(fleet.starts()) == 1
--- a/tests/test_scheduling_walks.py
+++ b/tests/test_scheduling_walks.py
@@ -13,6 +13,9 @@
 SEEDS = range(24)
 # Walks that have found a fault.
 FAILED_SEEDS = (313, 537)
+# Share of the holds that acknowledge ended runs before which the worker
+# restarts, in walks of restarts.
+RESTART_RATE = 0.01
 
 
 class TestWalks:
@@ -24,6 +27,46 @@
         assert walk.oracle.starts > 20
 
 
+class RestartingWalk(_walk.Walk):
+    """Walk in which workers restart under their id before a delayed hold."""
+
+    def deliver(self, leader, order):
+        acknowledges = isinstance(order, scheduling.HoldOrder) and (
+            order.last_seen and order.worker_id in self.workers
+        )
+        if not acknowledges or self.random.random() >= RESTART_RATE:
+            return super().deliver(leader, order)
+        self.add_worker(order.worker_id)
+        due_s = self.now_s + self.random.uniform(0.5, 8.0)
+        model = self.workers[order.worker_id]
+        self.delayed_orders.append((due_s, model, order))
+        return scheduling.OrderResult(scheduling.OrderOutcome.UNKNOWN)
+
+
+class TestRestarts:
+
+    @pytest.mark.parametrize("seed", SEEDS)
+    def test_no_rule_is_broken(self, seed):
+        assert not RestartingWalk(seed).run(SECONDS), f"seed {seed}"
+
+    def test_a_token_that_is_kept_over_restarts_is_rejected(self):
+        for seed in range(120):
+            walk = RestartingWalk(seed, reuse_tokens)
+            violations = walk.run(SECONDS)
+            if violations and violations[0].rule == "TWICE":
+                return
+        pytest.fail("the fault was not found in 120 walks")
+
+
+def reuse_tokens(scheduler):
+    """Keeps the fencing token of a worker over its restarts."""
+
+    def renew(worker):
+        worker.token = scheduler.token
+
+    scheduler.fencing.renew = renew
+
+
 def start_inherited_early(scheduler):
     """Starts inherited tasks before their workers have reported."""
     scheduler.inherited_blocked = lambda: False
