Client returns a refusal for an unusable address or header

A port out of range, a null character or a lone surrogate in an address made `Client.fetch` raise OverflowError or TypeError, a header that is no Latin-1 UnicodeEncodeError; the count of open connections stayed one too high, also when a call was cancelled while it connected. A host name was looked up, which blocks the event loop, and a line break reached the head of the request.

Addresses are IPv4 and a port in ASCII digits, checked once per peer; the head of a request is built before a connection is acquired. All of these are refused as not sent, and a connection is released whatever is raised.

--- a/baobabdoor/transport/__init__.py
+++ b/baobabdoor/transport/__init__.py
@@ -3,6 +3,7 @@
 from baobabdoor.transport._adaptive_timeout import AdaptiveTimeout
 from baobabdoor.transport._client import Client
 from baobabdoor.transport._client import Response
+from baobabdoor.transport._client import parse_address
 from baobabdoor.transport._server import Reply
 from baobabdoor.transport._server import Request
 from baobabdoor.transport._server import Server
@@ -14,4 +15,5 @@
     "Request",
     "Response",
     "Server",
+    "parse_address",
 ]
--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+import ipaddress
+import re
 import socket
 import struct
 
@@ -23,6 +25,42 @@
 # Maximum time to open a connection, in seconds.
 CONNECT_TIMEOUT_S = 0.6
 TCP_USER_TIMEOUT_MS = 3000
+MAX_PORT = 65_535
+# A method, a path with its query, or a header line with a control character
+# could end the line and inject others.
+_REQUEST_LINE = re.compile(r"[!-~]+ [!-~]+")
+_HEADER_LINES = re.compile(r"([!-9;-~]+:[^\x00-\x08\x0a-\x1f\x7f]*\r\n)*")
+
+
+def parse_address(address: str) -> tuple[str, int]:
+    """Splits an address into host and port.
+
+    Host names are rejected, because looking one up would block the event loop.
+
+    Args:
+        address: IPv4 address and port from 1 to 65535, as `ip:port`.
+
+    Returns:
+        Host and port.
+
+    Raises:
+        ValueError: If the address has another form.
+
+    Example:
+        >>> parse_address("10.0.0.1:80")
+        ('10.0.0.1', 80)
+    """
+    host, _, digits = address.rpartition(":")
+    # `isdigit` alone accepts digits of other scripts, and `int` raises for
+    # superscripts and for thousands of digits.
+    is_number = digits.isascii() and digits.isdigit()
+    if is_number and len(digits) <= len(str(MAX_PORT)):
+        port = int(digits)
+        if 1 <= port <= MAX_PORT:
+            return str(ipaddress.IPv4Address(host)), port
+    raise ValueError(
+        f"expected a port from 1 to {MAX_PORT}, found {address!r:.80}"
+    )
 
 
 @attrs.frozen
@@ -61,7 +99,8 @@
 
 class _Peer:
 
-    def __init__(self):
+    def __init__(self, endpoint: tuple[str, int]):
+        self.endpoint = endpoint
         self.idle: list[iostream.IOStream] = []
         self.open_count = 0
         self.waiters: list[asyncio.Future] = []
@@ -111,52 +150,68 @@
 
         Returns:
             The response; a refusal with `CONNECTION_FAILED` if nothing was
-            sent, or with `UNKNOWN_RESULT` if the request may have arrived.
+            sent, also for an unusable address or header, or with
+            `UNKNOWN_RESULT` if the request may have arrived.
         """
         self.calls_ += 1
-        loop = asyncio.get_running_loop()
-        deadline_s = loop.time() + timeout_s
-        peer = self.peers_.setdefault(address, _Peer())
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        try:
+            peer = self._find_peer(address)
+            request = _encode_request(address, method, target, body, headers)
+        except ValueError as error:
+            return _not_sent(address, str(error))
         stream = await self._acquire(peer, address, deadline_s)
         if isinstance(stream, base.Refusal):
             return stream
-        if permit is not None and not permit():
-            self._release(peer, stream, True)
-            return _not_sent(address, "the permit expired before sending")
+        collector = _Collector()
+        reusable = False
+        try:
+            if permit is not None and not permit():
+                reusable = True
+                return _not_sent(address, "the permit expired before sending")
+            reusable = await self._exchange(
+                stream, request, collector, deadline_s
+            )
+        finally:
+            self._release(peer, stream, reusable)
+        return _result(address, collector, deadline_s)
+
+    async def _exchange(
+        self,
+        stream: iostream.IOStream,
+        request: bytes,
+        collector: _Collector,
+        deadline_s: float,
+    ) -> bool:
+        """Sends a request; returns whether the connection is reusable."""
+        loop = asyncio.get_running_loop()
         connection = http1connection.HTTP1Connection(
             stream, True, self.PARAMETERS
         )
-        collector = _Collector()
         timer = loop.call_later(
             max(0.0, deadline_s - loop.time()), _abort, stream
         )
-        head = (
-            f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{headers}"
-            f"Content-Length: {len(body)}\r\n\r\n"
-        )
-        keep_alive = False
         try:
-            connection.write(head.encode("latin-1") + body)
+            connection.write(request)
             connection.finish()
             keep_alive = await connection.read_response(collector)
         except (iostream.StreamClosedError, iostream.UnsatisfiableReadError):
-            pass
+            return False
         finally:
             timer.cancel()
-            self._release(peer, stream, keep_alive and collector.complete)
-        if not collector.complete:
-            timed_out = loop.time() >= deadline_s - 0.001
-            detail = (
-                "response timed out"
-                if timed_out
-                else "connection closed before the response was complete"
-            )
-            return base.Refusal(
-                base.Reason.UNKNOWN_RESULT, "transport.fetch", address, detail
-            )
-        return Response(
-            collector.status, b"".join(collector.chunks), collector.headers
-        )
+        return keep_alive and collector.complete
+
+    def _find_peer(self, address: str) -> _Peer:
+        """Returns the connections to an address.
+
+        Raises:
+            ValueError: If the address is unusable.
+        """
+        peer = self.peers_.get(address)
+        if peer is None:
+            peer = _Peer(parse_address(address))
+            self.peers_[address] = peer
+        return peer
 
     def discard_peer(self, address: str) -> None:
         """Forgets a peer and closes its idle connections."""
@@ -188,7 +243,6 @@
     async def _connect(
         self, peer: _Peer, address: str, deadline_s: float
     ) -> iostream.IOStream | base.Refusal:
-        host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -199,13 +253,17 @@
         timeout_s = min(CONNECT_TIMEOUT_S, deadline_s - loop.time())
         timer = loop.call_later(max(0.0, timeout_s), stream.close)
         peer.open_count += 1
+        connected = False
         try:
-            await stream.connect((host, int(port)))
-        except (OSError, ValueError, iostream.StreamClosedError) as error:
-            self._release(peer, stream, False)
+            await stream.connect(peer.endpoint)
+            connected = True
+        except OSError as error:
             return _not_sent(address, str(error) or "connect timed out")
         finally:
             timer.cancel()
+            # Also if the call is cancelled: the count limits later calls.
+            if not connected:
+                self._release(peer, stream, False)
         return stream
 
     def _release(
@@ -227,6 +285,44 @@
                 break
 
 
+def _encode_request(
+    address: str, method: str, target: str, body: bytes, headers: str
+) -> bytes:
+    """Returns the bytes of a request.
+
+    Raises:
+        ValueError: If a text could not be sent, or would end its line.
+    """
+    if not _REQUEST_LINE.fullmatch(f"{method} {target}"):
+        raise ValueError(f"unusable target: {target!r:.80}")
+    if not _HEADER_LINES.fullmatch(headers):
+        raise ValueError(f"unusable headers: {headers!r:.80}")
+    head = (
+        f"{method} {target} HTTP/1.1\r\nHost: {address}\r\n{headers}"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode("latin-1") + body
+
+
+def _result(
+    address: str, collector: _Collector, deadline_s: float
+) -> Response | base.Refusal:
+    """Returns the result of a request that was sent."""
+    if collector.complete:
+        return Response(
+            collector.status, b"".join(collector.chunks), collector.headers
+        )
+    timed_out = asyncio.get_running_loop().time() >= deadline_s - 0.001
+    detail = (
+        "response timed out"
+        if timed_out
+        else "connection closed before the response was complete"
+    )
+    return base.Refusal(
+        base.Reason.UNKNOWN_RESULT, "transport.fetch", address, detail
+    )
+
+
 def _not_sent(address: str, detail: str) -> base.Refusal:
     return base.Refusal(
         base.Reason.CONNECTION_FAILED, "transport.connect", address, detail
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import ports
+import pytest
+from tornado import iostream
 
 from baobabdoor import base
 from baobabdoor import transport
@@ -105,6 +107,123 @@
 
         self.run(self.echo, scenario)
 
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "127.0.0.1:0",
+            "127.0.0.1:65536",
+            "127.0.0.1:99999",
+            "127.0.0.1:8\u00b2",
+            "127.0.0.1:\u0668\u0660",
+            "127.0.0.1:" + "9" * 5000,
+            "127.0.0.1\0:80",
+            "127.0.0.1:80\r\nX:80",
+            "127.0.0.1/a:80",
+            "localhost:80",
+            "\u00e9:80",
+            "\ud800:80",
+            "127.0.0.1",
+            "",
+        ],
+        ids=lambda address: f"{address!r:.40}",
+    )
+    def test_unusable_address_is_reported_as_not_sent(self, address):
+        """Some raised OverflowError or TypeError; a name would be looked up."""
+
+        async def scenario(client, _):
+            answer = await client.fetch(address, "GET", "/")
+            assert answer.reason is base.Reason.CONNECTION_FAILED
+            assert address not in client.peers_
+
+        self.run(self.echo, scenario)
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            "X-Name: \u2028\r\n",
+            "X-Name: \ud800\r\n",
+            "X-Name: a\0\r\n",
+            "X-Name: a\nX-Other: b\r\n",
+            "X-Name: a\r\n\r\n",
+            "X-Name: a",
+        ],
+        ids=repr,
+    )
+    def test_unusable_header_is_reported_as_not_sent(self, headers):
+        served = []
+
+        async def record_path(request):
+            served.append(request.path)
+            return transport.Reply(200)
+
+        async def scenario(client, address):
+            answer = await client.fetch(address, "GET", "/x", headers=headers)
+            assert answer.reason is base.Reason.CONNECTION_FAILED
+            usable = "X-Name: a b: \u00e9\r\nX-Other:\r\n"
+            answer = await client.fetch(address, "GET", "/y", headers=usable)
+            assert answer.status == 200
+            assert client.peers_[address].open_count == 0
+            assert served == ["/y"]
+
+        self.run(record_path, scenario)
+
+    @pytest.mark.parametrize("target", ["/a b", "/a\r\nX: b", "/\u00e9", ""])
+    def test_unusable_target_is_reported_as_not_sent(self, target):
+        async def scenario(client, address):
+            answer = await client.fetch(address, "GET", target)
+            assert answer.reason is base.Reason.CONNECTION_FAILED
+
+        self.run(self.echo, scenario)
+
+    def test_cancelled_call_frees_its_connection(self):
+        """The count of connections stayed too high, up to the limit."""
+
+        async def slow(request):
+            await asyncio.sleep(0.5)
+            return transport.Reply(200, request.body)
+
+        async def scenario(client, address):
+            call = asyncio.ensure_future(client.fetch(address, "GET", "/x"))
+            await asyncio.sleep(0.1)
+            assert client.peers_[address].open_count == 1
+            call.cancel()
+            await asyncio.wait([call])
+            assert client.peers_[address].open_count == 0
+
+        self.run(slow, scenario)
+
+    def test_cancelled_connect_frees_its_connection(self, monkeypatch):
+        streams = []
+
+        def connect(stream, endpoint):
+            del endpoint
+            streams.append(stream)
+            return asyncio.get_running_loop().create_future()
+
+        monkeypatch.setattr(iostream.IOStream, "connect", connect)
+
+        async def scenario(client, address):
+            call = asyncio.ensure_future(client.fetch(address, "GET", "/x"))
+            await asyncio.sleep(0.05)
+            assert client.peers_[address].open_count == 1
+            call.cancel()
+            await asyncio.wait([call])
+            assert client.peers_[address].open_count == 0
+            assert streams[0].closed()
+
+        self.run(self.echo, scenario)
+
+    def test_failing_permit_frees_its_connection(self):
+        def fail():
+            raise ValueError("injected")
+
+        async def scenario(client, address):
+            with pytest.raises(ValueError, match="injected"):
+                await client.fetch(address, "GET", "/x", permit=fail)
+            assert client.peers_[address].open_count == 0
+
+        self.run(self.echo, scenario)
+
     def test_failing_handler_returns_an_error_status(self):
         async def fail(request):
             raise ValueError(request.path)
