Reports count as heard only after they were applied

`int` raises for a superscript or 5,000 digits in the name of a reported task, which `isdigit` accepts; the error ended the term of each leader that was told the name. Such a task is now unknown.

An error while a report is applied had already marked the worker as heard and the ended run as processed. If the term went on, the next hold would have acknowledged an end without effect, so that a finished task ran again, and inherited tasks would not have waited for the worker. Both are now recorded last.

Failed before: TestInterruptedReports, "ValueError: invalid literal for int() with base 10: '2'" (superscript) and `processed` 1 after an interrupted report.

--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -8,6 +8,8 @@
 from baobabdoor.scheduling import _types
 
 ROW_FORMAT = 1
+# Maximum digits of a number in the name of a task: a job has far fewer tasks.
+MAX_INDEX_DIGITS = 9
 # Rows are written often and are repetitive; level 1 halves their size.
 COMPRESSION_LEVEL = 1
 # Fields with default values are omitted from a row.
@@ -371,6 +373,12 @@
         The parts; `None` if the name is malformed.
     """
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(map(_is_index, parts[1:])):
         return None
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+
+
+def _is_index(text: str) -> bool:
+    # `int` raises for superscripts and for thousands of digits, which
+    # `isdigit` accepts.
+    return text.isascii() and text.isdigit() and len(text) <= MAX_INDEX_DIGITS
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -8,7 +8,12 @@
 def observe_report(
     scheduler, worker_id: str, report: _types.WorkerReport, now_s: float
 ) -> None:
-    """Applies a worker's report."""
+    """Applies a worker's report.
+
+    The worker counts as heard only after the whole report was applied. If an
+    error interrupts this, its leases are not renewed, its ended runs are not
+    acknowledged, and inherited tasks still wait for it.
+    """
     worker = scheduler.workers.get(worker_id)
     if worker is None:
         return
@@ -19,11 +24,6 @@
     if worker.lease_expired:
         scheduler.release_all_runs(worker, "lease expired")
     worker.observe_clock(report.clock_ms, now_s)
-    worker.last_report_s = now_s
-    worker.partitioned = False
-    worker.observe_response(now_s)
-    worker.fenced = True
-    scheduler.unfenced.discard(worker_id)
     last_lapsed = max(
         (end.number for end in report.ended if end.outcome == "lapsed"),
         default=0,
@@ -38,6 +38,11 @@
     for name, run in list(worker.runs.items()):
         if name not in listed:
             _observe_missing(scheduler, worker, run, report.clock_ms, now_s)
+    worker.last_report_s = now_s
+    worker.partitioned = False
+    worker.observe_response(now_s)
+    worker.fenced = True
+    scheduler.unfenced.discard(worker_id)
     scheduler.crashes.observe_alive(worker)
 
 
@@ -70,19 +75,20 @@
     last_lapsed: int,
     now_s: float,
 ) -> None:
-    worker.processed = end.number
     task = scheduler.find_task(end.task)
     run = worker.find_run(end.task, end.run_id)
     if run is not None:
+        _apply_end(scheduler, worker, task, run, end, last_lapsed, now_s)
         worker.remove_run(run)
         if task.run is run:
             task.run = None
-        _apply_end(scheduler, worker, task, run, end, last_lapsed, now_s)
     elif task is not None and not worker.lease_expired:
         # A run of an earlier term, or one that this term has released.
         awaits_inherited_run = task.inherited and task.run is None
         if awaits_inherited_run or end.outcome == "failed":
             _apply_end(scheduler, worker, task, None, end, last_lapsed, now_s)
+    # Only now: an end that could not be applied must not be acknowledged.
+    worker.processed = end.number
     worker.unsaved_ends.append((end.number, scheduler.revision))
 
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -1,5 +1,6 @@
 """Tests of the life cycle of runs: starts, ends, losses and restarts."""
 
+import pytest
 import scheduling_fixtures
 
 from baobabdoor import scheduling
@@ -147,6 +148,83 @@
         assert len(fleet.starts()) == 1
 
 
+class TestInterruptedReports:
+    """An error interrupts the application of a report.
+
+    The controller takes such a worker for silent and goes on.
+    """
+
+    def interrupt(self, fleet, worker_id):
+        """Reports while the durations of ended runs cannot be recorded."""
+
+        def fail(queue, step, duration_s):
+            raise KeyError("injected")
+
+        observe = fleet.scheduler.durations.observe
+        fleet.scheduler.durations.observe = fail
+        with pytest.raises(KeyError):
+            fleet.report(worker_id)
+        fleet.scheduler.observe_no_response(worker_id, fleet.now_s)
+        fleet.scheduler.durations.observe = observe
+
+    def started(self):
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.advance(0.5)
+        fleet.running[order.worker_id].clear()
+        fleet.ended[order.worker_id].append(
+            scheduling.EndEntry(1, order.task, order.run_id, "done", "")
+        )
+        return fleet, job, order
+
+    def test_end_is_applied_by_the_next_report(self):
+        """It was acknowledged without effect, and the task started again."""
+        fleet, job, order = self.started()
+        self.interrupt(fleet, order.worker_id)
+        fleet.now_s += 0.1
+        assert fleet.hold(order.worker_id).last_seen == 0
+        assert not fleet.starts()
+        fleet.report(order.worker_id)
+        assert job.state is scheduling.JobState.COMPLETED
+        assert fleet.scheduler.workers[order.worker_id].processed == 1
+
+    def test_lease_is_not_renewed(self):
+        fleet, _, order = self.started()
+        worker = fleet.scheduler.workers[order.worker_id]
+        end_s = worker.lease_end_s
+        while fleet.now_s < end_s:
+            self.interrupt(fleet, order.worker_id)
+            assert fleet.hold(order.worker_id).until_ms == 0
+            assert not fleet.starts()
+            fleet.now_s += 0.25
+        assert worker.lease_end_s == end_s
+        fleet.running[order.worker_id].clear()
+        fleet.advance(1.0)
+        assert len(fleet.starts()) == 1
+
+    def test_inherited_tasks_still_wait_for_the_worker(self):
+        fleet, _, order = self.started()
+        fleet.scheduler.unfenced.add(order.worker_id)
+        self.interrupt(fleet, order.worker_id)
+        assert fleet.scheduler.inherited_blocked()
+        fleet.report(order.worker_id)
+        assert not fleet.scheduler.inherited_blocked()
+
+    @pytest.mark.parametrize(
+        "name",
+        ["a.0.0.\u00b2", "a.0.0." + "9" * 5000, "a.\u0661.0.0"],
+        ids=repr,
+    )
+    def test_task_with_an_unusable_number_is_unknown(self, name):
+        """The error of `int` ended the term of each leader that was told it."""
+        fleet = scheduling_fixtures.Fleet()
+        fleet.running["w1"][name, 1] = 0
+        fleet.now_s += 0.1
+        fleet.end("w1", name, 2)
+        assert fleet.scheduler.find_task(name) is None
+
+
 class TestEnds:
 
     def test_no_end_is_acknowledged_to_a_worker_without_a_response(self):
