A term goes on after a fault of one row, worker or machine

An error in a hold, an order, a request for advice or a machine call ended the term, and so did an unreadable plan of a wave, a row of a wave with an odd key, a deeply nested row of the roster or of a job.

The error is now logged and counted. The worker counts as silent: its leases are not renewed, and a start may have arrived. A wave whose plan is unreadable gets no orders in this term, because the plan says which machines may be down. A row of the list of workers that cannot be applied counts as removed, and the other rows hold.

Failed before: test_dispatch_controller.py TestIsolation (8 tests) and 13 of TestUnreadableRows, with "tenure_failed error=OverflowError('injected')" and "tenure_ended reason='a background task failed'".

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -11,6 +11,7 @@
 from baobabdoor import scheduling
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _start_limiter
 from baobabdoor.dispatch import _table_follower
 from baobabdoor.dispatch import _waves
@@ -46,6 +47,7 @@
     def __init__(self, daemon, leader: _election.Leader, confirmed_s: float):
         self.daemon = daemon
         self.leader = leader
+        self.faults = _faults.FaultLog(daemon.metrics)
         self.store: platform.StoreClient = daemon.store
         self.worker_client: platform.WorkerClient = daemon.worker_client
         now_s = platform.boot_time_s()
@@ -136,18 +138,21 @@
         for row in jobs:
             try:
                 self.scheduler.load_job(row.key, row.value, row.version)
-            except (AttributeError, KeyError, TypeError, ValueError) as error:
-                LOG.error("job_row_ignored", job=row.key, error=repr(error))
+            except Exception as error:
+                self.faults.observe_row("job_row_ignored", row, error, "job")
         for row in roster:
             try:
                 self._load_roster(row)
-            except (AttributeError, KeyError, TypeError, ValueError) as error:
+            except Exception as error:
                 # The workers of this row may have runs of earlier terms, which
                 # delays inherited tasks until their leases have expired.
-                LOG.error("roster_unreadable", row=row.key, error=repr(error))
+                self.faults.observe_row("roster_unreadable", row, error)
                 self.scheduler.unfenced.add(f"roster row {row.key}")
         for row in waves:
-            self.committer.wave_document(int(row.key)).load(row)
+            try:
+                self.committer.wave_document(int(row.key)).load(row)
+            except ValueError as error:
+                self.faults.observe_row("wave_row_ignored", row, error, "wave")
         LOG.info(
             "tenure_loaded",
             token=self.leader.token,
@@ -186,6 +191,11 @@
     def _load_roster(self, row: platform.StoredRow) -> None:
         for worker_id, entry in self.committer.load_roster(row).items():
             address, pool, zone, start_time_ms, machine = entry
+            texts = (address, pool, zone, machine)
+            if not all(isinstance(text, str) for text in texts):
+                raise TypeError(f"{worker_id}: expected texts, found {texts}")
+            if not isinstance(start_time_ms, int):
+                raise TypeError(f"{worker_id}: found {start_time_ms!r:.80}")
             # Its capacity is unknown until it is listed.
             record = scheduling.WorkerRecord(
                 worker_id=worker_id,
@@ -213,24 +223,37 @@
         now_s = platform.boot_time_s()
         written_ms = self._entries_written_ms(answer, is_snapshot)
         written_s = now_s - (self.store.now_ms() - written_ms) / 1000
-        listed = set()
         for row in rows:
-            listed.add(row.key)
-            if row.removed:
-                LOG.info("worker_unlisted", worker=row.key)
-                self.scheduler.observe_unlisted(row.key)
-                continue
-            record = platform.decode_worker(row.key, row.value)
-            if record is not None:
-                self.scheduler.observe_worker(record, now_s, written_s)
-            else:
-                self.scheduler.observe_unlisted(row.key)
+            self._observe_worker_row(row, now_s, written_s)
         if is_snapshot:
+            listed = {row.key for row in rows}
             for worker_id in set(self.scheduler.workers) - listed:
                 self.scheduler.observe_unlisted(worker_id)
         self._start_holds()
         self.request_plan()
 
+    def _observe_worker_row(
+        self, row: platform.StoredRow, now_s: float, written_s: float
+    ) -> None:
+        """Applies a row of the list of workers.
+
+        A row that cannot be applied counts as removed: the worker gets no new
+        runs, and keeps those that it has.
+        """
+        if row.removed:
+            LOG.info("worker_unlisted", worker=row.key)
+            self.scheduler.observe_unlisted(row.key)
+            return
+        try:
+            record = platform.decode_worker(row.key, row.value)
+            self.scheduler.observe_worker(record, now_s, written_s)
+        except Exception as error:
+            # Any program may write rows here, and each leader reads them.
+            self.faults.observe_row(
+                "worker_entry_ignored", row, error, "worker"
+            )
+            self.scheduler.observe_unlisted(row.key)
+
     def _entries_written_ms(
         self, answer: platform.RowSet, is_snapshot: bool
     ) -> float:
@@ -266,10 +289,23 @@
             if worker.retired:
                 await asyncio.sleep(UNRESPONSIVE_PAUSE_S)
                 continue
-            await self._hold(worker)
+            try:
+                await self._hold(worker)
+            except Exception as error:
+                # Each leader would call the same worker, so this must not end
+                # the term. Its leases are not renewed, so its runs end.
+                self.faults.observe_call("hold", worker_id, error)
+                self.scheduler.observe_no_response(
+                    worker_id, platform.boot_time_s()
+                )
+                await asyncio.sleep(UNRESPONSIVE_PAUSE_S)
 
     async def _ask_advice(self, question: scheduling.AdviceRequest) -> None:
-        answer = await self.daemon.advice_client.ask(question)
+        try:
+            answer = await self.daemon.advice_client.ask(question)
+        except Exception as error:
+            self.faults.observe_call("advice", question.step, error, "step")
+            answer = base.Refusal(base.Reason.UNKNOWN_RESULT, "advice.ask")
         tickets, valid_s = None, 0.0
         if isinstance(answer, base.Refusal):
             LOG.warning(
@@ -289,12 +325,18 @@
             return
         now_s = platform.boot_time_s()
         order = self.scheduler.hold_order(worker, 0, now_s, may_extend=False)
-        result = await self.worker_client.hold(order)
-        if isinstance(result, scheduling.WorkerReport):
-            self.scheduler.observe_report(
-                worker_id, result, platform.boot_time_s()
+        try:
+            result = await self.worker_client.hold(order)
+            if isinstance(result, scheduling.WorkerReport):
+                self.scheduler.observe_report(
+                    worker_id, result, platform.boot_time_s()
+                )
+                self.request_plan()
+        except Exception as error:
+            self.faults.observe_call("hold", worker_id, error)
+            self.scheduler.observe_no_response(
+                worker_id, platform.boot_time_s()
             )
-            self.request_plan()
 
     async def _hold(self, worker: scheduling.Worker) -> None:
         unsaved = worker.processed > worker.acknowledged
@@ -387,25 +429,40 @@
         task.add_done_callback(self._observe_task_end)
 
     async def _send(self, order: scheduling.WorkerOrder) -> None:
-        count = self.daemon.metrics.count
+        result = await self._call_worker(order)
         if isinstance(order, scheduling.StartOrder):
-            result = await self.start_limiter.run(
-                order.worker_id,
-                lambda: self.worker_client.start(order, self.may_send),
+            self.daemon.metrics.count(
+                "run_starts_total", {"outcome": result.outcome.value}
             )
-            count("run_starts_total", {"outcome": result.outcome.value})
             self.scheduler.observe_start(order, result, platform.boot_time_s())
         elif isinstance(order, scheduling.PaceOrder):
-            result = await self.worker_client.pace(order)
             self.scheduler.observe_pace(order, result)
         elif isinstance(order, scheduling.StopOrder):
-            result = await self.worker_client.stop(order)
             self.scheduler.observe_stop(order, result)
             if result.outcome is OUTCOMES.ACCEPTED:
                 await self._poll_worker(order.worker_id)
         if result.outcome is not OUTCOMES.ACCEPTED:
             self.request_plan()
 
+    async def _call_worker(
+        self, order: scheduling.WorkerOrder
+    ) -> scheduling.OrderResult:
+        """Sends an order; an error counts as an order that may have arrived."""
+        try:
+            if isinstance(order, scheduling.StartOrder):
+                return await self.start_limiter.run(
+                    order.worker_id,
+                    lambda: self.worker_client.start(order, self.may_send),
+                )
+            if isinstance(order, scheduling.PaceOrder):
+                return await self.worker_client.pace(order)
+            return await self.worker_client.stop(order)
+        except Exception as error:
+            self.faults.observe_call("order", order.worker_id, error)
+            return scheduling.OrderResult(
+                OUTCOMES.UNKNOWN, detail=f"{error!r:.80}"
+            )
+
     async def _expire_loop(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
--- a/baobabdoor/dispatch/_waves.py
+++ b/baobabdoor/dispatch/_waves.py
@@ -1,6 +1,7 @@
 """Runs maintenance waves during a leader's term."""
 
 import asyncio
+from collections.abc import Awaitable
 
 from baobabdoor import base
 from baobabdoor import observability
@@ -25,6 +26,8 @@
         self.controller = controller
         self.maintenance = controller.scheduler.maintenance
         self.reported: dict[int, bool] = {}
+        # Waves whose stored plan cannot be read.
+        self.unreadable: set[int] = set()
 
     async def run(self) -> None:
         """Polls machines and reports waves until it is cancelled."""
@@ -36,16 +39,31 @@
 
     def _observe_waves(self) -> None:
         for number, wave in self.daemon.waves.items():
-            if number in self.maintenance.plans:
+            if number in self.maintenance.plans or number in self.unreadable:
                 continue
-            self.maintenance.observe_wave(wave)
-            content = self.controller.committer.wave_document(number).content
-            if content:
-                self.maintenance.plans[number].restore(content)
+            document = self.controller.committer.wave_document(number)
+            try:
+                self.maintenance.observe_wave(wave, document.content)
+            except Exception as error:
+                # The plan says which machines may be down. Without it, further
+                # orders could exceed the maximum, so there are none.
+                self.unreadable.add(number)
+                row = platform.StoredRow(
+                    document.table, "", document.key, document.content
+                )
+                self.controller.faults.observe_row(
+                    "wave_row_ignored", row, error, "wave"
+                )
 
     async def _list_machines(self) -> None:
         asked_s = platform.boot_time_s()
-        answer = await self.daemon.machine_client.list_machines()
+        try:
+            answer = await self.daemon.machine_client.list_machines()
+        except Exception as error:
+            self.controller.faults.observe_call(
+                "machines", "", error, "machine"
+            )
+            return
         if isinstance(answer, base.Refusal):
             LOG.warning("machines_not_listed", reason=str(answer))
             return
@@ -67,11 +85,14 @@
         due: scheduling.MaintenanceTarget,
         order: scheduling.MaintenanceOrder,
     ) -> None:
-        outcome = await self.daemon.machine_client.start_maintenance(
+        outcome = await self._call_machine(
             order.machine,
-            order.wave,
-            self.controller.leader.token,
-            self.controller.may_send,
+            self.daemon.machine_client.start_maintenance(
+                order.machine,
+                order.wave,
+                self.controller.leader.token,
+                self.controller.may_send,
+            ),
         )
         LOG.info(
             "upkeep_ordered",
@@ -88,11 +109,14 @@
         self.controller.request_plan()
 
     async def _order_move(self, move: scheduling.Move) -> None:
-        outcome = await self.daemon.machine_client.move(
+        outcome = await self._call_machine(
             move.machine,
-            move.pool,
-            self.controller.leader.token,
-            self.controller.may_send,
+            self.daemon.machine_client.move(
+                move.machine,
+                move.pool,
+                self.controller.leader.token,
+                self.controller.may_send,
+            ),
         )
         LOG.info(
             "move_ordered",
@@ -105,6 +129,18 @@
         if outcome is platform.MachineOutcome.FENCED:
             self.controller.end(f"fenced at machine {move.machine}")
 
+    async def _call_machine(
+        self, machine: str, call: Awaitable[platform.MachineOutcome]
+    ) -> platform.MachineOutcome:
+        """Awaits an order; after an error it may have arrived."""
+        try:
+            return await call
+        except Exception as error:
+            self.controller.faults.observe_call(
+                "machine", machine, error, "machine"
+            )
+            return platform.MachineOutcome.UNKNOWN
+
     async def _report(self) -> None:
         for number, plan in self.maintenance.plans.items():
             if self.reported.get(number) == plan.completed:
--- a/baobabdoor/observability/__init__.py
+++ b/baobabdoor/observability/__init__.py
@@ -1,6 +1,7 @@
 """Logs, metrics and timers of a daemon."""
 
 from baobabdoor.observability._bounded_writer import BoundedWriter
+from baobabdoor.observability._limited_logger import LimitedLogger
 from baobabdoor.observability._logs import configure_logs
 from baobabdoor.observability._logs import get_logger
 from baobabdoor.observability._loop_timers import LoopTimerService
@@ -10,6 +11,7 @@
 
 __all__ = [
     "BoundedWriter",
+    "LimitedLogger",
     "LoopTimerService",
     "Metrics",
     "MetricsHandler",
--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -110,10 +110,18 @@
         A machine with a stored intent may have been ordered down. It counts as
         down until the machine list shows another worker or the order is
         repeated.
+
+        Raises:
+            KeyError, TypeError, ValueError: If the plan is unreadable.
         """
         content = json.loads(value)
-        self.started_ms = content["began_ms"]
-        for machine, (phase, worker_id) in content["machines"].items():
+        started_ms, machines = content["began_ms"], content["machines"]
+        if not isinstance(started_ms, int) or not isinstance(machines, dict):
+            raise TypeError(f"unreadable plan: {value!r:.80}")
+        self.started_ms = started_ms
+        for machine, (phase, worker_id) in machines.items():
+            if not isinstance(worker_id, str):
+                raise TypeError(f"{machine}: found {worker_id!r:.80}")
             if machine in self.targets:
                 self.targets[machine].phase = Phase(phase)
                 self.targets[machine].worker_id = worker_id
@@ -143,10 +151,22 @@
         self.plans: dict[int, WavePlan] = {}
         self.machines: dict[str, _types.MachineRecord] = {}
 
-    def observe_wave(self, wave: _types.Wave) -> None:
-        """Adds a wave that the operator requests."""
+    def observe_wave(self, wave: _types.Wave, stored: bytes = b"") -> None:
+        """Adds a wave that the operator requests.
+
+        Args:
+            wave: The wave.
+            stored: Plan that an earlier term stored; empty for none.
+
+        Raises:
+            KeyError, TypeError, ValueError: If the plan is unreadable; the
+                wave is not added.
+        """
         if wave.number not in self.plans:
-            self.plans[wave.number] = WavePlan(wave, self.scheduler.store_ms)
+            plan = WavePlan(wave, self.scheduler.store_ms)
+            if stored:
+                plan.restore(stored)
+            self.plans[wave.number] = plan
 
     def observe_machines(
         self,
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -4,6 +4,7 @@
 import json
 import math
 import types
+import zlib
 
 import pytest
 import scheduling_fixtures
@@ -153,8 +154,361 @@
         asyncio.run(scenario())
 
 
+class FailingClient(SilentClient):
+    """Client whose calls raise for some workers, machines and steps.
+
+    Args:
+        failing: Workers and machines whose calls raise an error.
+    """
+
+    def __init__(self, failing):
+        self.failing = failing
+        self.held = []
+
+    def _check(self, name):
+        if name in self.failing:
+            raise OverflowError("injected")
+
+    async def hold(self, order):
+        self.held.append(order.worker_id)
+        self._check(order.worker_id)
+        await asyncio.sleep(0.01)
+        return scheduling.WorkerReport(
+            round(platform.boot_time_s() * 1000), 1, (), ()
+        )
+
+    async def start(self, order, permit):
+        del permit
+        self._check(order.worker_id)
+
+    async def stop(self, order):
+        self._check(order.worker_id)
+
+    async def pace(self, order):
+        self._check(order.worker_id)
+
+    async def ask(self, question):
+        self._check(question.step)
+
+    async def list_machines(self):
+        self._check("machines")
+        await asyncio.sleep(3600)
+
+    async def move(self, machine, pool, token, permit):
+        del pool, token, permit
+        self._check(machine)
+
+    async def start_maintenance(self, machine, wave, token, permit):
+        del wave, token, permit
+        self._check(machine)
+
+
+class TestIsolation:
+    """A fault of one row, worker, machine or step does not end the term.
+
+    Each next leader would meet it too, so there would be no leader at all.
+    """
+
+    def run(self, failing, scenario):
+        async def main():
+            bench = Bench()
+            client = FailingClient(failing)
+            bench.daemon.worker_client = client
+            bench.daemon.machine_client = client
+            bench.daemon.advice_client = client
+            controller = bench.controller()
+            controller.start()
+            await asyncio.wait_for(controller.loaded.wait(), 1)
+            for worker_id in ("w1", "w2"):
+                now_s = platform.boot_time_s()
+                controller.scheduler.observe_worker(
+                    scheduling_fixtures.record(worker_id), now_s, now_s
+                )
+            controller._start_holds()
+            await scenario(controller)
+            assert not bench.ended
+            controller.end("test")
+            return bench.daemon.metrics
+
+        metrics = asyncio.run(main())
+        return observability.render_text(metrics).decode()
+
+    def test_hold_that_raises_costs_one_worker(self):
+        async def scenario(controller):
+            # Longer than two pauses after a failure.
+            await asyncio.sleep(2.5 * _controller.UNRESPONSIVE_PAUSE_S)
+            workers = controller.scheduler.workers
+            assert not workers["w1"].fenced
+            assert workers["w2"].fenced
+            held = controller.worker_client.held
+            assert 2 <= held.count("w1") <= 4
+
+        text = self.run({"w1"}, scenario)
+        assert 'call_failures_total{call="hold"}' in text
+
+    def test_report_that_cannot_be_applied_costs_one_worker(self):
+        async def scenario(controller):
+            observe = controller.scheduler.observe_report
+
+            def fail(worker_id, report, now_s):
+                if worker_id == "w1":
+                    raise KeyError("injected")
+                observe(worker_id, report, now_s)
+
+            controller.scheduler.observe_report = fail
+            await asyncio.sleep(0.1)
+            workers = controller.scheduler.workers
+            now_s = platform.boot_time_s()
+            assert not workers["w1"].responsive(now_s)
+            assert workers["w2"].responsive(now_s)
+
+        self.run((), scenario)
+
+    def start_order(self, controller):
+        spec = scheduling.JobSpec(
+            "00000000000000a1",
+            scheduling_fixtures.QUEUE,
+            "text",
+            (scheduling.StepSpec(1, cpu_milli=100),),
+        )
+        scheduler = controller.scheduler
+        now_s = platform.boot_time_s()
+        job = scheduler.submit(spec, now_s)
+        job.stored_state = scheduling.JobState.QUEUED
+        for worker in scheduler.workers.values():
+            worker.enrolled = worker.worker_id == "w1"
+        (order,) = scheduler.plan(now_s, True)
+        return order, job.find_task(0, 0, 0)
+
+    def test_start_that_raises_may_have_arrived(self):
+        async def scenario(controller):
+            await asyncio.sleep(0.1)
+            order, task = self.start_order(controller)
+            controller.worker_client.failing.add("w1")
+            controller.spawn(controller._send(order))
+            await asyncio.sleep(0.05)
+            # It is stopped before the task may start elsewhere.
+            assert task.run.outcome_unknown
+            assert task.run.stopping
+
+        text = self.run(set(), scenario)
+        assert 'call_failures_total{call="order"}' in text
+
+    def test_stop_and_pace_that_raise_cost_one_worker(self):
+        async def scenario(controller):
+            common = {"worker_id": "w1", "address": "", "token": 1}
+            common |= {"task": "a.0.0.0", "run_id": 1}
+            for order in (
+                scheduling.StopOrder(**common),
+                scheduling.PaceOrder(**common, percent=10),
+            ):
+                controller.spawn(controller._send(order))
+            await asyncio.sleep(0.05)
+            await controller._poll_worker("w1")
+
+        self.run({"w1"}, scenario)
+
+    def test_advice_that_raises_is_requested_again(self):
+        async def scenario(controller):
+            advice = controller.scheduler.advice
+            question = scheduling.AdviceRequest("a.0.0", ("w1",))
+            await controller._ask_advice(question)
+            assert not advice.tickets["a.0.0"].pending
+
+        text = self.run({"a.0.0"}, scenario)
+        assert 'call_failures_total{call="advice"}' in text
+
+    def test_machine_order_that_raises_may_have_arrived(self):
+        async def scenario(controller):
+            runner = controller.wave_runner
+            wave = scheduling.Wave(1, ("m1",), 10.0, 1)
+            controller.scheduler.maintenance.observe_wave(wave)
+            plan = controller.scheduler.maintenance.plans[1]
+            target = plan.targets["m1"]
+            target.order_pending = True
+            order = types.SimpleNamespace(machine="m1", wave=1)
+            await runner._order_maintenance(plan, target, order)
+            assert not target.order_pending
+            assert not plan.completed
+            move = scheduling.Move("m1", "results", "", 0.0)
+            controller.scheduler.autoscaler.moves["m1"] = move
+            await runner._order_move(move)
+            assert controller.scheduler.autoscaler.moves
+
+        text = self.run({"m1"}, scenario)
+        assert 'call_failures_total{call="machine"}' in text
+
+    def test_list_of_machines_that_raises_is_read_again(self):
+        async def scenario(controller):
+            del controller
+            await asyncio.sleep(0.05)
+
+        text = self.run({"machines"}, scenario)
+        assert 'call_failures_total{call="machines"}' in text
+
+    def test_row_that_cannot_be_applied_hides_no_other(self):
+        async def scenario(controller):
+            good = json.dumps(TestEntryTimes.ENTRY).encode()
+            rows = [
+                platform.StoredRow("servers", "", key, value, 1)
+                for key, value in (
+                    ("w3", good),
+                    ("w1", b"{"),
+                    ("x\r\nX: 1", good),
+                    ("w4", good),
+                )
+            ]
+            controller._observe_workers(
+                rows, platform.RowSet(tuple(rows), 1, 0.0), False
+            )
+            workers = controller.scheduler.workers
+            assert workers.keys() == {"w1", "w2", "w3", "w4"}
+            assert not workers["w1"].listed
+            assert workers["w3"].listed
+
+            def fail(record, now_s, written_s):
+                del now_s, written_s
+                if record.worker_id == "w3":
+                    raise KeyError("injected")
+
+            controller.scheduler.observe_worker = fail
+            controller._observe_workers(
+                rows, platform.RowSet(tuple(rows), 1, 0.0), False
+            )
+            assert not workers["w3"].listed
+            assert workers["w4"].listed
+
+        text = self.run((), scenario)
+        assert 'rows_ignored_total{table="servers"} 5' in text
+
+
 class TestUnreadableRows:
 
+    def start(self, rows, check):
+        async def scenario():
+            bench = Bench()
+            controller = bench.controller()
+            for (table, key), value in rows.items():
+                row = (table, _election.PART, key)
+                bench.store.rows[row] = platform.StoredRow(*row, value, 1)
+            controller.start()
+            await asyncio.wait_for(controller.loaded.wait(), 1)
+            await check(bench, controller)
+            assert not bench.ended
+            controller.end("test")
+
+        asyncio.run(scenario())
+
+    ROSTER = {"w1": ["10.0.0.1:80", "results", "z", 1, ""]}
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"[" * 100_000,
+            b"[]",
+            b'{"w2": [1, 2, 3, 4, 5]}',
+            b'{"w2": ["10.0.0.1:80", "results", "z", "1", ""]}',
+            b'{"w2": ["10.0.0.1:80", "results", "z", 1e400, ""]}',
+            b'{"w2": ["10.0.0.1:80", "results", "z", 1, [[]]]}',
+            b'{"w2": 7}',
+        ],
+        ids=lambda value: f"{value!r:.60}",
+    )
+    def test_unreadable_roster_delays_inherited_tasks(self, value):
+        """Some ended each leader's term, or its following of the workers."""
+
+        async def check(bench, controller):
+            del bench
+            assert controller.scheduler.inherited_blocked()
+            # The other rows still hold.
+            assert "w1" in controller.scheduler.unfenced
+            entry = json.dumps(TestEntryTimes.ENTRY).encode()
+            rows = [
+                platform.StoredRow("servers", "", key, entry, 1)
+                for key in ("w1", "w2", "w3")
+            ]
+            controller._observe_workers(
+                rows, platform.RowSet(tuple(rows), 1, 0.0), True
+            )
+            assert controller.scheduler.workers["w3"].listed
+
+        good = json.dumps(self.ROSTER).encode()
+        self.start(
+            {
+                (_commits.ROSTER_TABLE, "00"): value,
+                (_commits.ROSTER_TABLE, "01"): good,
+            },
+            check,
+        )
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"[" * 100_000,
+            zlib.compress(b"[" * 100_000),
+            zlib.compress(b'{"format": 1}'),
+            zlib.compress(b"{"),
+            b"",
+        ],
+        ids=lambda value: f"{value!r:.40}",
+    )
+    def test_unreadable_job_costs_only_itself(self, value):
+        async def check(bench, controller):
+            del bench
+            assert not controller.scheduler.jobs
+
+        self.start({(_commits.JOBS_TABLE, "00000000000000a1"): value}, check)
+
+    def test_row_of_a_wave_with_an_odd_key(self):
+        """The error of `int` ended each leader's term."""
+
+        async def check(bench, controller):
+            del bench
+            assert controller.committer.waves.keys() == {4}
+
+        plan = b'{"began_ms": 1, "machines": {}}'
+        self.start(
+            {
+                (_commits.WAVES_TABLE, "x"): plan,
+                (_commits.WAVES_TABLE, "\u00b2"): plan,
+                (_commits.WAVES_TABLE, "4"): plan,
+            },
+            check,
+        )
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"[",
+            b"[" * 100_000,
+            b"{}",
+            b'{"began_ms": "1", "machines": {}}',
+            b'{"began_ms": 1e400, "machines": {}}',
+            b'{"began_ms": 1, "machines": {"m1": ["melted", ""]}}',
+            b'{"began_ms": 1, "machines": {"m1": ["down", [1]]}}',
+            b'{"began_ms": 1, "machines": []}',
+        ],
+        ids=lambda value: f"{value!r:.60}",
+    )
+    def test_unreadable_plan_of_a_wave_costs_only_that_wave(self, value):
+        """It ended each leader's term."""
+
+        async def check(bench, controller):
+            for number in (4, 5):
+                bench.daemon.waves[number] = scheduling.Wave(
+                    number, ("m1",), 10.0, 1
+                )
+            controller.wave_runner._observe_waves()
+            plans = controller.scheduler.maintenance.plans
+            assert plans.keys() == {5}
+            # What it says of machines that may be down is not lost.
+            assert controller.committer.wave_document(4).content == value
+            controller.wave_runner._observe_waves()
+            counts = observability.render_text(bench.daemon.metrics).decode()
+            assert 'rows_ignored_total{table="waves"} 1' in counts
+
+        self.start({(_commits.WAVES_TABLE, "4"): value}, check)
+
     def test_tasks_wait_for_the_workers_of_an_unreadable_roster(self):
         async def scenario():
             bench = Bench()
