Unreadable rows of the operator and the leader cost only themselves

A row of the operator whose error is no MessageError made the follower read the table for ever, without the rows after it. A deeply nested row of the leader did the same to the election, so that no leader was elected. A deadline header with a superscript, and an unreadable row of a job, were answered with 500.

Failed before: test_dispatch_daemon.py (a route that is a number: "'int' object has no attribute 'get'"), 4 tests of test_dispatch_election.py (RecursionError).

--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -14,6 +14,8 @@
 # Above this age in seconds, a configuration may lack a queue that was added
 # since: longer than one long poll for changes including its grace period.
 CONFIGURATION_STALE_S = 2.0
+# Maximum digits of a caller's timeout in milliseconds: three years.
+MAX_DIGITS = 11
 LOG = observability.get_logger("callers")
 RETRY_AFTER_HEADER = "Retry-After: {}\r\n"
 
@@ -81,7 +83,8 @@
     ) -> float:
         timeout_ms = queue.timeout_ms
         text = request.headers.get(platform.DEADLINE_HEADER, "")
-        if text.isdigit():
+        # Digits of other scripts and very long numbers are not usable.
+        if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
             timeout_ms = min(timeout_ms, int(text))
         return max(0.05, timeout_ms / 1000 - RESPONSE_MARGIN_S)
 
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -13,6 +13,7 @@
 from baobabdoor.dispatch import _callers
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _gateway
 from baobabdoor.dispatch import _refresh
 from baobabdoor.dispatch import _table_follower
@@ -39,6 +40,7 @@
     def __init__(self, settings: platform.ProcessSettings):
         self.settings = settings
         self.metrics = observability.Metrics()
+        self.faults = _faults.FaultLog(self.metrics)
         self.client = transport.Client()
         self.store = platform.StoreClient(self.client, settings.store_address)
         self.worker_client = platform.WorkerClient(self.client)
@@ -150,8 +152,8 @@
                 continue
             try:
                 self._observe_operator_row(row)
-            except platform.MessageError as error:
-                LOG.error("operator_row_ignored", key=row.key, error=str(error))
+            except Exception as error:
+                self.faults.observe_row("operator_row_ignored", row, error)
 
     def _observe_operator_row(self, row: platform.StoredRow) -> None:
         if row.key == platform.CONFIGURATION_KEY:
@@ -226,6 +228,7 @@
         gauge("holder", int(self.controller is not None))
         gauge("store_calls", self.store.calls_)
         gauge("http_calls", self.client.calls_)
+        gauge("machine_entries_ignored", self.machine_client.entries_ignored_)
         since_last_answer_s = platform.boot_time_s() - self.store.last_answer_s_
         gauge("store_silent_seconds", min(since_last_answer_s, 1e6))
         if self.controller is not None:
--- a/baobabdoor/dispatch/_election.py
+++ b/baobabdoor/dispatch/_election.py
@@ -98,6 +98,15 @@
         return json.dumps(content).encode()
 
 
+_FIELD_TYPES = {
+    "node": str,
+    "incarnation": str,
+    "address": str,
+    "number": int,
+    "released": bool,
+}
+
+
 def _decode(row: platform.StoredRow) -> Leader | None:
     """Returns the leader in a row; `None` if there is none or it is unreadable.
 
@@ -112,8 +121,11 @@
             for name in attrs.fields_dict(Leader)
             if name != "token"
         }
+        for name, kind in _FIELD_TYPES.items():
+            if type(known[name]) is not kind:
+                raise TypeError(f"{name}: found {known[name]!r:.80}")
         return Leader(**known, token=row.version)
-    except (KeyError, TypeError, ValueError) as error:
+    except (KeyError, RecursionError, TypeError, ValueError) as error:
         LOG.error("holder_unreadable", version=row.version, error=repr(error))
         return None
 
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -160,10 +160,17 @@
             return Outcome("unavailable", 1, detail=str(answer))
         for row in answer.rows:
             if row.key == job_id:
-                job = scheduling.decode_job(job_id, row.value, row.version)
-                return Outcome("state", value=job.state.value)
+                return self._decode_state(row)
         return Outcome("no-job")
 
+    def _decode_state(self, row: platform.StoredRow) -> Outcome:
+        try:
+            job = scheduling.decode_job(row.key, row.value, row.version)
+        except Exception as error:
+            self.daemon.faults.observe_row("job_row_ignored", row, error, "job")
+            return Outcome("unavailable", 1, detail="the row is unreadable")
+        return Outcome("state", value=job.state.value)
+
     async def serve(self, request: transport.Request) -> transport.Reply:
         """Handles a request from another daemon."""
         method = request.path.removeprefix("/v1/")
@@ -254,7 +261,7 @@
         return Outcome("unknown", detail=f"status {response.status}")
     try:
         return Outcome(**json.loads(response.body))
-    except (TypeError, ValueError) as error:
+    except (RecursionError, TypeError, ValueError) as error:
         LOG.warning("peer_answer_unreadable", error=str(error))
         return Outcome("unknown", detail=str(error))
 
--- /dev/null
+++ b/tests/test_dispatch_daemon.py
@@ -0,0 +1,59 @@
+"""Tests of a daemon that reads rows of the operator's table."""
+
+import json
+
+import pytest
+
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor.dispatch import _daemon
+from baobabdoor.platform import _settings
+
+SETTINGS = {
+    "node-name": "entry-1",
+    "zone": "z",
+    "ip": "127.0.0.1",
+    "internal-port-range": [7060, 7075],
+    "platform": {"address": "127.0.0.1:1"},
+}
+CONFIGURATION = {"version": 3, "routes": [], "services": [{"name": "p"}]}
+WAVE = {"wave": 4, "machines": ["m1"], "duration-s": 9, "maximum": 1}
+
+
+class TestOperatorRows:
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"7",
+            b"[" * 100_000,
+            b'{"version": 9, "routes": [7], "services": []}',
+            b'{"version": 9, "routes": [null], "services": []}',
+            b'{"version": 9, "routes": [], "services": [7]}',
+            b'{"version": 1e400, "routes": [], "services": []}',
+            b'{"version": 9, "routes": [{"name": "a", "host": "h", '
+            b'"path-prefix": "/", "service": "p", "advice": 7, '
+            b'"priority": "1"}], "services": []}',
+        ],
+        ids=lambda value: f"{value!r:.60}",
+    )
+    @pytest.mark.parametrize("key", ["a", "config", "wave/1"])
+    def test_unreadable_row_hides_no_other(self, key, value):
+        """Its error made the follower read the table again, for ever.
+
+        The rows after it were never applied.
+        """
+        daemon = _daemon.Daemon(_settings.decode_settings("test", SETTINGS))
+        contents = [("config", CONFIGURATION), ("wave/4", WAVE)]
+        rows = [
+            platform.StoredRow("op", "", name, json.dumps(content).encode(), 2)
+            for name, content in contents
+        ]
+        rows.insert(0, platform.StoredRow("op", "", key, value, 1))
+        daemon._observe_configuration(rows, None, True)
+        assert daemon.version == 3
+        assert daemon.waves.keys() == {4}
+        counts = observability.render_text(daemon.metrics).decode()
+        ignored = 'rows_ignored_total{table="op"} 1'
+        assert (ignored in counts) == (key != "a")
--- a/tests/test_dispatch_election.py
+++ b/tests/test_dispatch_election.py
@@ -4,6 +4,8 @@
 import json
 import math
 
+import pytest
+
 from baobabdoor import platform
 from baobabdoor.dispatch import _election
 from baobabdoor.standin import _row_store
@@ -72,9 +74,26 @@
         store.version += 7
         store.rows[key] = platform.StoredRow(*key, value, store.version)
 
-    def test_unreadable_leader_is_replaced_under_a_higher_number(self):
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"{",
+            b"[" * 100_000,
+            b"[]",
+            b'{"node": 1, "incarnation": "x", "address": "b:1", "number": 3, '
+            b'"released": false}',
+            b'{"node": "b", "incarnation": "x", "address": [], "number": 3, '
+            b'"released": false}',
+            b'{"node": "b", "incarnation": "x", "address": "b:1", '
+            b'"number": "3", "released": false}',
+        ],
+        ids=lambda value: f"{value!r:.40}",
+    )
+    def test_unreadable_leader_is_replaced_under_a_higher_number(self, value):
+        """A nested row ended each reading of the rows, so none was elected."""
+
         async def scenario(store):
-            self.write_leader(store, b"{")
+            self.write_leader(store, value)
             candidate = Candidate(store, "a")
             await candidate.poll()
             assert [leader.number for leader in candidate.won] == [7]
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import types
+import zlib
 
 import attrs
 import pytest
@@ -15,11 +16,13 @@
 
 from baobabdoor import base
 from baobabdoor import observability
+from baobabdoor import platform
 from baobabdoor import scheduling
 from baobabdoor import transport
 from baobabdoor.dispatch import _callers
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _gateway
 from baobabdoor.standin import _row_store
 
@@ -64,6 +67,7 @@
                 client=self.client,
                 store=self.store,
                 configuration=scheduling_fixtures.configuration(),
+                faults=_faults.FaultLog(observability.Metrics()),
                 election=types.SimpleNamespace(
                     current=leader, is_self=lambda leader: False
                 ),
@@ -139,6 +143,14 @@
         assert follower.state().value == "completed"
         assert limits == [1]
 
+    @pytest.mark.parametrize("value", [b"", b"[", zlib.compress(b"[" * 10**5)])
+    def test_state_in_an_unreadable_row_is_unavailable(self, value):
+        """The error was answered with 500."""
+        follower = Follower()
+        key = (_commits.JOBS_TABLE, _election.PART, JOB)
+        follower.store.rows[key] = _row_store.platform.StoredRow(*key, value, 1)
+        assert follower.state().kind == "unavailable"
+
     def test_job_that_is_not_stored_was_not_accepted(self):
         assert Follower().state().kind == "no-job"
 
@@ -178,3 +190,26 @@
     def test_follower_with_a_stale_configuration_reports_no_missing_queue(self):
         assert self.ask_follower(_callers.CONFIGURATION_STALE_S + 0.1) == 503
         assert self.ask_follower(1.0) == 404
+
+
+class TestDeadline:
+
+    @pytest.mark.parametrize(
+        ("text", "timeout_s"),
+        [
+            ("1000", 0.85),
+            ("\u00b2", 2.85),
+            ("\u0661", 2.85),
+            ("9" * 5000, 2.85),
+            ("-1", 2.85),
+            ("", 2.85),
+        ],
+        ids=lambda value: f"{value!r:.10}",
+    )
+    def test_unusable_deadline_is_ignored(self, text, timeout_s):
+        """The error of `int` was answered with 500."""
+        headers = httputil.HTTPHeaders({platform.DEADLINE_HEADER: text})
+        request = transport.Request("GET", "/race/", "host", headers, b"")
+        handler = _callers.CallerHandler(None, None)
+        found_s = handler._timeout_s(request, QUEUE)
+        assert found_s == pytest.approx(timeout_s)
