Adapter rejects entries that name no usable worker or machine

`decode_worker` accepted port 99999 and 0, digits of other scripts, line breaks, null characters, lone surrogates, paths and host names in an address, an id that no header can contain, and negative sizes and start times. It now raises MessageError like the other decoders, so that the caller logs and counts in one place.

A machine whose name is a list raised TypeError in the core, and an entry of the list of machines that is nested 977 to 982 levels RecursionError while its log line was made; both ended each leader's term. A lone surrogate in a job's payload or a page token had no encoding, and an infinite time of the store stayed its clock. Lines about entries that are read or workers that are called several times a second are limited.

The tests of malformed entries expect MessageError where they expected None. New: what is decoded is called through WorkerClient on loopback, and the head of the request is compared (Hypothesis).

--- a/baobabdoor/cli/_store_commands.py
+++ b/baobabdoor/cli/_store_commands.py
@@ -136,11 +136,13 @@
         enrolled |= json.loads(row.value)
     rows = []
     for row in await _read_rows(context, platform.WORKERS_TABLE, ""):
-        record = platform.decode_worker(row.key, row.value)
-        if record is None:
+        is_enrolled = "yes" if enrolled.pop(row.key, None) else "no"
+        try:
+            record = platform.decode_worker(row.key, row.value)
+        except platform.MessageError:
+            rows.append((row.key, "", "", "unreadable", is_enrolled))
             continue
         state = "draining" if record.draining else "ready"
-        is_enrolled = "yes" if enrolled.pop(row.key, None) else "no"
         rows.append((row.key, record.pool, record.machine, state, is_enrolled))
     rows += [
         (worker_id, enrollment[1], enrollment[4], "unlisted", "yes")
--- a/baobabdoor/platform/_advisor.py
+++ b/baobabdoor/platform/_advisor.py
@@ -48,13 +48,24 @@
         try:
             content = _messages.decode_object(answer.body)
             rows = _messages.field(content, "allowed", list)
-            tickets = {str(worker): str(ticket) for worker, ticket in rows}
+            tickets = dict(map(_decode_ticket, rows))
             return (
                 tickets,
                 _messages.field(content, "valid-ms", float, 0) / 1000,
             )
-        except (ValueError, TypeError) as error:
+        except _messages.MessageError as error:
             LOG.warning("advice_unreadable", error=str(error))
             return base.Refusal(
                 base.Reason.UNKNOWN_RESULT, "advice.decode", self.address
             )
+
+
+def _decode_ticket(row: object) -> tuple[str, str]:
+    if isinstance(row, list) and len(row) == 2:
+        worker_id, ticket = row
+        readable = isinstance(ticket, str) or _messages.is_integer(ticket)
+        if isinstance(worker_id, str) and readable:
+            return worker_id, str(ticket)
+    raise _messages.MessageError(
+        f"allowed: expected worker and ticket, found {_messages.describe(row)}"
+    )
--- a/baobabdoor/platform/_machines.py
+++ b/baobabdoor/platform/_machines.py
@@ -12,7 +12,8 @@
 from baobabdoor.platform import _messages
 
 CALL_TIMEOUT_S = 1.5
-LOG = observability.get_logger("platform.machines")
+# The list is read twice a second.
+LOG = observability.LimitedLogger(observability.get_logger("platform.machines"))
 
 
 class MachineOutcome(enum.Enum):
@@ -49,6 +50,8 @@
         self.client = client
         self.address = address
         self.leader_name = leader_name
+        # Number of entries of the list that could not be read.
+        self.entries_ignored_ = 0
 
     async def list_machines(
         self,
@@ -57,7 +60,10 @@
         records: list[scheduling.MachineRecord] = []
         page = ""
         while True:
-            query = f"?{parse.urlencode({'page-token': page})}" if page else ""
+            query = ""
+            if page:
+                fields = {"page-token": page}
+                query = f"?{parse.urlencode(fields, errors='replace')}"
             answer = await self.client.fetch(
                 self.address,
                 "GET",
@@ -81,11 +87,26 @@
                     self.address,
                     str(error),
                 )
-            decoded = (_decode(entry) for entry in entries)
-            records += [record for record in decoded if record is not None]
+            records += self._decode_entries(entries)
             if not page:
                 return tuple(records)
 
+    def _decode_entries(self, entries: list) -> list[scheduling.MachineRecord]:
+        """Returns the machines; malformed entries are logged and counted."""
+        records = []
+        for entry in entries:
+            try:
+                records.append(_decode(entry))
+            except ValueError as error:
+                self.entries_ignored_ += 1
+                LOG.warning(
+                    "machine_entry_ignored",
+                    str(error),
+                    entry=_messages.describe(entry),
+                    error=str(error),
+                )
+        return records
+
     async def start_maintenance(
         self, machine: str, wave: int, token: int, permit: Callable[[], bool]
     ) -> MachineOutcome:
@@ -151,23 +172,26 @@
     """Returns the outcome of a refused order, `BUSY` for unknown reasons."""
     try:
         content = _messages.decode_object(body or b"{}")
+        reason = _messages.field(content, "reason", str, "")
     except _messages.MessageError as error:
-        LOG.warning("machine_answer_unreadable", error=str(error))
+        LOG.warning("machine_answer_unreadable", "", error=str(error))
         return MachineOutcome.BUSY
-    reason = str(content.get("reason", ""))
     return _OUTCOMES_BY_REASON.get(reason, MachineOutcome.BUSY)
 
 
-def _decode(entry: dict) -> scheduling.MachineRecord | None:
-    """Returns a machine; logs and returns `None` if the entry is malformed."""
-    try:
-        return scheduling.MachineRecord(
-            entry["machine"],
-            entry.get("pool") or "",
-            scheduling.MachineState(entry["state"]),
-            entry.get("zone") or "",
-            entry.get("id") or "",
-        )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
-        LOG.warning("machine_entry_ignored", entry=entry, error=repr(error))
-        return None
+def _decode(entry: object) -> scheduling.MachineRecord:
+    """Returns a machine.
+
+    Raises:
+        ValueError: If the entry is malformed.
+    """
+    machine = _messages.field(entry, "machine", str)
+    if not machine:
+        raise _messages.MessageError("machine: found an empty name")
+    return scheduling.MachineRecord(
+        machine,
+        _messages.field(entry, "pool", str, ""),
+        scheduling.MachineState(_messages.field(entry, "state", str)),
+        _messages.field(entry, "zone", str, ""),
+        _messages.field(entry, "id", str, ""),
+    )
--- a/baobabdoor/platform/_messages.py
+++ b/baobabdoor/platform/_messages.py
@@ -2,18 +2,21 @@
 
 import json
 import math
+import re
 
 from baobabdoor import base
-from baobabdoor import observability
 from baobabdoor import scheduling
+from baobabdoor import transport
 
-LOG = observability.get_logger("platform.messages")
 MAX_PAYLOAD_BYTES = 4000
 # Maximum tasks of a job, over all its occurrences.
 MAX_TASKS = 10_000
 # Largest integer in a message: milliseconds since 1970 are far below it, and
 # every product of two such integers is a finite `float`.
 MAX_INTEGER = 2**53
+# Identifiers that a header can contain as its value: visible ASCII characters
+# with spaces between them.
+_WORKER_ID = re.compile(r"[!-~]([ -~]*[!-~])?")
 
 
 class MessageError(ValueError):
@@ -42,6 +45,18 @@
     return content
 
 
+def describe(value: object) -> str:
+    """Returns a short text of a value for a log or an error message.
+
+    `repr` fails for a value that is nested almost as deeply as the parser
+    allows.
+    """
+    try:
+        return f"{value!r:.80}"
+    except RecursionError:
+        return f"a deeply nested {type(value).__name__}"
+
+
 def is_integer(value: object) -> bool:
     """Returns whether a value is an integer that arithmetic can use."""
     return (
@@ -70,13 +85,13 @@
         MessageError: If the message is no object or the value has another type.
     """
     if not isinstance(content, dict):
-        raise MessageError(f"expected an object, found {content!r:.80}")
+        raise MessageError(f"expected an object, found {describe(content)}")
     value = content.get(name)
     if value is None:
         value = default
     if not has_type(value, kind):
         raise MessageError(
-            f"{name}: expected {kind.__name__}, found {value!r:.80}"
+            f"{name}: expected {kind.__name__}, found {describe(value)}"
         )
     return float(value) if kind is float else value
 
@@ -93,41 +108,50 @@
     return value
 
 
-def decode_worker(
-    worker_id: str, value: bytes
-) -> scheduling.WorkerRecord | None:
+def _texts(content: dict, name: str, default: list | None = None) -> list[str]:
+    """Returns a field that is a list of texts.
+
+    Raises:
+        MessageError: If the field has another value.
+    """
+    values = field(content, name, list, default)
+    if not all(isinstance(value, str) for value in values):
+        raise MessageError(f"{name}: expected texts, found {describe(values)}")
+    return values
+
+
+def decode_worker(worker_id: str, value: bytes) -> scheduling.WorkerRecord:
     """Decodes an entry of the list of workers.
 
-    Returns:
-        The worker, or `None` for a malformed entry, which is logged. Other
-        programs may write entries that describe no worker.
+    Raises:
+        MessageError: If it does not conform to the published format. Other
+            programs may write entries that describe no worker.
     """
+    if not _WORKER_ID.fullmatch(worker_id):
+        raise MessageError(f"id: found {worker_id!r:.80}")
+    content = decode_object(value)
+    capacity = field(content, "capacity", dict)
+    state = field(content, "state", str)
+    if state not in ("ready", "draining"):
+        raise MessageError(f"state: found {state!r:.80}")
+    address = field(content, "address", str)
     try:
-        content = decode_object(value)
-        capacity = field(content, "capacity", dict)
-        state = field(content, "state", str)
-        if state not in ("ready", "draining"):
-            raise MessageError(f"state: found {state!r}")
-        address = field(content, "address", str)
-        if not address.rpartition(":")[2].isdigit():
-            raise MessageError(f"address: found {address!r}")
-        labels = field(content, "labels", list, [])
-        return scheduling.WorkerRecord(
-            worker_id=worker_id,
-            address=address,
-            pool=field(content, "service", str),
-            zone=field(content, "zone", str),
-            machine=field(content, "machine", str, ""),
-            draining=state == "draining",
-            start_time_ms=field(content, "born", int, 0),
-            cpu_milli=field(capacity, "cpu", int, 0),
-            memory_mb=field(capacity, "mem-mb", int, 0),
-            gpus=field(capacity, "gpus", int, 0),
-            labels=frozenset(str(label) for label in labels),
-        )
-    except MessageError as error:
-        LOG.warning("worker_entry_ignored", worker=worker_id, error=str(error))
-        return None
+        transport.parse_address(address)
+    except ValueError as error:
+        raise MessageError(f"address: {error}") from error
+    return scheduling.WorkerRecord(
+        worker_id=worker_id,
+        address=address,
+        pool=field(content, "service", str),
+        zone=field(content, "zone", str),
+        machine=field(content, "machine", str, ""),
+        draining=state == "draining",
+        start_time_ms=natural(content, "born"),
+        cpu_milli=natural(capacity, "cpu"),
+        memory_mb=natural(capacity, "mem-mb"),
+        gpus=natural(capacity, "gpus"),
+        labels=frozenset(_texts(content, "labels", [])),
+    )
 
 
 def decode_configuration(value: bytes) -> scheduling.Configuration:
@@ -154,7 +178,8 @@
     )
 
 
-def _decode_queue(entry: dict) -> scheduling.Queue:
+def _decode_queue(entry: object) -> scheduling.Queue:
+    name = field(entry, "name", str)
     advice = entry.get("advice")
     if isinstance(advice, dict):
         advice = scheduling.AdvicePolicy(
@@ -165,7 +190,7 @@
     else:
         advice = None
     return scheduling.Queue(
-        name=field(entry, "name", str),
+        name=name,
         host=field(entry, "host", str).lower(),
         path_prefix=field(entry, "path-prefix", str),
         pool=field(entry, "service", str),
@@ -186,7 +211,8 @@
     """
     content = decode_object(body)
     payload = field(content, "spec", str, "")
-    if len(payload.encode()) > MAX_PAYLOAD_BYTES:
+    # JSON may contain lone surrogates, which have no encoding in UTF-8.
+    if len(payload.encode("utf-8", "surrogatepass")) > MAX_PAYLOAD_BYTES:
         raise MessageError(f"spec: over {MAX_PAYLOAD_BYTES} bytes")
     steps = tuple(
         _decode_step(number, entry)
@@ -215,7 +241,7 @@
         raise MessageError(f"steps.{number}: expected an object")
     after = tuple(field(entry, "after", list, []))
     if any(not is_integer(i) or not 0 <= i < number for i in after):
-        raise MessageError(f"steps.{number}.after: found {after}")
+        raise MessageError(f"steps.{number}.after: found {describe(after)}")
     unavailable = entry.get("max-unavailable")
     limited = is_integer(unavailable) and unavailable >= 0
     long_running = bool(entry.get("long-running"))
@@ -250,7 +276,7 @@
     content = decode_object(value)
     return scheduling.Wave(
         number=field(content, "wave", int),
-        machines=tuple(str(name) for name in field(content, "machines", list)),
+        machines=tuple(_texts(content, "machines")),
         duration_s=field(content, "duration-s", float, 0.0),
         maximum=max(1, field(content, "maximum", int, 1)),
     )
--- a/baobabdoor/platform/_store.py
+++ b/baobabdoor/platform/_store.py
@@ -237,7 +237,7 @@
         return answer.status, content
 
     def _observe_clock(self, store_ms: object, sent_s: float) -> None:
-        if not isinstance(store_ms, int | float):
+        if not _messages.has_type(store_ms, float):
             return
         # Each sample is too low by the delay of the answer, so the largest
         # offset seen is the most accurate.
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -14,7 +14,8 @@
 ORDER_TIMEOUT_RANGE_S = (0.45, 1.2)
 # The same for a hold, beyond the wait of its long poll.
 HOLD_TIMEOUT_RANGE_S = (0.6, 1.8)
-LOG = observability.get_logger("platform.workers")
+# A worker is called several times a second.
+LOG = observability.LimitedLogger(observability.get_logger("platform.workers"))
 
 _OUTCOMES_BY_REASON = {
     "fence": scheduling.OrderOutcome.FENCED,
@@ -94,6 +95,7 @@
         except _messages.MessageError as error:
             LOG.warning(
                 "worker_report_ignored",
+                order.worker_id,
                 worker=order.worker_id,
                 error=str(error),
             )
@@ -161,6 +163,7 @@
         except _messages.MessageError as error:
             LOG.warning(
                 "worker_answer_unreadable",
+                order.worker_id,
                 worker=order.worker_id,
                 target=target,
                 error=str(error),
@@ -171,7 +174,9 @@
 
 def _result(status: int, content: dict) -> scheduling.OrderResult:
     outcomes = scheduling.OrderOutcome
-    reason = str(content.get("reason", ""))
+    reason = content.get("reason")
+    if not isinstance(reason, str):
+        reason = ""
     clock_ms = content.get("clock-ms")
     if status == 200:
         outcome = outcomes.ACCEPTED
@@ -188,7 +193,7 @@
     return scheduling.OrderResult(
         outcome,
         int(clock_ms) if _messages.has_type(clock_ms, float) else None,
-        f"{status} {reason}".strip(),
+        f"{status} {reason:.80}".strip(),
     )
 
 
@@ -221,7 +226,9 @@
 
 def _list(entry: object) -> list:
     if not isinstance(entry, list):
-        raise _messages.MessageError(f"expected a list, found {entry!r:.80}")
+        raise _messages.MessageError(
+            f"expected a list, found {_messages.describe(entry)}"
+        )
     return entry
 
 
@@ -231,4 +238,4 @@
         _messages.has_type(value, kind)
         for value, kind in zip(values, kinds, strict=True)
     ):
-        raise _messages.MessageError(f"found {values!r:.80}")
+        raise _messages.MessageError(f"found {_messages.describe(values)}")
--- a/tests/test_cli_store.py
+++ b/tests/test_cli_store.py
@@ -77,6 +77,14 @@
         (row,) = self.show(capsys, _store_commands.store_workers)
         assert (row["worker"], row["state"]) == ("w9", "unlisted")
 
+    def test_unreadable_entry_is_shown(self, capsys):
+        fixture = StoreFixture()
+        key = (platform.WORKERS_TABLE, "", "w9")
+        fixture.store.rows[key] = platform.StoredRow(*key, b"[", 1)
+        fixture.run(_store_commands.store_workers)
+        (row,) = json.loads(capsys.readouterr().out)
+        assert (row["state"], row["enrolled"]) == ("unreadable", "yes")
+
     def test_machines_of_waves_are_counted_by_phase(self, capsys):
         (row,) = self.show(capsys, _store_commands.store_waves)
         assert row == {"wave": "4", "intended": 0, "down": 0, "done": 1}
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import pathlib
 import re
 
@@ -74,15 +75,80 @@
             {"capacity": [1]},
             {"capacity": {"cpu": "many"}},
             {"zone": 1},
+            {"born": -1},
+            {"born": 1.5},
+            {"born": 10**400},
+            {"capacity": {"cpu": -1}},
+            {"capacity": {"mem-mb": -1}},
+            {"capacity": {"gpus": -1}},
+            {"capacity": {"cpu": 1.5}},
+            {"labels": [7]},
+            {"labels": [["a"]]},
         ],
-        ids=str,
+        ids=lambda change: f"{change!s:.60}",
+    )
+    def test_malformed_entry_is_an_error(self, change):
+        with pytest.raises(platform.MessageError):
+            platform.decode_worker("i-1", encode(WORKER | change))
+
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "10.0.0.1:0",
+            "10.0.0.1:65536",
+            "10.0.0.1:99999",
+            "10.0.0.1:8\u00b2",
+            "10.0.0.1:\u0668\u0660",
+            "10.0.0.1:-1",
+            "10.0.0.1: 80",
+            "10.0.0.1:" + "9" * 5000,
+            "10.0.0.1\0:80",
+            "10.0.0.1:80\r\nX:80",
+            "10.0.0.1/a:80",
+            "10.0.0.256:80",
+            "10.0.0:80",
+            "host.example:80",
+            "[::1]:80",
+            ":80",
+            "\ud800:80",
+            "",
+        ],
+        ids=lambda address: f"{address!r:.40}",
+    )
+    def test_unusable_address_is_an_error(self, address):
+        """The client raised for some of them, which ended each leader's term.
+
+        Others would reach the head of a request.
+        """
+        content = encode(WORKER | {"address": address})
+        with pytest.raises(platform.MessageError, match="address"):
+            platform.decode_worker("i-1", content)
+
+    @pytest.mark.parametrize(
+        "worker_id",
+        ["", " i", "i\r\nX: 1", "i\0", "\u00e9", "\u2028", "\ud800", "i\n"],
+        ids=repr,
     )
-    def test_malformed_entry_is_ignored(self, change):
-        assert platform.decode_worker("i-1", encode(WORKER | change)) is None
+    def test_id_that_no_header_can_contain_is_an_error(self, worker_id):
+        with pytest.raises(platform.MessageError, match="id"):
+            platform.decode_worker(worker_id, encode(WORKER))
 
     @pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", b"7"])
-    def test_unreadable_bytes_are_ignored(self, value):
-        assert platform.decode_worker("i-1", value) is None
+    def test_unreadable_bytes_are_an_error(self, value):
+        with pytest.raises(platform.MessageError):
+            platform.decode_worker("i-1", value)
+
+    @pytest.mark.parametrize("field", ["labels", "zone", "born", "capacity"])
+    def test_nested_values_are_an_error(self, field):
+        """Near the parser's limit, the text of a parsed value cannot be made.
+
+        The error of that was not a `MessageError`.
+        """
+        text = encode(WORKER | {field: "@"})
+        for levels in [*range(900, 1000), 100_000]:
+            nested = b"[" * levels + b"]" * levels
+            with pytest.raises(platform.MessageError):
+                platform.decode_worker("i-1", text.replace(b'"@"', nested))
 
 
 class TestJobs:
@@ -227,9 +293,50 @@
 
     def test_malformed_entry_is_skipped(self):
         good = {"machine": "m1", "pool": "p", "state": "up", "id": "w1"}
-        entries = [good, good | {"state": "melted"}, {"state": "up"}, 7]
-        (record,) = self.list(encode({"machines": entries}))
+        entries = [
+            good,
+            good | {"state": "melted"},
+            {"state": "up"},
+            7,
+            good | {"machine": [1]},
+            good | {"machine": 7},
+            good | {"machine": ""},
+            good | {"id": {"a": 1}},
+            good | {"pool": [[]]},
+            good | {"zone": 7},
+        ]
+        client = platform.MachineClient(
+            FixedClient(encode({"machines": entries})), "10.0.0.7:1", "e"
+        )
+        (record,) = asyncio.run(client.list_machines())
         assert record.machine == "m1"
+        assert client.entries_ignored_ == len(entries) - 1
+
+    def test_nested_entry_is_skipped(self):
+        """The text of a nested entry could not be made, which ended the term.
+
+        The limit of nesting depends on the depth of the stack.
+        """
+        for levels in range(900, 1000):
+            nested = b"[" * levels + b"]" * levels
+            result = self.list(b'{"machines": [' + nested + b"]}")
+            # Deeper lists cannot be parsed at all.
+            assert result == () or isinstance(result, base.Refusal)
+
+    def test_page_token_that_cannot_be_encoded(self):
+        pages = [b'{"machines": [], "next-page-token": "\\ud800"}']
+        client = FixedClient(b'{"machines": []}')
+        fetch = client.fetch
+
+        async def fetch_pages(*arguments, **options):
+            answer = await fetch(*arguments, **options)
+            if pages:
+                return transport.Response(200, pages.pop(), None)
+            return answer
+
+        client.fetch = fetch_pages
+        machines = platform.MachineClient(client, "10.0.0.7:1", "e")
+        assert asyncio.run(machines.list_machines()) == ()
 
     @pytest.mark.parametrize("page", [{}, {"next-page-token": None}])
     def test_last_page_names_no_other(self, page):
@@ -295,9 +402,82 @@
         "start-at-ms": 0,
         "interval-ms": 0,
     }
-    ORDER = {"worker_id": "w", "address": "a:1", "token": 1}
+    ORDER = {"worker_id": "w", "address": "10.0.0.1:1", "token": 1}
     STATUSES = strategies.sampled_from([200, 400, 409, 412, 421, 500, 503])
 
+    @given(
+        messages(WORKER), strategies.text(max_size=6) | strategies.just("i-1")
+    )
+    def test_entries_of_the_list_of_workers(self, value, worker_id):
+        self.check_entry(worker_id, value)
+
+    @given(
+        strategies.one_of(
+            strategies.text(),
+            strategies.from_regex(r"[0-9.]{1,16}:\d{1,6}", fullmatch=True),
+            strategies.from_regex(
+                r"127\.0\.0\.[0-9]{1,3}:[0-9]{1,5}", fullmatch=True
+            ),
+        )
+    )
+    def test_addresses_of_workers(self, address):
+        self.check_entry("i-1", encode(WORKER | {"address": address}))
+
+    @given(strategies.text() | strategies.from_regex(r"[ -~]+", fullmatch=True))
+    def test_ids_of_workers(self, worker_id):
+        self.check_entry(worker_id, encode(WORKER))
+
+    def check_entry(self, worker_id, value):
+        """Checks that a worker that is decoded can be called."""
+        try:
+            worker = platform.decode_worker(worker_id, value)
+        except platform.MessageError:
+            return
+        assert min(worker.cpu_milli, worker.memory_mb, worker.gpus) >= 0
+        assert worker.start_time_ms >= 0
+        asyncio.run(self.call(worker))
+        scheduler = scheduling_fixtures.Fleet().scheduler
+        scheduler.observe_worker(worker, 1001.0)
+        scheduler.plan(1001.0, True)
+
+    async def call(self, worker):
+        """Checks what reaches a worker, on a connection that is given."""
+        heads = []
+
+        async def answer(reader, writer):
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            body = b'{"clock-ms": 5}'
+            length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+            writer.write(b"HTTP/1.1 200 OK\r\n" + length + body)
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        client = transport.Client()
+        # Connects to the server instead of the address in the entry.
+        client._find_peer(worker.address).endpoint = server.sockets[
+            0
+        ].getsockname()[:2]
+        order = scheduling.HoldOrder(
+            worker_id=worker.worker_id,
+            address=worker.address,
+            token=1,
+            last_seen=0,
+        )
+        report = await platform.WorkerClient(client).hold(order)
+        server.close()
+        assert isinstance(report, scheduling.WorkerReport)
+        lines = heads[0].decode("ascii").split("\r\n")
+        assert [line.partition(":")[0] for line in lines[1:]] == [
+            "Host",
+            "Content-Type",
+            "X-Expected-Instance",
+            "Content-Length",
+            "",
+            "",
+        ]
+        assert lines[1] == f"Host: {worker.address}"
+        assert lines[3] == f"X-Expected-Instance: {worker.worker_id}"
+
     @given(messages(REPORT), STATUSES)
     def test_answers_of_workers(self, body, status):
         client = platform.WorkerClient(FixedClient(body, status))
@@ -343,6 +523,21 @@
             if isinstance(job, scheduling.Job):
                 scheduling.decode_job(spec.job_id, job.encode(), 1)
 
+    def test_payload_with_a_lone_surrogate_is_kept(self):
+        """The error of its encoding was not a `MessageError`."""
+        body = b'{"spec": "\\ud800", "steps": [{"count": 1}]}'
+        spec = platform.decode_job("00000000000000a1", "race", body)
+        assert spec.payload == "\ud800"
+
+    @pytest.mark.parametrize("store_ms", ["1e400", "NaN", "9" * 400])
+    def test_clock_of_the_store_that_is_not_finite(self, store_ms):
+        body = b'{"rows": [], "ver": 1, "now-ms": @}'
+        client = platform.StoreClient(
+            FixedClient(body.replace(b"@", store_ms.encode())), "10.0.0.1:1"
+        )
+        assert isinstance(asyncio.run(client.read("t")), base.Refusal)
+        assert math.isfinite(client.now_ms())
+
     def test_job_with_too_many_occurrences_is_refused(self):
         body = encode(self.JOB | {"repeat-count": 10**9})
         with pytest.raises(platform.MessageError, match="repeat-count"):
