--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -63,7 +63,10 @@
 
     def write(self, table: str, key: str, content: dict) -> None:
         """Writes a row on behalf of the operator or a worker."""
-        value = json.dumps(content).encode()
+        self.write_bytes(table, key, json.dumps(content).encode())
+
+    def write_bytes(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row that may be unreadable."""
         self._apply([platform.StoredRow(table, "", key, value)], [], [])
 
     def remove(self, table: str, key: str) -> None:
@@ -201,6 +204,10 @@
         self.servers: list[httpserver.HTTPServer] = []
         # Tasks that crash the workers that start them.
         self.crashing_tasks: set[str] = set()
+        # Entries of another program in the list of workers, by their key.
+        self.foreign_entries: dict[str, bytes] = {}
+        # Entries that describe no machine in the list of machines, as JSON.
+        self.foreign_machines: list[str] = []
         # Time at which the order that is being applied was received.
         self.order_received_s = 0.0
         self.workers = [SimulatedWorker(self, n) for n in range(workers)]
@@ -284,12 +291,14 @@
         sequence = 0
         while True:
             sequence += 1
-            listed = set(self.models)
+            listed = set(self.models) | set(self.foreign_entries)
             for key in list(self.store.rows):
                 if key[0] == platform.WORKERS_TABLE and key[2] not in listed:
                     self.store.remove(*key[::2])
             for worker in self.workers:
                 worker.write_heartbeat(sequence)
+            for key, value in self.foreign_entries.items():
+                self.store.write_bytes(platform.WORKERS_TABLE, key, value)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     def now_ms(self) -> int:
@@ -406,24 +415,20 @@
     """Lists the machines."""
 
     async def get(self):
-        self.finish(
+        machines = [
             {
-                "machines": [
-                    {
-                        "machine": f"m{worker.number}",
-                        "pool": POOL,
-                        "state": "down" if worker.is_down else "up",
-                        "zone": "z",
-                        "id": (
-                            ""
-                            if worker.is_down
-                            else worker.model.record.worker_id
-                        ),
-                    }
-                    for worker in self.simulator.workers
-                ]
+                "machine": f"m{worker.number}",
+                "pool": POOL,
+                "state": "down" if worker.is_down else "up",
+                "zone": "z",
+                "id": ("" if worker.is_down else worker.model.record.worker_id),
             }
-        )
+            for worker in self.simulator.workers
+        ]
+        entries = [json.dumps(machine) for machine in machines]
+        entries += self.simulator.foreign_machines
+        self.set_header("Content-Type", "application/json")
+        self.finish(f'{{"machines": [{", ".join(entries)}]}}')
 
 
 class WorkerHandler(web.RequestHandler):
