Quarantine: workers start what fits nowhere else after a pause

Callers saw accepted tasks that could run and did not: a pool in which jobs that always fail, or long_running tasks that fail now and then, had run on every worker started nothing for 4, 8 or 16 s, however empty it was.

Cause: Worker.usable excludes a quarantined worker until a time. Nothing limited how many workers of a pool are quarantined at once, and where only long_running tasks run, no completed run ever clears the failures.

Now a quarantined worker starts what fits on no sound worker once its last failure is 2 s old, less than the 3 s in which the platform requires a start. Finite tasks, whose attempts are limited, do so only while less than half of the pool is in use. The report of an unhealthy worker no longer shortens its quarantine.

Before: test_a_task_starts_though_all_workers_are_in_quarantine fails with "assert 0 == 1" (no start after 3 s).

--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -141,7 +141,7 @@
     elif outcome is OUTCOMES.OUTDATED_RUN:
         run.task.last_run += 10
     elif outcome is OUTCOMES.UNHEALTHY:
-        worker.quarantined_until_s = now_s + 1.0
+        worker.observe_unhealthy(now_s)
 
 
 def observe_pace(
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -2,33 +2,62 @@
 
 import math
 
+import attrs
+
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _order_handling
 from baobabdoor.scheduling import _orders
+from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 from baobabdoor.scheduling import _worker_events
 
+# CPU utilization of a pool from which its finite tasks wait for sound workers.
+# The platform requires below it that a task starts if there is room.
+CROWDED_UTILIZATION = 0.5
+
+
+@attrs.define
+class _PoolWorkers:
+    """Workers of a pool that may start runs.
+
+    Attributes:
+        sound: Workers that are not quarantined.
+        last_resort: Workers that start only what fits on none of those.
+    """
+
+    sound: list[_worker.Worker] = attrs.field(factory=list)
+    last_resort: list[_worker.Worker] = attrs.field(factory=list)
+
 
 def place_tasks(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
     """Returns the starts for all tasks that can run, by priority."""
     orders: list[_orders.WorkerOrder] = []
     scheduler.trials.prepare(now_s)
-    pools: dict[str, list[_worker.Worker]] = {}
-    for worker in scheduler.workers.values():
-        if (
-            worker.usable(now_s)
-            and _worker_events.check_capacity_age(scheduler, worker, now_s)
-            and not scheduler.unneeded_runs.get(worker.worker_id)
-        ):
-            pools.setdefault(worker.record.pool, []).append(worker)
+    pools = _workers_by_pool(scheduler, now_s)
     for job in _jobs_by_priority(scheduler):
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is not None:
-            workers = pools.get(queue.pool, [])
+            workers = pools.get(queue.pool, _PoolWorkers())
             orders += _place_job(scheduler, job, workers, now_s)
     return orders
 
 
+def _workers_by_pool(scheduler, now_s: float) -> dict[str, _PoolWorkers]:
+    """Returns the workers that may start runs, by pool."""
+    pools: dict[str, _PoolWorkers] = {}
+    for worker in scheduler.workers.values():
+        worker.last_resort = worker.usable_as_last_resort(now_s)
+        if (
+            not (worker.last_resort or worker.usable(now_s))
+            or not _worker_events.check_capacity_age(scheduler, worker, now_s)
+            or scheduler.unneeded_runs.get(worker.worker_id)
+        ):
+            continue
+        pool = pools.setdefault(worker.record.pool, _PoolWorkers())
+        (pool.last_resort if worker.last_resort else pool.sound).append(worker)
+    return pools
+
+
 def _jobs_by_priority(scheduler) -> list[_job.Job]:
     """Returns active jobs, highest priority first.
 
@@ -64,7 +93,7 @@
 
 
 def _place_job(
-    scheduler, job: _job.Job, workers: list[_worker.Worker], now_s: float
+    scheduler, job: _job.Job, workers: _PoolWorkers, now_s: float
 ) -> list[_orders.WorkerOrder]:
     orders = []
     blocked = scheduler.inherited_blocked()
@@ -84,35 +113,78 @@
             and not scheduler.trials.must_wait(task)
             and not (blocked and task.inherited)
         ]
-        if not waiting:
-            continue
-        if job.spec.steps[number].gang:
-            started = _place_gang(scheduler, tasks, waiting, workers, now_s)
-        else:
-            started = _place_tasks(
-                scheduler, waiting, workers, due_workers, now_s
+        if waiting:
+            orders += _place_step(
+                scheduler, tasks, waiting, workers, due_workers, now_s
             )
-        if started:
-            _emit_starts(scheduler, waiting[0], started, now_s)
-        orders += started
     return orders
 
 
+def _place_step(
+    scheduler,
+    tasks: list[_job.Task],
+    waiting: list[_job.Task],
+    workers: _PoolWorkers,
+    due_workers: frozenset[str],
+    now_s: float,
+) -> list[_orders.WorkerOrder]:
+    """Starts the waiting tasks of a step as far as there is room."""
+    spec = waiting[0].spec
+    place = _place_gang if spec.gang else _place_tasks
+    started = place(
+        scheduler, tasks, waiting, workers.sound, due_workers, now_s
+    )
+    if len(started) < len(waiting) and _may_use_last_resort(
+        scheduler, spec, workers
+    ):
+        rest = [task for task in waiting if task.run is None]
+        candidates = workers.sound + workers.last_resort
+        started += place(scheduler, tasks, rest, candidates, due_workers, now_s)
+    if started:
+        _emit_starts(scheduler, waiting[0], started, now_s)
+    # Accused tasks may wait although there is room.
+    rest = [task for task in waiting if task.run is None and not task.accused]
+    if rest and spec.long_running and not spec.gang:
+        _report_shortage(scheduler, rest[0], len(rest))
+    return started
+
+
+def _may_use_last_resort(
+    scheduler, spec: _types.StepSpec, workers: _PoolWorkers
+) -> bool:
+    """Returns whether tasks that fit nowhere else use quarantined workers.
+
+    In a crowded pool, room on sound workers becomes free soon, but not from
+    `long_running` tasks.
+    """
+    if not workers.last_resort:
+        return False
+    pool = workers.last_resort[0].record.pool
+    return (
+        spec.long_running
+        or scheduler.maintenance.pool_utilization(pool) < CROWDED_UTILIZATION
+    )
+
+
 def _place_tasks(
-    scheduler, waiting, workers, due_workers: frozenset[str], now_s: float
+    scheduler,
+    tasks,
+    waiting,
+    workers,
+    due_workers: frozenset[str],
+    now_s: float,
 ) -> list[_orders.WorkerOrder]:
     """Starts the waiting tasks of a step until no worker has room."""
+    del tasks
     orders = []
     eligible = scheduler.advice.eligible_workers(waiting[0], workers, now_s)
-    for placed, task in enumerate(waiting):
+    for task in waiting:
         allowed = scheduler.trials.allowed_workers(task, eligible, now_s)
         worker = choose_worker(task, allowed, due_workers)
         if worker is None:
             if task.accused:
                 # The others may run where a suspect may not.
                 continue
-            if task.spec.long_running:
-                _report_shortage(scheduler, task, len(waiting) - placed)
             break
         orders.append(
             _order_handling.start_order(scheduler, worker, task, now_s)
@@ -168,7 +240,12 @@
 
 
 def _place_gang(
-    scheduler, tasks, waiting, workers, now_s: float
+    scheduler,
+    tasks,
+    waiting,
+    workers,
+    due_workers: frozenset[str],
+    now_s: float,
 ) -> list[_orders.WorkerOrder]:
     """Starts all tasks of a gang or none."""
     if len(waiting) != len(tasks):
@@ -182,19 +259,21 @@
         candidates = [
             worker for worker in allowed if not rack or rack_of(worker) == rack
         ]
-        orders = _try_gang(scheduler, waiting, candidates, now_s)
+        orders = _try_gang(scheduler, waiting, candidates, due_workers, now_s)
         if orders:
             break
     scheduler.trials.observe_gang_placement(tasks, workers, now_s)
     return orders
 
 
-def _try_gang(scheduler, tasks, workers, now_s: float):
+def _try_gang(
+    scheduler, tasks, workers, due_workers: frozenset[str], now_s: float
+):
     run_id = max(task.last_run for task in tasks)
     checkpoint = max(task.checkpoint for task in tasks)
     orders = []
     for task in tasks:
-        worker = choose_worker(task, workers)
+        worker = choose_worker(task, workers, due_workers)
         if worker is None:
             for placed in tasks[: len(orders)]:
                 owner = scheduler.workers[placed.run.worker_id]
@@ -267,6 +346,7 @@
             # the tasks on other workers can still be evicted.
             concentrated = 2 * _count_same_step(worker, task) >= spec.task_count
             key = (
+                worker.last_resort,
                 avoided,
                 worker.worker_id in due_workers,
                 remote,
@@ -276,7 +356,7 @@
                 worker.cpu_used,
             )
         else:
-            key = (avoided, remote, -worker.cpu_used)
+            key = (worker.last_resort, avoided, remote, -worker.cpu_used)
         if best is None or key < best_key:
             best, best_key = worker, key
     return best
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -20,6 +20,12 @@
 QUARANTINE_JOBS = 2
 QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 16.0
+# Time after a failure from which a quarantined worker gets tasks that fit on no
+# other worker. It is shorter than the 3 s within which the platform requires
+# that a task starts if there is room for it.
+QUARANTINE_PAUSE_S = 2.0
+# Quarantine of a worker that reports itself as unhealthy.
+UNHEALTHY_S = 1.0
 
 
 class Worker:
@@ -76,6 +82,10 @@
         self.failed_jobs: set[str] = set()
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until_s = -1e9
+        # When a run last failed there or it reported itself as unhealthy.
+        self.last_failure_s = -1e9
+        # Whether it starts only what fits on no other worker.
+        self.last_resort = False
         self.cpu_used = 0
         self.memory_used = 0
         self.gpus_used = 0
@@ -87,6 +97,21 @@
 
     def usable(self, now_s: float) -> bool:
         """Returns whether new runs may be sent to it."""
+        return self._accepts_starts(now_s) and not self._quarantined(now_s)
+
+    def usable_as_last_resort(self, now_s: float) -> bool:
+        """Returns whether it may start what fits on no other worker."""
+        paused = now_s - self.last_failure_s < QUARANTINE_PAUSE_S
+        return (
+            self._quarantined(now_s)
+            and not paused
+            and self._accepts_starts(now_s)
+        )
+
+    def _quarantined(self, now_s: float) -> bool:
+        return now_s < self.quarantined_until_s
+
+    def _accepts_starts(self, now_s: float) -> bool:
         return (
             self.fenced
             and self.enrolled
@@ -95,7 +120,6 @@
             and not self.cordoned
             and not self.record.draining
             and self.responsive(now_s)
-            and now_s >= self.quarantined_until_s
         )
 
     def responsive(self, now_s: float) -> bool:
@@ -217,6 +241,7 @@
 
     def observe_failure(self, job_id: str, now_s: float) -> bool:
         """Records a failed run; returns whether the worker is quarantined."""
+        self.last_failure_s = now_s
         self.failed_jobs.add(job_id)
         if len(self.failed_jobs) < QUARANTINE_JOBS:
             return False
@@ -225,3 +250,10 @@
         # After the quarantine a failure of one more job suffices.
         self.failed_jobs = {job_id}
         return True
+
+    def observe_unhealthy(self, now_s: float) -> None:
+        """Records that the worker reports itself as unhealthy."""
+        self.last_failure_s = now_s
+        self.quarantined_until_s = max(
+            self.quarantined_until_s, now_s + UNHEALTHY_S
+        )
--- /dev/null
+++ b/tests/test_scheduling_quarantine.py
@@ -0,0 +1,67 @@
+"""Tests of starts on workers in quarantine."""
+
+import scheduling_fixtures
+
+from baobabdoor import scheduling
+
+JOB = "00000000000000aa"
+FAILING = ("00000000000000f1", "00000000000000f2")
+# Time after which a task that could run must have started, in seconds.
+MAX_WAIT_S = 3.0
+
+
+def step(count=1, **fields):
+    return scheduling.StepSpec(count, cpu_milli=1000, **fields)
+
+
+class TestQuarantine:
+
+    def quarantine(self, fleet, *worker_ids):
+        """Fails runs of two jobs on workers."""
+        for job_id in FAILING:
+            spread = step(len(fleet.running), max_per_worker=1)
+            fleet.submit(job_id, [spread])
+            for order in fleet.accept(fleet.starts()):
+                if order.worker_id in worker_ids:
+                    fleet.end(
+                        order.worker_id, order.task, order.run_id, "failed"
+                    )
+            fleet.scheduler.cancel(job_id)
+            for order in fleet.plan():
+                fleet.answer(order, scheduling.OrderOutcome.ACCEPTED)
+                fleet.end(order.worker_id, order.task, order.run_id, "stopped")
+        return fleet
+
+    def test_a_task_starts_though_all_workers_are_in_quarantine(self):
+        """Guards against a pool that starts nothing for 4 to 16 s."""
+        fleet = self.quarantine(scheduling_fixtures.Fleet(), "w1", "w2")
+        fleet.submit(JOB, [step(long_running=True)])
+        assert not fleet.starts()
+        fleet.advance(MAX_WAIT_S - 0.5)
+        assert len(fleet.starts()) == 1
+
+    def test_a_task_prefers_a_worker_that_is_not_in_quarantine(self):
+        fleet = self.quarantine(scheduling_fixtures.Fleet(), "w1")
+        fleet.advance(MAX_WAIT_S - 0.5)
+        fleet.submit(JOB, [step(2, max_per_worker=1)])
+        first, second = fleet.accept(fleet.starts())
+        assert (first.worker_id, second.worker_id) == ("w2", "w1")
+
+    def test_a_failure_on_a_worker_in_quarantine_keeps_tasks_away_again(self):
+        """Guards against attempts that are used up at one faulty worker."""
+        fleet = self.quarantine(scheduling_fixtures.Fleet(["w1"]), "w1")
+        fleet.submit(JOB, [step()])
+        fleet.advance(MAX_WAIT_S - 0.5)
+        (order,) = fleet.accept(fleet.starts())
+        fleet.end(order.worker_id, order.task, order.run_id, "failed")
+        fleet.advance(1.0)
+        assert not fleet.starts()
+
+    def test_finite_tasks_of_a_crowded_pool_wait_for_sound_workers(self):
+        """Guards against attempts that fail while the others are in use."""
+        fleet = self.quarantine(scheduling_fixtures.Fleet(), "w1")
+        fleet.submit("00000000000000bb", [step(4)])
+        assert len(fleet.accept(fleet.starts())) == 4
+        fleet.advance(MAX_WAIT_S - 0.5)
+        fleet.submit(JOB, [step()])
+        assert not fleet.starts()
