Pools get a machine for tasks that never fit beside long_running ones

Callers would see an accepted job that never runs while most of its pool is free: each worker runs some long_running tasks, and a large task, or a gang that is wider than the pool, has room on none of them. The same holds where the only worker of a pool hangs or has shrunk.

Cause: only long_running tasks report a shortage of machines. Other tasks count by their demand for cores, which ignores in what pieces the cores are free, and the demand of a late job is 0, so that nothing changes any more.

Placement now also reports a shortage for a step that would fit on no worker in service even after all finite runs have ended. A task that only waits for such runs still gets no machine when its job is late, nor does one that is larger than every known worker.

Before: test_a_late_task_beside_long_running_tasks_gets_a_machine fails with "assert [] == ['results']", the test of a gang and that of a lost worker likewise.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -18,13 +18,16 @@
 
 @attrs.define
 class _PoolWorkers:
-    """Workers of a pool that may start runs.
+    """Workers of a pool.
 
     Attributes:
-        sound: Workers that are not quarantined.
-        last_resort: Workers that start only what fits on none of those.
+        members: Workers that may start runs, now or soon.
+        sound: Those that may start runs now and are not quarantined.
+        last_resort: Those that start only what fits on no sound one.
     """
 
+    members: list[_worker.Worker] = attrs.field(factory=list)
+
     sound: list[_worker.Worker] = attrs.field(factory=list)
     last_resort: list[_worker.Worker] = attrs.field(factory=list)
 
@@ -43,9 +46,12 @@
 
 
 def _workers_by_pool(scheduler, now_s: float) -> dict[str, _PoolWorkers]:
-    """Returns the workers that may start runs, by pool."""
+    """Returns the workers of each pool."""
     pools: dict[str, _PoolWorkers] = {}
     for worker in scheduler.workers.values():
+        pool = pools.setdefault(worker.record.pool, _PoolWorkers())
+        if worker.in_service(now_s):
+            pool.members.append(worker)
         worker.last_resort = worker.usable_as_last_resort(now_s)
         if (
             not (worker.last_resort or worker.usable(now_s))
@@ -53,7 +59,6 @@
             or scheduler.unneeded_runs.get(worker.worker_id)
         ):
             continue
-        pool = pools.setdefault(worker.record.pool, _PoolWorkers())
         (pool.last_resort if worker.last_resort else pool.sound).append(worker)
     return pools
 
@@ -142,10 +147,8 @@
         started += place(scheduler, tasks, rest, candidates, due_workers, now_s)
     if started:
         _emit_starts(scheduler, waiting[0], started, now_s)
-    # Accused tasks may wait although there is room.
-    rest = [task for task in waiting if task.run is None and not task.accused]
-    if rest and spec.long_running and not spec.gang:
-        _report_shortage(scheduler, rest[0], len(rest))
+    if len(started) < len(waiting):
+        _report_shortage(scheduler, waiting, workers.members)
     return started
 
 
@@ -211,10 +214,19 @@
     )
 
 
-def _report_shortage(scheduler, task: _job.Task, count: int) -> None:
-    """Reports how many machines unplaced `long_running` tasks require."""
-    spec = task.spec
-    queue = scheduler.configuration.queues[task.job.spec.queue]
+def _report_shortage(
+    scheduler, waiting: list[_job.Task], members: list[_worker.Worker]
+) -> None:
+    """Reports how many machines a pool lacks for the tasks of a step."""
+    spec = waiting[0].spec
+    if spec.long_running and not spec.gang:
+        # Accused tasks may wait although there is room.
+        count = sum(task.run is None and not task.accused for task in waiting)
+    else:
+        count = _unfit_count(scheduler, spec, members)
+    if not count:
+        return
+    queue = scheduler.configuration.queues[waiting[0].job.spec.queue]
     cores = scheduler.autoscaler.machine_cores()
     per_machine = count
     if spec.cpu_milli and not spec.fills:
@@ -224,6 +236,24 @@
     scheduler.report_shortage(queue.pool, math.ceil(count / per_machine))
 
 
+def _unfit_count(
+    scheduler, spec: _types.StepSpec, members: list[_worker.Worker]
+) -> int:
+    """Returns for how many tasks a pool never has room as it is.
+
+    Finite runs end, but `long_running` runs may leave no worker enough room. A
+    gang needs room for all of its tasks at once, any other step for one.
+    """
+    needed = spec.task_count if spec.gang else 1
+    for worker in members:
+        needed -= worker.lasting_slots(spec)
+        if needed <= 0:
+            return 0
+    # More machines are of no use if the tasks fit on none.
+    workers = scheduler.workers.values()
+    return needed if any(worker.could_fit(spec) for worker in workers) else 0
+
+
 def _is_runnable(scheduler, job: _job.Job, occurrence: int, step: int) -> bool:
     return (
         job.remaining[occurrence, step] > 0
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -89,6 +89,11 @@
         self.cpu_used = 0
         self.memory_used = 0
         self.gpus_used = 0
+        # The part of these that `long_running` runs use, which does not become
+        # free by itself.
+        self.cpu_held = 0
+        self.memory_held = 0
+        self.gpus_held = 0
 
     @property
     def worker_id(self) -> str:
@@ -204,10 +209,14 @@
             self._reserve(run.task.spec, -1)
 
     def _reserve(self, spec: _types.StepSpec, sign: int) -> None:
-        if not spec.fills:
-            self.cpu_used += sign * spec.cpu_milli
+        cpu = 0 if spec.fills else sign * spec.cpu_milli
+        self.cpu_used += cpu
         self.memory_used += sign * spec.memory_mb
         self.gpus_used += sign * spec.gpus
+        if spec.long_running:
+            self.cpu_held += cpu
+            self.memory_held += sign * spec.memory_mb
+            self.gpus_held += sign * spec.gpus
 
     def fits(self, spec: _types.StepSpec) -> bool:
         """Returns whether there is room for another task of a step."""
@@ -234,6 +243,29 @@
             )
         )
 
+    def lasting_slots(self, spec: _types.StepSpec) -> int:
+        """Returns how many tasks of a step fit once all finite runs ended."""
+        record = self.record
+        if spec.required_label and spec.required_label not in record.labels:
+            return 0
+        cpu = 0 if spec.fills else spec.cpu_milli
+        slots = spec.max_per_worker or spec.task_count
+        for free, needed in (
+            (record.cpu_milli - self.cpu_held, cpu),
+            (record.memory_mb - self.memory_held, spec.memory_mb),
+            (record.gpus - self.gpus_held, spec.gpus),
+        ):
+            if needed:
+                slots = min(slots, free // needed)
+        return max(0, slots)
+
+    def in_service(self, now_s: float) -> bool:
+        """Returns whether it is expected to start runs, now or soon."""
+        lost = self.silent and self.report_overdue(now_s)
+        return (
+            self.listed and not self.retired and not self.leaving and not lost
+        )
+
     def observe_success(self) -> None:
         """Records a completed run."""
         self.failed_jobs.clear()
--- a/tests/test_scheduling_autoscaler.py
+++ b/tests/test_scheduling_autoscaler.py
@@ -180,3 +180,66 @@
             pools.scheduler.workers[name].cordoned = True
         pools.fleet.now_s += 0.1
         assert [move.pool for move in pools.moves()] == [POOL, POOL]
+
+
+class TestTasksWithoutRoom:
+    """Jobs that are late count for no demand but must run at some time."""
+
+    def submit_late(self, pools, step):
+        """Submits a job and lets its objective pass."""
+        pools.fleet.submit(JOB, [step])
+        pools.fleet.advance(10)
+        pools.scheduler.store_ms += 10_000
+
+    def occupy(self, pools, count, cpu_milli, **fields):
+        """Starts `long_running` tasks, one on each worker."""
+        spread = scheduling.StepSpec(
+            count, cpu_milli, max_per_worker=1, long_running=True, **fields
+        )
+        pools.fleet.submit("00000000000000ee", [spread])
+        starts = pools.fleet.accept(pools.fleet.starts(), percent=100)
+        assert len(starts) == count
+
+    def moves_after_a_start(self, pools):
+        assert not pools.fleet.starts()
+        return [move.pool for move in pools.moves()]
+
+    def test_a_late_task_beside_long_running_tasks_gets_a_machine(self):
+        """Guards against a task that waits for ever in a pool with room."""
+        pools = Pools(count=2)
+        self.occupy(pools, 2, 1500)
+        self.submit_late(pools, scheduling.StepSpec(3, cpu_milli=3000))
+        assert self.moves_after_a_start(pools) == [POOL]
+
+    def test_a_late_task_that_waits_for_finite_tasks_gets_none(self):
+        """Guards against machines for jobs that have lost their value."""
+        pools = Pools(count=1)
+        filler = scheduling.StepSpec(1, cpu_milli=3000, estimate_ms=90_000)
+        pools.fleet.submit("00000000000000ee", [filler])
+        pools.fleet.accept(pools.fleet.starts())
+        self.submit_late(pools, scheduling.StepSpec(3, cpu_milli=3000))
+        assert self.moves_after_a_start(pools) == []
+
+    def test_a_late_gang_wider_than_its_pool_gets_machines(self):
+        """Guards against a gang that never fits into its pool."""
+        pools = Pools(count=1)
+        gang = scheduling.StepSpec(5, cpu_milli=2000, gang=True)
+        self.submit_late(pools, gang)
+        assert self.moves_after_a_start(pools) == [POOL, POOL]
+
+    def test_a_task_larger_than_every_machine_gets_none(self):
+        """Guards against machines on none of which the task fits."""
+        pools = Pools(count=1)
+        self.submit_late(pools, scheduling.StepSpec(1, cpu_milli=9000))
+        assert self.moves_after_a_start(pools) == []
+
+    def test_a_late_task_in_a_pool_whose_worker_is_lost_gets_a_machine(self):
+        """Guards against a silent worker that counts as room."""
+        pools = Pools(count=2)
+        self.submit_late(pools, scheduling.StepSpec(1, cpu_milli=3000))
+        for worker_id in pools.fleet.running:
+            pools.scheduler.observe_no_response(
+                worker_id, pools.fleet.now_s + 0.1
+            )
+        pools.fleet.now_s += 5
+        assert self.moves_after_a_start(pools) == [POOL]
