Tickets: what the advice service said is kept for each worker

Callers of a queue with advice would see accepted tasks that never start although workers that may run them have room: - a request always names the 30 workers that use least CPU; if none of these is allowed, no other worker is ever asked about; - nothing is requested while a worker with a ticket has room, even if max_per_worker keeps the tasks off it; - a newer answer prolongs tickets of older ones, and a ticket of an earlier life of a worker stays in use. Besides, a request that failed was repeated in each planning pass.

Cause: tickets were kept by step, with one time of validity for all of them, and refusals were not kept at all.

Now the advice on each life of a worker is kept with its own validity. Tickets are requested when a step could not be placed: first for workers with room that are not refused, at once if a ticket would open room, else once a second. A ticket that its worker refuses is dropped.

Before: the tests of workers beyond the first request, of a spread step, of an earlier life, of a refused ticket, of full workers and of a failed request fail, the first with "not enough values to unpack (expected 1, got 0)" (no second request).

--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -142,6 +142,8 @@
         run.task.last_run += 10
     elif outcome is OUTCOMES.UNHEALTHY:
         worker.observe_unhealthy(now_s)
+    elif outcome is OUTCOMES.NO_TICKET:
+        scheduler.advice.discard(run.task, worker)
 
 
 def observe_pace(
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -192,6 +192,8 @@
         orders.append(
             _order_handling.start_order(scheduler, worker, task, now_s)
         )
+    if len(orders) < len(waiting):
+        scheduler.advice.request_tickets(waiting[0], workers, now_s)
     return orders
 
 
--- a/tests/test_scheduling_advice_and_pace.py
+++ b/tests/test_scheduling_advice_and_pace.py
@@ -11,8 +11,8 @@
 
 class TestAdvice:
 
-    def fleet(self):
-        fleet = scheduling_fixtures.Fleet()
+    def fleet(self, worker_ids=("w1", "w2"), step=None):
+        fleet = scheduling_fixtures.Fleet(worker_ids)
         configuration = fleet.scheduler.configuration
         queue = configuration.queues[scheduling_fixtures.QUEUE]
         with_advice = attrs.evolve(
@@ -21,9 +21,19 @@
         fleet.scheduler.configuration = attrs.evolve(
             configuration, queues={with_advice.name: with_advice}
         )
-        fleet.submit(JOB, [scheduling.StepSpec(2, cpu_milli=1000)])
+        fleet.submit(JOB, [step or scheduling.StepSpec(2, cpu_milli=1000)])
         return fleet
 
+    def ask(self, fleet):
+        """Returns the request that follows when nothing can start."""
+        assert not fleet.starts()
+        (request,) = fleet.scheduler.advice.take_requests()
+        return request
+
+    def allow(self, fleet, request, *worker_ids):
+        tickets = {worker_id: f"t-{worker_id}" for worker_id in worker_ids}
+        fleet.scheduler.advice.observe(request, tickets, 3.0, fleet.now_s)
+
     def test_tasks_start_with_a_ticket_on_eligible_workers(self):
         fleet = self.fleet()
         assert not fleet.starts()
@@ -54,6 +64,73 @@
         fleet.starts()
         assert len(fleet.scheduler.advice.take_requests()) == 1
 
+    def test_a_failed_request_is_not_repeated_at_once(self):
+        """Guards against a request in each planning pass."""
+        fleet = self.fleet()
+        request = self.ask(fleet)
+        fleet.scheduler.advice.observe(request, None, 0.0, fleet.now_s)
+        fleet.now_s += 0.1
+        assert not fleet.starts()
+        assert not fleet.scheduler.advice.take_requests()
+
+    def test_workers_beyond_the_first_request_are_asked_about(self):
+        """Guards against a step allowed on none of the 30 idlest workers."""
+        names = [f"w{number}" for number in range(40)]
+        fleet = self.fleet(names)
+        first = self.ask(fleet)
+        self.allow(fleet, first)
+        second = self.ask(fleet)
+        assert {*first.workers, *second.workers} == {*names}
+        self.allow(fleet, second, second.workers[0])
+        assert {order.worker_id for order in fleet.starts()} == {
+            second.workers[0]
+        }
+
+    def test_no_ticket_is_requested_while_allowed_workers_are_full(self):
+        """Guards against a call each second about workers that are refused."""
+        fleet = self.fleet()
+        self.allow(fleet, self.ask(fleet), "w2")
+        fleet.submit(OTHER, [scheduling.StepSpec(1, cpu_milli=4000)])
+        self.allow(fleet, self.ask_after_starts(fleet), "w2")
+        fleet.now_s += 1.2
+        assert not fleet.starts()
+        assert not fleet.scheduler.advice.take_requests()
+
+    def ask_after_starts(self, fleet):
+        assert len(fleet.accept(fleet.starts())) == 2
+        (request,) = fleet.scheduler.advice.take_requests()
+        return request
+
+    def test_a_step_that_is_spread_gets_tickets_for_further_workers(self):
+        """Guards against tasks that wait for a second allowed worker."""
+        names = [f"w{number}" for number in range(31)]
+        fleet = self.fleet(
+            names, scheduling.StepSpec(2, cpu_milli=1000, max_per_worker=1)
+        )
+        request = self.ask(fleet)
+        self.allow(fleet, request, request.workers[0])
+        (left,) = {*names} - {*request.workers}
+        assert len(fleet.accept(fleet.starts())) == 1
+        (request,) = fleet.scheduler.advice.take_requests()
+        assert request.workers == (left,)
+
+    def test_a_ticket_of_an_earlier_life_is_not_used(self):
+        """Guards against starts that are refused until it expires."""
+        fleet = self.fleet()
+        self.allow(fleet, self.ask(fleet), "w2")
+        fleet.now_s += 0.1
+        fleet.report("w2", start_time_ms=2)
+        assert "w2" in self.ask(fleet).workers
+
+    def test_a_ticket_that_was_refused_is_requested_again(self):
+        """Guards against starts with a ticket that its worker refuses."""
+        fleet = self.fleet()
+        self.allow(fleet, self.ask(fleet), "w2")
+        for order in fleet.starts():
+            fleet.answer(order, scheduling.OrderOutcome.NO_TICKET)
+        fleet.advance(1.5)
+        assert "w2" in self.ask(fleet).workers
+
 
 class TestPace:
 
