Gangs start with tickets of the advice service

A gang of a queue with advice never started: placement chose its workers without regard to the advice and sent each start without a ticket, so that every worker refused it, again each 0.15 s. No tickets were requested.

Gangs now choose among the workers with tickets and request them as other steps do.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -282,7 +282,8 @@
     """Starts all tasks of a gang or none."""
     if len(waiting) != len(tasks):
         return []
-    allowed = scheduler.trials.allowed_gang_workers(tasks, workers, now_s)
+    eligible = scheduler.advice.eligible_workers(tasks[0], workers, now_s)
+    allowed = scheduler.trials.allowed_gang_workers(tasks, eligible, now_s)
     racks = {""}
     if tasks[0].spec.rack_sensitive:
         racks = {rack_of(worker) for worker in allowed}
@@ -294,6 +295,8 @@
         orders = _try_gang(scheduler, waiting, candidates, due_workers, now_s)
         if orders:
             break
+    if not orders:
+        scheduler.advice.request_tickets(tasks[0], workers, now_s)
     scheduler.trials.observe_gang_placement(tasks, workers, now_s)
     return orders
 
--- a/tests/test_scheduling_advice_and_pace.py
+++ b/tests/test_scheduling_advice_and_pace.py
@@ -73,6 +73,15 @@
         assert not fleet.starts()
         assert not fleet.scheduler.advice.take_requests()
 
+    def test_a_gang_starts_with_tickets(self):
+        """Guards against a gang whose starts are always refused."""
+        fleet = self.fleet(
+            step=scheduling.StepSpec(2, cpu_milli=1000, gang=True)
+        )
+        self.allow(fleet, self.ask(fleet), "w2")
+        orders = fleet.starts()
+        assert [order.ticket for order in orders] == ["t-w2", "t-w2"]
+
     def test_workers_beyond_the_first_request_are_asked_about(self):
         """Guards against a step allowed on none of the 30 idlest workers."""
         names = [f"w{number}" for number in range(40)]
