A gang that finds no room uses no run numbers

Each planning pass that could not place a gang raised the run numbers of its tasks by one, ten and more times a second. A term has 1000 numbers, so a gang that waits for half a minute runs into those of the next term: its members would be refused as old there while the others start and end `alone`. It also dropped what is known of inherited runs, and wrote the job once per pass if a crash is held against a member.

Cause: _try_gang built the orders of all members before it knew whether each has a worker.

Now workers are chosen for all members first; orders are built only then.

Before: test_a_gang_without_room_uses_no_run_numbers finds run number 1100 after 1100 passes, expected 0.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -304,21 +304,27 @@
 def _try_gang(
     scheduler, tasks, workers, due_workers: frozenset[str], now_s: float
 ):
-    run_id = max(task.last_run for task in tasks)
-    checkpoint = max(task.checkpoint for task in tasks)
-    orders = []
+    reserved: list[tuple[_worker.Worker, _job.Run]] = []
     for task in tasks:
         worker = choose_worker(task, workers, due_workers)
         if worker is None:
-            for placed in tasks[: len(orders)]:
-                owner = scheduler.workers[placed.run.worker_id]
-                owner.remove_run(placed.run)
-                placed.run = None
-            return []
-        task.last_run = run_id
-        task.checkpoint = checkpoint
+            break
+        # Takes up room until all members have a worker.
+        run = _job.Run(task, 0, worker.worker_id, now_s)
+        worker.add_run(run)
+        reserved.append((worker, run))
+    for worker, run in reserved:
+        worker.remove_run(run)
+    if len(reserved) < len(tasks):
+        return []
+    run_id = max(task.last_run for task in tasks)
+    checkpoint = max(task.checkpoint for task in tasks)
+    orders = []
+    for worker, run in reserved:
+        run.task.last_run = run_id
+        run.task.checkpoint = checkpoint
         orders.append(
-            _order_handling.start_order(scheduler, worker, task, now_s)
+            _order_handling.start_order(scheduler, worker, run.task, now_s)
         )
     return orders
 
--- a/tests/test_scheduling_gangs.py
+++ b/tests/test_scheduling_gangs.py
@@ -41,3 +41,11 @@
         first, _ = fleet.accept(fleet.starts())
         fleet.end(first.worker_id, first.task, first.run_id)
         assert job.state is scheduling.JobState.COMPLETED
+
+    def test_a_gang_without_room_uses_no_run_numbers(self):
+        """Guards against numbers that reach those of the next term."""
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [self.gang(5)])
+        for _ in range(1100):
+            assert not fleet.starts()
+        assert {task.last_run for task in job.tasks()} == {0}
