A rack-sensitive gang starts on several racks if none has room

Callers would see an accepted gang that never starts in an empty pool: if its machines are on different racks, as moves leave them, or the gang is wider than a rack, no single rack ever has room for it.

Cause: placement took rack-sensitive to mean that the tasks must run on one rack. The platform's protocol says that they run more slowly on several.

A gang still prefers one rack and waits up to 1 s for it while there is room on several; it does not wait if no rack could hold it even without finite runs.

--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -88,6 +88,8 @@
             an earlier term stored; `None` if there is none.
         trial_wanted_s: Time from which a suspect waits for a worker that
             starts nothing else; `None` if it does not.
+        rack_wanted_s: Time from which the first task of a gang has room, but
+            not on one rack; `None` if it has not.
         lost_runs: Number of runs in this term that ended without a record.
         given_up: Whether it is not started again because it crashes its
             workers, while the other tasks of its job go on.
@@ -110,6 +112,7 @@
     accused_revision: int = 0
     stored_trial: tuple[str, int, str] | None = None
     trial_wanted_s: float | None = None
+    rack_wanted_s: float | None = None
     lost_runs: int = 0
     given_up: bool = False
 
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -14,6 +14,9 @@
 # CPU utilization of a pool from which its finite tasks wait for sound workers.
 # The platform requires below it that a task starts if there is room.
 CROWDED_UTILIZATION = 0.5
+# Time for which a gang waits for room on one rack while there is room on
+# several: less than the 3 s within which the platform requires a start.
+MAX_RACK_WAIT_S = 1.0
 
 
 @attrs.define
@@ -284,47 +287,83 @@
         return []
     eligible = scheduler.advice.eligible_workers(tasks[0], workers, now_s)
     allowed = scheduler.trials.allowed_gang_workers(tasks, eligible, now_s)
-    racks = {""}
     if tasks[0].spec.rack_sensitive:
-        racks = {rack_of(worker) for worker in allowed}
-    orders: list[_orders.WorkerOrder] = []
-    for rack in sorted(racks):
-        candidates = [
-            worker for worker in allowed if not rack or rack_of(worker) == rack
-        ]
-        orders = _try_gang(scheduler, waiting, candidates, due_workers, now_s)
-        if orders:
-            break
+        chosen = _choose_one_rack(waiting, allowed, due_workers, now_s)
+    else:
+        chosen = _choose_gang_workers(waiting, allowed, due_workers)
+    orders = _start_gang(scheduler, waiting, chosen, now_s)
     if not orders:
         scheduler.advice.request_tickets(tasks[0], workers, now_s)
     scheduler.trials.observe_gang_placement(tasks, workers, now_s)
     return orders
 
 
-def _try_gang(
-    scheduler, tasks, workers, due_workers: frozenset[str], now_s: float
-):
+def _choose_one_rack(
+    tasks, workers, due_workers: frozenset[str], now_s: float
+) -> list[_worker.Worker]:
+    """Returns workers of one rack for all tasks of a gang.
+
+    If no rack can hold the gang, or none has room for it for some time, the
+    workers are on several racks: the gang then runs more slowly.
+    """
+    first = tasks[0]
+    racks: dict[str, list[_worker.Worker]] = {}
+    for worker in workers:
+        racks.setdefault(rack_of(worker), []).append(worker)
+    for rack in sorted(racks):
+        chosen = _choose_gang_workers(tasks, racks[rack], due_workers)
+        if chosen:
+            first.rack_wanted_s = None
+            return chosen
+    spread = _choose_gang_workers(tasks, workers, due_workers)
+    if not spread:
+        first.rack_wanted_s = None
+        return []
+    if first.rack_wanted_s is None:
+        first.rack_wanted_s = now_s
+    one_is_enough = any(
+        sum(worker.lasting_slots(first.spec) for worker in members)
+        >= len(tasks)
+        for members in racks.values()
+    )
+    if one_is_enough and now_s - first.rack_wanted_s < MAX_RACK_WAIT_S:
+        return []
+    first.rack_wanted_s = None
+    return spread
+
+
+def _choose_gang_workers(
+    tasks, workers, due_workers: frozenset[str]
+) -> list[_worker.Worker]:
+    """Returns a worker for each task of a gang; none if one has no room."""
     reserved: list[tuple[_worker.Worker, _job.Run]] = []
     for task in tasks:
         worker = choose_worker(task, workers, due_workers)
         if worker is None:
             break
         # Takes up room until all members have a worker.
-        run = _job.Run(task, 0, worker.worker_id, now_s)
+        run = _job.Run(task, 0, worker.worker_id, 0.0)
         worker.add_run(run)
         reserved.append((worker, run))
     for worker, run in reserved:
         worker.remove_run(run)
     if len(reserved) < len(tasks):
         return []
+    return [worker for worker, _ in reserved]
+
+
+def _start_gang(
+    scheduler, tasks, workers: list[_worker.Worker], now_s: float
+) -> list[_orders.WorkerOrder]:
+    """Starts the tasks of a gang under one number, if they have workers."""
     run_id = max(task.last_run for task in tasks)
     checkpoint = max(task.checkpoint for task in tasks)
     orders = []
-    for worker, run in reserved:
-        run.task.last_run = run_id
-        run.task.checkpoint = checkpoint
+    for task, worker in zip(tasks, workers, strict=False):
+        task.last_run = run_id
+        task.checkpoint = checkpoint
         orders.append(
-            _order_handling.start_order(scheduler, worker, run.task, now_s)
+            _order_handling.start_order(scheduler, worker, task, now_s)
         )
     return orders
 
--- a/baobabdoor/scheduling/_types.py
+++ b/baobabdoor/scheduling/_types.py
@@ -35,7 +35,8 @@
         after: Indices of the steps that must be done first.
         checkpointing: Whether tasks write checkpoints.
         gang: Whether all tasks must run at the same time.
-        rack_sensitive: Whether all tasks of a gang must run on one rack.
+        rack_sensitive: Whether the tasks of a gang run more slowly on several
+            racks than on one.
         required_label: Label that a worker must have; empty for none.
         data_rack: Preferred rack, which holds the data; empty for none.
         max_per_worker: Maximum tasks of the step on one worker; 0 for no
--- a/tests/test_scheduling_gangs.py
+++ b/tests/test_scheduling_gangs.py
@@ -35,6 +35,29 @@
         orders = fleet.starts()
         assert {order.worker_id for order in orders} == {"w0", "w1"}
 
+    def racks(self, count):
+        """Returns a fleet with one worker on each rack."""
+        fleet = scheduling_fixtures.Fleet([])
+        for number in range(count):
+            fleet.add_worker(f"w{number}", labels=frozenset((f"r-{number}",)))
+        return fleet
+
+    def test_a_rack_sensitive_gang_wider_than_every_rack_starts(self):
+        """Guards against a gang that waits for ever in an empty pool."""
+        fleet = self.racks(4)
+        fleet.submit(JOB, [self.gang(4, rack_sensitive=True)])
+        assert len(fleet.starts()) == 4
+
+    def test_a_rack_sensitive_gang_waits_for_one_rack_for_a_moment(self):
+        fleet = self.racks(2)
+        task = scheduling.StepSpec(2, cpu_milli=1000, max_per_worker=1)
+        fleet.submit("00000000000000b2", [task])
+        fleet.accept(fleet.starts())
+        fleet.submit(JOB, [self.gang(2, rack_sensitive=True)])
+        assert not fleet.starts()
+        fleet.advance(1.0)
+        assert len(fleet.starts()) == 2
+
     def test_one_completed_run_completes_the_gang(self):
         fleet = scheduling_fixtures.Fleet()
         job = fleet.submit(JOB, [self.gang(2)])
