A gang that lacks a member is stopped and starts again

Callers would see a gang that runs nothing for the gang timeout (3 to 4 s) and starts anew, and the platform would see members that end `alone`, as the GANG rule forbids.

Cause: if the start of one member is refused or has no answer, only this member is released or stopped. The others keep waiting for it, and a gang starts only when all of its tasks are free.

Now the remaining members are stopped as soon as one has no run or is being stopped, checked with the stalls every 0.2 s. While runs of earlier terms may be unreported, inherited gangs are left alone.

--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -15,6 +15,7 @@
 from baobabdoor.scheduling import _autoscaler
 from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _estimates
+from baobabdoor.scheduling import _gangs
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _maintenance
 from baobabdoor.scheduling import _order_handling
@@ -465,6 +466,7 @@
         ):
             self.stalls_checked_s = now_s
             _stalls.stop_stalled_runs(self, now_s)
+            _gangs.stop_incomplete_gangs(self)
         orders = _order_handling.plan_stops(self, now_s)
         orders += _pacing.plan_paces(self, now_s)
         if may_start:
--- a/tests/test_scheduling_gangs.py
+++ b/tests/test_scheduling_gangs.py
@@ -72,3 +72,65 @@
         for _ in range(1100):
             assert not fleet.starts()
         assert {task.last_run for task in job.tasks()} == {0}
+
+
+class TestIncompleteGangs:
+
+    def incomplete(self, outcome):
+        """Starts a gang of which one member has no accepted start."""
+        fleet = scheduling_fixtures.Fleet()
+        gang = scheduling.StepSpec(
+            2, cpu_milli=2000, gang=True, max_per_worker=1
+        )
+        fleet.submit(JOB, [gang])
+        first, second = fleet.starts()
+        fleet.accept([first])
+        fleet.answer(second, outcome)
+        return fleet, first
+
+    def stops(self, fleet):
+        fleet.now_s += 0.2
+        return [
+            order.task
+            for order in fleet.plan()
+            if isinstance(order, scheduling.StopOrder)
+        ]
+
+    def test_the_others_stop_if_a_member_is_refused(self):
+        """Guards against members that wait and end `alone`."""
+        fleet, first = self.incomplete(scheduling.OrderOutcome.NO_ROOM)
+        assert self.stops(fleet) == [first.task]
+        fleet.end(first.worker_id, first.task, first.run_id, "stopped")
+        fleet.now_s += 0.2
+        assert len(fleet.starts()) == 2
+
+    def test_the_others_stop_if_the_start_of_a_member_has_no_answer(self):
+        """Guards against members that wait for a start that was stopped."""
+        fleet, first = self.incomplete(scheduling.OrderOutcome.UNKNOWN)
+        assert first.task in self.stops(fleet)
+
+    def test_a_complete_gang_goes_on(self):
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [scheduling.StepSpec(2, cpu_milli=2000, gang=True)])
+        fleet.accept(fleet.starts())
+        fleet.advance(1)
+        assert not self.stops(fleet)
+
+    def test_a_gang_waits_for_reports_to_the_next_leader(self):
+        """Guards against a gang that is stopped at a change of the leader."""
+        fleet = scheduling_fixtures.Fleet()
+        gang = scheduling.StepSpec(
+            2, cpu_milli=2000, gang=True, max_per_worker=1
+        )
+        job = fleet.submit(JOB, [gang])
+        orders = fleet.accept(fleet.starts())
+        successor = scheduling_fixtures.Fleet([], term=1)
+        successor.scheduler.load_job(JOB, job.encode(), 1)
+        successor.running, successor.ended = fleet.running, fleet.ended
+        successor.scheduler.unfenced |= fleet.running.keys()
+        for order in orders:
+            record = scheduling_fixtures.record(order.worker_id)
+            successor.scheduler.observe_worker(record, successor.now_s)
+            successor.report(order.worker_id)
+            assert not self.stops(successor)
+        assert not successor.scheduler.unfenced
