A start that a worker refuses is sent to another one

A task whose start a worker refuses (no room, bad request, no permit in time) would wait although other workers are free: after 0.15 s it was sent to the same worker again, for as long as that worker is the best choice. A worker that is more in use is a better choice (best fit), so one whose room the leader overestimates attracts the starts.

Refusing workers are now avoided, like those on which the task failed, until a start is accepted. They stay a last choice.

Before: test_a_refused_start_is_sent_to_another_worker fails with "assert ['w1', 'w1', 'w1'] == ['w1', 'w2', 'w3']".

--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -79,6 +79,8 @@
         checkpoint: Latest checkpoint; empty for none.
         retry_at_s: Earliest time of the next start.
         avoided_workers: Workers on which it failed or stalled.
+        refusing_workers: Workers that have refused its start since one was
+            accepted.
         inherited: Whether an unreported run of an earlier term may exist.
         crashes: Crashes of workers that certainly ran the task.
         start_crashes: Crashes right after a start of the task, which may not
@@ -106,6 +108,7 @@
     checkpoint: str = ""
     retry_at_s: float = 0.0
     avoided_workers: frozenset[str] = frozenset()
+    refusing_workers: frozenset[str] = frozenset()
     inherited: bool = False
     crashes: frozenset[str] = frozenset()
     start_crashes: frozenset[str] = frozenset()
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -104,6 +104,7 @@
     if outcome is OUTCOMES.ACCEPTED:
         worker.observe_response(now_s)
         run.task.job.started = True
+        run.task.refusing_workers = frozenset()
         clock_ms = result.clock_ms or worker.clock_ms
         # A run of unknown outcome is being stopped in the worker's next
         # incarnation; a late response of the previous one confirms nothing.
@@ -136,6 +137,7 @@
         return
     scheduler.release_run(worker, run, outcome.value)
     run.task.retry_at_s = now_s + RETRY_DELAY_S
+    run.task.refusing_workers |= {worker.worker_id}
     if outcome is OUTCOMES.FENCED:
         scheduler.fenced_off = True
     elif outcome is OUTCOMES.OUTDATED_RUN:
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -412,7 +412,10 @@
         remote = bool(
             spec.data_rack and spec.data_rack not in worker.record.labels
         )
-        avoided = worker.worker_id in task.avoided_workers
+        avoided = (
+            worker.worker_id in task.avoided_workers
+            or worker.worker_id in task.refusing_workers
+        )
         if spec.long_running:
             long_running = [
                 run
--- a/tests/test_scheduling_capacity.py
+++ b/tests/test_scheduling_capacity.py
@@ -117,3 +117,30 @@
         names = [event.name for event in fleet.scheduler.events]
         assert names.count("capacity_outdated") == 1
         assert names.count("capacity_known") == 1
+
+
+class TestRefusedStarts:
+
+    def refuse(self, fleet, outcome):
+        (order,) = fleet.starts()
+        fleet.answer(order, outcome)
+        fleet.now_s += 0.2
+        return order.worker_id
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            scheduling.OrderOutcome.NO_ROOM,
+            scheduling.OrderOutcome.INVALID,
+            scheduling.OrderOutcome.WITHHELD,
+        ],
+    )
+    def test_a_refused_start_is_sent_to_another_worker(self, outcome):
+        """Guards against one worker that is tried for ever."""
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3"])
+        fleet.submit(JOB, [scheduling.StepSpec(1, cpu_milli=1000)])
+        refused = [self.refuse(fleet, outcome) for _ in range(3)]
+        assert sorted(refused) == ["w1", "w2", "w3"]
+        assert len(fleet.accept(fleet.starts())) == 1
+        (task,) = fleet.scheduler.jobs[JOB].tasks()
+        assert not task.refusing_workers
