Admission: a shrunk worker takes no capacity from the others

While workers are shrunk, more jobs were rejected than the pool's free cores explain: a worker that runs more long_running tasks than its capacity now allows counted with a negative number of free cores, which was taken off those of the other workers.

Each worker now counts with at least 0.

Before: test_a_shrunk_worker_takes_no_capacity_from_others fails with "assert 1.0 == 4.0".

--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -142,11 +142,8 @@
         total = 0
         for worker in self.scheduler.workers.values():
             if worker.record.pool == pool and worker.usable(now_s):
-                total += worker.record.cpu_milli
-                for run in worker.runs.values():
-                    spec = run.task.spec
-                    if spec.long_running and not spec.fills:
-                        total -= spec.cpu_milli
+                # A worker that has shrunk may run more than its capacity.
+                total += max(0, worker.record.cpu_milli - worker.cpu_held)
         return total / 1000
 
     def backlog_core_s(self, pool: str) -> tuple[float, float]:
--- a/tests/test_scheduling_capacity.py
+++ b/tests/test_scheduling_capacity.py
@@ -71,6 +71,19 @@
         fleet.write_entry(4000)
         assert len(fleet.accept(fleet.starts())) == 3
 
+    def test_a_shrunk_worker_takes_no_capacity_from_others(self):
+        """Guards against jobs rejected for room that others have."""
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        lasting = scheduling.StepSpec(4, cpu_milli=1000, long_running=True)
+        fleet.submit(JOB, [lasting])
+        assert len(fleet.accept(fleet.starts())) == 4
+        fleet.add_worker("w2")
+        record = scheduling_fixtures.record("w1", cpu_milli=1000)
+        fleet.scheduler.observe_worker(record, fleet.now_s)
+        admission = fleet.scheduler.admission
+        pool = scheduling_fixtures.POOL
+        assert admission.capacity_cores(pool, fleet.now_s) == 4.0
+
 
 class TestOutdatedEntries:
 
