Waves: a machine that crashed does not hold up the others

Callers could see a small pool start nothing for the rest of a wave, and operators a wave that never goes on: its next machine stays cordoned and empty.

Cause: a machine that crashes while it is drained, or after its maintenance, and does not come back counts as down for the wave without limit. At the maximum, the machine that is drained ahead waits for its turn, and cordoned machines start nothing.

A machine that the list shows as crashed (`down`, not `upkeep`) now gives up its turn and is drained again once it is up. If an order to it may have been carried out, it counts as down until a definite answer. If its maintenance had begun, it is done once the maintenance must be over.

Before: test_a_machine_that_crashed_does_not_hold_up_the_others gets an order for the crashed machine again, and test_a_machine_that_crashed_after_its_maintenance_is_done finds it down.

--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -53,6 +53,7 @@
         retry_at_s: Earliest time of the next order.
         worker_id: Worker on the machine before the maintenance.
         order_pending: Whether an order awaits its response.
+        maybe_ordered: Whether an order may have been carried out unnoticed.
         accepted_s: Time at which an order was accepted; a list that was
             requested earlier does not show its effect.
     """
@@ -62,6 +63,7 @@
     retry_at_s: float = 0.0
     worker_id: str = ""
     order_pending: bool = False
+    maybe_ordered: bool = False
     accepted_s: float = -1e9
 
 
@@ -117,6 +119,7 @@
             if machine in self.targets:
                 self.targets[machine].phase = Phase(phase)
                 self.targets[machine].worker_id = worker_id
+                self.targets[machine].maybe_ordered = True
         self.mark_saved(value)
 
     def mark_saved(self, value: bytes) -> None:
@@ -217,6 +220,8 @@
         if record is None:
             # The machine was removed for good.
             target.phase = Phase.DONE
+        elif record.state is _types.MachineState.DOWN:
+            self._observe_crashed(target, requested_s)
         elif record.state is not _types.MachineState.UP:
             return
         elif target.phase is Phase.DOWN:
@@ -230,6 +235,24 @@
             target.phase = Phase.DRAINING
             target.worker_id = record.worker_id
 
+    def _observe_crashed(
+        self, target: MaintenanceTarget, requested_s: float
+    ) -> None:
+        """Handles a machine that is listed as down, but not for maintenance.
+
+        It may never come back, so it must not keep others from going down.
+        """
+        maybe_ordered = target.order_pending or target.maybe_ordered
+        if target.phase is Phase.DOWN:
+            if requested_s - target.accepted_s > self._max_down_s():
+                target.phase = Phase.DONE
+        elif target.phase is not Phase.DONE and not maybe_ordered:
+            target.phase = Phase.WAITING
+            target.worker_id = ""
+
+    def _max_down_s(self) -> float:
+        return self.scheduler.options.maintenance_s + DOWN_SLACK_S
+
     def _observe_down(
         self,
         target: MaintenanceTarget,
@@ -241,7 +264,7 @@
             return
         if record.worker_id != target.worker_id or not record.worker_id:
             target.phase = Phase.DONE
-        elif age_s > self.scheduler.options.maintenance_s + DOWN_SLACK_S:
+        elif age_s > self._max_down_s():
             # Its maintenance was done by an earlier order whose response was
             # lost.
             target.phase = Phase.DONE
@@ -416,6 +439,7 @@
         """
         del plan
         target.order_pending = False
+        target.maybe_ordered = outcome == "unknown"
         if outcome == "accepted":
             target.phase = Phase.DOWN
             target.accepted_s = now_s
--- a/tests/test_scheduling_maintenance.py
+++ b/tests/test_scheduling_maintenance.py
@@ -120,6 +120,45 @@
         ((_, again, _),) = waves.plan()
         assert again is target
 
+    def test_a_machine_that_crashed_does_not_hold_up_the_others(self):
+        """Guards against machines that stay cordoned, empty, for ever."""
+        waves = Waves(count=2, maximum=1)
+        waves.start()
+        ((plan, target, _),) = waves.plan()
+        (other,) = set(plan.targets.values()) - {target}
+        waves.maintenance.observe_order(plan, target, "busy", waves.fleet.now_s)
+        crashed = machine(target.machine, "", scheduling.MachineState.DOWN)
+        waves.fleet.now_s += 1
+        waves.list(**{target.machine: crashed})
+        ((_, again, _),) = waves.plan()
+        assert again is other
+        assert not plan.completed
+
+    def test_a_machine_that_may_have_been_ordered_down_counts_as_down(self):
+        """Guards against more machines down than the wave allows."""
+        waves = Waves(count=2, maximum=1)
+        waves.start()
+        ((plan, target, _),) = waves.plan()
+        waves.maintenance.observe_order(
+            plan, target, "unknown", waves.fleet.now_s
+        )
+        crashed = machine(target.machine, "", scheduling.MachineState.DOWN)
+        waves.fleet.now_s += 0.1
+        waves.list(**{target.machine: crashed})
+        assert plan.down() == 1
+
+    def test_a_machine_that_crashed_after_its_maintenance_is_done(self):
+        """Guards against a wave that waits for a machine lost for good."""
+        waves = Waves(count=1)
+        waves.start()
+        target = self.take_down(waves)
+        waves.fleet.now_s += 1
+        waves.list(m1=machine("m1", "", scheduling.MachineState.DOWN))
+        assert target.phase is scheduling.Phase.DOWN
+        waves.fleet.now_s += 2
+        waves.list(m1=machine("m1", "", scheduling.MachineState.DOWN))
+        assert target.phase is scheduling.Phase.DONE
+
     def test_a_wave_is_completed_after_every_machine_came_back(self):
         waves = Waves(count=1)
         waves.start()
