--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -81,6 +81,8 @@
         checkpoint: Latest checkpoint; empty for none.
         retry_at_s: Earliest time of the next start.
         avoided_workers: Workers on which it failed or stalled.
+        refusing_workers: Workers that have refused its start since one was
+            accepted.
         inherited: Whether an unreported run of an earlier term may exist.
         crashes: Crashes of workers that certainly ran the task.
         start_crashes: Crashes right after a start of the task, which may not
@@ -93,6 +95,8 @@
             does not change it, so that the wait is bounded.
         trial_delayed: Whether an event has reported that this wait takes too
             long.
+        rack_wanted_s: Time from which the first task of a gang has room, but
+            not on one rack; `None` if it has not.
         lost_runs: Number of runs in this term that ended without a record.
         given_up: Whether it is not started again because it crashes its
             workers, while the other tasks of its job go on.
@@ -109,6 +113,7 @@
     checkpoint: str = ""
     retry_at_s: float = 0.0
     avoided_workers: frozenset[str] = frozenset()
+    refusing_workers: frozenset[str] = frozenset()
     inherited: bool = False
     crashes: frozenset[str] = frozenset()
     start_crashes: frozenset[str] = frozenset()
@@ -116,6 +121,7 @@
     stored_trial: tuple[str, int, str] | None = None
     trial_wanted_s: float | None = None
     trial_delayed: bool = False
+    rack_wanted_s: float | None = None
     lost_runs: int = 0
     given_up: bool = False
 
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -2,33 +2,70 @@
 
 import math
 
+import attrs
+
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _order_handling
 from baobabdoor.scheduling import _orders
+from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 from baobabdoor.scheduling import _worker_events
 
+# CPU utilization of a pool from which its finite tasks wait for sound workers.
+# The platform requires below it that a task starts if there is room.
+CROWDED_UTILIZATION = 0.5
+# Time for which a gang waits for room on one rack while there is room on
+# several: less than the 3 s within which the platform requires a start.
+MAX_RACK_WAIT_S = 1.0
+
+
+@attrs.define
+class _PoolWorkers:
+    """Workers of a pool.
+
+    Attributes:
+        members: Workers that may start runs, now or soon.
+        sound: Those that may start runs now and are not quarantined.
+        last_resort: Those that start only what fits on no sound one.
+    """
+
+    members: list[_worker.Worker] = attrs.field(factory=list)
+
+    sound: list[_worker.Worker] = attrs.field(factory=list)
+    last_resort: list[_worker.Worker] = attrs.field(factory=list)
+
 
 def place_tasks(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
     """Returns the starts for all tasks that can run, by priority."""
     orders: list[_orders.WorkerOrder] = []
     scheduler.trials.prepare(now_s)
-    pools: dict[str, list[_worker.Worker]] = {}
-    for worker in scheduler.workers.values():
-        if (
-            worker.usable(now_s)
-            and _worker_events.check_capacity_age(scheduler, worker, now_s)
-            and not scheduler.unneeded_runs.get(worker.worker_id)
-        ):
-            pools.setdefault(worker.record.pool, []).append(worker)
+    pools = _workers_by_pool(scheduler, now_s)
     for job in _jobs_by_priority(scheduler):
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is not None:
-            workers = pools.get(queue.pool, [])
+            workers = pools.get(queue.pool, _PoolWorkers())
             orders += _place_job(scheduler, job, workers, now_s)
     return orders
 
 
+def _workers_by_pool(scheduler, now_s: float) -> dict[str, _PoolWorkers]:
+    """Returns the workers of each pool."""
+    pools: dict[str, _PoolWorkers] = {}
+    for worker in scheduler.workers.values():
+        pool = pools.setdefault(worker.record.pool, _PoolWorkers())
+        if worker.in_service(now_s):
+            pool.members.append(worker)
+        worker.last_resort = worker.usable_as_last_resort(now_s)
+        if (
+            not (worker.last_resort or worker.usable(now_s))
+            or not _worker_events.check_capacity_age(scheduler, worker, now_s)
+            or scheduler.unneeded_runs.get(worker.worker_id)
+        ):
+            continue
+        (pool.last_resort if worker.last_resort else pool.sound).append(worker)
+    return pools
+
+
 def _jobs_by_priority(scheduler) -> list[_job.Job]:
     """Returns active jobs, highest priority first.
 
@@ -64,7 +101,7 @@
 
 
 def _place_job(
-    scheduler, job: _job.Job, workers: list[_worker.Worker], now_s: float
+    scheduler, job: _job.Job, workers: _PoolWorkers, now_s: float
 ) -> list[_orders.WorkerOrder]:
     orders = []
     blocked = scheduler.inherited_blocked()
@@ -84,45 +121,82 @@
             and not scheduler.trials.must_wait(task)
             and not (blocked and task.inherited)
         ]
-        if not waiting:
-            continue
-        if job.spec.steps[number].gang:
-            started = _place_gang(scheduler, tasks, waiting, workers, now_s)
-        else:
-            started = _place_tasks(
-                scheduler, waiting, workers, due_workers, now_s
+        if waiting:
+            orders += _place_step(
+                scheduler, tasks, waiting, workers, due_workers, now_s
             )
-        if started:
-            _emit_starts(scheduler, waiting[0], started, now_s)
-        orders += started
     return orders
 
 
+def _place_step(
+    scheduler,
+    tasks: list[_job.Task],
+    waiting: list[_job.Task],
+    workers: _PoolWorkers,
+    due_workers: frozenset[str],
+    now_s: float,
+) -> list[_orders.WorkerOrder]:
+    """Starts the waiting tasks of a step as far as there is room."""
+    spec = waiting[0].spec
+    place = _place_gang if spec.gang else _place_tasks
+    started = place(
+        scheduler, tasks, waiting, workers.sound, due_workers, now_s
+    )
+    if len(started) < len(waiting) and _may_use_last_resort(
+        scheduler, spec, workers
+    ):
+        rest = [task for task in waiting if task.run is None]
+        candidates = workers.sound + workers.last_resort
+        started += place(scheduler, tasks, rest, candidates, due_workers, now_s)
+    if started:
+        _emit_starts(scheduler, waiting[0], started, now_s)
+    if len(started) < len(waiting):
+        _report_shortage(scheduler, waiting, workers.members)
+    return started
+
+
+def _may_use_last_resort(
+    scheduler, spec: _types.StepSpec, workers: _PoolWorkers
+) -> bool:
+    """Returns whether tasks that fit nowhere else use quarantined workers.
+
+    In a crowded pool, room on sound workers becomes free soon, but not from
+    `long_running` tasks.
+    """
+    if not workers.last_resort:
+        return False
+    pool = workers.last_resort[0].record.pool
+    return (
+        spec.long_running
+        or scheduler.maintenance.pool_utilization(pool) < CROWDED_UTILIZATION
+    )
+
+
 def _place_tasks(
-    scheduler, waiting, workers, due_workers: frozenset[str], now_s: float
+    scheduler,
+    tasks,
+    waiting,
+    workers,
+    due_workers: frozenset[str],
+    now_s: float,
 ) -> list[_orders.WorkerOrder]:
     """Starts the waiting tasks of a step until no worker has room."""
+    del tasks
     orders = []
-    unplaced = 0
     eligible = scheduler.advice.eligible_workers(waiting[0], workers, now_s)
-    for placed, task in enumerate(waiting):
+    for task in waiting:
         allowed = scheduler.trials.allowed_workers(task, eligible, now_s)
         worker = choose_worker(task, allowed, due_workers)
         if worker is None:
             if task.accused:
-                # The others may run where a suspect may not. It lacks a
-                # machine only if it has room nowhere.
-                unplaced += task.spec.long_running and not any(
-                    may_run(other, task) for other in eligible
-                )
+                # The others may run where a suspect may not.
                 continue
-            unplaced += len(waiting) - placed
             break
         orders.append(
             _order_handling.start_order(scheduler, worker, task, now_s)
         )
-    if unplaced and waiting[0].spec.long_running:
-        _report_shortage(scheduler, waiting[0], unplaced)
+    if len(orders) < len(waiting):
+        scheduler.advice.request_tickets(waiting[0], workers, now_s)
     return orders
 
 
@@ -145,10 +219,26 @@
     )
 
 
-def _report_shortage(scheduler, task: _job.Task, count: int) -> None:
-    """Reports how many machines unplaced `long_running` tasks require."""
-    spec = task.spec
-    queue = scheduler.configuration.queues[task.job.spec.queue]
+def _report_shortage(
+    scheduler, waiting: list[_job.Task], members: list[_worker.Worker]
+) -> None:
+    """Reports how many machines a pool lacks for the tasks of a step."""
+    spec = waiting[0].spec
+    if spec.long_running and not spec.gang:
+        # Accused tasks may wait although there is room.
+        count = sum(
+            task.run is None
+            and not (
+                task.accused
+                and any(may_run(member, task) for member in members)
+            )
+            for task in waiting
+        )
+    else:
+        count = _unfit_count(scheduler, spec, members)
+    if not count:
+        return
+    queue = scheduler.configuration.queues[waiting[0].job.spec.queue]
     cores = scheduler.autoscaler.machine_cores()
     per_machine = count
     if spec.cpu_milli and not spec.fills:
@@ -158,6 +248,24 @@
     scheduler.report_shortage(queue.pool, math.ceil(count / per_machine))
 
 
+def _unfit_count(
+    scheduler, spec: _types.StepSpec, members: list[_worker.Worker]
+) -> int:
+    """Returns for how many tasks a pool never has room as it is.
+
+    Finite runs end, but `long_running` runs may leave no worker enough room. A
+    gang needs room for all of its tasks at once, any other step for one.
+    """
+    needed = spec.task_count if spec.gang else 1
+    for worker in members:
+        needed -= worker.lasting_slots(spec)
+        if needed <= 0:
+            return 0
+    # More machines are of no use if the tasks fit on none.
+    workers = scheduler.workers.values()
+    return needed if any(worker.could_fit(spec) for worker in workers) else 0
+
+
 def _is_runnable(scheduler, job: _job.Job, occurrence: int, step: int) -> bool:
     return (
         job.remaining[occurrence, step] > 0
@@ -174,39 +282,91 @@
 
 
 def _place_gang(
-    scheduler, tasks, waiting, workers, now_s: float
+    scheduler,
+    tasks,
+    waiting,
+    workers,
+    due_workers: frozenset[str],
+    now_s: float,
 ) -> list[_orders.WorkerOrder]:
     """Starts all tasks of a gang or none."""
     if len(waiting) != len(tasks):
         return []
-    allowed = scheduler.trials.allowed_gang_workers(tasks, workers, now_s)
-    racks = {""}
+    eligible = scheduler.advice.eligible_workers(tasks[0], workers, now_s)
+    allowed = scheduler.trials.allowed_gang_workers(tasks, eligible, now_s)
     if tasks[0].spec.rack_sensitive:
-        racks = {rack_of(worker) for worker in allowed}
-    orders: list[_orders.WorkerOrder] = []
-    for rack in sorted(racks):
-        candidates = [
-            worker for worker in allowed if not rack or rack_of(worker) == rack
-        ]
-        orders = _try_gang(scheduler, waiting, candidates, now_s)
-        if orders:
-            break
+        chosen = _choose_one_rack(waiting, allowed, due_workers, now_s)
+    else:
+        chosen = _choose_gang_workers(waiting, allowed, due_workers)
+    orders = _start_gang(scheduler, waiting, chosen, now_s)
+    if not orders:
+        scheduler.advice.request_tickets(tasks[0], workers, now_s)
     scheduler.trials.observe_gang_placement(tasks, workers, now_s)
     return orders
 
 
-def _try_gang(scheduler, tasks, workers, now_s: float):
+def _choose_one_rack(
+    tasks, workers, due_workers: frozenset[str], now_s: float
+) -> list[_worker.Worker]:
+    """Returns workers of one rack for all tasks of a gang.
+
+    If no rack can hold the gang, or none has room for it for some time, the
+    workers are on several racks: the gang then runs more slowly.
+    """
+    first = tasks[0]
+    racks: dict[str, list[_worker.Worker]] = {}
+    for worker in workers:
+        racks.setdefault(rack_of(worker), []).append(worker)
+    for rack in sorted(racks):
+        chosen = _choose_gang_workers(tasks, racks[rack], due_workers)
+        if chosen:
+            first.rack_wanted_s = None
+            return chosen
+    spread = _choose_gang_workers(tasks, workers, due_workers)
+    if not spread:
+        first.rack_wanted_s = None
+        return []
+    if first.rack_wanted_s is None:
+        first.rack_wanted_s = now_s
+    one_is_enough = any(
+        sum(worker.lasting_slots(first.spec) for worker in members)
+        >= len(tasks)
+        for members in racks.values()
+    )
+    if one_is_enough and now_s - first.rack_wanted_s < MAX_RACK_WAIT_S:
+        return []
+    first.rack_wanted_s = None
+    return spread
+
+
+def _choose_gang_workers(
+    tasks, workers, due_workers: frozenset[str]
+) -> list[_worker.Worker]:
+    """Returns a worker for each task of a gang; none if one has no room."""
+    reserved: list[tuple[_worker.Worker, _job.Run]] = []
+    for task in tasks:
+        worker = choose_worker(task, workers, due_workers)
+        if worker is None:
+            break
+        # Takes up room until all members have a worker.
+        run = _job.Run(task, 0, worker.worker_id, 0.0)
+        worker.add_run(run)
+        reserved.append((worker, run))
+    for worker, run in reserved:
+        worker.remove_run(run)
+    if len(reserved) < len(tasks):
+        return []
+    return [worker for worker, _ in reserved]
+
+
+def _start_gang(
+    scheduler, tasks, workers: list[_worker.Worker], now_s: float
+) -> list[_orders.WorkerOrder]:
+    """Starts the tasks of a gang under one number, if they have workers."""
     run_id = max(task.last_run for task in tasks)
     checkpoint = max(task.checkpoint for task in tasks)
     orders = []
-    for task in tasks:
-        worker = choose_worker(task, workers)
-        if worker is None:
-            for placed in tasks[: len(orders)]:
-                owner = scheduler.workers[placed.run.worker_id]
-                owner.remove_run(placed.run)
-                placed.run = None
-            return []
+    for task, worker in zip(tasks, workers, strict=False):
         task.last_run = run_id
         task.checkpoint = checkpoint
         orders.append(
@@ -255,7 +415,10 @@
         remote = bool(
             spec.data_rack and spec.data_rack not in worker.record.labels
         )
-        avoided = worker.worker_id in task.avoided_workers
+        avoided = (
+            worker.worker_id in task.avoided_workers
+            or worker.worker_id in task.refusing_workers
+        )
         if spec.long_running:
             long_running = [
                 run
@@ -269,6 +432,7 @@
             # the tasks on other workers can still be evicted.
             concentrated = 2 * _count_same_step(worker, task) >= spec.task_count
             key = (
+                worker.last_resort,
                 avoided,
                 worker.worker_id in due_workers,
                 remote,
@@ -278,7 +442,7 @@
                 worker.cpu_used,
             )
         else:
-            key = (avoided, remote, -worker.cpu_used)
+            key = (worker.last_resort, avoided, remote, -worker.cpu_used)
         if best is None or key < best_key:
             best, best_key = worker, key
     return best
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -21,6 +21,12 @@
 QUARANTINE_JOBS = 2
 QUARANTINE_S = 4.0
 MAX_QUARANTINE_S = 16.0
+# Time after a failure from which a quarantined worker gets tasks that fit on no
+# other worker. It is shorter than the 3 s within which the platform requires
+# that a task starts if there is room for it.
+QUARANTINE_PAUSE_S = 2.0
+# Quarantine of a worker that reports itself as unhealthy.
+UNHEALTHY_S = 1.0
 
 
 class Worker:
@@ -82,9 +88,18 @@
         self.failed_jobs: set[str] = set()
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until_s = -1e9
+        # When a run last failed there or it reported itself as unhealthy.
+        self.last_failure_s = -1e9
+        # Whether it starts only what fits on no other worker.
+        self.last_resort = False
         self.cpu_used = 0
         self.memory_used = 0
         self.gpus_used = 0
+        # The part of these that `long_running` runs use, which does not become
+        # free by itself.
+        self.cpu_held = 0
+        self.memory_held = 0
+        self.gpus_held = 0
 
     @property
     def worker_id(self) -> str:
@@ -93,6 +108,21 @@
 
     def usable(self, now_s: float) -> bool:
         """Returns whether new runs may be sent to it."""
+        return self._accepts_starts(now_s) and not self._quarantined(now_s)
+
+    def usable_as_last_resort(self, now_s: float) -> bool:
+        """Returns whether it may start what fits on no other worker."""
+        paused = now_s - self.last_failure_s < QUARANTINE_PAUSE_S
+        return (
+            self._quarantined(now_s)
+            and not paused
+            and self._accepts_starts(now_s)
+        )
+
+    def _quarantined(self, now_s: float) -> bool:
+        return now_s < self.quarantined_until_s
+
+    def _accepts_starts(self, now_s: float) -> bool:
         return (
             self.fenced
             and self.token_confirmed
@@ -102,7 +132,6 @@
             and not self.cordoned
             and not self.record.draining
             and self.responsive(now_s)
-            and now_s >= self.quarantined_until_s
         )
 
     def responsive(self, now_s: float) -> bool:
@@ -187,10 +216,14 @@
             self._reserve(run.task.spec, -1)
 
     def _reserve(self, spec: _types.StepSpec, sign: int) -> None:
-        if not spec.fills:
-            self.cpu_used += sign * spec.cpu_milli
+        cpu = 0 if spec.fills else sign * spec.cpu_milli
+        self.cpu_used += cpu
         self.memory_used += sign * spec.memory_mb
         self.gpus_used += sign * spec.gpus
+        if spec.long_running:
+            self.cpu_held += cpu
+            self.memory_held += sign * spec.memory_mb
+            self.gpus_held += sign * spec.gpus
 
     def fits(self, spec: _types.StepSpec) -> bool:
         """Returns whether there is room for another task of a step."""
@@ -228,6 +261,29 @@
             )
         )
 
+    def lasting_slots(self, spec: _types.StepSpec) -> int:
+        """Returns how many tasks of a step fit once all finite runs ended."""
+        record = self.record
+        if spec.required_label and spec.required_label not in record.labels:
+            return 0
+        cpu = 0 if spec.fills else spec.cpu_milli
+        slots = spec.max_per_worker or spec.task_count
+        for free, needed in (
+            (record.cpu_milli - self.cpu_held, cpu),
+            (record.memory_mb - self.memory_held, spec.memory_mb),
+            (record.gpus - self.gpus_held, spec.gpus),
+        ):
+            if needed:
+                slots = min(slots, free // needed)
+        return max(0, slots)
+
+    def in_service(self, now_s: float) -> bool:
+        """Returns whether it is expected to start runs, now or soon."""
+        lost = self.silent and self.report_overdue(now_s)
+        return (
+            self.listed and not self.retired and not self.leaving and not lost
+        )
+
     def observe_success(self) -> None:
         """Records a completed run."""
         self.failed_jobs.clear()
@@ -235,6 +291,7 @@
 
     def observe_failure(self, job_id: str, now_s: float) -> bool:
         """Records a failed run; returns whether the worker is quarantined."""
+        self.last_failure_s = now_s
         self.failed_jobs.add(job_id)
         if len(self.failed_jobs) < QUARANTINE_JOBS:
             return False
@@ -243,3 +300,10 @@
         # After the quarantine a failure of one more job suffices.
         self.failed_jobs = {job_id}
         return True
+
+    def observe_unhealthy(self, now_s: float) -> None:
+        """Records that the worker reports itself as unhealthy."""
+        self.last_failure_s = now_s
+        self.quarantined_until_s = max(
+            self.quarantined_until_s, now_s + UNHEALTHY_S
+        )
--- a/tests/test_scheduling_capacity.py
+++ b/tests/test_scheduling_capacity.py
@@ -71,6 +71,19 @@
         fleet.write_entry(4000)
         assert len(fleet.accept(fleet.starts())) == 3
 
+    def test_a_shrunk_worker_takes_no_capacity_from_others(self):
+        """Guards against jobs rejected for room that others have."""
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        lasting = scheduling.StepSpec(4, cpu_milli=1000, long_running=True)
+        fleet.submit(JOB, [lasting])
+        assert len(fleet.accept(fleet.starts())) == 4
+        fleet.add_worker("w2")
+        record = scheduling_fixtures.record("w1", cpu_milli=1000)
+        fleet.scheduler.observe_worker(record, fleet.now_s)
+        admission = fleet.scheduler.admission
+        pool = scheduling_fixtures.POOL
+        assert admission.capacity_cores(pool, fleet.now_s) == 4.0
+
 
 class TestOutdatedEntries:
 
@@ -119,3 +132,30 @@
         names = [event.name for event in fleet.scheduler.events]
         assert names.count("capacity_outdated") == 1
         assert names.count("capacity_known") == 1
+
+
+class TestRefusedStarts:
+
+    def refuse(self, fleet, outcome):
+        (order,) = fleet.starts()
+        fleet.answer(order, outcome)
+        fleet.now_s += 0.2
+        return order.worker_id
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            scheduling.OrderOutcome.NO_ROOM,
+            scheduling.OrderOutcome.INVALID,
+            scheduling.OrderOutcome.WITHHELD,
+        ],
+    )
+    def test_a_refused_start_is_sent_to_another_worker(self, outcome):
+        """Guards against one worker that is tried for ever."""
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3"])
+        fleet.submit(JOB, [scheduling.StepSpec(1, cpu_milli=1000)])
+        refused = [self.refuse(fleet, outcome) for _ in range(3)]
+        assert sorted(refused) == ["w1", "w2", "w3"]
+        assert len(fleet.accept(fleet.starts())) == 1
+        (task,) = fleet.scheduler.jobs[JOB].tasks()
+        assert not task.refusing_workers
