--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -387,7 +387,7 @@
             advice = controller.scheduler.advice
             question = scheduling.AdviceRequest("a.0.0", ("w1",))
             await controller._ask_advice(question)
-            assert not advice.tickets["a.0.0"].pending
+            assert not advice.steps["a.0.0"].pending
 
         text = self.run({"a.0.0"}, scenario)
         assert 'call_failures_total{call="advice"}' in text
--- a/tests/test_scheduling_advice_and_pace.py
+++ b/tests/test_scheduling_advice_and_pace.py
@@ -128,7 +128,9 @@
         fleet = self.fleet()
         self.allow(fleet, self.ask(fleet), "w2")
         fleet.now_s += 0.1
-        fleet.report("w2", start_time_ms=2)
+        # The first report shows the restart, the second the new token.
+        for _ in range(2):
+            fleet.report("w2", start_time_ms=2)
         assert "w2" in self.ask(fleet).workers
 
     def test_a_ticket_that_was_refused_is_requested_again(self):
