Suspects of a spread step are tried where they can start

Callers would see a task that lasts, or another of a step with a limit per worker, wait for ever after its worker crashed right after its start, while other workers are free.

Cause: a trial takes the worker with the fewest runs that has the CPU and memory. If that one already runs as many tasks of the step as it may, the task does not start there, and the next pass chooses the same worker.

Placement now offers for a trial only workers that may run one more task of the step.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -185,7 +185,13 @@
     orders = []
     eligible = scheduler.advice.eligible_workers(waiting[0], workers, now_s)
     for task in waiting:
-        allowed = scheduler.trials.allowed_workers(task, eligible, now_s)
+        candidates = eligible
+        if task.accused:
+            # A trial takes one worker, which must be able to start the task.
+            candidates = [
+                worker for worker in eligible if _may_add(worker, task)
+            ]
+        allowed = scheduler.trials.allowed_workers(task, candidates, now_s)
         worker = choose_worker(task, allowed, due_workers)
         if worker is None:
             if task.accused:
@@ -405,9 +411,7 @@
     for worker in workers:
         if not worker.fits(spec):
             continue
-        if spec.max_per_worker and spec.max_per_worker <= _count_same_step(
-            worker, task
-        ):
+        if not _may_add(worker, task):
             continue
         remote = bool(
             spec.data_rack and spec.data_rack not in worker.record.labels
@@ -445,6 +449,12 @@
     return best
 
 
+def _may_add(worker: _worker.Worker, task: _job.Task) -> bool:
+    """Returns whether a worker may run one more task of a step."""
+    limit = task.spec.max_per_worker
+    return not limit or _count_same_step(worker, task) < limit
+
+
 def _count_same_step(worker: _worker.Worker, task: _job.Task) -> int:
     return sum(
         run.task.job is task.job
--- a/tests/test_scheduling_progress.py
+++ b/tests/test_scheduling_progress.py
@@ -305,6 +305,29 @@
         assert longest_wait_s(state) <= MAX_WAIT_S
 
 
+class TestSpreadSuspects:
+
+    def test_a_suspect_is_not_tried_where_its_step_has_its_share(self):
+        """Guards against a trial on a worker that cannot start the task."""
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        spread = scheduling.StepSpec(
+            2, cpu_milli=500, long_running=True, max_per_worker=1
+        )
+        job = fleet.submit(JOB, [spread])
+        assert len(fleet.accept(fleet.starts(), percent=100)) == 1
+        fleet.add_worker("w2", cpu_milli=9000)
+        _, suspect = job.tasks()
+        suspect.retry_at_s = fleet.now_s + 1
+        other = scheduling.StepSpec(2, cpu_milli=4000, long_running=True)
+        fleet.submit("00000000000000bb", [other])
+        assert len(fleet.accept(fleet.starts(), percent=100)) == 2
+        suspect.start_crashes = suspect.crashes = frozenset(("a@1",))
+        fleet.scheduler.crashes.accused_tasks.add(suspect)
+        fleet.advance(1)
+        (order,) = fleet.starts()
+        assert (order.task, order.worker_id) == (suspect.name, "w2")
+
+
 CHOOSE_WORKER = _placement.choose_worker
 
 
