--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -185,7 +185,13 @@
     orders = []
     eligible = scheduler.advice.eligible_workers(waiting[0], workers, now_s)
     for task in waiting:
-        allowed = scheduler.trials.allowed_workers(task, eligible, now_s)
+        candidates = eligible
+        if task.accused:
+            # A trial takes one worker, which must be able to start the task.
+            candidates = [
+                worker for worker in eligible if may_run_more(worker, task)
+            ]
+        allowed = scheduler.trials.allowed_workers(task, candidates, now_s)
         worker = choose_worker(task, allowed, due_workers)
         if worker is None:
             if task.accused:
