An entry in the list of workers ends no runs

An entry under the identifier of a worker with another address, another pool or a later start counted as a restart, which ended the worker's confirmed runs at once. A start in the future also made each later report of the worker look like that of an earlier incarnation, over changes of the leader.

Only a report now shows a restart. After an entry with a later start, the worker gets no starts and no acknowledgements until it reports, which it is asked for at once, and unconfirmed runs are stopped as before. While a worker has runs, an entry with another address or pool is refused and counts as removed. The worker's leases go on.

A restarted worker is noticed by its next report, at most one hold later than by its entry. Failed before: TestForeignEntries, test_foreign_entries.py REPLACED.

--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -38,7 +38,7 @@
     # A new incarnation restarts the numbering of its ended runs. If it got an
     # acknowledgement meant for the previous incarnation, it would drop ended
     # runs that were never processed.
-    new_incarnation = worker.may_have_restarted(now_s)
+    new_incarnation = worker.may_have_restarted(now_s) or not worker.fenced
     known = worker.fenced and worker.clock_ms
     # The lease of an unresponsive worker is not renewed, so that its runs
     # are certain to end.
@@ -50,7 +50,7 @@
         token=scheduler.token,
         last_seen=0 if new_incarnation else worker.acknowledged,
         until_ms=until_ms,
-        wait_ms=wait_ms if worker.fenced and not new_incarnation else 0,
+        wait_ms=0 if new_incarnation else wait_ms,
     )
 
 
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -47,6 +47,8 @@
         self.entry_s = -math.inf
         # Whether that entry was too old for a start when last checked.
         self.capacity_outdated = False
+        # When an entry that contradicts its runs was last put on record.
+        self.entry_refused_s = -math.inf
         self.last_report_s = -1e9
         # When an order last had no response; a later report supersedes it.
         self.unanswered_s = -1e9
@@ -94,10 +96,17 @@
             and not self.retired
             and not self.cordoned
             and not self.record.draining
+            and self._entry_is_current()
             and self.responsive(now_s)
             and now_s >= self.quarantined_until_s
         )
 
+    def _entry_is_current(self) -> bool:
+        """Returns whether its entry is not of an incarnation unheard of."""
+        return self.record.start_time_ms <= max(self.start_time_ms, 1) or (
+            not self.start_time_ms
+        )
+
     def responsive(self, now_s: float) -> bool:
         """Returns whether it reported recently and has responded since."""
         return (
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -5,6 +5,9 @@
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
+# Minimum time between two events about refused entries of a worker.
+REFUSAL_INTERVAL_S = 10.0
+
 
 def observe_worker(
     scheduler,
@@ -31,8 +34,16 @@
         worker.record.address != record.address
         or worker.record.pool != record.pool
     )
-    if moved or record.start_time_ms > max(worker.start_time_ms, 1):
+    newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
+    if moved and worker.runs:
+        _refuse_entry(scheduler, worker, record, now_s)
+        return
+    if moved:
         apply_restart(scheduler, worker, record.start_time_ms, "list", now_s)
+    if moved or record.start_time_ms > newest_ms:
+        # Any program may have written the entry, so it ends no confirmed run.
+        # The worker gets no starts until it reports whether it has restarted.
+        _stop_unconfirmed_runs(worker)
         worker.retired = False
         worker.fenced = False
         worker.first_listed_s = now_s
@@ -52,6 +63,29 @@
     worker.listed = True
 
 
+def _refuse_entry(
+    scheduler,
+    worker: _worker.Worker,
+    record: _types.WorkerRecord,
+    now_s: float,
+) -> None:
+    """Ignores an entry with another address or pool for a worker with runs.
+
+    Its runs end with a report of the worker or with their leases. Until then
+    the worker is called where it reported, and gets no starts.
+    """
+    worker.listed = False
+    if now_s - worker.entry_refused_s >= REFUSAL_INTERVAL_S:
+        worker.entry_refused_s = now_s
+        scheduler.emit(
+            "worker_entry_refused",
+            worker=worker.worker_id,
+            address=record.address,
+            pool=record.pool,
+            runs=len(worker.runs),
+        )
+
+
 def check_capacity_age(scheduler, worker: _worker.Worker, now_s: float) -> bool:
     """Returns whether a worker's capacity is recent enough for a start.
 
@@ -95,13 +129,12 @@
     for run in list(worker.runs.values()):
         if run.confirmed:
             scheduler.release_run(worker, run, "worker restarted")
-        else:
-            run.outcome_unknown = run.stopping = True
-            run.stop_clock_ms = 0
+    _stop_unconfirmed_runs(worker)
     scheduler.unneeded_runs.pop(worker.worker_id, None)
     worker.start_time_ms = start_time_ms
-    # The new incarnation may have another capacity.
-    worker.entry_s = -math.inf
+    if worker.record.start_time_ms != start_time_ms:
+        # The new incarnation may have another capacity.
+        worker.entry_s = -math.inf
     worker.clock_ms = 0
     worker.reported_ms = 0
     worker.lease_end_s = 0.0
@@ -114,6 +147,14 @@
     worker.unsaved_ends = []
 
 
+def _stop_unconfirmed_runs(worker: _worker.Worker) -> None:
+    """Stops the runs that the next incarnation of a worker may receive."""
+    for run in worker.runs.values():
+        if not run.confirmed:
+            run.outcome_unknown = run.stopping = True
+            run.stop_clock_ms = 0
+
+
 def emit_lost_runs(scheduler, worker: _worker.Worker, reason: str) -> None:
     """Appends an event about the runs that ended with their worker."""
     runs = worker.runs.values()
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -10,6 +10,7 @@
 import time
 import zlib
 
+import pytest
 import soak
 import soak_platform
 
@@ -18,6 +19,8 @@
 
 SEED = 1010
 SECONDS = 5.0
+# Time after which all workers run tasks.
+RUNNING_DELAY_S = 1.5
 # Replaced by the address of a worker in entries.
 WORKER_ADDRESS = "@worker"
 
@@ -88,6 +91,14 @@
 }
 
 
+# Entries under the identifiers of workers that run tasks.
+REPLACED = {
+    "w0-1": entry(address=WORKER_ADDRESS, born=2**53, machine="m0"),
+    "w1-1": entry(machine="m1"),
+    "w2-1": b"[",
+    "w3-1": entry(address="127.0.0.1:99999", machine="m3"),
+}
+
 # Entries of the list of machines, as JSON.
 MACHINES = [
     "7",
@@ -123,26 +134,35 @@
     Args:
         folder: Directory for settings and logs.
         entries: Entries of the list of workers, by key.
+        replaced: The same, written once the workers run tasks.
         machines: Entries of the list of machines, as JSON.
         rows: Rows that all daemons read when they start again.
     """
 
-    def __init__(self, folder, entries=None, machines=(), rows=None):
+    def __init__(
+        self, folder, entries=None, replaced=None, machines=(), rows=None
+    ):
         super().__init__(SEED, SECONDS, folder)
-        address = self.simulator.worker_address(0).encode()
-        self.entries = {
-            key: value.replace(WORKER_ADDRESS.encode(), address)
-            for key, value in (entries or {}).items()
-        }
+        self.entries = self._at_worker(entries or {})
+        self.replaced = self._at_worker(replaced or {})
         self.machines = machines
         self.rows = rows or {}
         self.leader_versions: set[int] = set()
 
+    def _at_worker(self, entries: dict[str, bytes]) -> dict[str, bytes]:
+        address = self.simulator.worker_address(0).encode()
+        return {
+            key: value.replace(WORKER_ADDRESS.encode(), address)
+            for key, value in entries.items()
+        }
+
     async def _inject_faults(self, end_s: float) -> None:
-        self.simulator.foreign_entries = self.entries
+        self.simulator.foreign_entries = dict(self.entries)
         self.simulator.foreign_machines = list(self.machines)
         if self.rows:
             await self._write_rows()
+        await asyncio.sleep(RUNNING_DELAY_S)
+        self.simulator.foreign_entries |= self.replaced
         while time.monotonic() < end_s:
             self._observe_leader()
             await asyncio.sleep(0.05)
@@ -188,6 +208,11 @@
     def test_list_of_workers(self, tmp_path):
         run(tmp_path, entries=dict(ENTRIES.values())).check()
 
+    @pytest.mark.parametrize("worker_id", REPLACED)
+    def test_entry_that_replaces_that_of_a_worker(self, worker_id, tmp_path):
+        """The worker counted as restarted, and its tasks ran twice."""
+        run(tmp_path, replaced={worker_id: REPLACED[worker_id]}).check()
+
     def test_list_of_machines(self, tmp_path):
         run(tmp_path, machines=MACHINES).check()
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -148,6 +148,90 @@
         assert len(fleet.starts()) == 1
 
 
+class TestForeignEntries:
+    """Another program writes an entry under the identifier of a worker."""
+
+    def running(self):
+        fleet = scheduling_fixtures.Fleet(["w1", "w22"])
+        fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        fleet.advance(0.5)
+        return fleet, order.worker_id
+
+    def write(self, fleet, worker_id, **fields):
+        fleet.scheduler.observe_worker(
+            scheduling_fixtures.record(worker_id, **fields), fleet.now_s
+        )
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"start_time_ms": 2**53},
+            {"start_time_ms": 2},
+            {"address": "10.0.9.9:80"},
+            {"address": "10.0.9.9:80", "start_time_ms": 2},
+            {"pool": "other"},
+        ],
+        ids=str,
+    )
+    def test_runs_are_kept(self, fields):
+        """They counted as ended, so the task ran twice."""
+        fleet, worker_id = self.running()
+        for _ in range(20):
+            self.write(fleet, worker_id, **fields)
+            assert not fleet.starts()
+            self.write(fleet, worker_id)
+            assert not fleet.starts()
+            # A hold follows each report within milliseconds.
+            fleet.report(worker_id)
+            fleet.advance(0.5)
+        worker = fleet.scheduler.workers[worker_id]
+        assert len(worker.runs) == 1
+        # Its leases are renewed where it reports.
+        assert worker.lease_end_s > fleet.now_s
+        assert worker.record.address == f"10.0.0.{len(worker_id)}:80"
+
+    def test_worker_is_usable_once_its_own_entry_is_back(self):
+        """A start in the future made every later report an earlier one's."""
+        fleet, worker_id = self.running()
+        self.write(fleet, worker_id, start_time_ms=2**53, cpu_milli=2**53)
+        fleet.advance(0.5)
+        worker = fleet.scheduler.workers[worker_id]
+        assert not worker.usable(fleet.now_s)
+        self.write(fleet, worker_id)
+        fleet.advance(0.5)
+        assert worker.usable(fleet.now_s)
+
+    def test_refused_entries_do_not_flood_the_log(self):
+        fleet, worker_id = self.running()
+        fleet.scheduler.take_events()
+        for _ in range(20):
+            self.write(fleet, worker_id, pool="other")
+        names = [event.name for event in fleet.scheduler.take_events()]
+        assert names.count("worker_entry_refused") == 1
+
+    def test_worker_without_runs_may_move(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        self.write(fleet, "w1", address="10.0.9.9:80", start_time_ms=2)
+        worker = fleet.scheduler.workers["w1"]
+        assert worker.record.address == "10.0.9.9:80"
+        assert not worker.usable(fleet.now_s)
+        fleet.report("w1", start_time_ms=2)
+        assert worker.usable(fleet.now_s)
+
+    def test_restart_that_was_listed_first_needs_no_second_entry(self):
+        fleet, worker_id = self.running()
+        now_s = fleet.now_s
+        record = scheduling_fixtures.record(worker_id, start_time_ms=2)
+        fleet.scheduler.observe_worker(record, now_s, now_s)
+        fleet.running[worker_id].clear()
+        fleet.now_s += 0.1
+        fleet.report(worker_id, start_time_ms=2)
+        worker = fleet.scheduler.workers[worker_id]
+        assert not worker.runs
+        assert worker.entry_s == now_s
+
+
 class TestInterruptedReports:
     """An error interrupts the application of a report.
 
