Listed workers that never reported have no capacity

The size of a machine was the mean over all listed workers, and the use of a pool counted the capacity of all of them. One entry of another program with cpu 2^53 made a busy pool look idle and its machines so large that one is enough. Workers count that have reported to this term; as long as none has, the list is used for the size of a machine as before.

Failed before: test_listed_worker_that_never_reported_has_no_size, both cases.

--- a/baobabdoor/scheduling/_autoscaler.py
+++ b/baobabdoor/scheduling/_autoscaler.py
@@ -219,12 +219,14 @@
 
     def machine_cores(self) -> float:
         """Returns the average cores of a machine."""
-        sizes = [
-            worker.record.cpu_milli / 1000
-            for worker in self.scheduler.workers.values()
-            if worker.record.cpu_milli
-        ]
-        return sum(sizes) / len(sizes) if sizes else 1.0
+        sizes = {True: [], False: []}
+        for worker in self.scheduler.workers.values():
+            if worker.record.cpu_milli:
+                sizes[worker.fenced].append(worker.record.cpu_milli / 1000)
+        # Any program may list workers with any capacity, so those that have
+        # reported count, if there are any.
+        counted = sizes[True] or sizes[False]
+        return sum(counted) / len(counted) if counted else 1.0
 
     def expected_cores(self, pool: str) -> float:
         """Returns the batch cores of a pool, including incoming machines."""
--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -358,13 +358,20 @@
             target.machine,
         )
 
-    def pool_utilization(self, pool: str) -> float:
-        """Returns the reserved share of a pool's CPU capacity."""
-        workers = [
+    def _heard_workers(self, pool: str) -> list[_worker.Worker]:
+        """Returns the listed workers of a pool that have reported.
+
+        Any program may list others, with any capacity.
+        """
+        return [
             worker
             for worker in self.scheduler.workers.values()
-            if worker.record.pool == pool and worker.listed
+            if worker.record.pool == pool and worker.listed and worker.fenced
         ]
+
+    def pool_utilization(self, pool: str) -> float:
+        """Returns the reserved share of a pool's CPU capacity."""
+        workers = self._heard_workers(pool)
         total = sum(worker.record.cpu_milli for worker in workers)
         return sum(worker.cpu_used for worker in workers) / max(1, total)
 
@@ -380,11 +387,7 @@
             and self.pool_utilization(record.pool) > BUSY_UTILIZATION
         ):
             return False
-        peers = [
-            peer
-            for peer in self.scheduler.workers.values()
-            if peer.record.pool == record.pool and peer.listed
-        ]
+        peers = self._heard_workers(record.pool)
         cordoned = self.cordoned_workers()
         count = sum(peer.worker_id in cordoned for peer in peers)
         return count < max(1, int(MAX_CORDONED_SHARE * len(peers)))
--- a/tests/test_scheduling_autoscaler.py
+++ b/tests/test_scheduling_autoscaler.py
@@ -1,6 +1,7 @@
 """Tests of the pool autoscaler."""
 
 import attrs
+import pytest
 import scheduling_fixtures
 
 from baobabdoor import scheduling
@@ -75,6 +76,25 @@
         rate = autoscaler.arrival_rate_cores(POOL, now_s)
         return required, rate / autoscaler.machine_cores()
 
+    @pytest.mark.parametrize("cpu_milli", [1, 2**53])
+    def test_listed_worker_that_never_reported_has_no_size(self, cpu_milli):
+        """One entry of another program made a pool shrink to one machine."""
+        pools = Pools(count=2)
+        for number in range(20):
+            record = scheduling_fixtures.record(
+                f"x{number}", cpu_milli=cpu_milli
+            )
+            pools.scheduler.observe_worker(record, pools.fleet.now_s)
+        autoscaler = pools.scheduler.autoscaler
+        assert autoscaler.machine_cores() == 4.0
+        step = scheduling.StepSpec(40, cpu_milli=1000, estimate_ms=1000)
+        pools.fleet.submit(JOB, [step])
+        orders = pools.fleet.starts()
+        assert {order.worker_id for order in orders} == {"w1", "w2"}
+        # Eight tasks fit, which fills both workers.
+        assert len(orders) == 8
+        assert pools.scheduler.maintenance.pool_utilization(POOL) == 1.0
+
     def test_one_large_job_does_not_count_as_an_arrival_rate(self):
         step = scheduling.StepSpec(30, cpu_milli=1000, estimate_ms=4000)
         required, rate = self.required_for(step, count=4)
