--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -38,7 +38,7 @@
     # A new incarnation restarts the numbering of its ended runs. If it got an
     # acknowledgement meant for the previous incarnation, it would drop ended
     # runs that were never processed.
-    new_incarnation = worker.may_have_restarted(now_s)
+    new_incarnation = worker.may_have_restarted(now_s) or not worker.fenced
     known = worker.fenced and worker.clock_ms
     # The lease of an unresponsive worker is not renewed, so that its runs
     # are certain to end.
--- a/tests/calm_fleet.py
+++ b/tests/calm_fleet.py
@@ -66,8 +66,9 @@
         self.scheduler = self._make_scheduler()
 
     def _make_scheduler(self):
+        self.version += 1
         scheduler = scheduling.Scheduler(
-            token=self.term + 1,
+            token=self.version,
             term=self.term,
             configuration=self._configuration(),
             options=scheduling.Options(max_entry_age_s=3.0),
@@ -153,7 +154,9 @@
             order = scheduler.hold_order(worker, 0, self.now_s)
             result = self._deliver(order)
             if isinstance(result, scheduling.WorkerReport):
-                scheduler.observe_report(worker.worker_id, result, self.now_s)
+                scheduler.observe_report(
+                    worker.worker_id, result, order.token, self.now_s
+                )
             else:
                 scheduler.observe_no_response(worker.worker_id, self.now_s)
         self._commit()
@@ -173,6 +176,7 @@
         for worker in self.scheduler.workers.values():
             worker.enrolled = worker.fenced
         self.version += 1
+        self.scheduler.observe_commit(self.version)
         snapshot = self.scheduler.begin_commit()
         if snapshot is None:
             self.scheduler.release_acknowledgements()
--- a/tests/test_scheduling_fencing.py
+++ b/tests/test_scheduling_fencing.py
@@ -163,6 +163,9 @@
         before = fleet.worker.token
         fleet.list_worker()
         assert not fleet.starts()
+        # Only a report shows that the worker has restarted.
+        fleet.poll()
+        assert not fleet.starts()
         assert fleet.poll().token > before
         assert len(fleet.starts()) == 1
 
