Placement: the search for a worker with lasting room is short

The check whether a waiting step fits on any worker beside long_running tasks went through the workers of the pool in any order.

Workers are now sorted by the share that long_running runs hold, once for a pass and only if something waits, so that the first one usually has room.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -24,15 +24,27 @@
     """Workers of a pool.
 
     Attributes:
-        members: Workers that may start runs, now or soon.
+        known: All of them.
         sound: Those that may start runs now and are not quarantined.
         last_resort: Those that start only what fits on no sound one.
+        in_service: Those that may start runs, now or soon; the ones with most
+            room beside their `long_running` runs come first. `None` before
+            they are needed.
     """
 
-    members: list[_worker.Worker] = attrs.field(factory=list)
-
+    known: list[_worker.Worker] = attrs.field(factory=list)
     sound: list[_worker.Worker] = attrs.field(factory=list)
     last_resort: list[_worker.Worker] = attrs.field(factory=list)
+    in_service: list[_worker.Worker] | None = None
+
+    def find_in_service(self, now_s: float) -> list[_worker.Worker]:
+        """Returns the workers in service, those with most room first."""
+        if self.in_service is None:
+            self.in_service = sorted(
+                (worker for worker in self.known if worker.in_service(now_s)),
+                key=_worker.Worker.held_share,
+            )
+        return self.in_service
 
 
 def place_tasks(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
@@ -53,16 +65,15 @@
     pools: dict[str, _PoolWorkers] = {}
     for worker in scheduler.workers.values():
         pool = pools.setdefault(worker.record.pool, _PoolWorkers())
-        if worker.in_service(now_s):
-            pool.members.append(worker)
-        worker.last_resort = worker.usable_as_last_resort(now_s)
+        pool.known.append(worker)
+        worker.last_resort = now_s < worker.quarantined_until_s
         if (
-            not (worker.last_resort or worker.usable(now_s))
-            or not _worker_events.check_capacity_age(scheduler, worker, now_s)
-            or scheduler.unneeded_runs.get(worker.worker_id)
+            worker.usable(now_s, as_last_resort=worker.last_resort)
+            and _worker_events.check_capacity_age(scheduler, worker, now_s)
+            and not scheduler.unneeded_runs.get(worker.worker_id)
         ):
-            continue
-        (pool.last_resort if worker.last_resort else pool.sound).append(worker)
+            usable = pool.last_resort if worker.last_resort else pool.sound
+            usable.append(worker)
     return pools
 
 
@@ -151,7 +162,7 @@
     if started:
         _emit_starts(scheduler, waiting[0], started, now_s)
     if len(started) < len(waiting):
-        _report_shortage(scheduler, waiting, workers.members)
+        _report_shortage(scheduler, waiting, workers, now_s)
     return started
 
 
@@ -226,7 +237,7 @@
 
 
 def _report_shortage(
-    scheduler, waiting: list[_job.Task], members: list[_worker.Worker]
+    scheduler, waiting: list[_job.Task], workers: _PoolWorkers, now_s: float
 ) -> None:
     """Reports how many machines a pool lacks for the tasks of a step."""
     spec = waiting[0].spec
@@ -234,7 +245,7 @@
         # Accused tasks may wait although there is room.
         count = sum(task.run is None and not task.accused for task in waiting)
     else:
-        count = _unfit_count(scheduler, spec, members)
+        count = _unfit_count(scheduler, spec, workers.find_in_service(now_s))
     if not count:
         return
     queue = scheduler.configuration.queues[waiting[0].job.spec.queue]
@@ -411,7 +422,7 @@
     for worker in workers:
         if not worker.fits(spec):
             continue
-        if not _may_add(worker, task):
+        if spec.max_per_worker and not _may_add(worker, task):
             continue
         remote = bool(
             spec.data_rack and spec.data_rack not in worker.record.labels
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -100,25 +100,21 @@
         """Identifier of the worker."""
         return self.record.worker_id
 
-    def usable(self, now_s: float) -> bool:
-        """Returns whether new runs may be sent to it."""
-        return self._accepts_starts(now_s) and not self._quarantined(now_s)
+    def usable(self, now_s: float, as_last_resort: bool = False) -> bool:
+        """Returns whether new runs may be sent to it.
 
-    def usable_as_last_resort(self, now_s: float) -> bool:
-        """Returns whether it may start what fits on no other worker."""
-        paused = now_s - self.last_failure_s < QUARANTINE_PAUSE_S
-        return (
-            self._quarantined(now_s)
-            and not paused
-            and self._accepts_starts(now_s)
-        )
-
-    def _quarantined(self, now_s: float) -> bool:
-        return now_s < self.quarantined_until_s
-
-    def _accepts_starts(self, now_s: float) -> bool:
+        Args:
+            now_s: Current time.
+            as_last_resort: Whether they fit on no other worker, so that it may
+                be quarantined.
+        """
+        if as_last_resort:
+            ready_s = self.last_failure_s + QUARANTINE_PAUSE_S
+        else:
+            ready_s = self.quarantined_until_s
         return (
-            self.fenced
+            now_s >= ready_s
+            and self.fenced
             and self.enrolled
             and self.listed
             and not self.retired
@@ -259,6 +255,15 @@
                 slots = min(slots, free // needed)
         return max(0, slots)
 
+    def held_share(self) -> float:
+        """Returns the largest share of a resource in `long_running` runs."""
+        record = self.record
+        return max(
+            self.cpu_held / max(1, record.cpu_milli),
+            self.memory_held / max(1, record.memory_mb),
+            self.gpus_held / max(1, record.gpus),
+        )
+
     def in_service(self, now_s: float) -> bool:
         """Returns whether it is expected to start runs, now or soon."""
         lost = self.silent and self.report_overdue(now_s)
--- a/tests/test_scheduling_progress.py
+++ b/tests/test_scheduling_progress.py
@@ -1,5 +1,6 @@
 """Tests that an accepted task that could run is started within a bound."""
 
+import math
 import random
 
 import attrs
@@ -339,9 +340,9 @@
 
 PLANTED = {
     "a quarantine without an exception": (
-        _worker.Worker,
-        "usable_as_last_resort",
-        lambda self, now_s: False,
+        _worker,
+        "QUARANTINE_PAUSE_S",
+        math.inf,
     ),
     "a silent worker that never starts runs again": (
         _worker.Worker,
