Pools get a machine for long_running suspects that find no room

Callers would see a task that lasts wait for ever after its worker has crashed, with most of the pool free: the tasks of its step are spread, so each of the remaining workers runs one already, and none is added.

Cause: tasks against which a crash is held never counted towards the shortage of machines, since they may also wait for a trial. A crash of a worker that is lost for good leaves exactly such tasks without a worker.

They now count unless a worker of the pool has room for them.

Before: test_a_spread_task_gets_a_machine_after_its_worker_has_crashed fails with "assert [] == ['results']".

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -242,8 +242,7 @@
     """Reports how many machines a pool lacks for the tasks of a step."""
     spec = waiting[0].spec
     if spec.long_running and not spec.gang:
-        # Accused tasks may wait although there is room.
-        count = sum(task.run is None and not task.accused for task in waiting)
+        count = _unplaced_count(waiting, workers)
     else:
         count = _unfit_count(scheduler, spec, workers.find_in_service(now_s))
     if not count:
@@ -258,6 +257,18 @@
     scheduler.report_shortage(queue.pool, math.ceil(count / per_machine))
 
 
+def _unplaced_count(waiting: list[_job.Task], workers: _PoolWorkers) -> int:
+    """Returns how many tasks of a step wait for room.
+
+    Accused tasks may wait for a trial although there is room.
+    """
+    unplaced = [task for task in waiting if task.run is None]
+    candidates = workers.sound + workers.last_resort
+    if choose_worker(unplaced[0], candidates) is None:
+        return len(unplaced)
+    return sum(not task.accused for task in unplaced)
+
+
 def _unfit_count(
     scheduler, spec: _types.StepSpec, members: list[_worker.Worker]
 ) -> int:
--- a/tests/test_scheduling_autoscaler.py
+++ b/tests/test_scheduling_autoscaler.py
@@ -160,6 +160,21 @@
         assert len(pools.fleet.starts()) == 1
         assert len(pools.moves()) == 2
 
+    def test_a_spread_task_gets_a_machine_after_its_worker_has_crashed(self):
+        """Guards against a suspect that waits for a worker that is missing."""
+        pools = Pools(count=1)
+        step = scheduling.StepSpec(
+            2, cpu_milli=100, long_running=True, max_per_worker=1
+        )
+        job = pools.fleet.submit(JOB, [step])
+        _, suspect = job.tasks()
+        suspect.crashes = suspect.start_crashes = frozenset(("a@1",))
+        pools.scheduler.crashes.accused_tasks.add(suspect)
+        assert len(pools.fleet.accept(pools.fleet.starts())) == 1
+        pools.fleet.advance(1)
+        assert not pools.fleet.starts()
+        assert [move.pool for move in pools.moves()] == [POOL]
+
     def test_a_cordoned_machine_does_not_count(self):
         pools = Pools(count=2)
         autoscaler = pools.scheduler.autoscaler
