A job row that no leader can use is rejected when it is loaded

A row with a text for a number of cores, an infinite time or a failed run that is no number was loaded, and raised an error in each plan or write of each term: with one such row, the terms of three daemons ended 160 times in about 8 s. Types and ranges are now checked with the row, as those of callers' jobs, and the row is ignored with a log line and a count.

--- a/baobabdoor/platform/_messages.py
+++ b/baobabdoor/platform/_messages.py
@@ -9,8 +9,6 @@
 from baobabdoor import transport
 
 MAX_PAYLOAD_BYTES = 4000
-# Maximum tasks of a job, over all its occurrences.
-MAX_TASKS = 10_000
 # Largest integer in a message: milliseconds since 1970 are far below it, and
 # every product of two such integers is a finite `float`.
 MAX_INTEGER = 2**53
@@ -220,10 +218,10 @@
     )
     repeat_count = natural(content, "repeat-count")
     tasks = sum(step.task_count for step in steps) * max(1, repeat_count)
-    if not 0 < tasks <= MAX_TASKS:
+    if not 0 < tasks <= scheduling.MAX_TASKS:
         raise MessageError(
-            f"steps, repeat-count: expected 1 to {MAX_TASKS} tasks,"
-            f" found {tasks}"
+            f"steps, repeat-count: expected 1 to {scheduling.MAX_TASKS}"
+            f" tasks, found {tasks}"
         )
     return scheduling.JobSpec(
         job_id=job_id,
--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -4,6 +4,7 @@
 from baobabdoor.scheduling._advice import AdviceRequest
 from baobabdoor.scheduling._autoscaler import Move
 from baobabdoor.scheduling._estimates import DurationModel
+from baobabdoor.scheduling._job import MAX_TASKS
 from baobabdoor.scheduling._job import Job
 from baobabdoor.scheduling._job import Run
 from baobabdoor.scheduling._job import Task
@@ -56,6 +57,7 @@
     "JobSpec",
     "JobState",
     "LEASE_S",
+    "MAX_TASKS",
     "MachineRecord",
     "MachineState",
     "Options",
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -1,6 +1,8 @@
 """Jobs, tasks and runs, and the encoding of a job as a row."""
 
+from collections.abc import Iterable
 import json
+import math
 import zlib
 
 import attrs
@@ -8,6 +10,10 @@
 from baobabdoor.scheduling import _types
 
 ROW_FORMAT = 1
+# Maximum tasks of a job, over all its occurrences.
+MAX_TASKS = 10_000
+# Largest number in a row: every product of two of them is a finite `float`.
+MAX_NUMBER = 2**53
 # Maximum digits of a number in the name of a task: a job has far fewer tasks.
 MAX_INDEX_DIGITS = 9
 # Rows are written often and are repetitive; level 1 halves their size.
@@ -315,7 +321,8 @@
     """Decodes a job from its row.
 
     Raises:
-        ValueError: If the row is not in the format of `Job.encode`.
+        AttributeError, KeyError, RecursionError, TypeError, ValueError: If the
+            row is not in the format of `Job.encode`.
     """
     try:
         content = json.loads(zlib.decompress(value))
@@ -331,18 +338,71 @@
     spec = _types.JobSpec(
         job_id, content["queue"], content.get("payload", ""), steps, *schedule
     )
-    job = Job(spec, content["submitted_ms"])
+    state = _types.JobState(content["state"])
+    _check_spec(spec, state in _types.FINAL_STATES)
+    job = Job(spec, _check_time(content["submitted_ms"]))
     job.row_version = version
     job.write_attempted = True
     _restore_progress(job, content)
-    job.state = _types.JobState(content["state"])
+    job.state = state
     job.stored_state = job.state
-    job.ended_ms = content.get("ended_ms", 0)
+    job.ended_ms = _check_time(content.get("ended_ms", 0))
     job.reason = content.get("reason", "")
     job.started = job.state is not _types.JobState.QUEUED
     return job
 
 
+def _check_spec(spec: _types.JobSpec, final: bool) -> None:
+    """Checks the types and ranges in a row of a job.
+
+    A value that no caller can submit would raise an error in each plan, or
+    with each change of the job, in this term and in the next ones.
+
+    Raises:
+        ValueError: If the row is not in the format of `Job.encode`.
+    """
+    for number, step in enumerate(spec.steps):
+        for name, value in attrs.asdict(step, recurse=False).items():
+            if not _is_valid(name, value, number):
+                raise ValueError(f"steps.{number}.{name}: {value!r:.80}")
+    texts = (spec.queue, spec.payload)
+    numbers = (spec.repeat_count, abs(spec.start_at_ms), abs(spec.interval_ms))
+    if not all(isinstance(text, str) for text in texts):
+        raise ValueError(f"expected texts, found {texts!r:.80}")
+    if not all(map(_is_natural, numbers)):
+        raise ValueError(f"schedule: {numbers!r:.80}")
+    tasks = sum(step.task_count for step in spec.steps)
+    tasks *= max(1, spec.repeat_count)
+    if not (final or 0 < tasks <= MAX_TASKS):
+        raise ValueError(f"expected 1 to {MAX_TASKS} tasks, found {tasks}")
+
+
+def _is_valid(name: str, value: object, number: int) -> bool:
+    """Returns whether a field of a step has a valid value.
+
+    Args:
+        name: Name of the field.
+        value: Its value.
+        number: Index of the step.
+    """
+    if name == "after":
+        return all(_is_natural(step) and step < number for step in value)
+    if name == "max_unavailable":
+        return value is None or _is_natural(value)
+    kind = type(_STEP_DEFAULTS[name])
+    return _is_natural(value) if kind is int else type(value) is kind
+
+
+def _is_natural(value: object) -> bool:
+    return type(value) is int and 0 <= value <= MAX_NUMBER
+
+
+def _check_time(time_ms: float) -> float:
+    if not math.isfinite(time_ms):
+        raise ValueError(f"expected a time, found {time_ms!r:.80}")
+    return time_ms
+
+
 def _restore_progress(job: Job, content: dict) -> None:
     for key, bits in content.get("done", {}).items():
         occurrence, step = map(int, key.split("."))
@@ -356,14 +416,24 @@
             yield job.find_task(*map(int, key.split("."))), value
 
     for task, run_ids in tasks_with("failures"):
-        task.failed_runs = frozenset(run_ids)
+        task.failed_runs = _members(run_ids, int)
     for task, (at_start, certain) in tasks_with("crashes"):
-        task.start_crashes = frozenset(at_start)
-        task.crashes = frozenset(certain)
+        task.start_crashes = _members(at_start, str)
+        task.crashes = _members(certain, str)
     for task, (worker_id, start_ms, machine) in tasks_with("trials"):
+        _members((worker_id, machine), str)
+        _members((start_ms,), int)
         task.stored_trial = (worker_id, start_ms, machine)
     for task, given_up in tasks_with("given_up"):
-        task.given_up = given_up
+        task.given_up = bool(given_up)
+
+
+def _members(values: Iterable, kind: type) -> frozenset:
+    """Returns values as a set; raises `ValueError` if one has another type."""
+    members = frozenset(values)
+    if not all(type(value) is kind for value in members):
+        raise ValueError(f"expected {kind.__name__}, found {values!r:.80}")
+    return members
 
 
 def parse_task_name(name: str) -> tuple[str, int, int, int] | None:
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -112,6 +112,16 @@
     '{"machine": "m92", "state": "up", "id": {"a": 1}}',
 ]
 
+# A job whose plan raises an error.
+JOB_CONTENT = {
+    "format": 1,
+    "queue": soak_platform.QUEUE,
+    "state": "queued",
+    "submitted_ms": 1,
+    "payload": "",
+    "steps": [{"task_count": 1, "cpu_milli": "1"}],
+}
+
 # Rows of other tables, by table, part and key.
 ROWS = {
     ("op", "", "wave/1"): b'{"wave": 1, "machines": [7], "maximum": 1}',
@@ -120,6 +130,9 @@
     ("op", "", "other"): b"\xff",
     ("jobs", dispatch.PART, "00000000000000b1"): b"[",
     ("jobs", dispatch.PART, "00000000000000b2"): zlib.compress(b"[" * 30_000),
+    ("jobs", dispatch.PART, "00000000000000b3"): zlib.compress(
+        json.dumps(JOB_CONTENT).encode()
+    ),
     ("roster", dispatch.PART, "00"): b"[" * 30_000,
     ("roster", dispatch.PART, "01"): b'{"w90": [1, 2, 3, 4, 5]}',
     ("roster", dispatch.PART, "x"): b"[]",
