An error in the plan of one job costs only that job

It ended the term, and each next leader would have met the same job. The job is now left out of the plans for 10 s, with an event `job_plan_failed`, which is logged and counted; the runs that the interrupted plan had added were not sent and are released. No row or job is known that raises such an error since rows are checked when they are loaded; the tests inject it.

Failed before: TestFailingPlans, KeyError out of `plan`.

--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -173,6 +173,8 @@
         self.started = False
         # Whether it was expected to meet its objective at submission.
         self.timely = True
+        # Until then it is left out of the plans after an error in its plan.
+        self.suspended_until_s = -1e9
         self.reason = ""
         # Tasks by occurrence and step.
         self.steps: dict[tuple[int, int], list[Task]] = {}
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -8,6 +8,10 @@
 from baobabdoor.scheduling import _worker
 from baobabdoor.scheduling import _worker_events
 
+# Time for which a job is left out of the plans after an error in its plan. It
+# bounds the lines about it in the log.
+SUSPENSION_S = 10.0
+
 
 def place_tasks(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
     """Returns the starts for all tasks that can run, by priority."""
@@ -21,15 +25,43 @@
             and not scheduler.unneeded_runs.get(worker.worker_id)
         ):
             pools.setdefault(worker.record.pool, []).append(worker)
-    for job in _jobs_by_priority(scheduler):
+    for job in _jobs_by_priority(scheduler, now_s):
         queue = scheduler.configuration.queues.get(job.spec.queue)
         if queue is not None:
             workers = pools.get(queue.pool, [])
-            orders += _place_job(scheduler, job, workers, now_s)
+            try:
+                orders += _place_job(scheduler, job, workers, now_s)
+            except Exception as error:
+                _release_unsent_runs(scheduler, job, now_s)
+                _suspend(scheduler, job, now_s, error)
     return orders
 
 
-def _jobs_by_priority(scheduler) -> list[_job.Job]:
+def _suspend(scheduler, job: _job.Job, now_s: float, error: Exception) -> None:
+    """Leaves a job out of the plans for a while after an error.
+
+    Each leader would meet the same error, so it must cost only this job.
+    """
+    job.suspended_until_s = now_s + SUSPENSION_S
+    scheduler.emit(
+        "job_plan_failed", job=job.spec.job_id, error=f"{error!r:.200}"
+    )
+
+
+def _release_unsent_runs(scheduler, job: _job.Job, now_s: float) -> None:
+    """Releases the runs of a plan that was interrupted.
+
+    Their orders are not sent, so they certainly never start. Those of an
+    earlier plan have an earlier start time.
+    """
+    for task in job.tasks():
+        run = task.run
+        if run is not None and run.order_pending and run.started_s == now_s:
+            worker = scheduler.workers[run.worker_id]
+            scheduler.release_run(worker, run, "plan failed")
+
+
+def _jobs_by_priority(scheduler, now_s: float) -> list[_job.Job]:
     """Returns active jobs, highest priority first.
 
     `long_running` jobs come first, then jobs that can meet their objective,
@@ -40,29 +72,36 @@
     """
     keys = []
     for number, job in enumerate(scheduler.active.values()):
-        if job.stored_state is None:
-            continue
-        if job.spec.long_running:
-            keys.append((0, 0, 0, 0.0, number, job))
-            continue
-        queue = scheduler.configuration.queues.get(job.spec.queue)
-        if queue is None:
+        if job.stored_state is None or now_s < job.suspended_until_s:
             continue
-        if job.spec.repeat_count:
-            # Each occurrence has its own start time; the job is never late.
-            keys.append((1, queue.priority, 0, 0.0, number, job))
+        try:
+            rank = _rank(scheduler, job)
+        except Exception as error:
+            _suspend(scheduler, job, now_s, error)
             continue
-        slack_s, late_slack_s = scheduler.admission.slacks_s(job, queue)
-        if slack_s >= 0:
-            rank = (1, queue.priority, int(not job.timely), slack_s)
-        else:
-            no_value = late_slack_s < 0
-            rank = (2, queue.priority, int(no_value), -slack_s)
-        keys.append((*rank, number, job))
+        if rank is not None:
+            keys.append((*rank, number, job))
     keys.sort(key=lambda key: key[:5])
     return [key[5] for key in keys]
 
 
+def _rank(scheduler, job: _job.Job) -> tuple | None:
+    """Returns the rank of a job, lowest first; `None` without a queue."""
+    if job.spec.long_running:
+        return (0, 0, 0, 0.0)
+    queue = scheduler.configuration.queues.get(job.spec.queue)
+    if queue is None:
+        return None
+    if job.spec.repeat_count:
+        # Each occurrence has its own start time; the job is never late.
+        return (1, queue.priority, 0, 0.0)
+    slack_s, late_slack_s = scheduler.admission.slacks_s(job, queue)
+    if slack_s >= 0:
+        return (1, queue.priority, int(not job.timely), slack_s)
+    no_value = late_slack_s < 0
+    return (2, queue.priority, int(no_value), -slack_s)
+
+
 def _place_job(
     scheduler, job: _job.Job, workers: list[_worker.Worker], now_s: float
 ) -> list[_orders.WorkerOrder]:
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -232,6 +232,77 @@
         assert worker.entry_s == now_s
 
 
+class TestFailingPlans:
+    """An error in the plan of one job does not keep the others waiting.
+
+    Each leader would meet it too, so there would be no leader at all.
+    """
+
+    OTHER = "00000000000000ab"
+
+    def plan(self, fail, **fields):
+        """Plans a job of which `fail(task)` raises, and another one."""
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [step(3, **fields)])
+        fleet.submit(self.OTHER, [step()])
+        ticket = fleet.scheduler.advice.ticket
+
+        def checked_ticket(task, worker, now_s):
+            if task.job is job:
+                fail(task)
+            return ticket(task, worker, now_s)
+
+        fleet.scheduler.advice.ticket = checked_ticket
+        fleet.scheduler.take_events()
+        return fleet, job, fleet.starts()
+
+    @pytest.mark.parametrize("gang", [False, True])
+    def test_other_jobs_start(self, gang):
+        def fail(task):
+            if task.index == 1:
+                raise KeyError("injected")
+
+        fleet, job, orders = self.plan(fail, gang=gang)
+        assert [order.task for order in orders] == [f"{self.OTHER}.0.0.0"]
+        # No order was sent, so no run may stay behind.
+        assert not any(task.run for task in job.tasks())
+        (worker_id,) = {order.worker_id for order in orders}
+        for worker in fleet.scheduler.workers.values():
+            used = 1000 if worker.worker_id == worker_id else 0
+            assert worker.cpu_used == used
+
+    def test_the_job_is_planned_again_later(self):
+        failures = []
+
+        def fail_once(task):
+            if not failures:
+                failures.append(task)
+                raise KeyError("injected")
+
+        fleet, _, _ = self.plan(fail_once)
+        fleet.advance(1.0)
+        assert not fleet.starts()
+        fleet.advance(10.0)
+        assert len(fleet.starts()) == 3
+        names = [event.name for event in fleet.scheduler.take_events()]
+        assert names.count("job_plan_failed") == 1
+
+    def test_a_failing_estimate_costs_one_job(self):
+        fleet = scheduling_fixtures.Fleet()
+        job = fleet.submit(JOB, [step()])
+        fleet.submit(self.OTHER, [step()])
+        slacks_s = fleet.scheduler.admission.slacks_s
+
+        def fail(checked, queue):
+            if checked is job:
+                raise OverflowError("injected")
+            return slacks_s(checked, queue)
+
+        fleet.scheduler.admission.slacks_s = fail
+        (order,) = fleet.starts()
+        assert order.task == f"{self.OTHER}.0.0.0"
+
+
 class TestInterruptedReports:
     """An error interrupts the application of a report.
 
