VirtualBench: an interrupted wake-up ends the run

Cause: pytest-timeout raises its exception from a signal handler, in whatever code runs. In `call_soon`, called while a task is put back into the queue, the loop's `Handle._run` only logs it: the task is never run again, and the limit, which fires once, is used up. The virtual bench spends its time there, since it repeats `sleep(0)`. A wait whose limit is still pending ends: raised in epoll, the exception reaches the caller.

Change: the bench's loop stops at an exception of its own code, and `run` and `wait` raise it.

Not shown: that the limit of 180 s had passed in the hang that was seen. It lasted longer than that, and no other exception is known that is raised in `call_soon`. If it exceeds the limit again, it fails and says so. No test or limit was relaxed.

--- a/tests/fuzzing.py
+++ b/tests/fuzzing.py
@@ -33,10 +33,33 @@
     def __init__(self):
         self.timers = base.VirtualTimerService()
         self.loop = asyncio.new_event_loop()
+        self.loop.set_exception_handler(self._stop_at_error)
+        self.error = None
         self.faults = standin.PlatformFaults()
 
     def run(self, *coroutines):
-        return self.loop.run_until_complete(self._drive(coroutines))
+        return self._run(self._drive(coroutines))
+
+    def _run(self, coroutine):
+        try:
+            return self.loop.run_until_complete(coroutine)
+        except RuntimeError:
+            if self.error is None:
+                raise
+            raise self.error from None
+
+    def _stop_at_error(self, loop, context):
+        """Stops the loop at an exception in its own code.
+
+        The time limit of a test raises in whatever code is running. The loop
+        only logs an exception of its own code, and the task that it was to
+        wake up would never run again.
+        """
+        if "handle" not in context:
+            loop.default_exception_handler(context)
+            return
+        self.error = context["exception"]
+        loop.stop()
 
     async def _drive(self, coroutines):
         tasks = [asyncio.ensure_future(each) for each in coroutines]
@@ -45,7 +68,7 @@
         return [task.result() for task in tasks]
 
     def wait(self, duration_s):
-        self.loop.run_until_complete(standin.advance(self.timers, duration_s))
+        self._run(standin.advance(self.timers, duration_s))
 
     def set_faults(self, fault):
         """Activates `fault` and deactivates all other faults."""
