An entry that names another machine ends no runs either

The machine of a life does not change, so such an entry is refused like one with another address, also for a worker that may have runs of earlier terms.

--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -30,12 +30,10 @@
         worker.entry_s = written_s
         scheduler.workers[record.worker_id] = worker
         return
-    moved = (
-        worker.record.address != record.address
-        or worker.record.pool != record.pool
-    )
+    moved = _has_moved(worker.record, record)
     newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
-    if moved and worker.runs:
+    may_have_runs = worker.runs or worker.worker_id in scheduler.unfenced
+    if moved and may_have_runs:
         _refuse_entry(scheduler, worker, record, now_s)
         return
     if moved:
@@ -63,15 +61,27 @@
     worker.listed = True
 
 
+def _has_moved(
+    previous: _types.WorkerRecord, record: _types.WorkerRecord
+) -> bool:
+    """Returns whether an entry cannot be of the same life of a worker."""
+    return (
+        previous.address != record.address
+        or previous.pool != record.pool
+        or previous.machine not in ("", record.machine)
+    )
+
+
 def _refuse_entry(
     scheduler,
     worker: _worker.Worker,
     record: _types.WorkerRecord,
     now_s: float,
 ) -> None:
-    """Ignores an entry with another address or pool for a worker with runs.
+    """Ignores an entry that another life of a worker with runs would have.
 
-    Its runs end with a report of the worker or with their leases. Until then
+    The runs may be those of earlier terms, as long as it has not reported. Its
+    runs end with a report of the worker or with their leases. Until then
     the worker is called where it reported, and gets no starts.
     """
     worker.listed = False
@@ -82,6 +92,7 @@
             worker=worker.worker_id,
             address=record.address,
             pool=record.pool,
+            machine=record.machine,
             runs=len(worker.runs),
         )
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -152,13 +152,16 @@
     """Another program writes an entry under the identifier of a worker."""
 
     def running(self):
-        fleet = scheduling_fixtures.Fleet(["w1", "w22"])
+        fleet = scheduling_fixtures.Fleet([])
+        for worker_id in ("w1", "w22"):
+            fleet.add_worker(worker_id, machine="m1")
         fleet.submit(JOB, [step()])
         (order,) = fleet.accept(fleet.starts())
         fleet.advance(0.5)
         return fleet, order.worker_id
 
     def write(self, fleet, worker_id, **fields):
+        fields = {"machine": "m1"} | fields
         fleet.scheduler.observe_worker(
             scheduling_fixtures.record(worker_id, **fields), fleet.now_s
         )
@@ -171,6 +174,7 @@
             {"address": "10.0.9.9:80"},
             {"address": "10.0.9.9:80", "start_time_ms": 2},
             {"pool": "other"},
+            {"machine": "m9"},
         ],
         ids=str,
     )
@@ -191,6 +195,24 @@
         assert worker.lease_end_s > fleet.now_s
         assert worker.record.address == f"10.0.0.{len(worker_id)}:80"
 
+    def test_runs_of_earlier_terms_are_waited_for(self):
+        """The next leader took the worker for replaced, and did not wait."""
+        fleet, worker_id = self.running()
+        worker = fleet.scheduler.workers[worker_id]
+        worker.runs.clear()
+        fleet.scheduler.unfenced.add(worker_id)
+        self.write(fleet, worker_id, machine="m9")
+        replaced = scheduling.MachineRecord(
+            "m9", "p", scheduling.MachineState.UP, "z", "w33"
+        )
+        fleet.scheduler.maintenance.observe_machines(
+            (replaced,), fleet.now_s + 1
+        )
+        assert fleet.scheduler.inherited_blocked()
+        assert not worker.retired
+        fleet.report(worker_id)
+        assert not fleet.scheduler.inherited_blocked()
+
     def test_worker_is_usable_once_its_own_entry_is_back(self):
         """A start in the future made every later report an earlier one's."""
         fleet, worker_id = self.running()
@@ -222,7 +244,9 @@
     def test_restart_that_was_listed_first_needs_no_second_entry(self):
         fleet, worker_id = self.running()
         now_s = fleet.now_s
-        record = scheduling_fixtures.record(worker_id, start_time_ms=2)
+        record = scheduling_fixtures.record(
+            worker_id, start_time_ms=2, machine="m1"
+        )
         fleet.scheduler.observe_worker(record, now_s, now_s)
         fleet.running[worker_id].clear()
         fleet.now_s += 0.1
