The soak has entries of other programs among those of the workers

Five odd entries stay in the list, and entries of another program replace those of workers until their next heartbeat, both chosen by the seed apart from the sequence of faults.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -19,10 +19,12 @@
 import tempfile
 import time
 
+import foreign_entries
 import ports
 import soak_faults
 import soak_platform
 
+from baobabdoor import platform
 from baobabdoor import scheduling
 from baobabdoor.standin import _walk
 
@@ -47,6 +49,11 @@
 # Requests interrupted within this time after they were sent are not checked,
 # because they may have been sent just before the process exited.
 EXIT_MARGIN_S = 0.3
+# Entries of other programs that stay in the list of workers during a run.
+FOREIGN_ENTRIES = 5
+# Bounds of the time between two entries of another program that replace that
+# of a worker until its next heartbeat.
+REPLACEMENT_RANGE_S = (0.5, 3.0)
 # Share of jobs with a task that crashes the workers that start it.
 CRASHING_SHARE = 0.04
 FINAL_STATES = ("completed", "failed", "cancelled")
@@ -144,6 +151,9 @@
         self.simulator = soak_platform.PlatformSimulator(
             seed, self.subnet, WORKERS, self.oracle
         )
+        # Apart from `random`, so that a seed keeps its sequence of faults.
+        self.foreign_random = random.Random(f"{seed}-foreign")
+        self.simulator.foreign_entries = self._choose_foreign_entries()
         self.daemons = [
             soak_faults.DaemonProcess(number, self.subnet, folder)
             for number in range(DAEMONS)
@@ -166,6 +176,16 @@
         # Time of the last fault of each daemon other than a graceful stop.
         self.last_fault_s = [time.monotonic()] * DAEMONS
 
+    def _choose_foreign_entries(self) -> dict[str, bytes]:
+        address = self.simulator.worker_address(0)
+        names = sorted(foreign_entries.ENTRIES)
+        chosen = self.foreign_random.sample(names, FOREIGN_ENTRIES)
+        entries = (foreign_entries.ENTRIES[name] for name in chosen)
+        return {
+            key: foreign_entries.at_worker(value, address)
+            for key, value in entries
+        }
+
     def _proxy(self, part: int, number: int, port: int, target: int):
         return soak_faults.Proxy(
             f"127.{self.subnet}.{part}.{number + 1}",
@@ -214,6 +234,7 @@
                 asyncio.ensure_future(self._run_caller(number, end_s))
                 for number in range(CALLERS)
             ]
+            callers.append(asyncio.ensure_future(self._replace_entries(end_s)))
             await self._inject_faults(end_s)
             await asyncio.gather(*callers)
             await self._wait_for_jobs()
@@ -428,6 +449,23 @@
             await asyncio.sleep(min(left_s, pause_s))
         await asyncio.gather(*running)
 
+    async def _replace_entries(self, end_s: float) -> None:
+        """Writes entries of another program under identifiers of workers."""
+        values = list(foreign_entries.REPLACED.values())
+        while time.monotonic() < end_s:
+            pause_s = self.foreign_random.uniform(*REPLACEMENT_RANGE_S)
+            await asyncio.sleep(pause_s)
+            worker = self.foreign_random.choice(self.simulator.workers)
+            value = self.foreign_random.choice(values)
+            if worker.is_down:
+                continue
+            self.simulator.store.write_bytes(
+                platform.WORKERS_TABLE,
+                worker.model.record.worker_id,
+                foreign_entries.at_worker(value, worker.model.record.address),
+            )
+            self.fault_log.append(f"entry of worker {worker.number} replaced")
+
     def _log_fault(self, text: str, daemon: int | None = None) -> None:
         self.fault_log.append(
             f"{time.monotonic() - self.simulator.start_time_s:.2f} {text}"
