A start that reached the next incarnation stops acknowledgements

The hold acknowledges the end by the numbers of the previous incarnation, and the task starts again.

Cause: the hold is sent 0.3 s after the run ended, within the 0.6 s after a report in which a restart is not expected, and both orders carry the token that the new incarnation has accepted from the start.

Change: the answer of such a start shows a clock that went back. It is treated as silence of the previous incarnation: the next hold acknowledges nothing, and no further tasks start before the next report.

Evidence: the new test fails without the change.

Not covered: a new incarnation whose clock is ahead of the previous one's, and a hold that is sent before the start is answered.

--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -102,15 +102,7 @@
     run.order_pending = False
     outcome = result.outcome
     if outcome is OUTCOMES.ACCEPTED:
-        worker.observe_response(now_s)
-        run.task.job.started = True
-        clock_ms = result.clock_ms or worker.clock_ms
-        # A run of unknown outcome is being stopped in the worker's next
-        # incarnation; a late response of the previous one confirms nothing.
-        # A clock that went back is that of the next incarnation.
-        if not run.outcome_unknown and clock_ms >= run.ordered_clock_ms:
-            run.confirmed = True
-            run.clock_ms = clock_ms
+        _observe_accepted_start(worker, run, result, now_s)
         return
     scheduler.emit_run(
         "start_refused", run, outcome=outcome.value, detail=result.detail
@@ -120,6 +112,28 @@
     _observe_refused_start(scheduler, worker, run, outcome, now_s)
 
 
+def _observe_accepted_start(
+    worker: _worker.Worker,
+    run: _job.Run,
+    result: _types.OrderResult,
+    now_s: float,
+) -> None:
+    worker.observe_response(now_s)
+    run.task.job.started = True
+    if run.outcome_unknown:
+        # It is being stopped in the worker's next incarnation; a late response
+        # of the previous one confirms nothing.
+        return
+    clock_ms = result.clock_ms or worker.clock_ms
+    if clock_ms < run.ordered_clock_ms:
+        # The clock is that of the next incarnation, and the one before is
+        # silent. No ended runs are acknowledged before the next report.
+        worker.observe_no_response(now_s)
+        return
+    run.confirmed = True
+    run.clock_ms = clock_ms
+
+
 def _observe_refused_start(
     scheduler,
     worker: _worker.Worker,
--- a/tests/test_scheduling_fencing.py
+++ b/tests/test_scheduling_fencing.py
@@ -140,6 +140,24 @@
         assert fleet.deliver(stop).outcome is OUTCOMES.ACCEPTED
 
 
+class TestUnnoticedRestart:
+
+    def test_an_end_of_a_start_in_the_next_incarnation_is_processed(self):
+        fleet = RestartingFleet()
+        fleet.run_task(FIRST)
+        assert fleet.hold("w1").last_seen == 1
+        fleet.restart()
+        order = fleet.start_task(SECOND)
+        fleet.now_s += RUN_S
+        assert fleet.poll().last_seen == 0
+        assert order.task not in fleet.observer.acknowledged
+        fleet.poll()
+        fleet.commit()
+        assert not fleet.starts()
+        job = fleet.scheduler.jobs[SECOND]
+        assert job.stored_state is scheduling.JobState.COMPLETED
+
+
 class TestRestart:
 
     def restarted(self):
