--- a/baobabdoor/scheduling/_autoscaler.py
+++ b/baobabdoor/scheduling/_autoscaler.py
@@ -25,8 +25,6 @@
 TARGET_UTILIZATION = 0.9
 # Machines that a pool keeps beyond the required ones.
 SPARE_MACHINES = 1
-# Least size of a machine that a pool counts on, in cores.
-MIN_MACHINE_CORES = 0.1
 # Minimum machines of a pool.
 MIN_MACHINES = 1
 # Time from the first listing of a worker to its first run, in seconds.
@@ -201,8 +199,11 @@
             now_s,
             scheduler.options.move_s,
         )
-        cores = cores / TARGET_UTILIZATION + self._long_running_cores(pool)
-        need = self._machines_for(pool, cores)
+        size = self.machine_cores()
+        long_running = self._long_running_cores(pool)
+        need = math.ceil(
+            (cores / TARGET_UTILIZATION + long_running) / max(size, 0.1)
+        )
         need = max(need, self._long_running_hosts(pool))
         need = max(need, scheduler.trials.required_machines(pool))
         # If the shortage persists, placement reports it again before the next
@@ -227,41 +228,10 @@
         counted = sizes[True] or sizes[False]
         return sum(counted) / len(counted) if counted else 1.0
 
-    def _machines_for(self, pool: str, cores: float) -> int:
-        """Returns how many machines a pool needs to have some cores.
-
-        Its own machines may be smaller or larger than those that it can get,
-        since workers may shrink while they run.
-        """
-        sizes = self._member_cores(pool)
-        present = sum(sizes)
-        if sizes and present >= cores:
-            return math.ceil(cores * len(sizes) / present)
-        size = max(self.machine_cores(), MIN_MACHINE_CORES)
-        return len(sizes) + math.ceil((cores - present) / size)
-
-    def _member_cores(self, pool: str) -> list[float]:
-        """Returns the cores of each machine of a pool.
-
-        An incoming machine, and one whose worker is not known yet, counts as
-        one of average size.
-        """
-        average = self.machine_cores()
-        sizes = []
-        for record in self._members(pool):
-            worker = self.scheduler.workers.get(record.worker_id)
-            known = (
-                worker is not None
-                and worker.record.pool == pool
-                and worker.record.cpu_milli > 0
-            )
-            sizes.append(worker.record.cpu_milli / 1000 if known else average)
-        return sizes
-
     def expected_cores(self, pool: str) -> float:
         """Returns the batch cores of a pool, including incoming machines."""
         long_running = self._long_running_cores(pool)
-        return sum(self._member_cores(pool)) - long_running
+        return self.machine_count(pool) * self.machine_cores() - long_running
 
     def _demand_cores(self, pool: str) -> float:
         """Returns the cores that jobs need to meet their objectives.
