No machines are moved by a leader that reaches no worker

While the links of a leader to its workers are cut, all of them look lost, so that each waiting task would report a shortage and machines would be moved that the leader cannot use either.

Such a shortage is now reported only if some worker of any pool answers.

Before: test_a_leader_that_reaches_no_worker_moves_no_machine fails with "assert ['results'] == []".

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -244,7 +244,8 @@
     if spec.long_running and not spec.gang:
         count = _unplaced_count(waiting, workers)
     else:
-        count = _unfit_count(scheduler, spec, workers.find_in_service(now_s))
+        members = workers.find_in_service(now_s)
+        count = _unfit_count(scheduler, spec, members, now_s)
     if not count:
         return
     queue = scheduler.configuration.queues[waiting[0].job.spec.queue]
@@ -270,7 +271,10 @@
 
 
 def _unfit_count(
-    scheduler, spec: _types.StepSpec, members: list[_worker.Worker]
+    scheduler,
+    spec: _types.StepSpec,
+    members: list[_worker.Worker],
+    now_s: float,
 ) -> int:
     """Returns for how many tasks a pool never has room as it is.
 
@@ -282,9 +286,13 @@
         needed -= worker.lasting_slots(spec)
         if needed <= 0:
             return 0
-    # More machines are of no use if the tasks fit on none.
+    # More machines are of no use if the tasks fit on none, or if this leader
+    # reaches no worker.
     workers = scheduler.workers.values()
-    return needed if any(worker.could_fit(spec) for worker in workers) else 0
+    useful = any(worker.could_fit(spec) for worker in workers) and any(
+        worker.responsive(now_s) for worker in workers
+    )
+    return needed if useful else 0
 
 
 def _is_runnable(scheduler, job: _job.Job, occurrence: int, step: int) -> bool:
