An entry with another place is refused for an idle worker, too

Seen in review: an entry of another program under the identifier of an idle worker named another machine and was accepted. The worker then started a task, the list of machines showed another worker on that machine, and the run was released while it ran (TWICE). Accepted with a start time in the future, it made the scheduler refuse all reports of the worker for ever.

Cause: entries were refused only while the worker had runs, and an accepted one set the start time that reports are compared with.

Address, pool and machine of a life do not change. An entry that changes them is accepted if its start time is that of the life that reports, or a later one and the worker has no runs. It no longer counts as a restart; the report does that.

--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -33,13 +33,10 @@
         scheduler.fencing.add(worker)
         return
     moved = _has_moved(worker.record, record)
-    newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
-    may_have_runs = worker.runs or worker.worker_id in scheduler.unfenced
-    if moved and may_have_runs:
+    if moved and not _may_move(scheduler, worker, record):
         _refuse_entry(scheduler, worker, record, now_s)
         return
-    if moved:
-        apply_restart(scheduler, worker, record.start_time_ms, "list", now_s)
+    newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
     if moved or record.start_time_ms > newest_ms:
         # Any program may have written the entry, so it ends no confirmed run.
         # The worker gets no starts until it reports whether it has restarted.
@@ -74,6 +71,22 @@
     )
 
 
+def _may_move(
+    scheduler, worker: _worker.Worker, record: _types.WorkerRecord
+) -> bool:
+    """Returns whether an entry with another place may be a worker's own.
+
+    Address, pool and machine of a life do not change. Only an entry of the life
+    that reports, or of a later one of a worker without runs, is credible.
+    """
+    if not worker.start_time_ms:
+        return True
+    if record.start_time_ms == worker.start_time_ms:
+        return worker.record.start_time_ms != worker.start_time_ms
+    may_have_runs = worker.runs or worker.worker_id in scheduler.unfenced
+    return record.start_time_ms > worker.start_time_ms and not may_have_runs
+
+
 def _refuse_entry(
     scheduler,
     worker: _worker.Worker,
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -240,6 +240,9 @@
         worker = fleet.scheduler.workers["w1"]
         assert worker.record.address == "10.0.9.9:80"
         assert not worker.usable(fleet.now_s)
+        # The first report shows the restart, the second the new token.
+        fleet.report("w1", start_time_ms=2)
+        assert not worker.usable(fleet.now_s)
         fleet.commit()
         fleet.report("w1", start_time_ms=2)
         assert worker.usable(fleet.now_s)
