Gangs: evictions stop one member, and a failed choice leaves no runs

The eviction of one member of a lasting gang made all members stop (AVAIL); a gang at work is now left to the eviction. An error while workers were chosen left runs that hold room for ever; they are now removed in any case. Both tests failed before, the first with `3 == 1` stops.

--- a/baobabdoor/scheduling/_gangs.py
+++ b/baobabdoor/scheduling/_gangs.py
@@ -28,6 +28,11 @@
     ]
     if len(staying) == len(tasks):
         return
+    if any(
+        run.task.spec.long_running and run.percent >= 100 for run in staying
+    ):
+        # A member of a gang at work was stopped on purpose, one at a time.
+        return
     for run in staying:
         run.stopping = True
         scheduler.emit_run("run_given_up", run, reason="gang incomplete")
--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -406,19 +406,19 @@
 ) -> list[_worker.Worker]:
     """Returns a worker for each task of a gang; none if one has no room."""
     reserved: list[tuple[_worker.Worker, _job.Run]] = []
-    for task in tasks:
-        worker = choose_worker(task, workers, due_workers)
-        if worker is None:
-            break
-        # Takes up room until all members have a worker.
-        run = _job.Run(task, 0, worker.worker_id, 0.0)
-        worker.add_run(run)
-        reserved.append((worker, run))
-    for worker, run in reserved:
-        worker.remove_run(run)
-    if len(reserved) < len(tasks):
-        return []
-    return [worker for worker, _ in reserved]
+    try:
+        for task in tasks:
+            worker = choose_worker(task, workers, due_workers)
+            if worker is None:
+                return []
+            # Takes up room until all members have a worker.
+            run = _job.Run(task, 0, worker.worker_id, 0.0)
+            worker.add_run(run)
+            reserved.append((worker, run))
+        return [worker for worker, _ in reserved]
+    finally:
+        for worker, run in reserved:
+            worker.remove_run(run)
 
 
 def _start_gang(
--- a/tests/test_scheduling_gangs.py
+++ b/tests/test_scheduling_gangs.py
@@ -3,6 +3,8 @@
 import scheduling_fixtures
 
 from baobabdoor import scheduling
+from baobabdoor.scheduling import _maintenance
+from baobabdoor.scheduling import _placement
 
 JOB = "00000000000000b1"
 
@@ -134,3 +136,62 @@
             successor.report(order.worker_id)
             assert not self.stops(successor)
         assert not successor.scheduler.unfenced
+
+
+class TestInterruptedGangPlan:
+
+    def test_an_error_leaves_no_room_reserved(self, monkeypatch):
+        """Guards against runs without a task that hold room for ever."""
+        fleet = scheduling_fixtures.Fleet()
+        fleet.submit(JOB, [scheduling.StepSpec(2, cpu_milli=1000, gang=True)])
+        choose = _placement.choose_worker
+        calls = []
+
+        def failing(task, *args):
+            calls.append(task)
+            if len(calls) == 2:
+                raise KeyError("injected")
+            return choose(task, *args)
+
+        monkeypatch.setattr(_placement, "choose_worker", failing)
+        assert not fleet.starts()
+        fleet.advance(6.0)
+        workers = fleet.scheduler.workers.values()
+        assert not any(worker.runs for worker in workers)
+        assert sum(worker.cpu_used for worker in workers) == 0
+
+
+class TestLastingGangs:
+
+    def test_an_evacuation_stops_one_member_of_a_gang_at_a_time(self):
+        """Guards against stops of more members than may be unavailable."""
+        fleet = scheduling_fixtures.Fleet(["w1", "w22", "w333", "w4444"])
+        fleet.submit(
+            JOB,
+            [
+                scheduling.StepSpec(
+                    3,
+                    cpu_milli=1000,
+                    gang=True,
+                    long_running=True,
+                    max_unavailable=1,
+                    max_per_worker=1,
+                )
+            ],
+        )
+        orders = fleet.accept(fleet.starts(), percent=100)
+        assert len(orders) == 3
+        fleet.advance(2.5)
+        first = orders[0]
+        worker = fleet.scheduler.workers[first.worker_id]
+        run_ = worker.find_run(first.task, first.run_id)
+        assert _maintenance.may_evict(
+            fleet.scheduler, run_.task, worker, fleet.now_s
+        )
+        run_.stopping = True
+        stops = [
+            order
+            for order in fleet.plan()
+            if isinstance(order, scheduling.StopOrder)
+        ]
+        assert len(stops) == 1
