Tasks with a required label request no machines

The labels of a machine are not known before its worker is listed, so a move cannot be expected to help.

--- a/baobabdoor/scheduling/_placement.py
+++ b/baobabdoor/scheduling/_placement.py
@@ -314,6 +314,9 @@
     Finite runs end, but `long_running` runs may leave no worker enough room. A
     gang needs room for all of its tasks at once, any other step for one.
     """
+    if spec.required_label:
+        # The labels of a machine are not known before its worker is listed.
+        return 0
     needed = spec.task_count if spec.gang else 1
     for worker in members:
         needed -= worker.lasting_slots(spec)
--- a/tests/test_scheduling_autoscaler.py
+++ b/tests/test_scheduling_autoscaler.py
@@ -289,3 +289,53 @@
         pools = Pools(count=2)
         self.lose_workers(pools)
         assert self.moves_after_a_start(pools) == []
+
+
+class TestShortages:
+
+    def test_a_label_that_only_another_pool_has_adds_no_machines(self):
+        """Guards against a pool that grows without end and without use."""
+        fleet = scheduling_fixtures.Fleet(
+            [], pools=(POOL, "other"), standby=("off",)
+        )
+        up = scheduling.MachineState.UP
+        fleet.add_worker("w1", machine="m1")
+        fleet.add_worker(
+            "w22", pool="other", machine="m22", labels=frozenset({"special"})
+        )
+        machines = [
+            scheduling.MachineRecord("m1", POOL, up, "z", "w1"),
+            scheduling.MachineRecord("m22", "other", up, "z", "w22"),
+        ]
+        machines += [
+            scheduling.MachineRecord(f"s{n}", "off", up, "z", "")
+            for n in range(8)
+        ]
+        fleet.submit(
+            JOB,
+            [scheduling.StepSpec(1, cpu_milli=100, required_label="special")],
+        )
+        moved = 0
+        for _ in range(20):
+            fleet.scheduler.maintenance.observe_machines(
+                tuple(machines), fleet.now_s
+            )
+            fleet.commit()
+            fleet.starts()
+            for move in fleet.scheduler.autoscaler.plan(fleet.now_s):
+                if move.pool != POOL:
+                    continue
+                moved += 1
+                index = next(
+                    i
+                    for i, m in enumerate(machines)
+                    if m.machine == move.machine
+                )
+                name = f"n{moved}"
+                machines[index] = scheduling.MachineRecord(
+                    move.machine, POOL, up, "z", name
+                )
+                fleet.scheduler.autoscaler.observe_order(move, "accepted")
+                fleet.add_worker(name, machine=move.machine)
+            fleet.advance(0.5)
+        assert moved <= 2
