The end of a lease does not renew the list of machines

The last list was applied again as if it had just been requested, so a crash was held against the tasks of a worker that had reported since (found in review, the test failed before).

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -132,7 +132,8 @@
             self.lost_workers.setdefault(worker.worker_id, []).append(
                 _LostWorker(worker.record.machine, losses, now_s)
             )
-            self.observe_machines(self.scheduler.maintenance.machines, now_s)
+            maintenance = self.scheduler.maintenance
+            self.observe_machines(maintenance.machines, maintenance.listed_s)
 
     def observe_alive(self, worker: _worker.Worker) -> None:
         """Records a report of the known incarnation of a worker."""
--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -8,6 +8,7 @@
 
 import enum
 import json
+import math
 
 import attrs
 
@@ -154,6 +155,8 @@
         self.scheduler = scheduler
         self.plans: dict[int, WavePlan] = {}
         self.machines: dict[str, _types.MachineRecord] = {}
+        # Time of the request for this list of machines.
+        self.listed_s = -math.inf
 
     def observe_wave(self, wave: _types.Wave, stored: bytes = b"") -> None:
         """Adds a wave that the operator requests.
@@ -185,6 +188,7 @@
         """
         self._emit_availability(machines)
         self.machines = {record.machine: record for record in machines}
+        self.listed_s = requested_s
         self.scheduler.crashes.observe_machines(self.machines, requested_s)
         self._retire_replaced(requested_s)
         for plan in self.plans.values():
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -325,3 +325,50 @@
             fleet.report(worker.worker_id, start_time_ms=2)
 
         assert self.crashes_after(restart) == 1
+
+
+class TestOldList:
+
+    def test_a_list_that_is_older_than_a_report_accuses_no_task(self):
+        """Guards against a crash that is held against tasks without cause.
+
+        The end of another worker's lease applies the last list of machines as
+        if it had been requested at that moment.
+        """
+        down, up = scheduling.MachineState.DOWN, scheduling.MachineState.UP
+        fleet = scheduling_fixtures.Fleet([])
+        fleet.add_worker("w1", machine="m1", cpu_milli=900)
+        fleet.add_worker("w22", machine="m22", cpu_milli=1000)
+        # The machine of w1 is down; no later list is available.
+        fleet.scheduler.maintenance.observe_machines(
+            (
+                scheduling.MachineRecord(
+                    "m1", scheduling_fixtures.POOL, down, "z", ""
+                ),
+                scheduling.MachineRecord(
+                    "m22", scheduling_fixtures.POOL, up, "z", "w22"
+                ),
+            ),
+            fleet.now_s - 2,
+        )
+        job = fleet.submit(
+            crashing_fleet.HARMLESS, [scheduling.StepSpec(2, cpu_milli=600)]
+        )
+        orders = fleet.accept(fleet.starts())
+        assert {order.worker_id for order in orders} == {"w1", "w22"}
+        # w22 is silent until its lease ends; w1 reports all the while, and
+        # one order to it has no response.
+        fleet.scheduler.observe_no_response("w22", fleet.now_s + 0.1)
+        fleet.advance(3.5, unresponsive=("w22",))
+        fleet.plan()
+        fleet.now_s += 0.4
+        fleet.report("w1")
+        fleet.now_s += 0.1
+        fleet.scheduler.observe_no_response("w1", fleet.now_s)
+        fleet.plan()
+        task = next(
+            task
+            for task in job.tasks()
+            if task.run is not None and task.run.worker_id == "w1"
+        )
+        assert not task.accused
