Large plans of waves and unreadable roster rows do not stop commits

Worker names of machines that are done are left out of a plan, and a large plan is compressed; earlier builds ignore such a row. An unreadable roster row is kept until its workers have certainly ended, since the next leader has to wait for them as well, and then replaced.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -162,9 +162,12 @@
 
     def _changed_documents(self, limit: int) -> list[tuple[Document, bytes]]:
         """Returns at most `limit` changed documents with their new content."""
+        unfenced = self.scheduler.unfenced
         desired = [
             (self.roster_document(key), json.dumps(entries).encode())
             for key, entries in self._desired_roster().items()
+            # The next leader has to wait for the workers of such a row, too.
+            if unreadable_row(key) not in unfenced
         ]
         for number, plan in self.scheduler.maintenance.plans.items():
             document = self.wave_document(number)
@@ -182,9 +185,12 @@
 
     def load_roster(self, row: platform.StoredRow) -> dict[str, list]:
         """Adopts a stored roster row and returns its entries."""
-        self.roster_document(row.key).load(row)
+        document = self.roster_document(row.key)
+        # An unreadable row is replaced once its workers have no runs.
+        document.content, document.version = b"", row.version
         entries = json.loads(row.value)
         self.enrolled |= entries.keys()
+        document.content = row.value
         return entries
 
     def wave_document(self, number: int) -> Document:
@@ -357,6 +363,7 @@
             self.enrolled = {
                 worker_id
                 for document in self.roster.values()
+                if document.content
                 for worker_id in json.loads(document.content)
             }
         for worker in self.scheduler.workers.values():
@@ -411,6 +418,11 @@
         self.on_lost("released")
 
 
+def unreadable_row(key: str) -> str:
+    """Returns what stands for the unknown workers of a roster row."""
+    return f"roster row {key}"
+
+
 def roster_shard_key(worker_id: str) -> str:
     """Returns the key of the roster row that lists a worker."""
     return f"{zlib.crc32(worker_id.encode()) % ROSTER_SHARDS:02d}"
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -148,7 +148,7 @@
                 # The workers of this row may have runs of earlier terms, which
                 # delays inherited tasks until their leases have expired.
                 self.faults.observe_row("roster_unreadable", row, error)
-                self.scheduler.unfenced.add(f"roster row {row.key}")
+                self.scheduler.unfenced.add(_commits.unreadable_row(row.key))
         for row in waves:
             try:
                 self.committer.wave_document(int(row.key)).load(row)
--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -9,6 +9,7 @@
 import enum
 import json
 import math
+import zlib
 
 import attrs
 
@@ -29,6 +30,9 @@
 # A machine that is still listed with its previous worker this long after the
 # duration of a maintenance cannot be going down any more, in seconds.
 DOWN_SLACK_S = 0.5
+# Size from which the row of a plan is compressed, in bytes: a plan of some
+# hundred machines. Earlier builds read plain rows only.
+MAX_PLAIN_BYTES = 16_384
 # Delay before a refused order is repeated.
 RETRY_S = 0.6
 
@@ -99,14 +103,18 @@
         )
 
     def encode(self) -> bytes:
-        """Encodes the plan as a row."""
+        """Encodes the plan as a row, which is compressed if it is large."""
         phases = {
-            target.machine: [target.phase.value, target.worker_id]
+            target.machine: [
+                target.phase.value,
+                "" if target.phase is Phase.DONE else target.worker_id,
+            ]
             for target in self.targets.values()
             if target.phase in (Phase.DRAINED, Phase.DOWN, Phase.DONE)
         }
         content = {"began_ms": round(self.started_ms), "machines": phases}
-        return json.dumps(content, sort_keys=True).encode()
+        value = json.dumps(content, sort_keys=True).encode()
+        return value if len(value) <= MAX_PLAIN_BYTES else zlib.compress(value)
 
     def restore(self, value: bytes) -> None:
         """Restores the plan that an earlier term stored.
@@ -118,7 +126,7 @@
         Raises:
             KeyError, TypeError, ValueError: If the plan is unreadable.
         """
-        content = json.loads(value)
+        content = _decode_plan(value)
         started_ms, machines = content["began_ms"], content["machines"]
         if not isinstance(started_ms, int) or not isinstance(machines, dict):
             raise TypeError(f"unreadable plan: {value!r:.80}")
@@ -134,7 +142,7 @@
 
     def mark_saved(self, value: bytes) -> None:
         """Records which intents are stored."""
-        self.saved = json.loads(value)["machines"]
+        self.saved = _decode_plan(value)["machines"]
 
     def down(self) -> int:
         """Returns how many machines are or may be down."""
@@ -144,6 +152,15 @@
         )
 
 
+def _decode_plan(value: bytes) -> dict:
+    try:
+        return json.loads(
+            value if value[:1] == b"{" else zlib.decompress(value)
+        )
+    except zlib.error as error:
+        raise ValueError(f"unreadable plan: {error}") from error
+
+
 class MaintenancePlanner:
     """Plans the maintenance waves.
 
