Further failures do not prolong the pause of a quarantined worker

Runs that failed one after the other renewed the pause before a quarantined worker starts what fits nowhere else, so that it lasted as long as they went on (found in review; the test failed with a start after 8.5 s).

--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -90,7 +90,8 @@
         self.failed_jobs: set[str] = set()
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until_s = -1e9
-        # When a run last failed there or it reported itself as unhealthy.
+        # When a run failed there or it reported itself as unhealthy; further
+        # failures within a pause do not count.
         self.last_failure_s = -1e9
         # Whether it starts only what fits on no other worker.
         self.last_resort = False
@@ -305,7 +306,7 @@
 
     def observe_failure(self, job_id: str, now_s: float) -> bool:
         """Records a failed run; returns whether the worker is quarantined."""
-        self.last_failure_s = now_s
+        self._observe_trouble(now_s)
         self.failed_jobs.add(job_id)
         if len(self.failed_jobs) < QUARANTINE_JOBS:
             return False
@@ -317,7 +318,12 @@
 
     def observe_unhealthy(self, now_s: float) -> None:
         """Records that the worker reports itself as unhealthy."""
-        self.last_failure_s = now_s
+        self._observe_trouble(now_s)
         self.quarantined_until_s = max(
             self.quarantined_until_s, now_s + UNHEALTHY_S
         )
+
+    def _observe_trouble(self, now_s: float) -> None:
+        # A further failure does not prolong a pause, which has to end.
+        if now_s - self.last_failure_s >= QUARANTINE_PAUSE_S:
+            self.last_failure_s = now_s
--- a/tests/test_scheduling_quarantine.py
+++ b/tests/test_scheduling_quarantine.py
@@ -65,3 +65,35 @@
         fleet.advance(MAX_WAIT_S - 0.5)
         fleet.submit(JOB, [step()])
         assert not fleet.starts()
+
+
+class TestPause:
+
+    def test_failures_one_after_the_other_do_not_prolong_the_pause(self):
+        """Guards against a wait that each failure of older runs renews.
+
+        All workers of the pool are in quarantine, and most room is free.
+        """
+        fleet = scheduling_fixtures.Fleet(["w1"], max_attempts=1)
+        jobs = [f"{number:016x}" for number in range(1, 9)]
+        for job_id in jobs:
+            fleet.submit(job_id, [scheduling.StepSpec(1, cpu_milli=100)])
+        orders = fleet.accept(fleet.starts())
+        assert len(orders) == 8
+        waiting_s = None
+        begin_s = None
+        for order in orders:
+            fleet.end("w1", order.task, order.run_id, "failed")
+            if begin_s is None and (
+                fleet.now_s < fleet.scheduler.workers["w1"].quarantined_until_s
+            ):
+                fleet.submit(JOB, [scheduling.StepSpec(1, cpu_milli=100)])
+                begin_s = fleet.now_s
+            for _ in range(14):
+                fleet.commit()
+                for start in fleet.accept(fleet.starts()):
+                    if start.task.startswith(JOB) and waiting_s is None:
+                        waiting_s = fleet.now_s - begin_s
+                fleet.now_s += 0.1
+                fleet.report("w1")
+        assert waiting_s is not None and waiting_s < 3.0
