Trials pause while another task has waited too long for room

Twelve suspects of one worker, tried one after the other, kept a task that is no suspect waiting for 3.6 s (found in review). A task that has waited longer than `MAX_WAIT_S` for workers that are kept for suspects, in a trial or not, now stops further trials in its pool until it can start.

test_another_task_starts_within_3_s failed before with 3.6 s for 12 suspects on one worker and 24 on two.

--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -61,6 +61,8 @@
         # Time from which only workers that are kept for suspects have room for
         # the tasks of a step.
         self.held_back_s: dict[str, float] = {}
+        # Until when no trials start in a pool, so that other tasks can start.
+        self.paused_until_s: dict[str, float] = {}
 
     def prepare(self, now_s: float) -> None:
         """Finds the workers that start nothing else because of a suspect."""
@@ -119,7 +121,7 @@
         if not _crashes.is_suspect(task):
             return self._workers_for_others(task, workers, now_s)
         waited_s = self._observe_wait([task], workers, now_s)
-        candidates = self._trial_candidates(workers, waited_s)
+        candidates = self._trial_candidates(workers, waited_s, now_s)
         suitable = [
             worker
             for worker in candidates
@@ -148,7 +150,7 @@
         waited_s = self._observe_wait(suspects, workers, now_s)
         return [
             worker
-            for worker in self._trial_candidates(workers, waited_s)
+            for worker in self._trial_candidates(workers, waited_s, now_s)
             if all(
                 _is_suitable(task, worker, waited_s, now_s) for task in suspects
             )
@@ -228,13 +230,16 @@
         )
 
     def _trial_candidates(
-        self, workers: list[_worker.Worker], waited_s: float
+        self, workers: list[_worker.Worker], waited_s: float, now_s: float
     ) -> list[_worker.Worker]:
         """Returns the workers that are not used up by another suspect.
 
         Two suspects never start together, however long they wait: a crash
         would prove nothing.
         """
+        pool = workers[0].record.pool if workers else ""
+        if now_s < self.paused_until_s.get(pool, -math.inf):
+            return []
         if waited_s <= MAX_WAIT_S:
             return self._free_workers(workers)
         return [
@@ -267,17 +272,8 @@
         free = self._free_workers(workers, self.reservations)
         if len(free) == len(workers):
             return free
-        untried = [
-            worker
-            for worker in workers
-            if worker.worker_id not in self.trial_workers
-        ]
-        kept = [
-            worker
-            for worker in untried
-            if worker.worker_id in self.isolated_workers
-            or worker.worker_id in self.reservations
-        ]
+        names = {worker.worker_id for worker in free}
+        kept = [worker for worker in workers if worker.worker_id not in names]
         has_room = not task.spec.gang and any(
             _placement.may_run(worker, task) for worker in free
         )
@@ -287,7 +283,17 @@
             self.held_back_s.pop(task.step_name, None)
             return free
         since_s = self.held_back_s.setdefault(task.step_name, now_s)
-        return untried if now_s - since_s > MAX_WAIT_S else free
+        if now_s - since_s <= MAX_WAIT_S:
+            return free
+        # Otherwise one trial could follow another on the only workers with
+        # room.
+        pool = workers[0].record.pool
+        self.paused_until_s[pool] = now_s + 2 * _crashes.TRIAL_S
+        return [
+            worker
+            for worker in workers
+            if worker.worker_id not in self.trial_workers
+        ]
 
     def _free_workers(
         self,
