A crash long after a start is no longer held against the start

A task starts, its worker falls silent 250 ms later and crashes after seconds. The crash counted as one right after the start, since nothing was heard in between, and two of them are taken as proof.

A crash counts as right after a start only if it becomes known within 2 s of the last time at which the worker is known to have run; later it counts like a crash at any time. A list of machines that shows the silent worker as up counts as such a time, less the delay of the list.

Evidence: two of the three new tests failed before.

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Iterable
+import math
 
 import attrs
 
@@ -38,6 +39,10 @@
 # Time for which the runs of a lost worker are kept until it is known whether
 # the worker crashed or was partitioned from the leader.
 MAX_UNRESOLVED_S = 30.0
+# Maximum silence of a worker at the time at which its crash becomes known, for
+# the crash to count as one right after a start: the interval and delay of the
+# list of machines and a margin.
+MAX_CRASH_DELAY_S = 2.0
 # Time after which the list of machines certainly shows a crash.
 LISTING_DELAY_S = 1.0
 
@@ -89,6 +94,8 @@
         # Unfinished tasks against which a crash is held.
         self.accused_tasks: set[_job.Task] = set()
         self.lost_workers: dict[str, list[_LostWorker]] = {}
+        # Time of the newest plan.
+        self.now_s = -math.inf
 
     def load(self, job: _job.Job) -> None:
         """Adds the suspects of a job of an earlier term, with their runs."""
@@ -120,14 +127,14 @@
         worker.observed_crash = crash_id
         for lost in lost_runs:
             self._accuse(lost.losses)
-        self._accuse(_losses(worker))
+        self._accuse(_losses(worker, self.now_s))
 
     def observe_lapse(self, worker: _worker.Worker, now_s: float) -> None:
         """Records that a silent worker's runs have ended with its lease.
 
         Whether it has crashed is shown by its machine, or by its next report.
         """
-        losses = _losses(worker)
+        losses = _losses(worker, now_s)
         if losses.tasks and not worker.leaving:
             self.lost_workers.setdefault(worker.worker_id, []).append(
                 _LostWorker(worker.record.machine, losses, now_s)
@@ -170,6 +177,7 @@
                 continue
             if _shows_running(record, worker.worker_id):
                 worker.partitioned |= worker.silent_since_s < shown_s
+                worker.shown_up_s = max(worker.shown_up_s, shown_s)
             elif record.state is _types.MachineState.DOWN:
                 # Earlier than its successor or the end of its lease shows it,
                 # so that the crash is stored if the leader is lost.
@@ -275,7 +283,15 @@
         }
 
 
-def _losses(worker: _worker.Worker) -> _Losses:
+def _losses(worker: _worker.Worker, known_s: float) -> _Losses:
+    """Returns the tasks that ended with a worker.
+
+    Args:
+        worker: The worker.
+        known_s: Time at which its end became known.
+    """
+    # Later, the crash may have come long after the start.
+    soon = known_s - _alive_s(worker) <= MAX_CRASH_DELAY_S
     causes = [
         run
         for run in worker.runs.values()
@@ -288,7 +304,11 @@
             for run in causes
             if run.confirmed and not run.stopping and not worker.partitioned
         ),
-        frozenset(run.task for run in causes if _is_starting(worker, run)),
+        frozenset(
+            run.task
+            for run in causes
+            if _is_starting(worker, run) and (soon or not run.confirmed)
+        ),
     )
 
 
@@ -298,7 +318,12 @@
 
 def _is_starting(worker: _worker.Worker, run: _job.Run) -> bool:
     """Returns whether a worker is not known to have survived a start."""
-    return worker.heard_s - run.started_s < TRIAL_S
+    return _alive_s(worker) - run.started_s < TRIAL_S
+
+
+def _alive_s(worker: _worker.Worker) -> float:
+    """Returns the last time at which a worker is known to have run."""
+    return max(worker.heard_s, worker.shown_up_s)
 
 
 def has_passed_probation(worker: _worker.Worker, run: _job.Run) -> bool:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -513,6 +513,7 @@
             may_start: Whether the term is certain to be current, as starts
                 require.
         """
+        self.crashes.now_s = now_s
         self._expire_leases(now_s)
         if (
             may_start
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -64,6 +64,9 @@
         self.last_report_s = -1e9
         # When an order last had no response; a later report supersedes it.
         self.unanswered_s = -1e9
+        # Time at which the list of machines certainly showed it running while
+        # it was silent.
+        self.shown_up_s = -math.inf
         # When it last responded to any order.
         self.heard_s = -1e9
         # When the first order since the last report had no response.
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -372,3 +372,50 @@
             if task.run is not None and task.run.worker_id == "w1"
         )
         assert not task.accused
+
+
+class TestTimeOfCrashes:
+
+    def crashes(self, down_s, up_s=None):
+        """Returns all crashes of a task, and those right after a start.
+
+        Args:
+            down_s: Time after the start at which its machine is listed as down.
+            up_s: Time at which it was listed as up before; `None` if it was
+                not.
+        """
+        fleet = crashing_fleet.CrashingFleet()
+        job = fleet.submit(crashing_fleet.HARMLESS, [crashing_fleet.step()])
+        (order,) = fleet.accept(fleet.starts())
+        started_s = fleet.now_s
+        worker = fleet.scheduler.workers[order.worker_id]
+        worker.record = scheduling_fixtures.record(
+            worker.worker_id, machine="m1"
+        )
+        fleet.scheduler.observe_no_response(worker.worker_id, started_s + 0.1)
+        up, down = scheduling.MachineState.UP, scheduling.MachineState.DOWN
+        for state, listed_s in ((up, up_s), (down, down_s)):
+            if listed_s is None:
+                continue
+            fleet.advance(
+                started_s + listed_s - fleet.now_s, (worker.worker_id,)
+            )
+            fleet.plan(may_start=False)
+            name = worker.worker_id if state is up else ""
+            machine = scheduling.MachineRecord(
+                "m1", scheduling_fixtures.POOL, state, "z", name
+            )
+            fleet.scheduler.maintenance.observe_machines(
+                (machine,), fleet.now_s
+            )
+        (task,) = job.tasks()
+        return len(task.crashes | task.start_crashes), len(task.start_crashes)
+
+    def test_a_crash_soon_after_a_start_is_held_against_it(self):
+        assert self.crashes(down_s=1.9) == (1, 1)
+
+    def test_a_crash_that_may_have_come_long_after_a_start_is_no_proof(self):
+        assert self.crashes(down_s=2.8) == (1, 0)
+
+    def test_a_worker_that_was_listed_as_up_has_survived_the_start(self):
+        assert self.crashes(down_s=1.9, up_s=1.4)[1] == 0
