Rows of workers and jobs: bounded transactions, no identifiers with a dot

Found in review, each with a test that failed before: a roster of 3,500 workers beside 15 large jobs made a transaction above the limit of the store, which stopped all commits; and a job row under an identifier with a dot made the report of each worker that ended its task fail, so that the worker's leases lapsed. Documents of one transaction are bounded in bytes, and such a row is ignored when it is loaded.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -24,6 +24,9 @@
 # Maximum entries of one transaction according to the platform's documentation.
 # Each written row counts twice, because it is also listed as expected.
 MAX_TRANSACTION_ENTRIES = 100
+# Maximum bytes of documents in one transaction. In base64, with the rows of
+# jobs, they stay below the megabyte that a transaction may have.
+MAX_DOCUMENT_BYTES = 250_000
 # Delay before a write, so that more changes are batched into it.
 BATCH_DELAY_S = 0.015
 # Bounds of the time after which an unanswered transaction is looked up in the
@@ -172,12 +175,18 @@
         for number, plan in self.scheduler.maintenance.plans.items():
             document = self.wave_document(number)
             desired.append((document, plan.encode()))
-        changed = [
-            (document, content)
-            for document, content in desired
-            if document.content != content
-        ]
-        return changed[:limit]
+        changed = []
+        left_bytes = MAX_DOCUMENT_BYTES
+        for document, content in desired:
+            if document.content == content:
+                continue
+            left_bytes -= len(content)
+            if changed and (left_bytes < 0 or len(changed) == limit):
+                # The next transaction follows at once.
+                self.write_requested.set()
+                break
+            changed.append((document, content))
+        return changed
 
     def roster_document(self, key: str) -> Document:
         """Returns the document of a roster row."""
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -350,6 +350,9 @@
         AttributeError, KeyError, RecursionError, TypeError, ValueError: If the
             row is not in the format of `Job.encode`.
     """
+    if "." in job_id:
+        # The names of its tasks could not be told from those of other jobs.
+        raise ValueError(f"identifier with a dot: {job_id!r:.80}")
     try:
         content = json.loads(zlib.decompress(value))
     except zlib.error as error:
--- a/tests/test_dispatch_rows.py
+++ b/tests/test_dispatch_rows.py
@@ -1,5 +1,6 @@
 """Tests of rows that must not stop the commits of a term."""
 
+import pytest
 import scheduling_fixtures
 import test_dispatch_commits
 
@@ -109,3 +110,53 @@
         for _ in range(5):
             bench.write()
         assert job.stored_state is scheduling.JobState.QUEUED
+
+
+class TestKeysOfJobRows:
+
+    def test_a_job_whose_identifier_has_a_dot_costs_no_runs_of_others(self):
+        """Guards against a row that ends the runs of worker after worker.
+
+        The name of its task is not found, so the report with its end fails,
+        and the leases of the worker are no longer renewed.
+        """
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        row = fleet.submit(
+            JOB, [scheduling.StepSpec(1, cpu_milli=500)]
+        ).encode()
+        with pytest.raises(ValueError):
+            fleet.scheduler.load_job("a.b", row, 1)
+        orders = fleet.accept(fleet.starts())
+        for order in orders:
+            if order.task.startswith("a.b"):
+                fleet.end(order.worker_id, order.task, order.run_id)
+        fleet.advance(1.0)
+
+
+class TestSizeOfTransactions:
+
+    def test_a_large_roster_beside_large_jobs_is_written(self):
+        """Guards against a transaction that the store refuses for ever."""
+        bench = test_dispatch_commits.Bench(workers=())
+        for number in range(3500):
+            bench.fleet.add_worker(
+                f"worker-{number:012x}",
+                address=f"10.20.{number // 250}.{number % 250}:18600",
+                zone="zone-luzon-north",
+                machine=f"machine-{number:012x}",
+                start_time_ms=1796447221438,
+            )
+            worker = bench.fleet.scheduler.workers[f"worker-{number:012x}"]
+            worker.start_time_ms = 1796447221438
+            worker.fenced = True
+        jobs = [
+            test_dispatch_commits.TestSizeLimits().submit_steps(
+                bench, f"{number:016x}", 600
+            )
+            for number in range(15)
+        ]
+        for _ in range(5):
+            bench.write()
+        assert {job.stored_state for job in jobs} == {
+            scheduling.JobState.QUEUED
+        }
