Client returns a refusal if no file descriptor is free

socket.socket() raised OSError out of fetch (found in review; the test raised it before). Callers treat only refusals as calls that were not sent.

--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -243,7 +243,11 @@
     async def _connect(
         self, peer: _Peer, address: str, deadline_s: float
     ) -> iostream.IOStream | base.Refusal:
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            # No file descriptor is free.
+            return _not_sent(address, str(error))
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -1,6 +1,8 @@
 """Tests of HTTP between processes."""
 
 import asyncio
+import errno
+import socket
 
 import ports
 import pytest
@@ -255,3 +257,25 @@
         for index in range(200):
             adaptive_timeout.observe(0.4 if index % 20 == 0 else 0.004)
         assert adaptive_timeout.timeout_s(0.5, 2.0) == 0.5
+
+
+class TestDescriptors:
+
+    def test_a_process_without_free_descriptors_gets_a_refusal(
+        self, monkeypatch
+    ):
+        """Guards against terms that end since no connection can be opened."""
+
+        def failing(*args):
+            raise OSError(errno.EMFILE, "Too many open files")
+
+        async def call():
+            client = transport.Client()
+            monkeypatch.setattr(socket, "socket", failing)
+            try:
+                return await client.fetch("127.0.0.1:9", "GET", "/")
+            finally:
+                monkeypatch.undo()
+
+        result = asyncio.run(call())
+        assert isinstance(result, base.Refusal)
