Own interface: an unreadable job row costs only itself

The next holder stopped at the row, and took the jobs that it had read so far for all of them (found in review).

--- a/baobabdoor/jobs/_controller.py
+++ b/baobabdoor/jobs/_controller.py
@@ -11,6 +11,7 @@
 
 from baobabdoor import base
 from baobabdoor import fleet_api as platform_lib
+from baobabdoor import observability
 from baobabdoor import settings
 from baobabdoor import timeline
 from baobabdoor.jobs import _actions
@@ -20,6 +21,8 @@
 from baobabdoor.jobs import _service
 from baobabdoor.jobs import _types
 
+LOG = observability.get_logger("jobs")
+
 # Workers whose usage is read in one step, round robin; bounds reads from the
 # platform.
 USAGE_READS_PER_STEP = 8
@@ -124,12 +127,22 @@
             return rows
         self.jobs_ = {}
         for row in rows:
-            job = _types.Job.from_row(row.value, row.version)
+            job = self._decode(row)
+            if job is None:
+                continue
             self._cache(job)
             if not job.state.final:
                 self.planner.failures.load(job.spec.job_id, job.failed_workers)
         return None
 
+    def _decode(self, row: platform_lib.Row) -> _types.Job | None:
+        """Returns the job of a row; `None` if it is unreadable."""
+        try:
+            return _types.Job.from_row(row.value, row.version)
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            LOG.error("job_row_ignored", row=row.key, error=repr(error))
+            return None
+
     async def _reload(self, job_ids: Sequence[str]) -> base.Refusal | None:
         if not job_ids:
             return None
@@ -138,8 +151,9 @@
         if isinstance(rows, base.Refusal):
             return rows
         for row in rows.values():
-            if row.value is not None:
-                self._cache(_types.Job.from_row(row.value, row.version))
+            job = self._decode(row) if row.value is not None else None
+            if job is not None:
+                self._cache(job)
         return None
 
     def _cache(self, job: _types.Job) -> None:
