Unreadable rows of jobs and of the roster keep what they stand for

A job whose row is unreadable counted as unknown to the leader: a query was answered as for a job that does not exist, and a repeated submission would start all of its tasks again.

An unreadable row of the roster was overwritten with the first write, so that the next leader would not wait for the workers that it names. It is kept until their leases have expired.

Tests: TestUnreadableRows test_unreadable_roster_is_kept_for_the_next_leader (failed with JSONDecodeError in the commit loop while the change was made) and test_job_in_an_unreadable_row_may_have_run.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import json
 import zlib
 
@@ -162,9 +163,12 @@
 
     def _changed_documents(self, limit: int) -> list[tuple[Document, bytes]]:
         """Returns at most `limit` changed documents with their new content."""
+        # An unreadable row names workers that may have runs. It is kept for the
+        # next leader until their leases have certainly expired.
         desired = [
             (self.roster_document(key), json.dumps(entries).encode())
             for key, entries in self._desired_roster().items()
+            if unreadable_roster_mark(key) not in self.scheduler.unfenced
         ]
         for number, plan in self.scheduler.maintenance.plans.items():
             document = self.wave_document(number)
@@ -356,7 +360,7 @@
             self.enrolled = {
                 worker_id
                 for document in self.roster.values()
-                for worker_id in json.loads(document.content)
+                for worker_id in _enrolled_workers(document.content)
             }
         for worker in self.scheduler.workers.values():
             worker.enrolled = worker.worker_id in self.enrolled
@@ -410,6 +414,23 @@
         self.on_lost("released")
 
 
+def _enrolled_workers(content: bytes) -> Iterable[str]:
+    """Returns the workers that a roster row lists.
+
+    A row that cannot be read lists none; it was logged when it was loaded.
+    """
+    try:
+        entries = json.loads(content)
+    except (RecursionError, ValueError):
+        return ()
+    return entries if isinstance(entries, dict) else ()
+
+
+def unreadable_roster_mark(key: str) -> str:
+    """Returns what stands for the workers of an unreadable roster row."""
+    return f"roster row {key}"
+
+
 def roster_shard_key(worker_id: str) -> str:
     """Returns the key of the roster row that lists a worker."""
     return f"{zlib.crc32(worker_id.encode()) % ROSTER_SHARDS:02d}"
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -81,6 +81,8 @@
         )
         self.start_limiter = _start_limiter.StartLimiter()
         self.wave_runner = _waves.WaveRunner(daemon, self)
+        # Accepted jobs whose row cannot be read.
+        self.unreadable_jobs: set[str] = set()
         self.loaded = asyncio.Event()
         self.ended = False
         self.plan_requested = asyncio.Event()
@@ -139,6 +141,7 @@
             try:
                 self.scheduler.load_job(row.key, row.value, row.version)
             except Exception as error:
+                self.unreadable_jobs.add(row.key)
                 self.faults.observe_row("job_row_ignored", row, error, "job")
         for row in roster:
             try:
@@ -147,7 +150,8 @@
                 # The workers of this row may have runs of earlier terms, which
                 # delays inherited tasks until their leases have expired.
                 self.faults.observe_row("roster_unreadable", row, error)
-                self.scheduler.unfenced.add(f"roster row {row.key}")
+                mark = _commits.unreadable_roster_mark(row.key)
+                self.scheduler.unfenced.add(mark)
         for row in waves:
             try:
                 self.committer.wave_document(int(row.key)).load(row)
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -194,6 +194,9 @@
             return UNAVAILABLE
         if self.daemon.controller is not controller or controller.ended:
             return Outcome("not-holder")
+        if message.get("job") in controller.unreadable_jobs:
+            # The job was accepted, and some of its tasks may have run.
+            return Outcome("unknown", detail="the row of the job is unreadable")
         if message["queue"] not in self.daemon.configuration.queues:
             return self._unknown_queue(message)
         if method == "submit":
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -16,6 +16,7 @@
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _gateway
 from baobabdoor.standin import _row_store
 
 
@@ -459,6 +460,51 @@
 
         self.start({(_commits.JOBS_TABLE, "00000000000000a1"): value}, check)
 
+    def test_unreadable_roster_is_kept_for_the_next_leader(self):
+        """It was overwritten at once, so the next leader would not wait."""
+
+        async def check(bench, controller):
+            records = [
+                scheduling_fixtures.record(f"w{number}") for number in range(99)
+            ]
+            now_s = platform.boot_time_s()
+            for record in records:
+                controller.scheduler.observe_worker(record, now_s, now_s)
+                worker = controller.scheduler.workers[record.worker_id]
+                worker.fenced = True
+                worker.last_report_s = now_s
+            controller.committer.write_requested.set()
+            await asyncio.sleep(0.1)
+            key = (_commits.ROSTER_TABLE, _election.PART)
+            assert len(controller.committer.enrolled) > 50
+            assert bench.store.rows[*key, "00"].value == b"["
+            controller.scheduler.unfenced.clear()
+            controller.committer.write_requested.set()
+            await asyncio.sleep(0.1)
+            assert len(controller.committer.enrolled) == 99
+            assert bench.store.rows[*key, "00"].value != b"["
+
+        self.start({(_commits.ROSTER_TABLE, "00"): b"["}, check)
+
+    def test_job_in_an_unreadable_row_may_have_run(self):
+        """It counted as unknown, so its caller was told that it never runs."""
+        job_id = "00000000000000a1"
+
+        async def check(bench, controller):
+            bench.daemon.controller = controller
+            gateway = _gateway.Gateway(bench.daemon)
+            message = {
+                "job": job_id,
+                "queue": scheduling_fixtures.QUEUE,
+                "body": '{"steps": [{"count": 1}]}',
+            }
+            for method in ("submit", "cancel", "state"):
+                outcome = await gateway.answer(method, message, 1.0)
+                assert outcome.kind == "unknown"
+            assert not controller.scheduler.jobs
+
+        self.start({(_commits.JOBS_TABLE, job_id): b"["}, check)
+
     def test_row_of_a_wave_with_an_odd_key(self):
         """The error of `int` ended each leader's term."""
 
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -167,7 +167,7 @@
         follower.gateway.daemon.version = 3
         message = {"queue": "new", "version": version}
         follower.gateway.daemon.controller = types.SimpleNamespace(
-            loaded=asyncio.Event(), ended=False
+            loaded=asyncio.Event(), ended=False, unreadable_jobs=set()
         )
         follower.gateway.daemon.controller.loaded.set()
         return asyncio.run(follower.gateway.answer("pending", message, 1.0))
