--- a/review/common/world.py
+++ b/review/common/world.py
@@ -251,6 +251,9 @@
         self.cpu = cpu
         self.cut = False
         self.down = False
+        # Whether it is cut off from the store, but not from the daemons.
+        self.silent = False
+        self.beat_s = time.monotonic()
         # Whether it fails all that it starts, with good health.
         self.grey = False
         # Orders up to this token come from a machine that is cut off.
@@ -260,16 +263,26 @@
         self.running = {}
         self.ended = []
         self.next_end = 1
+        self.lapsed = set()
         self.highest = {}
         self.news = asyncio.Event()
         self.sequence = 0
 
+    def _expire_entry(self):
+        """Removes the entry after three heartbeat intervals of silence."""
+        key = ("servers", "", self.worker_id)
+        silent_s = time.monotonic() - self.beat_s
+        if silent_s > 3 * HEARTBEAT_S and key in self.world.store.rows:
+            self.world.store.apply({"remove": [row_key(key)]})
+            self.world.record.add("entry_removed", worker=self.worker_id)
+
     async def crash(self, down_s):
         """Ends this life; the next one has the same id and knows nothing."""
         self.down = True
         for name, run in self.running.items():
             self.world.observe_end(self, name, run["run"], "crashed")
         self.running, self.ended, self.highest = {}, [], {}
+        self.lapsed = set()
         await asyncio.sleep(down_s)
         self.token, self.until_ms, self.next_end, self.sequence = 0, 0, 1, 0
         self.born = int(time.time() * 1000)
@@ -289,9 +302,14 @@
     async def _beat(self):
         while True:
             self.sequence += 1
-            if self.down:
-                await asyncio.sleep(0.05)
+            if self.down or self.silent:
+                # Its next heartbeat stays due at the same interval.
+                due_s = time.monotonic() + HEARTBEAT_S
+                while time.monotonic() < due_s:
+                    self._expire_entry()
+                    await asyncio.sleep(0.05)
                 continue
+            self.beat_s = time.monotonic()
             self.world.store.put(
                 "servers",
                 self.worker_id,
@@ -327,6 +345,8 @@
         if self.clock_ms() > self.until_ms:
             for name in list(self.running):
                 self._end(name, "lapsed")
+            # These ends are never taken note of.
+            self.lapsed |= {end[0] for end in self.ended}
 
     def _end(self, name, how):
         run = self.running.pop(name)
@@ -391,7 +411,7 @@
             return self._refuse("fence")
         seen = order["last-seen"]
         for end in self.ended:
-            if end[0] <= seen:
+            if end[0] <= seen and end[0] not in self.lapsed:
                 self.world.observe_seen(self, end)
         self.ended = [end for end in self.ended if end[0] > seen]
         if "until-ms" in order:
