--- a/review/common/world.py
+++ b/review/common/world.py
@@ -25,7 +25,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 STORE_PORT, WORKER_PORT, MACHINES_PORT, ADVICE_PORT = 8621, 8630, 8640, 8650
 FRONT_PORT, READY_PORT, CONTROL_PORT = 8624, 8622, 8623
-INTERNAL_PORT, METRICS_PORT = 7060, 9464
+INTERNAL_PORT, METRICS_PORT, RESERVED_PORT = 7060, 9464, 8690
 MAX_HOLD_MS, STOP_MS, CANCEL_MS = 6000, 400, 3000
 HEARTBEAT_S = 1.5
 SERVICE, HOST, PREFIX = "results-desk", "results.example", "/race/"
@@ -622,17 +622,23 @@
         # (time, worker, task, run) of each start; ends with how.
         self.starts, self.ends, self.seen = [], [], []
 
-    @staticmethod
-    def _free_subnet():
+    def _free_subnet(self):
+        """Returns a part of the loopback network that no other run uses.
+
+        A socket of this process keeps it from other runs of the review.
+        """
         for subnet in random.sample(range(60, 250), 60):
+            self.reservation = socket.socket()
             try:
+                self.reservation.bind((f"127.{subnet}.9.1", RESERVED_PORT))
+                self.reservation.listen()
                 with socket.socket() as probe:
                     probe.bind((f"127.{subnet}.1.1", METRICS_PORT))
                 with socket.socket() as probe:
                     probe.bind((f"127.{subnet}.3.1", STORE_PORT))
                 return subnet
             except OSError:
-                continue
+                self.reservation.close()
         raise OSError("no free loopback subnet")
 
     def duration_s(self, task):
