--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,10 +26,12 @@
         self.first_s = None
         self.first = None
         self.second_job = ""
+        self.writes = 0
 
     def take(self, number, body):
         """Holds a write back, or returns None to do it as usual."""
         del number
+        self.writes += self.first is not None
         if self.first is None:
             return self._take_first(body)
         due = time.monotonic() - self.first_s >= 1.2
@@ -38,6 +40,9 @@
             return None
         self._do("first", self.first, time.monotonic() - self.first_s)
         self._held_back(body)
+        self.world.record.add(
+            "share_without_answer", of_writes=self.writes + 1, held_back=2
+        )
         self.second_job = job
         loop = asyncio.get_running_loop()
         loop.call_later(5.5, self._do, "second", body, 5.5)
