--- a/review/common/world.py
+++ b/review/common/world.py
@@ -645,9 +645,10 @@
         raise OSError("no free loopback subnet")
 
     def duration_s(self, task):
-        """Returns how long a task works."""
+        """Returns how long a task that starts now works."""
         job, _, step, _ = task.split(".")
-        return self.durations[job][int(step)]
+        duration = self.durations[job][int(step)]
+        return duration() if callable(duration) else duration
 
     def join_gang(self, task, run, now_s, length_s):
         """Lets a gang work from the moment when all of its tasks are there."""
