Log what an unanswered transaction is judged by

commit_unresolved names the conditions of a transaction without a known result and whether an earlier one is unresolved. commit_found names the row that it was judged by, whether that row is a condition, and the version before.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -294,6 +294,14 @@
                 answer = call.result()
                 self.unresolved_write &= not isinstance(answer, platform.Commit)
                 return answer
+            LOG.info(
+                "commit_unresolved",
+                expected=" ".join(
+                    f"{row.table}/{row.key}@{row.version}" for row in expected
+                ),
+                rows=len(puts),
+                earlier_unresolved=self.unresolved_write,
+            )
             self.unresolved_write = True
             return base.Refusal(
                 base.Reason.UNKNOWN_RESULT, "commits.transact", "store"
@@ -325,7 +333,14 @@
         leader = self.leader_row()
         if await self._read_version(leader) != leader.version:
             return 0, took_s
-        LOG.info("commit_found", version=version)
+        LOG.info(
+            "commit_found",
+            version=version,
+            row=f"{put.table}/{put.key}",
+            previous=previous,
+            conditional=(put.table, put.key) in expected_versions,
+            rows=len(expected) - 1,
+        )
         return version, took_s
 
     async def _read_version(self, target: platform.StoredRow) -> int:
