Judge an unanswered transaction by a row that only it can have written

Cause: a transaction without an answer counted as applied if the version of its first row had grown. That row is often the heartbeat, which is no condition, so an older heartbeat that the store applied late had the same effect. One answered transaction also cleared the mark of an unresolved one, though it excludes an earlier one only if they share a conditional row.

Every transaction with changes now rewrites the row commits/last on condition of its version, with a mark that no other transaction writes. So at most one of the transactions sent under one version is applied, the row names it, and once the version has changed the others never will be. A heartbeat alone carries a mark too and is judged by it. A transaction that is found later is confirmed with its own changes only.

Related paths, by the same cause: a change of the roster that was reverted here could be applied seconds later and drop a worker with runs from the stored roster; an unresolved transaction is now followed by one that excludes it, also before the leadership is released. A late heartbeat extended the time in which a leader may start runs.

Tests: TestUnansweredWrites.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -14,6 +14,7 @@
 from baobabdoor import scheduling
 from baobabdoor import transport
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _sequence
 
 JOBS_TABLE = "jobs"
 ROSTER_TABLE = "roster"
@@ -25,6 +26,8 @@
 # Maximum entries of one transaction according to the platform's documentation.
 # Each written row counts twice, because it is also listed as expected.
 MAX_TRANSACTION_ENTRIES = 100
+# Entries of the leader's row, the heartbeat and the row of the sequence.
+RESERVED_ENTRIES = 4
 # Maximum bytes of documents in one transaction. In base64, with the rows of
 # jobs, they stay below the megabyte that a transaction may have.
 MAX_DOCUMENT_BYTES = 250_000
@@ -47,28 +50,6 @@
 LOG = observability.get_logger("commits")
 
 
-@attrs.define
-class Document:
-    """A row that is rewritten completely when its content changes.
-
-    Attributes:
-        table: Table of the row.
-        key: Key of the row.
-        content: Content last confirmed by the store.
-        version: Version of the row.
-    """
-
-    table: str
-    key: str
-    content: bytes = b""
-    version: int = 0
-
-    def load(self, row: platform.StoredRow) -> None:
-        """Adopts the content and version of the stored row."""
-        self.content = row.value
-        self.version = row.version
-
-
 class Committer:
     """Commits jobs, wave plans, the roster of workers and the heartbeat.
 
@@ -99,19 +80,17 @@
         self.confirmed_s = confirmed_s
         self.on_lost = on_lost
         self.metrics = metrics
-        self.roster: dict[str, Document] = {}
+        self.roster: dict[str, _sequence.Document] = {}
         # Workers listed in the stored roster.
         self.enrolled: set[str] = set()
-        self.waves: dict[int, Document] = {}
+        self.waves: dict[int, _sequence.Document] = {}
         self.write_requested = asyncio.Event()
         self.committed = asyncio.Event()
         self.timeout_s = MIN_TIMEOUT_S
         self.adaptive_timeout = transport.AdaptiveTimeout(
             LATENCY_SMOOTHING, INITIAL_LATENCY_S
         )
-        self.heartbeat_version = leader.token
-        # Whether an abandoned write may still be applied.
-        self.unresolved_write = False
+        self.sequence = _sequence.WriteSequence(leader.token)
         self.reachable = True
         self.releasing = False
         self.released = asyncio.Event()
@@ -131,7 +110,8 @@
             if not await self._write():
                 self.write_requested.set()
                 await asyncio.sleep(RETRY_DELAY_S)
-            if self.releasing and not self.scheduler.dirty:
+            unsaved = self.scheduler.dirty or self.sequence.unresolved
+            if self.releasing and not unsaved:
                 await self._release()
 
     async def wait_committed(self, timeout_s: float) -> None:
@@ -164,7 +144,9 @@
                 ]
         return desired
 
-    def _changed_documents(self, limit: int) -> list[tuple[Document, bytes]]:
+    def _changed_documents(
+        self, limit: int
+    ) -> list[tuple[_sequence.Document, bytes]]:
         """Returns at most `limit` changed documents with their new content."""
         # An unreadable row names workers that may have runs. It is kept for the
         # next leader until their leases have certainly expired.
@@ -189,9 +171,11 @@
             changed.append((document, content))
         return changed
 
-    def roster_document(self, key: str) -> Document:
+    def roster_document(self, key: str) -> _sequence.Document:
         """Returns the document of a roster row."""
-        return self.roster.setdefault(key, Document(ROSTER_TABLE, key, b"{}"))
+        return self.roster.setdefault(
+            key, _sequence.Document(ROSTER_TABLE, key, b"{}")
+        )
 
     def load_roster(self, row: platform.StoredRow) -> dict[str, list]:
         """Adopts a stored roster row and returns its entries."""
@@ -203,30 +187,66 @@
         document.content = row.value
         return entries
 
-    def wave_document(self, number: int) -> Document:
+    def wave_document(self, number: int) -> _sequence.Document:
         """Returns the document of a wave's plan."""
-        return self.waves.setdefault(number, Document(WAVES_TABLE, str(number)))
+        return self.waves.setdefault(
+            number, _sequence.Document(WAVES_TABLE, str(number))
+        )
 
     async def _write(self) -> bool:
         """Writes one transaction; returns whether no work is left."""
         snapshot = self.scheduler.begin_commit()
         jobs = snapshot.jobs if snapshot else ()
-        # Two entries are reserved: the leader's expected row and the heartbeat.
-        max_documents = (MAX_TRANSACTION_ENTRIES - 2) // 2 - len(jobs)
+        max_documents = (MAX_TRANSACTION_ENTRIES - RESERVED_ENTRIES) // 2
+        max_documents -= len(jobs)
         documents = self._changed_documents(max_documents)
         now_s = platform.boot_time_s()
         heartbeat_due = (
             now_s - self.confirmed_s >= _election.HEARTBEAT_INTERVAL_S * 0.8
         )
-        if snapshot is None and not documents and not heartbeat_due:
+        # An unresolved transaction could still be applied after its changes
+        # were reverted here, so another one excludes it.
+        sequenced = bool(snapshot or documents or self.sequence.unresolved)
+        if not sequenced and not heartbeat_due:
             return True
+        transaction = _sequence.Transaction(
+            self.sequence.next_mark(),
+            now_s,
+            heartbeat_due,
+            sequenced,
+            documents,
+            snapshot,
+        )
+        answer = await self._transact(transaction)
+        if isinstance(answer, platform.Commit):
+            self._observe_latency(now_s)
+            self.sequence.observe_commit(transaction, answer.version)
+            self._confirm(transaction, answer.version)
+            return not self.scheduler.dirty and len(documents) < max_documents
+        if isinstance(answer, platform.Conflict):
+            await self._observe_conflict(answer)
+        else:
+            self._observe_refusal(answer)
+        return False
+
+    def _encode(
+        self, transaction: _sequence.Transaction
+    ) -> tuple[list[platform.StoredRow], list[platform.StoredRow]]:
+        """Returns the rows that a transaction writes and those it expects."""
         expected = [self.leader_row()]
         puts = []
-        if heartbeat_due:
+        if transaction.heartbeat:
+            puts.append(
+                self._row(
+                    _election.TABLE, _election.HEARTBEAT_KEY, transaction.mark
+                )
+            )
+        if transaction.sequenced:
             puts.append(
-                self._row(_election.TABLE, _election.HEARTBEAT_KEY, b"{}")
+                self._row(_sequence.TABLE, _sequence.KEY, transaction.mark)
             )
-        for document, content in documents:
+            expected.append(self.sequence.condition())
+        for document, content in transaction.documents:
             puts.append(self._row(document.table, document.key, content))
             expected.append(
                 platform.StoredRow(
@@ -236,7 +256,8 @@
                     version=document.version,
                 )
             )
-        for job, content in jobs:
+        snapshot = transaction.snapshot
+        for job, content in snapshot.jobs if snapshot else ():
             job_id = job.spec.job_id
             puts.append(self._row(JOBS_TABLE, job_id, content))
             expected.append(
@@ -244,35 +265,17 @@
                     JOBS_TABLE, _election.PART, job_id, version=job.row_version
                 )
             )
-        answer = await self._transact(puts, expected)
-        if isinstance(answer, platform.Commit):
-            self._confirm(now_s, heartbeat_due)
-            self.scheduler.observe_commit(answer.version)
-            if heartbeat_due:
-                self.heartbeat_version = answer.version
-            for document, content in documents:
-                document.content = content
-                document.version = answer.version
-            self._confirm_documents(documents)
-            if snapshot is not None:
-                self.scheduler.finish_commit(snapshot, answer.version)
-            self._notify_committed()
-            return not self.scheduler.dirty and len(documents) < max_documents
-        if isinstance(answer, platform.Conflict):
-            self._observe_conflict(answer)
-        else:
-            self._observe_refusal(answer)
-        return False
+        return puts, expected
 
     async def _transact(
-        self, puts: list[platform.StoredRow], expected: list[platform.StoredRow]
+        self, transaction: _sequence.Transaction
     ) -> platform.Commit | platform.Conflict | base.Refusal:
         """Sends a transaction and checks the store if no answer arrives.
 
         A write to a slow store is not repeated, because the store processes
         queued requests one by one.
         """
-        started_s = platform.boot_time_s()
+        puts, expected = self._encode(transaction)
         call = asyncio.ensure_future(
             self.store.transact(
                 puts, (), expected, timeout_s=TRANSACTION_TIMEOUT_S
@@ -281,28 +284,26 @@
         try:
             await asyncio.wait({call}, timeout=self.timeout_s)
             while not call.done() or _is_unknown(call.result()):
-                version, took_s = await self._check_applied(puts[0], expected)
-                if version and not self.unresolved_write:
-                    return platform.Commit(version)
-                timed_out = (
-                    platform.boot_time_s() - started_s > TRANSACTION_TIMEOUT_S
-                )
-                if call.done() or timed_out or took_s < FAST_CHECK_S:
+                checked_s = platform.boot_time_s()
+                result = await self._check_applied(transaction)
+                if result is not None:
+                    return result
+                now_s = platform.boot_time_s()
+                timed_out = now_s - transaction.sent_s > TRANSACTION_TIMEOUT_S
+                fast = now_s - checked_s < FAST_CHECK_S
+                if call.done() or timed_out or fast:
                     break
                 await asyncio.wait({call}, timeout=self.timeout_s)
             if call.done() and not _is_unknown(call.result()):
-                answer = call.result()
-                self.unresolved_write &= not isinstance(answer, platform.Commit)
-                return answer
+                return call.result()
             LOG.info(
                 "commit_unresolved",
-                expected=" ".join(
-                    f"{row.table}/{row.key}@{row.version}" for row in expected
-                ),
+                mark=transaction.mark.decode(),
                 rows=len(puts),
-                earlier_unresolved=self.unresolved_write,
+                under_version=self.sequence.version,
+                earlier_unresolved=len(self.sequence.unresolved),
             )
-            self.unresolved_write = True
+            self.sequence.observe_no_answer(transaction)
             return base.Refusal(
                 base.Reason.UNKNOWN_RESULT, "commits.transact", "store"
             )
@@ -310,53 +311,60 @@
             call.cancel()
 
     async def _check_applied(
-        self, put: platform.StoredRow, expected: list[platform.StoredRow]
-    ) -> tuple[int, float]:
+        self, transaction: _sequence.Transaction
+    ) -> platform.Commit | platform.Conflict | None:
         """Checks whether a transaction was applied.
 
         Returns:
-            The version of one of its rows, or 0 if it is not known to be
-            applied, and the duration of the check in seconds.
+            A commit if it was, a conflict if it never will be, `None` if it
+            may still be.
         """
-        expected_versions = {
-            (row.table, row.key): row.version for row in expected
-        }
-        previous = expected_versions.get(
-            (put.table, put.key), self.heartbeat_version
-        )
-        started_s = platform.boot_time_s()
-        version = await self._read_version(put)
-        took_s = platform.boot_time_s() - started_s
-        if version <= previous:
-            return 0, took_s
-        # If the term is still current, only this leader can have written it.
-        leader = self.leader_row()
-        if await self._read_version(leader) != leader.version:
-            return 0, took_s
-        LOG.info(
-            "commit_found",
-            version=version,
-            row=f"{put.table}/{put.key}",
-            previous=previous,
-            conditional=(put.table, put.key) in expected_versions,
-            rows=len(expected) - 1,
+        table, key = (
+            (_sequence.TABLE, _sequence.KEY)
+            if transaction.sequenced
+            else (_election.TABLE, _election.HEARTBEAT_KEY)
         )
-        return version, took_s
+        row = await self._read_row(table, key)
+        if row is None:
+            return None
+        if not transaction.sequenced:
+            applied = row.value == transaction.mark
+            return platform.Commit(row.version) if applied else None
+        if row.version == self.sequence.version:
+            return None
+        found = self.sequence.observe_row(row, transaction)
+        if found is transaction:
+            LOG.info("commit_found", version=row.version, mark=found.mark)
+            return platform.Commit(row.version)
+        self._confirm_earlier(found, row.version)
+        return platform.Conflict(())
+
+    def _confirm_earlier(
+        self, transaction: _sequence.Transaction | None, version: int
+    ) -> None:
+        """Applies the late result of an earlier transaction, if it is one."""
+        if transaction is not None:
+            LOG.info(
+                "commit_found_late",
+                version=version,
+                mark=transaction.mark.decode(),
+            )
+            self._confirm(transaction, version)
 
-    async def _read_version(self, target: platform.StoredRow) -> int:
-        """Returns the version of a row; 0 if missing or unreadable."""
+    async def _read_row(
+        self, table: str, key: str
+    ) -> platform.StoredRow | None:
+        """Returns a row, with version 0 if missing; `None` if unreadable."""
         answer = await self.store.read(
-            target.table, target.part, target.key, MAX_TIMEOUT_S, 1
+            table, _election.PART, key, MAX_TIMEOUT_S, 1
         )
         if isinstance(answer, base.Refusal):
             # Failed reads are not logged while the store is known to be down.
             if self.reachable:
-                LOG.info("row_not_read", key=target.key, reason=str(answer))
-            return 0
-        return max(
-            (row.version for row in answer.rows if row.key == target.key),
-            default=0,
-        )
+                LOG.info("row_not_read", key=key, reason=str(answer))
+            return None
+        missing = platform.StoredRow(table, _election.PART, key)
+        return next((row for row in answer.rows if row.key == key), missing)
 
     def leader_row(self) -> platform.StoredRow:
         """Returns the row that every write requires to be unchanged."""
@@ -370,20 +378,35 @@
     def _row(self, table: str, key: str, value: bytes) -> platform.StoredRow:
         return platform.StoredRow(table, _election.PART, key, value)
 
-    def _confirm(self, sent_s: float, heartbeat: bool) -> None:
+    def _observe_latency(self, sent_s: float) -> None:
         latency_s = platform.boot_time_s() - sent_s
         self.metrics.observe("store_commit_seconds", latency_s)
         self.adaptive_timeout.observe(latency_s)
         self.timeout_s = self.adaptive_timeout.timeout_s(
             MIN_TIMEOUT_S, MAX_TIMEOUT_S
         )
-        if heartbeat:
-            self.confirmed_s = sent_s
         if not self.reachable:
             self.reachable = True
             LOG.info("store_regained")
 
-    def _confirm_documents(self, written: list[tuple[Document, bytes]]) -> None:
+    def _confirm(
+        self, transaction: _sequence.Transaction, version: int
+    ) -> None:
+        """Applies the effects of a transaction that was applied."""
+        if transaction.heartbeat:
+            self.confirmed_s = max(self.confirmed_s, transaction.sent_s)
+        self.scheduler.observe_commit(version)
+        for document, content in transaction.documents:
+            document.content = content
+            document.version = version
+        self._confirm_documents(transaction.documents)
+        if transaction.snapshot is not None:
+            self.scheduler.finish_commit(transaction.snapshot, version)
+        self._notify_committed()
+
+    def _confirm_documents(
+        self, written: list[tuple[_sequence.Document, bytes]]
+    ) -> None:
         if any(document.table == ROSTER_TABLE for document, _ in written):
             self.enrolled = {
                 worker_id
@@ -397,21 +420,32 @@
             if content:
                 plan.mark_saved(content)
 
-    def _observe_conflict(self, conflict: platform.Conflict) -> None:
+    async def _observe_conflict(self, conflict: platform.Conflict) -> None:
+        current = {(row.table, row.key): row for row in conflict.rows}
+        leader = self.leader_row()
+        stored = current.get((leader.table, leader.key))
+        if stored is not None and stored.version != leader.version:
+            self.on_lost("another leader was elected")
+            return
+        LOG.info("commit_conflict", rows=len(conflict.rows))
+        stored = current.get((_sequence.TABLE, _sequence.KEY))
+        if stored is not None and stored.version != self.sequence.version:
+            # An earlier unanswered transaction of this term was applied.
+            row = await self._read_row(_sequence.TABLE, _sequence.KEY)
+            if row is not None:
+                found = self.sequence.observe_row(row)
+                self._confirm_earlier(found, row.version)
+            return
+        # Another program has written the rows.
         for row in conflict.rows:
-            if row.table == _election.TABLE and row.key == _election.LEADER_KEY:
-                if row.version != self.leader.token:
-                    self.on_lost("another leader was elected")
-            elif row.table == ROSTER_TABLE:
+            if row.table == ROSTER_TABLE:
                 self.roster_document(row.key).version = row.version
             elif row.table == WAVES_TABLE:
                 self.wave_document(int(row.key)).version = row.version
             elif row.table == JOBS_TABLE:
-                # An earlier unanswered write of this term was applied.
                 job = self.scheduler.jobs.get(row.key)
                 if job is not None:
                     job.row_version = row.version
-        LOG.info("commit_conflict", rows=len(conflict.rows))
 
     def _observe_refusal(self, refusal: base.Refusal) -> None:
         if _is_unknown(refusal):
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -12,6 +12,7 @@
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _faults
+from baobabdoor.dispatch import _sequence
 from baobabdoor.dispatch import _start_limiter
 from baobabdoor.dispatch import _table_follower
 from baobabdoor.dispatch import _waves
@@ -132,10 +133,11 @@
 
     async def _take_over(self) -> None:
         started_s = platform.boot_time_s()
-        jobs, roster, waves = await asyncio.gather(
+        jobs, roster, waves, sequence = await asyncio.gather(
             self._read(_commits.JOBS_TABLE),
             self._read(_commits.ROSTER_TABLE),
             self._read(_commits.WAVES_TABLE),
+            self._read(_sequence.TABLE),
         )
         self._update_clocks()
         for row in jobs:
@@ -158,6 +160,7 @@
                 self.committer.wave_document(int(row.key)).load(row)
             except ValueError as error:
                 self.faults.observe_row("wave_row_ignored", row, error, "wave")
+        self.committer.sequence.load(sequence)
         LOG.info(
             "tenure_loaded",
             token=self.leader.token,
--- a/tests/test_dispatch_commits.py
+++ b/tests/test_dispatch_commits.py
@@ -3,7 +3,9 @@
 import asyncio
 import hashlib
 import json
+import random
 
+import pytest
 import scheduling_fixtures
 
 from baobabdoor import observability
@@ -11,6 +13,7 @@
 from baobabdoor import scheduling
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _sequence
 from baobabdoor.standin import _row_store
 
 JOB = "00000000000000ee"
@@ -285,3 +288,157 @@
         assert second.write()
         assert second.fleet.scheduler.workers["w1"].enrolled
         assert second.roster() == first.roster()
+
+
+class TestUnansweredWrites:
+    """Review case 1: a job was accepted that no transaction had stored."""
+
+    def lose(self, bench):
+        """Writes a transaction that may be applied later."""
+        bench.store.delay_writes = 1
+        assert not bench.write()
+        return bench.store.delayed.pop()
+
+    def write_all(self, bench):
+        while not bench.write():
+            pass
+
+    def lose_heartbeat(self, bench):
+        bench.committer.confirmed_s -= _election.HEARTBEAT_INTERVAL_S
+        return self.lose(bench)
+
+    def test_late_heartbeat_confirms_no_later_transaction(self):
+        """A job counted as stored since an older heartbeat was applied."""
+        bench = Bench()
+        self.write_all(bench)
+        heartbeat = self.lose_heartbeat(bench)
+        bench.committer.confirmed_s -= _election.HEARTBEAT_INTERVAL_S
+        self.write_all(bench)
+        job = bench.submit()
+        bench.committer.confirmed_s -= _election.HEARTBEAT_INTERVAL_S
+        bench.store._apply(*heartbeat)
+        self.lose(bench)
+        assert job.stored_state is None
+        assert not bench.stored().version
+
+    def test_late_heartbeat_confirms_no_later_heartbeat(self):
+        """Starts went on for longer than other daemons waited to campaign."""
+        bench = Bench()
+        self.write_all(bench)
+        first = self.lose_heartbeat(bench)
+        confirmed_s = bench.committer.confirmed_s
+        bench.store._apply(*first)
+        bench.store.delay_writes = 1
+        assert not bench.write()
+        assert bench.committer.confirmed_s == confirmed_s
+
+    def test_transaction_found_late_confirms_its_own_jobs_only(self):
+        bench = Bench()
+        first_job = bench.submit()
+        first = self.lose(bench)
+        second_job = bench.submit("00000000000000ff")
+        bench.store._apply(*first)
+        self.lose(bench)
+        assert first_job.stored_state is scheduling.JobState.QUEUED
+        assert second_job.stored_state is None
+        self.write_all(bench)
+        assert second_job.stored_state is scheduling.JobState.QUEUED
+
+    def test_reverted_change_is_not_applied_later(self):
+        """The stored roster lacked a worker that had returned meanwhile."""
+        bench = Bench()
+        self.write_all(bench)
+        worker = bench.fleet.scheduler.workers["w1"]
+        worker.listed = False
+        removal = self.lose(bench)
+        worker.listed = True
+        self.write_all(bench)
+        bench.store._apply(*removal)
+        assert "w1" in bench.roster()[_commits.roster_shard_key("w1")]
+
+    def test_leadership_is_released_after_unresolved_changes(self):
+        bench = Bench()
+        self.write_all(bench)
+        worker = bench.fleet.scheduler.workers["w1"]
+        worker.listed = False
+        self.lose(bench)
+        worker.listed = True
+        bench.committer.releasing = True
+
+        async def release():
+            running = asyncio.ensure_future(bench.committer.run())
+            await bench.committer.released.wait()
+            running.cancel()
+
+        asyncio.run(release())
+        assert not bench.committer.sequence.unresolved
+
+    def test_row_of_the_sequence_that_another_program_wrote(self):
+        bench = Bench()
+        self.write_all(bench)
+        key = (_sequence.TABLE, _election.PART, _sequence.KEY)
+        bench.store.version += 1
+        bench.store.rows[key] = platform.StoredRow(
+            *key, b"other", bench.store.version
+        )
+        job = bench.submit()
+        self.write_all(bench)
+        assert job.stored_state is scheduling.JobState.QUEUED
+
+    @pytest.mark.parametrize("seed", range(40))
+    def test_what_counts_as_stored_is_stored(self, seed):
+        """Random losses, delays and changes, also of the roster."""
+        generator = random.Random(seed)
+        bench = Bench(["w1", "w2", "w3"])
+        jobs = []
+        for number in range(60):
+            self._change_something(bench, generator, jobs, number)
+            self._disrupt_store(bench, generator)
+            bench.write()
+            self._check(bench, jobs)
+        bench.store.delay_writes = bench.store.lose_answers = 0
+        bench.store.lose_reads = 0
+        bench.store.apply_delayed()
+        self.write_all(bench)
+        bench.store.apply_delayed()
+        self._check(bench, jobs)
+        assert all(not job.dirty for job in jobs)
+
+    def _change_something(self, bench, generator, jobs, number):
+        draw = generator.random()
+        if draw < 0.4:
+            jobs.append(bench.submit(f"{number:016x}"))
+        elif draw < 0.6 and jobs:
+            job = generator.choice(jobs)
+            bench.fleet.scheduler.cancel(job.spec.job_id)
+        elif draw < 0.8:
+            worker = generator.choice([*bench.fleet.scheduler.workers.values()])
+            worker.listed = not worker.listed
+        if generator.random() < 0.4:
+            bench.committer.confirmed_s -= _election.HEARTBEAT_INTERVAL_S
+
+    def _disrupt_store(self, bench, generator):
+        store = bench.store
+        store.delay_writes = generator.random() < 0.3
+        store.lose_answers = generator.random() < 0.3
+        store.lose_reads = generator.random() < 0.3
+        if store.delayed and generator.random() < 0.4:
+            late = store.delayed.pop(generator.randrange(len(store.delayed)))
+            store._apply(*late)
+
+    def _check(self, bench, jobs):
+        for job in jobs:
+            job_id = job.spec.job_id
+            row = bench.store.get(_commits.JOBS_TABLE, job_id, _election.PART)
+            if job.stored_state is not None:
+                assert row.version
+            if job.stored_state is scheduling.JobState.CANCELLED:
+                stored = scheduling.decode_job(job_id, row.value, 1)
+                assert stored.state is scheduling.JobState.CANCELLED
+        if not bench.committer.sequence.unresolved:
+            for document in bench.committer.roster.values():
+                row = bench.store.get(
+                    document.table, document.key, _election.PART
+                )
+                assert row.version == document.version
+                assert not row.version or row.value == document.content
