Log runs that a report does not list, and ends that arrive after that

runs_not_listed counts them and names the length of both lists of the report; run_ends_ignored counts the ends as done of tasks that another run goes on.

--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -39,16 +39,17 @@
         (end.number for end in report.ended if end.outcome == "lapsed"),
         default=0,
     )
-    for end in report.ended:
-        if end.number > worker.processed:
-            _observe_end(scheduler, worker, end, last_lapsed, now_s)
-    listed = {entry.task for entry in report.running}
+    ignored = [
+        end
+        for end in report.ended
+        if end.number > worker.processed
+        and not _observe_end(scheduler, worker, end, last_lapsed, now_s)
+    ]
+    _emit_ignored_ends(scheduler, worker, ignored)
     _observe_unneeded_runs(scheduler, worker, report)
     for entry in report.running:
         _observe_running(scheduler, worker, entry, report.clock_ms, now_s)
-    for name, run in list(worker.runs.items()):
-        if name not in listed:
-            _observe_missing(scheduler, worker, run, report.clock_ms, now_s)
+    _observe_missing_runs(scheduler, worker, report)
     worker.last_report_s = now_s
     worker.partitioned = False
     worker.observe_response(now_s)
@@ -86,9 +87,11 @@
     end: _types.EndEntry,
     last_lapsed: int,
     now_s: float,
-) -> None:
+) -> bool:
+    """Applies the end of a run; returns whether it had to be applied."""
     task = scheduler.find_task(end.task)
     run = worker.find_run(end.task, end.run_id)
+    applied = True
     if run is not None:
         _apply_end(scheduler, worker, task, run, end, last_lapsed, now_s)
         worker.remove_run(run)
@@ -99,9 +102,27 @@
         awaits_inherited_run = task.inherited and task.run is None
         if awaits_inherited_run or end.outcome == "failed":
             _apply_end(scheduler, worker, task, None, end, last_lapsed, now_s)
+        else:
+            applied = task.done or task.job.final
     # Only now: an end that could not be applied must not be acknowledged.
     worker.processed = end.number
     worker.unsaved_ends.append((end.number, scheduler.revision))
+    return applied
+
+
+def _emit_ignored_ends(
+    scheduler, worker: _worker.Worker, ignored: list[_types.EndEntry]
+) -> None:
+    """Appends an event about ended runs of tasks that another run goes on."""
+    done = [end for end in ignored if end.outcome == "done"]
+    if done:
+        scheduler.emit(
+            "run_ends_ignored",
+            worker=worker.worker_id,
+            ends=len(done),
+            first_task=done[0].task,
+            first_run=done[0].run_id,
+        )
 
 
 def _apply_end(
@@ -253,15 +274,26 @@
             del unneeded_runs[key]
 
 
-def _observe_missing(
-    scheduler,
-    worker: _worker.Worker,
-    run: _job.Run,
-    clock_ms: int,
-    now_s: float,
+def _observe_missing_runs(
+    scheduler, worker: _worker.Worker, report: _types.WorkerReport
 ) -> None:
-    if run.confirmed and clock_ms > run.clock_ms:
-        scheduler.release_run(worker, run, "not listed")
-    elif run.stop_clock_ms and clock_ms > run.stop_clock_ms:
-        # The stop arrived before the start, which the worker rejects.
-        scheduler.release_run(worker, run, "stopped before its start")
+    """Releases the runs that a report shows to be neither active nor coming."""
+    listed = {entry.task for entry in report.running}
+    released = 0
+    for name, run in list(worker.runs.items()):
+        if name in listed:
+            continue
+        if run.confirmed and report.clock_ms > run.clock_ms:
+            scheduler.release_run(worker, run, "not listed")
+            released += 1
+        elif run.stop_clock_ms and report.clock_ms > run.stop_clock_ms:
+            # The stop arrived before the start, which the worker rejects.
+            scheduler.release_run(worker, run, "stopped before its start")
+    if released:
+        scheduler.emit(
+            "runs_not_listed",
+            worker=worker.worker_id,
+            released=released,
+            listed_running=len(report.running),
+            listed_ends=len(report.ended),
+        )
