Keep a run until a report lists all ended runs

Cause: a worker lists 500 ended runs at a time. A run that was neither active nor among these counted as lost and its task was placed again; its end came with the next report.

The adapter now says whether a report lists all ended runs, which is certain below the limit. Otherwise no run is released, neither a confirmed one nor one whose stop was accepted, and the next report lists the rest once the first ends are stored and acknowledged.

Related paths, by the same cause: a new term that inherits more ends than one report holds counted the worker as heard of after the first report and started the tasks of the others; it now waits for the last one, also beyond the leases that the earlier term gave, as long as the worker reports.

Tests: TestCutReports (499, 500, 501 and 1,200 ends, also inherited), TestReports, walks with reports cut at 2 and 3 ends, planted fault take_cut_reports_as_complete.

--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -14,6 +14,8 @@
 ORDER_TIMEOUT_RANGE_S = (0.45, 1.2)
 # The same for a hold, beyond the wait of its long poll.
 HOLD_TIMEOUT_RANGE_S = (0.6, 1.8)
+# Maximum ended runs in one report according to the platform's documentation.
+MAX_LISTED_ENDS = 500
 # A worker is called several times a second.
 LOG = observability.LimitedLogger(observability.get_logger("platform.workers"))
 
@@ -203,11 +205,13 @@
     Raises:
         MessageError: If it does not conform to the published format.
     """
+    ended = tuple(map(_decode_end, _messages.field(content, "ended", list, [])))
     return scheduling.WorkerReport(
         int(_messages.field(content, "clock-ms", float)),
         _messages.field(content, "born", int, 0),
         tuple(map(_decode_run, _messages.field(content, "running", list, []))),
-        tuple(map(_decode_end, _messages.field(content, "ended", list, []))),
+        ended,
+        lists_all_ends=len(ended) < MAX_LISTED_ENDS,
     )
 
 
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -16,7 +16,9 @@
 
     The worker counts as heard only after the whole report was applied. If an
     error interrupts this, its leases are not renewed, its ended runs are not
-    acknowledged, and inherited tasks still wait for it.
+    acknowledged, and inherited tasks still wait for it. They also wait if the
+    report lists only some of the ended runs: theirs may be among the others,
+    and so may those of runs that it does not list as active.
 
     Args:
         scheduler: The scheduler.
@@ -49,13 +51,16 @@
     _observe_unneeded_runs(scheduler, worker, report)
     for entry in report.running:
         _observe_running(scheduler, worker, entry, report.clock_ms, now_s)
-    _observe_missing_runs(scheduler, worker, report)
+    worker.lists_all_ends = report.lists_all_ends
+    if report.lists_all_ends:
+        _observe_missing_runs(scheduler, worker, report)
     worker.last_report_s = now_s
     worker.partitioned = False
     worker.observe_response(now_s)
     worker.fenced = True
     scheduler.fencing.observe_answer(worker, token)
-    scheduler.unfenced.discard(worker_id)
+    if report.lists_all_ends:
+        scheduler.unfenced.discard(worker_id)
     scheduler.crashes.observe_alive(worker)
 
 
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -530,8 +530,7 @@
 
     def _expire_leases(self, now_s: float) -> None:
         if self.unfenced and now_s > self.inherited_until_s:
-            self.emit("workers_given_up", workers=sorted(self.unfenced))
-            self.unfenced.clear()
+            self._give_up_workers(now_s)
         for worker_id, worker in list(self.workers.items()):
             expired = now_s > worker.lease_end_s
             overdue = worker.report_overdue(now_s)
@@ -547,6 +546,19 @@
                 self.fencing.remove(worker)
                 self.unneeded_runs.pop(worker_id, None)
 
+    def _give_up_workers(self, now_s: float) -> None:
+        """Stops waiting for workers whose runs of earlier terms have ended."""
+        given_up = []
+        for worker_id in sorted(self.unfenced):
+            worker = self.workers.get(worker_id)
+            # Leases that this term has extended have not expired, so the ends
+            # that are still to be listed count.
+            if worker is None or not worker.ends_outstanding(now_s):
+                given_up.append(worker_id)
+        if given_up:
+            self.emit("workers_given_up", workers=given_up)
+            self.unfenced.difference_update(given_up)
+
     def report_shortage(self, pool: str, machines: int) -> None:
         """Records how many more machines a pool needs for unplaced tasks."""
         known = self.machine_shortages.get(pool, 0)
--- a/baobabdoor/scheduling/_types.py
+++ b/baobabdoor/scheduling/_types.py
@@ -261,13 +261,16 @@
         clock_ms: The worker's monotonic clock.
         start_time_ms: Unix time of its start; 0 if unknown.
         running: Active runs.
-        ended: Ended runs that were not acknowledged.
+        ended: Ended runs that were not acknowledged, the oldest first.
+        lists_all_ends: Whether `ended` has all of them. Otherwise it has those
+            with the lowest numbers.
     """
 
     clock_ms: int
     start_time_ms: int
     running: tuple[RunEntry, ...]
     ended: tuple[EndEntry, ...]
+    lists_all_ends: bool = True
 
 
 class OrderOutcome(enum.Enum):
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -78,6 +78,8 @@
         self.lease_end_s = 0.0
         # Whether its lease had expired at its last report.
         self.lease_expired = False
+        # Whether its last report listed all ended runs.
+        self.lists_all_ends = True
         # Numbers of the last ended run that was processed and of the last one
         # that may be acknowledged, since its effect is stored.
         self.processed = 0
@@ -179,6 +181,11 @@
         """Returns whether its last report is too old."""
         return now_s - self.last_report_s > REPORT_TIMEOUT_S
 
+    def ends_outstanding(self, now_s: float) -> bool:
+        """Returns whether further ended runs under its lease will be listed."""
+        expired = now_s > self.lease_end_s and self.report_overdue(now_s)
+        return not self.lists_all_ends and not expired
+
     def may_have_restarted(self, now_s: float) -> bool:
         """Returns whether it may have restarted since its last report."""
         overdue = now_s - self.last_report_s > SAME_INCARNATION_S
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -169,6 +169,7 @@
         # The expiry in the order is on the previous incarnation's clock.
         longest_s = scheduler.options.max_lease_s * _worker.CLOCK_DRIFT_FACTOR
         worker.lease_end_s = now_s + longest_s
+    worker.lists_all_ends = True
     worker.processed = 0
     worker.acknowledged = 0
     worker.unsaved_ends = []
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -287,6 +287,9 @@
     def __init__(self, seed: int, inject_fault=None):
         self.random = random.Random(seed)
         self.inject_fault = inject_fault
+        # Apart from `random`, so that a seed keeps its sequence of faults. Few
+        # ended runs suffice to cut the reports of some walks.
+        self.max_listed_ends = random.Random(f"{seed}-ends").choice((2, 3, 500))
         self.now_s = 100.0
         self.version = 1
         self.store: dict[str, tuple[bytes, int]] = {}
@@ -354,6 +357,7 @@
             self.random.uniform(0.98, 1.0),
             self._make_run,
             self.oracle,
+            max_listed_ends=self.max_listed_ends,
         )
 
     def _crash_worker(self, worker_id: str) -> None:
--- a/baobabdoor/standin/_worker_model.py
+++ b/baobabdoor/standin/_worker_model.py
@@ -5,6 +5,8 @@
 from baobabdoor import scheduling
 
 OUTCOMES = scheduling.OrderOutcome
+# Maximum ended runs in one report according to the platform's documentation.
+MAX_LISTED_ENDS = 500
 DEFAULT_MAX_LEASE_S = scheduling.Options().max_lease_s
 
 
@@ -40,6 +42,7 @@
         observer: Notified of starts, ends and acknowledgements of runs.
         max_lease_s: Maximum duration of a lease, to which it shortens longer
             ones.
+        max_listed_ends: Maximum ended runs in one report.
     """
 
     def __init__(
@@ -50,6 +53,7 @@
         make_run,
         observer,
         max_lease_s=DEFAULT_MAX_LEASE_S,
+        max_listed_ends=MAX_LISTED_ENDS,
     ):
         self.record = record
         self.started_s = now_s
@@ -57,6 +61,7 @@
         self.make_run = make_run
         self.observer = observer
         self.max_lease_s = max_lease_s
+        self.max_listed_ends = max_listed_ends
         self.token = 0
         self.lease_end_ms = 0
         self.runs: dict[str, ModelRun] = {}
@@ -125,7 +130,11 @@
             for run in self.runs.values()
         )
         return scheduling.WorkerReport(
-            clock_ms, self.record.start_time_ms, running, tuple(self.ends)
+            clock_ms,
+            self.record.start_time_ms,
+            running,
+            tuple(self.ends[: self.max_listed_ends]),
+            lists_all_ends=len(self.ends) < self.max_listed_ends,
         )
 
     def start(self, order: scheduling.StartOrder, now_s: float):
--- a/tests/scheduling_fixtures.py
+++ b/tests/scheduling_fixtures.py
@@ -87,7 +87,7 @@
             return None
         return self.scheduler.hold_order(worker, 1000, self.now_s)
 
-    def report(self, worker_id, start_time_ms=1):
+    def report(self, worker_id, start_time_ms=1, max_ends=500):
         clock_ms = int((self.now_s - START_S) * 1000) + 5000
         entries = tuple(
             scheduling.RunEntry(task, run_id, "", percent, 0.0)
@@ -97,7 +97,11 @@
         self.scheduler.observe_report(
             worker_id,
             scheduling.WorkerReport(
-                clock_ms, start_time_ms, entries, tuple(self.ended[worker_id])
+                clock_ms,
+                start_time_ms,
+                entries,
+                tuple(self.ended[worker_id][:max_ends]),
+                lists_all_ends=len(self.ended[worker_id]) < max_ends,
             ),
             worker.token if worker else 0,
             self.now_s,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -285,6 +285,23 @@
         return self.response
 
 
+class TestReports:
+
+    @pytest.mark.parametrize(
+        "count,complete", [(0, True), (499, True), (500, False)]
+    )
+    def test_list_of_ends_at_its_limit_may_omit_others(self, count, complete):
+        ends = [[n, f"a.0.0.{n}", 1, "done", ""] for n in range(1, count + 1)]
+        content = {"clock-ms": 5, "born": 1, "running": [], "ended": ends}
+        client = platform.WorkerClient(FixedClient(json.dumps(content)))
+        order = scheduling.HoldOrder(
+            worker_id="w", address="10.0.0.1:1", token=1, last_seen=0
+        )
+        report = asyncio.run(client.hold(order))
+        assert len(report.ended) == count
+        assert report.lists_all_ends == complete
+
+
 class TestMachines:
 
     def list(self, body):
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -52,6 +52,134 @@
         assert again.run_id == 2
 
 
+class TestCutReports:
+    """Review case 3: a report lists 500 ended runs at a time.
+
+    Tasks whose ends came with the next report were started again.
+    """
+
+    COUNTS = (499, 500, 501, 1200)
+
+    def started(self, count):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        job = fleet.submit(JOB, [scheduling.StepSpec(count, cpu_milli=1)])
+        orders = fleet.accept(fleet.starts())
+        assert len(orders) == count
+        fleet.now_s += 0.1
+        fleet.report("w1")
+        return fleet, job
+
+    def end_all(self, fleet):
+        """Ends all runs of a worker without a report."""
+        ends = [
+            scheduling.EndEntry(number, task, run_id, "done", "")
+            for number, (task, run_id) in enumerate(fleet.running["w1"], 1)
+        ]
+        fleet.running["w1"].clear()
+        fleet.ended["w1"] = ends
+
+    def acknowledge(self, fleet):
+        """Stores all changes; the worker forgets the acknowledged ends."""
+        fleet.commit()
+        last_seen = fleet.hold("w1").last_seen
+        fleet.ended["w1"] = [
+            end for end in fleet.ended["w1"] if end.number > last_seen
+        ]
+
+    def report_until_all_are_listed(self, fleet):
+        while True:
+            listed_all = len(fleet.ended["w1"]) < 500
+            fleet.now_s += 0.1
+            fleet.report("w1")
+            assert not fleet.starts()
+            if listed_all:
+                return
+            self.acknowledge(fleet)
+
+    @pytest.mark.parametrize("count", COUNTS)
+    def test_no_task_starts_again_whose_end_was_left_out(self, count):
+        fleet, job = self.started(count)
+        self.end_all(fleet)
+        self.report_until_all_are_listed(fleet)
+        assert job.state is scheduling.JobState.COMPLETED
+
+    def test_runs_wait_while_the_listed_ends_are_not_stored(self):
+        fleet, _ = self.started(501)
+        self.end_all(fleet)
+        for _ in range(3):
+            fleet.now_s += 0.1
+            fleet.report("w1")
+            assert fleet.hold("w1").last_seen == 0
+            assert not fleet.starts()
+
+    def test_a_run_is_released_once_a_report_lists_all_ends(self):
+        fleet, _ = self.started(600)
+        (task, run_id), *_ = fleet.running["w1"]
+        fleet.running["w1"].pop((task, run_id))
+        self.end_all(fleet)
+        fleet.now_s += 0.1
+        fleet.report("w1")
+        self.acknowledge(fleet)
+        fleet.now_s += 0.1
+        fleet.report("w1")
+        assert [order.task for order in fleet.starts()] == [task]
+
+    def test_a_stopped_run_may_have_ended_before_the_stop(self):
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        job = fleet.submit(JOB, [scheduling.StepSpec(501, cpu_milli=1)])
+        *others, order = fleet.starts()
+        fleet.accept(others)
+        fleet.answer(order, OUTCOMES.UNKNOWN)
+        (stop,) = fleet.plan()
+        fleet.running["w1"][order.task, order.run_id] = 0
+        self.end_all(fleet)
+        fleet.answer(stop, OUTCOMES.ACCEPTED)
+        self.report_until_all_are_listed(fleet)
+        assert job.state is scheduling.JobState.COMPLETED
+
+    def inherited(self, count):
+        """Returns a later term that has not heard of a worker with ends."""
+        before, job = self.started(count)
+        self.end_all(before)
+        fleet = scheduling_fixtures.Fleet(["w1"], term=1)
+        fleet.scheduler.load_job(JOB, job.encode(), 1)
+        fleet.scheduler.unfenced.add("w1")
+        fleet.ended["w1"] = before.ended["w1"]
+        return fleet
+
+    @pytest.mark.parametrize("count", COUNTS)
+    def test_a_new_term_starts_no_task_whose_end_was_left_out(self, count):
+        fleet = self.inherited(count)
+        self.report_until_all_are_listed(fleet)
+        assert fleet.scheduler.jobs[JOB].state is (
+            scheduling.JobState.COMPLETED
+        )
+
+    def test_a_new_term_waits_for_a_worker_that_lists_ends_slowly(self):
+        """The store delays acknowledgements beyond the inherited leases."""
+        fleet = self.inherited(501)
+        while fleet.now_s < fleet.scheduler.inherited_until_s + 1:
+            fleet.now_s += 0.3
+            fleet.report("w1")
+            fleet.hold("w1")
+            assert not fleet.starts()
+
+    def test_a_new_term_gives_up_a_worker_that_falls_silent(self):
+        fleet = self.inherited(501)
+        fleet.now_s += 0.1
+        fleet.report("w1")
+        fleet.hold("w1")
+        worker = fleet.scheduler.workers["w1"]
+        end_s = max(worker.lease_end_s, fleet.scheduler.inherited_until_s)
+        fleet.add_worker("w2")
+        while fleet.now_s < end_s:
+            assert not fleet.starts()
+            fleet.now_s += 0.3
+            fleet.report("w2")
+        fleet.report("w2")
+        assert {order.worker_id for order in fleet.starts()} == {"w2"}
+
+
 class TestOrders:
 
     def test_a_worker_that_received_no_order_gets_none_before_it_reports(self):
--- a/tests/test_scheduling_walks.py
+++ b/tests/test_scheduling_walks.py
@@ -156,11 +156,23 @@
     scheduler.observe_worker = patched
 
 
+def take_cut_reports_as_complete(scheduler):
+    """Releases runs whose ends a report left out."""
+    observe = scheduler.observe_report
+
+    def patched(worker_id, report, token, now_s):
+        complete = attrs.evolve(report, lists_all_ends=True)
+        observe(worker_id, complete, token, now_s)
+
+    scheduler.observe_report = patched
+
+
 PLANTED = {
     "TWICE": (
         start_inherited_early,
         expire_leases_early,
         release_unconfirmed_start,
+        take_cut_reports_as_complete,
     ),
     "LIMIT": (ignore_capacity, ignore_shrinking),
     "BUDGET": (ignore_crashes,),
