Log what a cancel was answered on, and runs that are no longer needed

The users' report of UNASKED (two tasks that ran on after the cancel of their jobs) has several possible causes, which the log did not tell apart: a cancel answered with 410 by a leader that no longer is one; a cancel after the job's end, with a second run that goes on; a stop that is refused.

request_answered names the term and the age of its confirmation for "no such job", and the state of a job that had ended before its cancel. run_unneeded names each reported run that is to be stopped, with the state of its job and the run that the task has instead. stop_refused names a stop without success.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -407,6 +407,11 @@
         """Returns whether leadership was confirmed recently enough."""
         return self._confirmed_age_s() < _election.START_WINDOW_S
 
+    def describe_term(self) -> str:
+        """Returns the term and the age of its confirmation, for logs."""
+        age_ms = round(self._confirmed_age_s() * 1000)
+        return f"token={self.leader.token} confirmed_ms_ago={age_ms}"
+
     def may_send(self) -> bool:
         """Returns whether a planned order may still be sent."""
         return self.recently_confirmed() and not self.ended
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -236,11 +236,13 @@
         return _refusal_outcome(result)
 
     async def _cancel(self, controller, message, timeout_s) -> Outcome:
+        job = controller.scheduler.jobs.get(message["job"])
+        ended = f"already {job.state.value}" if job and job.final else ""
         result = await controller.cancel(message["job"], timeout_s)
         if result is None:
-            return Outcome("accepted")
+            return Outcome("accepted", detail=ended)
         if result.reason is base.Reason.NOT_FOUND:
-            return Outcome("no-job")
+            return Outcome("no-job", detail=controller.describe_term())
         return _refusal_outcome(result)
 
     def _state(self, controller, message) -> Outcome:
@@ -248,7 +250,7 @@
         if job is None:
             if not controller.recently_confirmed():
                 return UNAVAILABLE
-            return Outcome("no-job")
+            return Outcome("no-job", detail=controller.describe_term())
         state = controller.scheduler.visible_state(job)
         return Outcome("state", value=state.value)
 
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -189,6 +189,15 @@
         scheduler.observe_fenced(order)
     elif result.outcome is OUTCOMES.WRONG_WORKER:
         scheduler.observe_wrong_worker(order.worker_id)
+    if result.outcome is not OUTCOMES.ACCEPTED:
+        scheduler.emit(
+            "stop_refused",
+            task=order.task,
+            run=order.run_id,
+            worker=order.worker_id,
+            outcome=result.outcome.value,
+            detail=result.detail,
+        )
     run = worker.find_run(order.task, order.run_id)
     if run is None:
         return
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -248,7 +248,10 @@
     )
     if not wanted:
         unneeded_runs = scheduler.unneeded_runs.setdefault(worker.worker_id, {})
-        unneeded_runs.setdefault((entry.task, entry.run_id), -1e9)
+        key = (entry.task, entry.run_id)
+        if key not in unneeded_runs:
+            unneeded_runs[key] = -1e9
+            _emit_unneeded_run(scheduler, worker, task, entry)
         return None
     run = _job.Run(
         task,
@@ -267,6 +270,25 @@
     return run
 
 
+def _emit_unneeded_run(
+    scheduler,
+    worker: _worker.Worker,
+    task: _job.Task | None,
+    entry: _types.RunEntry,
+) -> None:
+    """Appends an event about a reported run that is to be stopped."""
+    current = task.run if task is not None else None
+    scheduler.emit(
+        "run_unneeded",
+        task=entry.task,
+        run=entry.run_id,
+        worker=worker.worker_id,
+        job_state=task.job.state.value if task is not None else "unknown",
+        current_run=current.run_id if current is not None else 0,
+        current_worker=current.worker_id if current is not None else "",
+    )
+
+
 def _observe_unneeded_runs(
     scheduler, worker: _worker.Worker, report: _types.WorkerReport
 ) -> None:
