Deny a job on a cancel only while leadership is certain

Cause: a leader that is cut off answered a cancel from its memory. Another leader had been elected meanwhile and had accepted the job.

A leader now answers so only if its leadership was confirmed recently, as it already did for queries, and not while it releases it: the release may be applied before its answer arrives. Otherwise the front tries again, and answers 503 with a time to come back.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -407,6 +407,13 @@
         """Returns whether leadership was confirmed recently enough."""
         return self._confirmed_age_s() < _election.START_WINDOW_S
 
+    def knows_all_jobs(self) -> bool:
+        """Returns whether no other leader can have accepted a job.
+
+        A release may have been applied before its answer arrives.
+        """
+        return self.recently_confirmed() and not self.committer.releasing
+
     def describe_term(self) -> str:
         """Returns the term and the age of its confirmation, for logs."""
         age_ms = round(self._confirmed_age_s() * 1000)
@@ -551,10 +558,13 @@
         """Cancels a job and stores the cancellation.
 
         Returns:
-            `None` once stored, or a refusal: `NOT_FOUND` or `UNKNOWN_RESULT`.
+            `None` once stored, or a refusal: `NOT_FOUND`, `NOT_HOLDER` if a
+            later leader may have accepted the job, or `UNKNOWN_RESULT`.
         """
         self._update_clocks()
         job = self.scheduler.cancel(job_id)
+        if job is None and not self.knows_all_jobs():
+            return base.Refusal(base.Reason.NOT_HOLDER, "controller.cancel")
         if job is None:
             return base.Refusal(base.Reason.NOT_FOUND, "controller.cancel")
         self.request_plan()
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -248,7 +248,7 @@
     def _state(self, controller, message) -> Outcome:
         job = controller.find_job(message["job"])
         if job is None:
-            if not controller.recently_confirmed():
+            if not controller.knows_all_jobs():
                 return UNAVAILABLE
             return Outcome("no-job", detail=controller.describe_term())
         state = controller.scheduler.visible_state(job)
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -101,6 +101,48 @@
         assert self.order_move(_election.START_WINDOW_S + 0.1) == [False]
 
 
+class TestCancel:
+    """Review case 5: a replaced leader answered a cancel with "no such job".
+
+    Another leader had accepted the job, and its tasks went on.
+    """
+
+    def cancel(self, confirmed_ago_s, known=False, releasing=False):
+        async def scenario():
+            bench = Bench()
+            controller = bench.controller()
+            bench.daemon.controller = controller
+            controller.loaded.set()
+            controller.committer.confirmed_s -= confirmed_ago_s
+            controller.committer.releasing = releasing
+            job_id = "00000000000000c1"
+            if known:
+                step = scheduling.StepSpec(1, cpu_milli=100)
+                queue = scheduling_fixtures.QUEUE
+                spec = scheduling.JobSpec(job_id, queue, "text", (step,))
+                controller.scheduler.submit(spec, platform.boot_time_s())
+            gateway = _gateway.Gateway(bench.daemon)
+            queue = bench.daemon.configuration.queues[scheduling_fixtures.QUEUE]
+            return await gateway.cancel(job_id, queue, 0.7)
+
+        return asyncio.run(scenario())
+
+    def test_a_leader_that_may_have_been_replaced_denies_no_job(self):
+        outcome = self.cancel(_election.START_WINDOW_S + 0.1)
+        assert outcome.kind == "unavailable"
+        assert outcome.retry_after_s
+
+    def test_a_leader_whose_release_may_be_applied_denies_no_job(self):
+        assert self.cancel(0.0, releasing=True).kind == "unavailable"
+
+    def test_a_current_leader_knows_all_accepted_jobs(self):
+        assert self.cancel(0.0).kind == "no-job"
+
+    def test_a_cancel_that_cannot_be_stored_is_not_confirmed(self):
+        outcome = self.cancel(_election.START_WINDOW_S + 0.1, known=True)
+        assert outcome.kind == "unknown"
+
+
 class TestStoreOutage:
     """Jobs arrive while a transaction waits for a silent store."""
 
