--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -16,6 +16,7 @@
 from baobabdoor.standin import _worker_model
 
 TIME_STEP_S = 0.05
+START_S = 100.0
 POOL = "pool"
 QUEUE = "queue"
 MAX_ATTEMPTS = 3
@@ -79,21 +80,21 @@
             self.system.find_step(task).cpu_milli for task in worker.runs
         )
         if used_cpu_milli > self.system.noticed_capacity_milli(worker):
-            self._add_violation(
+            self.add_violation(
                 "LIMIT", now_s, f"{run.task} on {worker.record.worker_id}"
             )
         for other in self.system.workers.values():
             if other is not worker and run.task in other.runs:
-                self._add_violation("TWICE", now_s, f"{run.task} runs twice")
+                self.add_violation("TWICE", now_s, f"{run.task} runs twice")
         if run.task in self.acknowledged_done:
-            self._add_violation("TWICE", now_s, f"{run.task} was done")
+            self.add_violation("TWICE", now_s, f"{run.task} was done")
         if self.acknowledged_failures[run.task] >= MAX_ATTEMPTS:
-            self._add_violation("BUDGET", now_s, run.task)
+            self.add_violation("BUDGET", now_s, run.task)
         self._check_crashes(run.task, now_s)
         for dependency in spec.steps[int(step)].after:
             for index in range(spec.steps[dependency].task_count):
                 if f"{job_id}.0.{dependency}.{index}" not in self.done:
-                    self._add_violation("ORDER", now_s, run.task)
+                    self.add_violation("ORDER", now_s, run.task)
                     return
 
     def _check_crashes(self, task: str, now_s: float) -> None:
@@ -102,7 +103,7 @@
         if self.crashes[task] >= MAX_CRASHES:
             self.starts_after_crashes[task] += 1
         if self.starts_after_crashes[task] >= MAX_STARTS_AFTER_CRASHES:
-            self._add_violation("BUDGET", now_s, f"{task} crashes its workers")
+            self.add_violation("BUDGET", now_s, f"{task} crashes its workers")
 
     def on_crash(self, worker) -> None:
         """Records the crash of a worker."""
@@ -128,17 +129,18 @@
         if job.stored_state is scheduling.JobState.COMPLETED:
             for task in job.tasks():
                 if task.name not in self.done:
-                    self._add_violation("MIXED", now_s, task.name)
+                    self.add_violation("MIXED", now_s, task.name)
         elif job.stored_state is scheduling.JobState.FAILED and not any(
             self.failed_ends[task.name] >= MAX_ATTEMPTS
             or self.crashes[task.name] >= MIN_CRASHES_TO_FAIL
             for task in job.tasks()
         ):
-            self._add_violation(
+            self.add_violation(
                 "LOST", now_s, f"{job.spec.job_id} failed without a cause"
             )
 
-    def _add_violation(self, rule: str, now_s: float, detail: str) -> None:
+    def add_violation(self, rule: str, now_s: float, detail: str) -> None:
+        """Records a violation of a rule."""
         self.violations.append(Violation(rule, now_s, detail))
 
 
@@ -290,7 +292,7 @@
         # Apart from `random`, so that a seed keeps its sequence of faults. Few
         # ended runs suffice to cut the reports of some walks.
         self.max_listed_ends = random.Random(f"{seed}-ends").choice((2, 3, 500))
-        self.now_s = 100.0
+        self.now_s = START_S
         self.version = 1
         self.store: dict[str, tuple[bytes, int]] = {}
         self.store_available = True
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -43,6 +43,19 @@
 # Maximum time from the cancellation of a job to the start of one of its tasks.
 # Delayed orders alone may take up to 5 s.
 MAX_START_AFTER_CANCEL_S = 9.0
+# Maximum time for which a task of a cancelled job runs on: to stop it, and for
+# the stop itself. Without faults it counts from the cancellation, and from
+# `CONTACT_S` after the last fault and after the start of the run.
+MAX_RUN_AFTER_CANCEL_S = 3.0 + 0.4
+# Time after the last fault in which this is checked.
+QUIET_S = soak_platform.CONTACT_S + MAX_RUN_AFTER_CANCEL_S + 1.0
+QUIET_CHECK_INTERVAL_S = 0.05
+# Share of ended jobs that are cancelled as soon as a caller sees their end.
+CANCEL_ENDED_SHARE = 0.4
+# Bounds of the time between two isolations of the leader, and of their
+# duration, which is longer than an election.
+ISOLATION_PAUSE_RANGE_S = (4.0, 12.0)
+ISOLATION_RANGE_S = (3.0, 6.0)
 # An interrupted request counts as the fault of a graceful stop only if the last
 # other fault of the daemon is older than this.
 FAULT_EFFECT_S = 5.0
@@ -86,7 +99,7 @@
 
     def add(self, rule: str, detail: str) -> None:
         """Records a violation of a rule."""
-        self._add_violation(rule, time.monotonic(), detail)
+        self.add_violation(rule, time.monotonic(), detail)
 
 
 class Connection:
@@ -153,6 +166,8 @@
         )
         # Apart from `random`, so that a seed keeps its sequence of faults.
         self.foreign_random = random.Random(f"{seed}-foreign")
+        self.isolation_random = random.Random(f"{seed}-isolation")
+        self.cancel_random = random.Random(f"{seed}-cancel")
         self.simulator.foreign_entries = self._choose_foreign_entries()
         self.daemons = [
             soak_faults.DaemonProcess(number, self.subnet, folder)
@@ -235,9 +250,12 @@
                 for number in range(CALLERS)
             ]
             callers.append(asyncio.ensure_future(self._replace_entries(end_s)))
+            callers.append(asyncio.ensure_future(self._isolate_leaders(end_s)))
             await self._inject_faults(end_s)
             await asyncio.gather(*callers)
-            await self._wait_for_jobs()
+            await asyncio.gather(
+                self._wait_for_jobs(), self._check_cancelled_jobs()
+            )
         finally:
             self._stop()
             await asyncio.sleep(EXIT_MARGIN_S)
@@ -371,6 +389,9 @@
             self.oracle.add("LOST", f"accepted job {job_id} is unknown")
         elif status == 200:
             self._observe_state(job_id, content["state"])
+            ended = content["state"] in FINAL_STATES
+            if ended and self.cancel_random.random() < CANCEL_ENDED_SHARE:
+                await self._cancel(job_id, connections, generator)
 
     def _observe_state(self, job_id: str, state: str) -> None:
         previous = self.final_states.get(job_id)
@@ -408,10 +429,14 @@
     async def _cancel(self, job_id, connections, generator) -> None:
         # A cancellation without a response may still be applied.
         self.cancel_times_s.setdefault(job_id, float("inf"))
+        was_accepted = job_id in self.accepted
         status, _ = await self._send_request(
             "DELETE", job_id, connections, generator
         )
-        if status == 200:
+        if status == 410 and was_accepted:
+            self.oracle.add("UNASKED", f"{job_id} is unknown to its cancel")
+        # Callers also take "no such job" as the end of an accepted job.
+        if status == 200 or (status == 410 and was_accepted):
             now_s = time.monotonic()
             self.cancel_times_s[job_id] = min(
                 self.cancel_times_s[job_id], now_s
@@ -466,6 +491,34 @@
             )
             self.fault_log.append(f"entry of worker {worker.number} replaced")
 
+    async def _isolate_leaders(self, end_s: float) -> None:
+        """Cuts leaders off from all but their callers, one after the other."""
+        while True:
+            pause_s = self.isolation_random.uniform(*ISOLATION_PAUSE_RANGE_S)
+            duration_s = self.isolation_random.uniform(*ISOLATION_RANGE_S)
+            if time.monotonic() + pause_s + duration_s > end_s:
+                return
+            await asyncio.sleep(pause_s)
+            number = self._leader()
+            if number is None:
+                continue
+            proxy = self.store_proxies[number]
+            self._log_fault(f"leader {number} isolated for {duration_s:.1f} s")
+            proxy.set_mode("silent")
+            self.simulator.cut_token = self.simulator.store.version
+            await asyncio.sleep(duration_s)
+            self.simulator.cut_token = 0
+            proxy.set_mode("reset")
+            proxy.set_mode("pass")
+            self._log_fault(f"daemon {number} reaches all again")
+
+    def _leader(self) -> int | None:
+        """Returns the number of the daemon that the store names as leader."""
+        row = self.simulator.store.get("tenure", "holder", "fleet")
+        if not row.version:
+            return None
+        return int(json.loads(row.value)["node"].rpartition("-")[2])
+
     def _log_fault(self, text: str, daemon: int | None = None) -> None:
         self.fault_log.append(
             f"{time.monotonic() - self.simulator.start_time_s:.2f} {text}"
@@ -586,6 +639,31 @@
         for connection in connections:
             connection.close()
 
+    async def _check_cancelled_jobs(self) -> None:
+        """Checks after the last fault that no cancelled task runs on."""
+        calm_s = time.monotonic() + soak_platform.CONTACT_S
+        end_s = time.monotonic() + QUIET_S
+        reported = set()
+        while (now_s := time.monotonic()) < end_s:
+            for model in self.simulator.models.values():
+                model.advance(now_s)
+                for run in set(model.runs.values()) - reported:
+                    if self._runs_on(run, calm_s, now_s):
+                        reported.add(run)
+                        name = model.record.worker_id
+                        self.oracle.add(
+                            "UNASKED",
+                            f"{run.task} run {run.run_id} runs on at {name}",
+                        )
+            await asyncio.sleep(QUIET_CHECK_INTERVAL_S)
+
+    def _runs_on(self, run, calm_s: float, now_s: float) -> bool:
+        job_id = run.task.split(".")[0]
+        cancelled_s = self.cancel_times_s.get(job_id, float("inf"))
+        started_s = run.started_s + soak_platform.CONTACT_S
+        due_s = max(calm_s, cancelled_s, started_s) + MAX_RUN_AFTER_CANCEL_S
+        return now_s > due_s
+
     def _check_results(self) -> None:
         for job_id in sorted(self.accepted - set(self.final_states)):
             self.oracle.add("LOST", f"accepted job {job_id} did not end")
--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -32,6 +32,12 @@
 HEARTBEAT_INTERVAL_S = 0.5
 # Time that the platform allows to notice a change, in addition to a heartbeat.
 CONTACT_S = 3.0
+# Time after which a worker drops a call of a leader that is cut off from it:
+# longer than any timeout of the leader.
+CUT_RESPONSE_DELAY_S = 3.0
+# Share of runs that take longer than a lease, and bounds of their duration.
+LONG_RUN_SHARE = 0.03
+LONG_RUN_RANGE_S = (5.0, 9.0)
 # Time from the start of a task to the crash of its worker.
 CRASH_DELAY_S = 0.02
 POLL_INTERVAL_S = 0.01
@@ -190,15 +196,20 @@
         store_fault: Active fault of the store: `down`, `lost`, `slow` or empty.
         delayed_order_rate: Fraction of orders that are applied late and get no
             response.
+        cut_token: Orders with a token up to this get no response, because
+            their sender is cut off from the workers.
     """
 
     def __init__(self, seed: int, subnet: int, workers: int, oracle):
         self.random = random.Random(seed)
+        # Apart from `random`, so that a seed keeps its sequence of faults.
+        self.duration_random = random.Random(f"{seed}-durations")
         self.subnet = subnet
         self.oracle = oracle
         self.store = Store()
         self.store_fault = ""
         self.delayed_order_rate = 0.0
+        self.cut_token = 0
         self.start_time_s = time.monotonic()
         self.tasks: list[asyncio.Task] = []
         self.servers: list[httpserver.HTTPServer] = []
@@ -228,11 +239,14 @@
 
     def make_run(self, order, now_s: float) -> _worker_model.ModelRun:
         """Creates a run with random duration and outcome."""
+        duration_s = self.random.uniform(0.1, 1.2)
+        if self.duration_random.random() < LONG_RUN_SHARE:
+            duration_s = self.duration_random.uniform(*LONG_RUN_RANGE_S)
         return _worker_model.ModelRun(
             order.task,
             order.run_id,
             now_s,
-            self.random.uniform(0.1, 1.2),
+            duration_s,
             self.random.random() < 0.1,
         )
 
@@ -460,6 +474,10 @@
             await asyncio.sleep(1.0)
             self.request.connection.stream.close()
             return
+        if body["fencing-token"] <= self.simulator.cut_token:
+            await asyncio.sleep(CUT_RESPONSE_DELAY_S)
+            self.request.connection.stream.close()
+            return
         if call == "hold":
             await self._wait_for_run_end(model, body)
         if not self._runs(model):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -113,6 +113,30 @@
         self.start_run(soak_run)
         assert self.rules(soak_run) == {"UNASKED"}
 
+    def run_on(self, soak_run, since_s):
+        """Cancels a job, and checks its run some time after the last fault."""
+        self.start_run(soak_run)
+        worker = next(iter(soak_run.workers.values()))
+        now_s = time.monotonic()
+        worker.runs[TASK].started_s = now_s - 60
+        soak_run.cancel_times_s[JOB] = now_s - 60
+        return soak_run._runs_on(worker.runs[TASK], now_s - since_s, now_s)
+
+    def test_a_run_that_goes_on_after_the_cancel(self, soak_run):
+        assert self.run_on(soak_run, soak.MAX_RUN_AFTER_CANCEL_S + 0.1)
+
+    def test_a_run_may_go_on_shortly_after_the_last_fault(self, soak_run):
+        assert not self.run_on(soak_run, soak.MAX_RUN_AFTER_CANCEL_S - 0.1)
+
+    def test_an_accepted_job_that_is_unknown_to_its_cancel(self, soak_run):
+        async def deny(*arguments):
+            return 410, {}
+
+        soak_run._send_request = deny
+        soak_run.accepted.add(JOB)
+        asyncio.run(soak_run._cancel(JOB, [], None))
+        assert self.rules(soak_run) == {"UNASKED"}
+
     @pytest.mark.parametrize(
         ("state", "rule"),
         [("completed", "MIXED"), ("failed", "LOST"), ("cancelled", "LOST")],
