Show a state that may change only while leadership is certain

Callers saw, in soak runs with isolated leaders: a job shown as completed was shown as running or queued later (MIXED).

Cause: as for cancels, a replaced leader answered from its memory. The check that leadership is current covered unknown jobs only.

Such a leader now answers final states from its memory, which do not change, and others from the store, or 503 with a time to come back if it does not reach it.

The soak names the daemon that showed a state.

--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -247,11 +247,14 @@
 
     def _state(self, controller, message) -> Outcome:
         job = controller.find_job(message["job"])
+        state = controller.scheduler.visible_state(job) if job else None
+        # A final state does not change, but another leader may have accepted
+        # or ended the job.
+        is_final = state in scheduling.FINAL_STATES
+        if not is_final and not controller.knows_all_jobs():
+            return UNAVAILABLE
         if job is None:
-            if not controller.knows_all_jobs():
-                return UNAVAILABLE
             return Outcome("no-job", detail=controller.describe_term())
-        state = controller.scheduler.visible_state(job)
         return Outcome("state", value=state.value)
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -336,7 +336,7 @@
         self.responses[method, status or content["error"]] += 1
         if content.get("error") == "cut":
             self._check_interrupted_request(number, job_id, sent_s)
-        return status, content
+        return status, content | {"daemon": number}
 
     def _check_interrupted_request(
         self, number: int, job_id: str, sent_s: float
@@ -388,16 +388,17 @@
         if status == 410 and was_accepted:
             self.oracle.add("LOST", f"accepted job {job_id} is unknown")
         elif status == 200:
-            self._observe_state(job_id, content["state"])
+            self._observe_state(job_id, content["state"], content["daemon"])
             ended = content["state"] in FINAL_STATES
             if ended and self.cancel_random.random() < CANCEL_ENDED_SHARE:
                 await self._cancel(job_id, connections, generator)
 
-    def _observe_state(self, job_id: str, state: str) -> None:
+    def _observe_state(self, job_id: str, state: str, daemon: int) -> None:
         previous = self.final_states.get(job_id)
         if previous and state != previous:
             self.oracle.add(
-                "MIXED", f"{job_id} changed from {previous} to {state}"
+                "MIXED",
+                f"{job_id} changed from {previous} to {state} at {daemon}",
             )
         if state not in FINAL_STATES:
             return
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -143,6 +143,62 @@
         assert outcome.kind == "unknown"
 
 
+class TestQuery:
+    """A replaced leader showed a job as running after its end (soak 7404)."""
+
+    JOB = "00000000000000c2"
+
+    def query(self, confirmed_ago_s, stored=None, final=False, known=True):
+        async def scenario():
+            bench = Bench()
+            controller = bench.controller()
+            bench.daemon.controller = controller
+            controller.loaded.set()
+            step = scheduling.StepSpec(1, cpu_milli=100)
+            queue = scheduling_fixtures.QUEUE
+            spec = scheduling.JobSpec(self.JOB, queue, "text", (step,))
+            if known:
+                now_s = platform.boot_time_s()
+                job = controller.scheduler.submit(spec, now_s)
+                if final:
+                    controller.scheduler.cancel(self.JOB)
+                await controller.committer._write()
+                assert job.stored_state is job.state
+            controller.committer.confirmed_s -= confirmed_ago_s
+            bench.store.reachable = stored is not None
+            if stored is not None:
+                job = scheduling.Job(spec, 0)
+                job.state = stored
+                key = (_commits.JOBS_TABLE, _election.PART, self.JOB)
+                row = platform.StoredRow(*key, job.encode(), 9)
+                bench.store.rows[key] = row
+            gateway = _gateway.Gateway(bench.daemon)
+            queue = bench.daemon.configuration.queues[queue]
+            return await gateway.state(self.JOB, queue, 0.7)
+
+        return asyncio.run(scenario())
+
+    OUTDATED_S = _election.START_WINDOW_S + 0.1
+
+    def test_a_leader_that_may_have_been_replaced_shows_the_stored_state(self):
+        completed = scheduling.JobState.COMPLETED
+        assert self.query(self.OUTDATED_S, completed).value == "completed"
+
+    def test_it_shows_no_state_without_the_store(self):
+        assert self.query(self.OUTDATED_S).kind == "unavailable"
+
+    def test_it_shows_a_final_state_that_it_has_stored(self):
+        assert self.query(self.OUTDATED_S, final=True).value == "cancelled"
+
+    def test_it_denies_no_job(self):
+        queued = scheduling.JobState.QUEUED
+        outcome = self.query(self.OUTDATED_S, queued, known=False)
+        assert outcome.value == "queued"
+
+    def test_a_current_leader_shows_the_state_in_memory(self):
+        assert self.query(0.0).value == "queued"
+
+
 class TestStoreOutage:
     """Jobs arrive while a transaction waits for a silent store."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -142,13 +142,13 @@
         [("completed", "MIXED"), ("failed", "LOST"), ("cancelled", "LOST")],
     )
     def test_a_final_state_without_cause(self, soak_run, state, rule):
-        soak_run._observe_state(JOB, state)
+        soak_run._observe_state(JOB, state, 0)
         assert self.rules(soak_run) == {rule}
 
     def test_a_final_state_that_changes(self, soak_run):
         soak_run.oracle.done.add(TASK)
-        soak_run._observe_state(JOB, "completed")
-        soak_run._observe_state(JOB, "running")
+        soak_run._observe_state(JOB, "completed", 0)
+        soak_run._observe_state(JOB, "running", 1)
         assert self.rules(soak_run) == {"MIXED"}
 
     def test_a_request_interrupted_by_a_graceful_stop_alone(self, soak_run):
