Enroll a worker until the ends that it has listed are stored

Cause: the stored roster dropped an unlisted worker once it had no runs. A run is dropped when its end is reported, and the effect is stored later if more jobs changed than fit into one transaction. The next leader did not wait for the worker and started the tasks whose ends were not stored.

A worker stays enrolled, and known, while it has ends without a stored effect. Leader and walks now share Scheduler.workers_to_enroll. roster_shrunk logs the workers that the stored roster no longer lists.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -127,21 +127,18 @@
         self.committed = asyncio.Event()
 
     def _desired_roster(self) -> dict[str, dict[str, list]]:
-        """Returns entries of workers that may have runs, by roster row."""
+        """Returns entries of the workers to enroll, by roster row."""
         desired: dict[str, dict[str, list]] = {key: {} for key in self.roster}
-        for worker in self.scheduler.workers.values():
-            alive = worker.fenced and worker.listed and not worker.retired
-            may_have_runs = worker.worker_id in self.scheduler.unfenced
-            if alive or worker.runs or may_have_runs:
-                record = worker.record
-                key = roster_shard_key(record.worker_id)
-                desired.setdefault(key, {})[record.worker_id] = [
-                    record.address,
-                    record.pool,
-                    record.zone,
-                    worker.start_time_ms,
-                    record.machine,
-                ]
+        for worker in self.scheduler.workers_to_enroll():
+            record = worker.record
+            key = roster_shard_key(record.worker_id)
+            desired.setdefault(key, {})[record.worker_id] = [
+                record.address,
+                record.pool,
+                record.zone,
+                worker.start_time_ms,
+                record.machine,
+            ]
         return desired
 
     def _changed_documents(
@@ -408,11 +405,14 @@
         self, written: list[tuple[_sequence.Document, bytes]]
     ) -> None:
         if any(document.table == ROSTER_TABLE for document, _ in written):
+            previous = self.enrolled
             self.enrolled = {
                 worker_id
                 for document in self.roster.values()
                 for worker_id in _enrolled_workers(document.content)
             }
+            if removed := previous - self.enrolled:
+                LOG.info("roster_shrunk", removed=" ".join(sorted(removed)))
         for worker in self.scheduler.workers.values():
             worker.enrolled = worker.worker_id in self.enrolled
         for number, plan in self.scheduler.maintenance.plans.items():
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -339,6 +339,7 @@
                 self.scheduler.observe_report(
                     worker_id, result, order.token, platform.boot_time_s()
                 )
+                self.scheduler.release_acknowledgements()
                 self.request_plan()
         except Exception as error:
             self.faults.observe_call("hold", worker_id, error)
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -350,6 +350,21 @@
 
     # Workers.
 
+    def workers_to_enroll(self) -> Iterator[_worker.Worker]:
+        """Yields the workers that the next leader has to ask for their runs.
+
+        They may get or have runs, or list ends whose effect is not stored.
+        """
+        for worker in self.workers.values():
+            usable = worker.fenced and worker.listed and not worker.retired
+            if (
+                usable
+                or worker.runs
+                or worker.unsaved_ends
+                or worker.worker_id in self.unfenced
+            ):
+                yield worker
+
     def observe_worker(
         self,
         record: _types.WorkerRecord,
@@ -540,7 +555,7 @@
             if worker.fenced and expired and overdue:
                 # It may have restarted; it gets no starts before it reports.
                 worker.fenced = False
-            unused = not worker.listed and not worker.runs
+            unused = not (worker.listed or worker.runs or worker.unsaved_ends)
             if unused and overdue and worker_id not in self.unfenced:
                 del self.workers[worker_id]
                 self.fencing.remove(worker)
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -247,10 +247,7 @@
         self.confirmed_s = walk.now_s
         walk.roster = {
             worker.worker_id: worker.record
-            for worker in self.scheduler.workers.values()
-            if (worker.fenced and worker.listed)
-            or worker.runs
-            or worker.worker_id in self.scheduler.unfenced
+            for worker in self.scheduler.workers_to_enroll()
         }
         for worker in self.scheduler.workers.values():
             worker.enrolled = worker.worker_id in walk.roster
--- a/tests/test_dispatch_commits.py
+++ b/tests/test_dispatch_commits.py
@@ -290,6 +290,62 @@
         assert second.roster() == first.roster()
 
 
+class TestUnsavedEnds:
+    """Review case 2: tasks started again whose ends were not stored yet.
+
+    The roster did not list their worker any more, so the next leader did not
+    wait for its report.
+    """
+
+    JOBS = 60
+
+    def bench_with_ends(self):
+        """Returns a worker that is not listed, with ends of many jobs."""
+        bench = Bench()
+        fleet = bench.fleet
+        for number in range(self.JOBS):
+            bench.submit(f"{number:016x}")
+        while not bench.write():
+            pass
+        orders = []
+        for _ in range(20):
+            orders += fleet.accept(fleet.starts())
+            fleet.advance(0.1)
+            for task, run_id in list(fleet.running["w1"]):
+                del fleet.running["w1"][task, run_id]
+                number = len(fleet.ended["w1"]) + 1
+                fleet.ended["w1"].append(
+                    scheduling.EndEntry(number, task, run_id, "done", "")
+                )
+        fleet.advance(0.1)
+        assert len(orders) == self.JOBS
+        fleet.scheduler.observe_unlisted("w1")
+        return bench
+
+    def listed(self, bench):
+        return {worker for row in bench.roster().values() for worker in row}
+
+    def test_roster_lists_a_worker_until_all_its_ends_are_stored(self):
+        bench = self.bench_with_ends()
+        worker = bench.fleet.scheduler.workers["w1"]
+        assert not bench.write()
+        assert worker.unsaved_ends
+        assert "w1" in self.listed(bench)
+        while not bench.write():
+            pass
+        bench.submit("00000000000000fe")
+        bench.write()
+        assert not worker.unsaved_ends
+        assert "w1" not in self.listed(bench)
+
+    def test_silent_worker_is_kept_until_all_its_ends_are_stored(self):
+        bench = self.bench_with_ends()
+        bench.fleet.advance(20, unresponsive=("w1",))
+        bench.fleet.plan()
+        assert not bench.write()
+        assert "w1" in self.listed(bench)
+
+
 class TestUnansweredWrites:
     """Review case 1: a job was accepted that no transaction had stored."""
 
