Count a failed run of a gang once

Cause: the failures of its members were added up. A worker that fails all that it starts fails each member of a run.

Failed runs of a gang are now counted by their number, which its members share.

--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -231,6 +231,18 @@
             return None
         return tasks[index]
 
+    def failed_attempts(self, task: Task) -> int:
+        """Returns the number of failed runs of a task, or of its gang.
+
+        The members of a gang start under one number and may fail one by one.
+        """
+        if not task.spec.gang:
+            return task.failures
+        members = self.steps[task.occurrence, task.step]
+        return len(
+            frozenset().union(*(member.failed_runs for member in members))
+        )
+
     def complete_task(self, task: Task) -> None:
         """Marks a task as done, and the job as completed with its last task."""
         if task.done:
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -196,10 +196,7 @@
         scheduler.emit("worker_quarantined", worker=worker.worker_id)
     if task.spec.long_running:
         return
-    failures = task.failures
-    if task.spec.gang:
-        members = job.steps[task.occurrence, task.step]
-        failures = sum(member.failures for member in members)
+    failures = job.failed_attempts(task)
     queue = scheduler.configuration.queues.get(job.spec.queue)
     if queue is not None and failures >= queue.max_attempts:
         scheduler.finish_job(job, _types.JobState.FAILED, "attempts used up")
--- a/tests/test_scheduling_gangs.py
+++ b/tests/test_scheduling_gangs.py
@@ -76,6 +76,41 @@
         assert {task.last_run for task in job.tasks()} == {0}
 
 
+class TestFailedGangs:
+    """Review case 4: one failed run of a gang used up its attempts."""
+
+    def run_once(self, fleet, failing):
+        """Starts a gang of four of which some members fail."""
+        orders = fleet.accept(fleet.starts())
+        assert len(orders) == 4
+        for number, order in enumerate(orders):
+            outcome = "failed" if number in failing else "broken"
+            fleet.end(order.worker_id, order.task, order.run_id, outcome)
+        fleet.now_s += 20
+
+    def outcomes(self, runs):
+        """Returns the state of the job after each run of its gang."""
+        fleet = scheduling_fixtures.Fleet(["w1", "w2", "w3", "w4", "w5"])
+        step = scheduling.StepSpec(4, cpu_milli=1000, gang=True)
+        job = fleet.submit(JOB, [step])
+        states = []
+        for failing in runs:
+            self.run_once(fleet, failing)
+            fleet.advance(1)
+            states.append(job.state)
+        return states
+
+    def test_a_run_counts_once_however_many_members_fail(self):
+        states = self.outcomes([range(4), range(4), range(4)])
+        assert states[:2] == [scheduling.JobState.QUEUED] * 2
+        assert states[2] is scheduling.JobState.FAILED
+
+    def test_runs_in_which_different_members_fail_add_up(self):
+        states = self.outcomes([{0}, {1}, {2}])
+        assert states[:2] == [scheduling.JobState.QUEUED] * 2
+        assert states[2] is scheduling.JobState.FAILED
+
+
 class TestIncompleteGangs:
 
     def incomplete(self, outcome):
