Write the state of a wave on condition of the row that it replaces

The operator could be shown a wave as running for good after its completion: a write without an answer, of this leader or of one that was replaced, was applied after the later one, which was not repeated. The same happened if the last machine was done while the write of running was under way.

The row is now written on condition of its last known version, only while leadership was confirmed recently, and what was written is recorded rather than what is true after the write. A refused write is logged.

--- a/baobabdoor/dispatch/_waves.py
+++ b/baobabdoor/dispatch/_waves.py
@@ -25,7 +25,10 @@
         self.daemon = daemon
         self.controller = controller
         self.maintenance = controller.scheduler.maintenance
+        # Whether a wave was reported as completed, and the version of the row
+        # with its state; 0 if it is not known.
         self.reported: dict[int, bool] = {}
+        self.status_versions: dict[int, int] = {}
         # Waves whose stored plan cannot be read.
         self.unreadable: set[int] = set()
 
@@ -143,15 +146,45 @@
 
     async def _report(self) -> None:
         for number, plan in self.maintenance.plans.items():
-            if self.reported.get(number) == plan.completed:
-                continue
-            row = platform.StoredRow(
-                platform.STATUS_TABLE,
-                "",
-                f"{platform.WAVE_KEY_PREFIX}{number}",
-                platform.encode_wave_state(plan.wave, plan.completed),
+            changed = self.reported.get(number) != plan.completed
+            if changed and self.controller.recently_confirmed():
+                await self._report_wave(number, plan)
+
+    async def _report_wave(
+        self, number: int, plan: scheduling.WavePlan
+    ) -> None:
+        """Writes the state of a wave unless its row has changed.
+
+        A write without an answer may be applied after a later one of this or
+        the next leader. It must not replace that.
+        """
+        completed = plan.completed
+        key = f"{platform.WAVE_KEY_PREFIX}{number}"
+        row = platform.StoredRow(
+            platform.STATUS_TABLE,
+            "",
+            key,
+            platform.encode_wave_state(plan.wave, completed),
+        )
+        version = self.status_versions.get(number, 0)
+        expected = platform.StoredRow(
+            platform.STATUS_TABLE, "", key, version=version
+        )
+        answer = await self.daemon.store.transact([row], (), [expected])
+        if isinstance(answer, platform.Commit):
+            self.status_versions[number] = answer.version
+            self.reported[number] = completed
+            LOG.info("wave_reported", wave=number, done=completed)
+        elif isinstance(answer, platform.Conflict):
+            # The next write is conditional on the row that it replaces.
+            self.status_versions[number] = max(
+                (row.version for row in answer.rows), default=0
+            )
+            LOG.info(
+                "wave_row_changed",
+                wave=number,
+                known=version,
+                version=self.status_versions[number],
             )
-            answer = await self.daemon.store.transact([row])
-            if isinstance(answer, platform.Commit):
-                self.reported[number] = plan.completed
-                LOG.info("wave_reported", wave=number, done=plan.completed)
+        else:
+            LOG.warning("wave_not_reported", wave=number, reason=str(answer))
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -199,6 +199,86 @@
         assert self.query(0.0).value == "queued"
 
 
+class TestWaveReports:
+    """A write without an answer replaced a later state of the wave."""
+
+    WAVE = scheduling.Wave(7, ("m1",), 10.0, 1)
+
+    def start(self, store):
+        """Returns a controller, and its plan of a wave that has begun."""
+        bench = Bench()
+        bench.store = bench.daemon.store = store
+        controller = bench.controller()
+        controller.scheduler.maintenance.observe_wave(self.WAVE)
+        return controller, controller.scheduler.maintenance.plans[7]
+
+    def state(self, store):
+        key = f"{platform.WAVE_KEY_PREFIX}7"
+        return json.loads(store.get(platform.STATUS_TABLE, key, "").value)
+
+    def report(self, controller, times=1):
+        for _ in range(times):
+            asyncio.run(controller.wave_runner._report())
+
+    def finish(self, plan):
+        for target in plan.targets.values():
+            target.phase = scheduling.Phase.DONE
+
+    def test_late_write_does_not_replace_the_completion(self):
+        store = _row_store.MemoryRowStore()
+        controller, plan = self.start(store)
+        store.delay_writes = 1
+        self.report(controller)
+        self.finish(plan)
+        self.report(controller)
+        completed = self.state(store)
+        store.apply_delayed()
+        assert self.state(store) == completed
+
+    def test_completion_is_written_over_a_late_write(self):
+        store = _row_store.MemoryRowStore()
+        controller, plan = self.start(store)
+        store.delay_writes = 1
+        self.report(controller)
+        store.apply_delayed()
+        running = self.state(store)
+        self.finish(plan)
+        self.report(controller, times=2)
+        assert self.state(store) != running
+
+    def test_next_leader_replaces_the_state(self):
+        store = _row_store.MemoryRowStore()
+        first, _ = self.start(store)
+        self.report(first)
+        running = self.state(store)
+        second, plan = self.start(store)
+        self.finish(plan)
+        self.report(second, times=2)
+        assert self.state(store) != running
+
+    def test_a_leader_that_may_have_been_replaced_reports_nothing(self):
+        store = _row_store.MemoryRowStore()
+        controller, _ = self.start(store)
+        controller.committer.confirmed_s -= _election.START_WINDOW_S + 0.1
+        self.report(controller)
+        assert store.transaction_count_ == 0
+
+    def test_completion_during_a_write_is_reported_next(self):
+        store = _row_store.MemoryRowStore()
+        controller, plan = self.start(store)
+        transact = store.transact
+
+        async def finishing_transact(*arguments):
+            self.finish(plan)
+            return await transact(*arguments)
+
+        store.transact = finishing_transact
+        self.report(controller)
+        running = self.state(store)
+        self.report(controller)
+        assert self.state(store) != running
+
+
 class TestStoreOutage:
     """Jobs arrive while a transaction waits for a silent store."""
 
