Split the transactions of a term from the committer

The module of the sequence also holds transactions and documents, so it is named after them. Choosing what to write and writing it are separate functions. An unresolved transaction keeps no rows of jobs, of which a long outage without answers could pile up many.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import json
 import zlib
 
@@ -14,7 +15,7 @@
 from baobabdoor import scheduling
 from baobabdoor import transport
 from baobabdoor.dispatch import _election
-from baobabdoor.dispatch import _sequence
+from baobabdoor.dispatch import _transactions
 
 JOBS_TABLE = "jobs"
 ROSTER_TABLE = "roster"
@@ -80,17 +81,17 @@
         self.confirmed_s = confirmed_s
         self.on_lost = on_lost
         self.metrics = metrics
-        self.roster: dict[str, _sequence.Document] = {}
+        self.roster: dict[str, _transactions.Document] = {}
         # Workers listed in the stored roster.
         self.enrolled: set[str] = set()
-        self.waves: dict[int, _sequence.Document] = {}
+        self.waves: dict[int, _transactions.Document] = {}
         self.write_requested = asyncio.Event()
         self.committed = asyncio.Event()
         self.timeout_s = MIN_TIMEOUT_S
         self.adaptive_timeout = transport.AdaptiveTimeout(
             LATENCY_SMOOTHING, INITIAL_LATENCY_S
         )
-        self.sequence = _sequence.WriteSequence(leader.token)
+        self.sequence = _transactions.WriteSequence(leader.token)
         self.reachable = True
         self.releasing = False
         self.released = asyncio.Event()
@@ -143,7 +144,7 @@
 
     def _changed_documents(
         self, limit: int
-    ) -> list[tuple[_sequence.Document, bytes]]:
+    ) -> list[tuple[_transactions.Document, bytes]]:
         """Returns at most `limit` changed documents with their new content."""
         # An unreadable row names workers that may have runs. It is kept for the
         # next leader until their leases have certainly expired.
@@ -168,10 +169,10 @@
             changed.append((document, content))
         return changed
 
-    def roster_document(self, key: str) -> _sequence.Document:
+    def roster_document(self, key: str) -> _transactions.Document:
         """Returns the document of a roster row."""
         return self.roster.setdefault(
-            key, _sequence.Document(ROSTER_TABLE, key, b"{}")
+            key, _transactions.Document(ROSTER_TABLE, key, b"{}")
         )
 
     def load_roster(self, row: platform.StoredRow) -> dict[str, list]:
@@ -184,19 +185,37 @@
         document.content = row.value
         return entries
 
-    def wave_document(self, number: int) -> _sequence.Document:
+    def wave_document(self, number: int) -> _transactions.Document:
         """Returns the document of a wave's plan."""
         return self.waves.setdefault(
-            number, _sequence.Document(WAVES_TABLE, str(number))
+            number, _transactions.Document(WAVES_TABLE, str(number))
         )
 
     async def _write(self) -> bool:
         """Writes one transaction; returns whether no work is left."""
+        transaction = self._next_transaction()
+        if transaction is None:
+            return True
+        answer = await self._transact(transaction)
+        if isinstance(answer, platform.Commit):
+            self._observe_latency(transaction.sent_s)
+            self.sequence.observe_commit(transaction, answer.version)
+            self._confirm(transaction, answer.version)
+            limit = _document_limit(transaction.jobs)
+            return (
+                not self.scheduler.dirty and len(transaction.documents) < limit
+            )
+        if isinstance(answer, platform.Conflict):
+            await self._observe_conflict(answer)
+        else:
+            self._observe_refusal(answer)
+        return False
+
+    def _next_transaction(self) -> _transactions.Transaction | None:
+        """Returns the changes to write next; `None` if nothing is due."""
         snapshot = self.scheduler.begin_commit()
-        jobs = snapshot.jobs if snapshot else ()
-        max_documents = (MAX_TRANSACTION_ENTRIES - RESERVED_ENTRIES) // 2
-        max_documents -= len(jobs)
-        documents = self._changed_documents(max_documents)
+        limit = _document_limit(snapshot.jobs if snapshot else ())
+        documents = self._changed_documents(limit)
         now_s = platform.boot_time_s()
         heartbeat_due = (
             now_s - self.confirmed_s >= _election.HEARTBEAT_INTERVAL_S * 0.8
@@ -205,8 +224,8 @@
         # were reverted here, so another one excludes it.
         sequenced = bool(snapshot or documents or self.sequence.unresolved)
         if not sequenced and not heartbeat_due:
-            return True
-        transaction = _sequence.Transaction(
+            return None
+        return _transactions.Transaction(
             self.sequence.next_mark(),
             now_s,
             heartbeat_due,
@@ -214,33 +233,25 @@
             documents,
             snapshot,
         )
-        answer = await self._transact(transaction)
-        if isinstance(answer, platform.Commit):
-            self._observe_latency(now_s)
-            self.sequence.observe_commit(transaction, answer.version)
-            self._confirm(transaction, answer.version)
-            return not self.scheduler.dirty and len(documents) < max_documents
-        if isinstance(answer, platform.Conflict):
-            await self._observe_conflict(answer)
-        else:
-            self._observe_refusal(answer)
-        return False
 
     def _encode(
-        self, transaction: _sequence.Transaction
+        self, transaction: _transactions.Transaction
     ) -> tuple[list[platform.StoredRow], list[platform.StoredRow]]:
         """Returns the rows that a transaction writes and those it expects."""
         expected = [self.leader_row()]
         puts = []
+        mark = transaction.mark.encode()
         if transaction.heartbeat:
             puts.append(
-                self._row(
-                    _election.TABLE, _election.HEARTBEAT_KEY, transaction.mark
-                )
+                self._row(_election.TABLE, _election.HEARTBEAT_KEY, mark)
             )
         if transaction.sequenced:
             puts.append(
-                self._row(_sequence.TABLE, _sequence.KEY, transaction.mark)
+                self._row(
+                    _transactions.SEQUENCE_TABLE,
+                    _transactions.SEQUENCE_KEY,
+                    mark,
+                )
             )
             expected.append(self.sequence.condition())
         for document, content in transaction.documents:
@@ -253,8 +264,7 @@
                     version=document.version,
                 )
             )
-        snapshot = transaction.snapshot
-        for job, content in snapshot.jobs if snapshot else ():
+        for job, content in transaction.jobs:
             job_id = job.spec.job_id
             puts.append(self._row(JOBS_TABLE, job_id, content))
             expected.append(
@@ -265,7 +275,7 @@
         return puts, expected
 
     async def _transact(
-        self, transaction: _sequence.Transaction
+        self, transaction: _transactions.Transaction
     ) -> platform.Commit | platform.Conflict | base.Refusal:
         """Sends a transaction and checks the store if no answer arrives.
 
@@ -295,7 +305,7 @@
                 return call.result()
             LOG.info(
                 "commit_unresolved",
-                mark=transaction.mark.decode(),
+                mark=transaction.mark,
                 rows=len(puts),
                 under_version=self.sequence.version,
                 earlier_unresolved=len(self.sequence.unresolved),
@@ -308,7 +318,7 @@
             call.cancel()
 
     async def _check_applied(
-        self, transaction: _sequence.Transaction
+        self, transaction: _transactions.Transaction
     ) -> platform.Commit | platform.Conflict | None:
         """Checks whether a transaction was applied.
 
@@ -317,7 +327,7 @@
             may still be.
         """
         table, key = (
-            (_sequence.TABLE, _sequence.KEY)
+            (_transactions.SEQUENCE_TABLE, _transactions.SEQUENCE_KEY)
             if transaction.sequenced
             else (_election.TABLE, _election.HEARTBEAT_KEY)
         )
@@ -325,7 +335,7 @@
         if row is None:
             return None
         if not transaction.sequenced:
-            applied = row.value == transaction.mark
+            applied = row.value == transaction.mark.encode()
             return platform.Commit(row.version) if applied else None
         if row.version == self.sequence.version:
             return None
@@ -337,14 +347,14 @@
         return platform.Conflict(())
 
     def _confirm_earlier(
-        self, transaction: _sequence.Transaction | None, version: int
+        self, transaction: _transactions.Transaction | None, version: int
     ) -> None:
         """Applies the late result of an earlier transaction, if it is one."""
         if transaction is not None:
             LOG.info(
                 "commit_found_late",
                 version=version,
-                mark=transaction.mark.decode(),
+                mark=transaction.mark,
             )
             self._confirm(transaction, version)
 
@@ -387,7 +397,7 @@
             LOG.info("store_regained")
 
     def _confirm(
-        self, transaction: _sequence.Transaction, version: int
+        self, transaction: _transactions.Transaction, version: int
     ) -> None:
         """Applies the effects of a transaction that was applied."""
         if transaction.heartbeat:
@@ -402,7 +412,7 @@
         self._notify_committed()
 
     def _confirm_documents(
-        self, written: list[tuple[_sequence.Document, bytes]]
+        self, written: list[tuple[_transactions.Document, bytes]]
     ) -> None:
         if any(document.table == ROSTER_TABLE for document, _ in written):
             previous = self.enrolled
@@ -428,10 +438,14 @@
             self.on_lost("another leader was elected")
             return
         LOG.info("commit_conflict", rows=len(conflict.rows))
-        stored = current.get((_sequence.TABLE, _sequence.KEY))
+        stored = current.get(
+            (_transactions.SEQUENCE_TABLE, _transactions.SEQUENCE_KEY)
+        )
         if stored is not None and stored.version != self.sequence.version:
             # An earlier unanswered transaction of this term was applied.
-            row = await self._read_row(_sequence.TABLE, _sequence.KEY)
+            row = await self._read_row(
+                _transactions.SEQUENCE_TABLE, _transactions.SEQUENCE_KEY
+            )
             if row is not None:
                 found = self.sequence.observe_row(row)
                 self._confirm_earlier(found, row.version)
@@ -476,6 +490,12 @@
         self.on_lost("released")
 
 
+def _document_limit(jobs: Sequence) -> int:
+    """Returns how many documents a transaction may contain besides jobs."""
+    rows = (MAX_TRANSACTION_ENTRIES - RESERVED_ENTRIES) // 2
+    return rows - len(jobs)
+
+
 def _enrolled_workers(content: bytes) -> Iterable[str]:
     """Returns the workers that a roster row lists.
 
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -12,9 +12,9 @@
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _faults
-from baobabdoor.dispatch import _sequence
 from baobabdoor.dispatch import _start_limiter
 from baobabdoor.dispatch import _table_follower
+from baobabdoor.dispatch import _transactions
 from baobabdoor.dispatch import _waves
 
 # How long a hold request (a long poll) waits for a run to end.
@@ -137,7 +137,7 @@
             self._read(_commits.JOBS_TABLE),
             self._read(_commits.ROSTER_TABLE),
             self._read(_commits.WAVES_TABLE),
-            self._read(_sequence.TABLE),
+            self._read(_transactions.SEQUENCE_TABLE),
         )
         self._update_clocks()
         for row in jobs:
--- a/baobabdoor/dispatch/_sequence.py
+++ b/baobabdoor/dispatch/_transactions.py
@@ -1,4 +1,4 @@
-"""Tells which transactions of a term were applied, also without an answer."""
+"""Transactions of a term, and which of them were applied without an answer."""
 
 from collections.abc import Iterable
 import json
@@ -10,8 +10,8 @@
 from baobabdoor import scheduling
 from baobabdoor.dispatch import _election
 
-TABLE = "commits"
-KEY = "last"
+SEQUENCE_TABLE = "commits"
+SEQUENCE_KEY = "last"
 LOG = observability.get_logger("sequence")
 
 
@@ -52,13 +52,30 @@
         snapshot: Jobs; `None` for none.
     """
 
-    mark: bytes
+    mark: str
     sent_s: float
     heartbeat: bool
     sequenced: bool
     documents: list[tuple[Document, bytes]]
     snapshot: scheduling.Snapshot | None
 
+    @property
+    def jobs(self) -> list[tuple[scheduling.Job, bytes]]:
+        """Jobs with their encoded rows."""
+        return self.snapshot.jobs if self.snapshot is not None else []
+
+    def without_rows(self) -> "Transaction":
+        """Returns it without the rows of jobs, which may be large.
+
+        What a result of the transaction changes does not depend on them.
+        """
+        if self.snapshot is None:
+            return self
+        jobs = [(job, b"") for job, _ in self.snapshot.jobs]
+        return attrs.evolve(
+            self, snapshot=attrs.evolve(self.snapshot, jobs=jobs)
+        )
+
 
 class WriteSequence:
     """Puts the transactions of a term in an order that the store enforces.
@@ -85,19 +102,19 @@
     def load(self, rows: Iterable[platform.StoredRow]) -> None:
         """Adopts the row that the transactions of earlier terms rewrote."""
         for row in rows:
-            if row.key == KEY:
+            if row.key == SEQUENCE_KEY:
                 self.version = row.version
 
-    def next_mark(self) -> bytes:
+    def next_mark(self) -> str:
         """Returns the mark of a new transaction."""
         self.last_number += 1
         content = {"token": self.token, "number": self.last_number}
-        return json.dumps(content).encode()
+        return json.dumps(content)
 
     def condition(self) -> platform.StoredRow:
         """Returns the row with the version that a transaction requires."""
         return platform.StoredRow(
-            TABLE, _election.PART, KEY, version=self.version
+            SEQUENCE_TABLE, _election.PART, SEQUENCE_KEY, version=self.version
         )
 
     def observe_commit(self, transaction: Transaction, version: int) -> None:
@@ -109,7 +126,7 @@
     def observe_no_answer(self, transaction: Transaction) -> None:
         """Records that a transaction may still be applied."""
         if transaction.sequenced:
-            self.unresolved.append(transaction)
+            self.unresolved.append(transaction.without_rows())
 
     def observe_row(
         self, row: platform.StoredRow, pending: Transaction | None = None
@@ -130,7 +147,7 @@
         self.version = row.version
         self.unresolved.clear()
         for transaction in sent:
-            if transaction.mark == row.value:
+            if transaction.mark.encode() == row.value:
                 return transaction
         LOG.warning("sequence_taken", version=row.version, sent=len(sent))
         return None
--- a/tests/test_dispatch_commits.py
+++ b/tests/test_dispatch_commits.py
@@ -13,7 +13,7 @@
 from baobabdoor import scheduling
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
-from baobabdoor.dispatch import _sequence
+from baobabdoor.dispatch import _transactions
 from baobabdoor.standin import _row_store
 
 JOB = "00000000000000ee"
@@ -412,6 +412,14 @@
         bench.store._apply(*removal)
         assert "w1" in bench.roster()[_commits.roster_shard_key("w1")]
 
+    def test_unresolved_transactions_keep_no_rows_of_jobs(self):
+        """A long outage would fill the memory with their rows."""
+        bench = Bench()
+        job = bench.submit()
+        self.lose(bench)
+        (unresolved,) = bench.committer.sequence.unresolved
+        assert unresolved.jobs == [(job, b"")]
+
     def test_leadership_is_released_after_unresolved_changes(self):
         bench = Bench()
         self.write_all(bench)
@@ -432,7 +440,11 @@
     def test_row_of_the_sequence_that_another_program_wrote(self):
         bench = Bench()
         self.write_all(bench)
-        key = (_sequence.TABLE, _election.PART, _sequence.KEY)
+        key = (
+            _transactions.SEQUENCE_TABLE,
+            _election.PART,
+            _transactions.SEQUENCE_KEY,
+        )
         bench.store.version += 1
         bench.store.rows[key] = platform.StoredRow(
             *key, b"other", bench.store.version
