--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -27,7 +27,8 @@
 # Maximum entries of one transaction according to the platform's documentation.
 # Each written row counts twice, because it is also listed as expected.
 MAX_TRANSACTION_ENTRIES = 100
-# Entries of the leader's row, the heartbeat and the row of the sequence.
+# Entries of the leader's row, the heartbeat, and the row of the sequence, which
+# is both written and expected.
 RESERVED_ENTRIES = 4
 # Maximum bytes of documents in one transaction. In base64, with the rows of
 # jobs, they stay below the megabyte that a transaction may have.
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -93,7 +93,7 @@
     last_lapsed: int,
     now_s: float,
 ) -> bool:
-    """Applies the end of a run; returns whether it had to be applied."""
+    """Applies the end of a run; returns whether no other run goes on instead."""
     task = scheduler.find_task(end.task)
     run = worker.find_run(end.task, end.run_id)
     applied = True
@@ -118,7 +118,7 @@
 def _emit_ignored_ends(
     scheduler, worker: _worker.Worker, ignored: list[_types.EndEntry]
 ) -> None:
-    """Appends an event about ended runs of tasks that another run goes on."""
+    """Appends an event about ends of tasks that other runs go on with."""
     done = [end for end in ignored if end.outcome == "done"]
     if done:
         scheduler.emit(
