--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -93,7 +93,7 @@
     last_lapsed: int,
     now_s: float,
 ) -> bool:
-    """Applies the end of a run; returns whether no other run goes on instead."""
+    """Applies the end of a run; returns `False` if another run goes on."""
     task = scheduler.find_task(end.task)
     run = worker.find_run(end.task, end.run_id)
     applied = True
