Show a state that workers still witness without the store

A later leader fences the workers of the stored roster before it starts or ends tasks on them, and a fenced worker does not report to the earlier one. So a state is also shown while a worker of one of the job's runs reports, or all enrolled workers do. A leader that is cut off from them, too, still refuses. Unknown jobs are denied by a current leader only, as before.

Tests: TestWitnesses, test_it_shows_a_state_that_its_workers_still_report.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -415,6 +415,12 @@
         """
         return self.recently_confirmed() and not self.committer.releasing
 
+    def knows_state(self, job: scheduling.Job) -> bool:
+        """Returns whether no other leader can have changed a job's state."""
+        return self.knows_all_jobs() or self.scheduler.witnesses_state(
+            job, platform.boot_time_s()
+        )
+
     def describe_term(self) -> str:
         """Returns the term and the age of its confirmation, for logs."""
         age_ms = round(self._confirmed_age_s() * 1000)
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -247,14 +247,15 @@
 
     def _state(self, controller, message) -> Outcome:
         job = controller.find_job(message["job"])
-        state = controller.scheduler.visible_state(job) if job else None
-        # A final state does not change, but another leader may have accepted
-        # or ended the job.
-        is_final = state in scheduling.FINAL_STATES
-        if not is_final and not controller.knows_all_jobs():
-            return UNAVAILABLE
         if job is None:
+            # Another leader may have accepted it.
+            if not controller.knows_all_jobs():
+                return UNAVAILABLE
             return Outcome("no-job", detail=controller.describe_term())
+        state = controller.scheduler.visible_state(job)
+        is_final = state in scheduling.FINAL_STATES
+        if not is_final and not controller.knows_state(job):
+            return UNAVAILABLE
         return Outcome("state", value=state.value)
 
 
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -209,6 +209,25 @@
             self.finish_job(job, _types.JobState.CANCELLED, "caller")
         return job
 
+    def witnesses_state(self, job: _job.Job, now_s: float) -> bool:
+        """Returns whether workers show that no later leader has ended a job.
+
+        A later leader fences the workers of the stored roster before it starts
+        or ends a task on them, and a fenced worker does not report here.
+        """
+        for task in job.tasks():
+            worker = self.workers.get(task.run.worker_id) if task.run else None
+            if worker is not None and worker.responsive(now_s):
+                return True
+        enrolled = [
+            worker
+            for worker in self.workers.values()
+            if worker.enrolled and worker.listed and not worker.retired
+        ]
+        return bool(enrolled) and all(
+            worker.responsive(now_s) for worker in enrolled
+        )
+
     def pool_jobs(self, pool: str) -> Iterator[tuple[_job.Job, _types.Queue]]:
         """Yields the active jobs of a pool with their queues."""
         for job in self.active.values():
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -187,6 +187,14 @@
     def test_it_shows_no_state_without_the_store(self):
         assert self.query(self.OUTDATED_S).kind == "unavailable"
 
+    def test_it_shows_a_state_that_its_workers_still_report(self, monkeypatch):
+        """Queries were refused during outages of the store."""
+        monkeypatch.setattr(
+            scheduling.Scheduler, "witnesses_state", lambda *_: True
+        )
+        assert self.query(self.OUTDATED_S).value == "queued"
+        assert self.query(self.OUTDATED_S, known=False).kind == "unavailable"
+
     def test_it_shows_a_final_state_that_it_has_stored(self):
         assert self.query(self.OUTDATED_S, final=True).value == "cancelled"
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -52,6 +52,37 @@
         assert again.run_id == 2
 
 
+class TestWitnesses:
+    """A leader without the store shows what its workers still report to it."""
+
+    def started(self, workers):
+        fleet = scheduling_fixtures.Fleet(workers)
+        job = fleet.submit(JOB, [step()])
+        (order,) = fleet.accept(fleet.starts())
+        return fleet, job, order.worker_id
+
+    def test_all_enrolled_workers_report(self):
+        fleet, job, _ = self.started(["w1", "w2"])
+        assert fleet.scheduler.witnesses_state(job, fleet.now_s)
+
+    def test_the_worker_of_a_run_reports(self):
+        fleet, job, busy = self.started(["w1", "w2"])
+        (idle,) = {"w1", "w2"} - {busy}
+        fleet.advance(3, unresponsive=(idle,))
+        assert fleet.scheduler.witnesses_state(job, fleet.now_s)
+
+    def test_the_worker_of_the_only_run_is_silent(self):
+        fleet, job, busy = self.started(["w1", "w2"])
+        fleet.advance(3, unresponsive=(busy,))
+        assert not fleet.scheduler.witnesses_state(job, fleet.now_s)
+
+    def test_no_worker_is_enrolled(self):
+        fleet, job, busy = self.started(["w1"])
+        fleet.end(busy, f"{JOB}.0.0.0", 1, "failed")
+        fleet.scheduler.workers["w1"].enrolled = False
+        assert not fleet.scheduler.witnesses_state(job, fleet.now_s)
+
+
 class TestCutReports:
     """Review case 3: a report lists 500 ended runs at a time.
 
