--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -116,7 +116,12 @@
         if self.ended:
             return
         self.ended = True
-        LOG.warning("tenure_ended", token=self.leader.token, reason=reason)
+        LOG.warning(
+            "tenure_ended",
+            token=self.leader.token,
+            reason=reason,
+            confirmed_ms_ago=round(self._confirmed_age_s() * 1000),
+        )
         for task in [*self.tasks, *self.hold_tasks.values()]:
             task.cancel()
         self.daemon.observe_term_end(self)
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -1,5 +1,7 @@
 """Applies workers' reports of active and ended runs."""
 
+import math
+
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
@@ -55,6 +57,8 @@
     if report.lists_all_ends:
         _observe_missing_runs(scheduler, worker, report)
     worker.last_report_s = now_s
+    if worker.first_report_s == -math.inf:
+        _observe_first_report(scheduler, worker, now_s)
     worker.partitioned = False
     worker.observe_response(now_s)
     worker.fenced = True
@@ -64,6 +68,22 @@
     scheduler.crashes.observe_alive(worker)
 
 
+def _observe_first_report(
+    scheduler, worker: _worker.Worker, now_s: float
+) -> None:
+    """Records the first report of an incarnation to this term."""
+    worker.first_report_s = now_s
+    adopted = sum(run.confirmed for run in worker.runs.values())
+    if adopted:
+        scheduler.emit(
+            "runs_adopted",
+            worker=worker.worker_id,
+            address=worker.record.address,
+            born_ms=worker.start_time_ms,
+            runs=adopted,
+        )
+
+
 def _accept_report(
     scheduler,
     worker: _worker.Worker,
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -486,7 +486,15 @@
         """
         worker = self.workers.get(worker_id)
         if worker is not None and not worker.retired:
-            self.emit("worker_retired", worker=worker_id, reason=reason)
+            self.emit(
+                "worker_retired",
+                worker=worker_id,
+                reason=reason,
+                address=worker.record.address,
+                born_ms=worker.start_time_ms,
+                runs=len(worker.runs),
+                unfenced=worker_id in self.unfenced,
+            )
             worker.retired = True
             self.unfenced.discard(worker_id)
             if crashed:
@@ -634,7 +642,11 @@
             if worker is None or not worker.ends_outstanding(now_s):
                 given_up.append(worker_id)
         if given_up:
-            self.emit("workers_given_up", workers=given_up)
+            self.emit(
+                "workers_given_up",
+                workers=given_up,
+                after_ms=round((now_s - self.started_s) * 1000),
+            )
             self.unfenced.difference_update(given_up)
 
     def report_shortage(self, pool: str, machines: int) -> None:
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -76,6 +76,10 @@
         # Newest incarnation whose crash was held against its tasks.
         self.observed_crash = ""
         self.lease_end_s = 0.0
+        # When an order of this term last extended its lease.
+        self.extended_s = -math.inf
+        # When its incarnation first reported to this term.
+        self.first_report_s = -math.inf
         # Whether its lease had expired at its last report.
         self.lease_expired = False
         # Whether its last report listed all ended runs.
@@ -213,6 +217,7 @@
             + CLOCK_SLACK_S
         )
         self.lease_end_s = max(self.lease_end_s, end_s)
+        self.extended_s = now_s
         return int(until_ms)
 
     def add_run(self, run: _job.Run) -> None:
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -158,6 +158,7 @@
         worker=worker.worker_id,
         born_ms=start_time_ms,
         source=source,
+        **describe_lease(worker, now_s),
     )
     emit_lost_runs(scheduler, worker, "restarted")
     scheduler.crashes.observe_crash(worker)
@@ -183,6 +184,7 @@
     worker.clock_ms = 0
     worker.reported_ms = 0
     worker.lease_end_s = 0.0
+    worker.extended_s = worker.first_report_s = -math.inf
     if worker.runs:
         # The expiry in the order is on the previous incarnation's clock.
         longest_s = scheduler.options.max_lease_s * _worker.CLOCK_DRIFT_FACTOR
@@ -228,6 +230,28 @@
             run.stop_clock_ms = 0
 
 
+def describe_lease(worker: _worker.Worker, now_s: float) -> dict[str, int]:
+    """Returns what is known of a worker's lease, for events.
+
+    Returns:
+        Time since its incarnation first reported to this term, since an order
+        of this term last extended its lease, and until the lease certainly
+        ends, in milliseconds; what has not happened is left out.
+    """
+    times = {
+        "first_report_ms_ago": now_s - worker.first_report_s,
+        "extended_ms_ago": now_s - worker.extended_s,
+        "lease_left_ms": worker.lease_end_s - now_s,
+    }
+    if not worker.lease_end_s:
+        del times["lease_left_ms"]
+    return {
+        name: round(seconds * 1000)
+        for name, seconds in times.items()
+        if math.isfinite(seconds)
+    }
+
+
 def emit_lost_runs(scheduler, worker: _worker.Worker, reason: str) -> None:
     """Appends an event about the runs that ended with their worker."""
     runs = worker.runs.values()
@@ -247,4 +271,5 @@
         youngest_ms=round((worker.silent_from_s - youngest.started_s) * 1000),
         most_lost=most_lost.task.name,
         lost_before=most_lost.task.lost_runs,
+        **describe_lease(worker, scheduler.crashes.now_s),
     )
