Keep a run whose start had no answer for the longest lease

A start without an answer may have reached the next life of its worker, whose clock starts anew: the expiry in the order is then beyond any lease, and the worker cuts it to the longest one.

`Worker.run_has_ended` decides for each run: a confirmed one ends with the lease of the life that confirmed it, any other one with the longest lease from the time at which its call was given up. While the call is pending, it does not end.

What remains: an order that the network holds back for longer than the call waits for its answer, until the next life is up, is not covered.

--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -621,8 +621,7 @@
             expired = worker.lease.has_ended(now_s)
             overdue = worker.report_overdue(now_s)
             if worker.runs and expired and overdue:
-                self.crashes.observe_lapse(worker, now_s)
-                self.release_all_runs(worker, "lease expired")
+                self._release_expired_runs(worker, now_s)
             if worker.fenced and expired and overdue:
                 # It may have restarted; it gets no starts before it reports.
                 worker.fenced = False
@@ -632,6 +631,22 @@
                 self.fencing.remove(worker)
                 self.unneeded_runs.pop(worker_id, None)
 
+    def _release_expired_runs(
+        self, worker: _worker.Worker, now_s: float
+    ) -> None:
+        """Releases the runs of a silent worker that ended with their lease."""
+        ended = [
+            run
+            for run in worker.runs.values()
+            if worker.run_has_ended(run, now_s)
+        ]
+        if not ended:
+            return
+        self.crashes.observe_lapse(worker, now_s)
+        _worker_events.emit_lost_runs(self, worker, "lease expired")
+        for run in ended:
+            self.release_run(worker, run, "lease expired")
+
     def _give_up_workers(self, now_s: float) -> None:
         """Stops waiting for workers whose runs of earlier terms have ended."""
         given_up = []
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -188,6 +188,18 @@
         overdue = now_s - self.last_report_s > SAME_INCARNATION_S
         return overdue or self.last_report_s <= self.unanswered_s
 
+    def run_has_ended(self, run: _job.Run, now_s: float) -> bool:
+        """Returns whether a run has certainly ended with its lease.
+
+        A start without a confirmation may have reached the next incarnation,
+        with an expiry that is not on that one's clock.
+        """
+        if run.confirmed:
+            return self.lease.has_ended(now_s)
+        start_applied_s = now_s if run.order_pending else run.start_closed_s
+        end_s = self.lease.longest_end_s(start_applied_s)
+        return now_s > max(self.lease.end_s, end_s)
+
     def add_run(self, run: _job.Run) -> None:
         """Adds a run and reserves its resources."""
         self.runs[run.task.name] = run
