End the wait for a worker of earlier terms when its machine is listed as down

Inherited tasks wait for each worker that may run one of them, now up to 7.75 s. A worker that crashed together with the leader made them wait that long although the list of machines showed its machine as down, which already releases the runs that this term knows.

test_inherited_tasks_do_not_wait_for_a_crashed_machine failed before. The list counts if it was requested a second after the start of the term, as for runs of this term: a start of the leader before has arrived by then or never does.

--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -207,6 +207,8 @@
     if known_s >= requested_s - _crashes.LISTING_DELAY_S:
         # The list may show the machine as it was before the worker's start.
         return
+    # Nothing of an earlier term runs there any more.
+    scheduler.unfenced.discard(worker.worker_id)
     confirmed = [run for run in worker.runs.values() if run.confirmed]
     if not confirmed:
         return
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -304,3 +304,38 @@
         )
         workers.silent.clear()
         check_starts_again(term, workers, "w1")
+
+
+class TestMachinesListedAsDown:
+
+    def starts_after_takeover(self, requested_s):
+        """Returns whether the next leader starts a task of a lost machine.
+
+        Args:
+            requested_s: Time between its start and the request for a list that
+                shows the machine as down.
+        """
+        workers, term, worker_id = started()
+        successor = Term(workers, 1, term)
+        workers.silent.add(worker_id)
+        model = workers.models[worker_id]
+        model.runs.clear()
+        successor.advance(2.0)
+        down = scheduling.MachineRecord(
+            model.record.machine,
+            scheduling_fixtures.POOL,
+            scheduling.MachineState.DOWN,
+            "z",
+            "",
+        )
+        successor.scheduler.maintenance.observe_machines(
+            (down,), successor.scheduler.started_s + requested_s
+        )
+        successor.step()
+        return successor.task.run is not None
+
+    def test_inherited_tasks_do_not_wait_for_a_crashed_machine(self):
+        assert self.starts_after_takeover(1.2)
+
+    def test_a_list_that_may_be_older_than_the_term_ends_no_wait(self):
+        assert not self.starts_after_takeover(0.5)
