Send no queued start to a worker that fell silent or restarted meanwhile

A start waits up to 0.4 s for a permit and then for a connection. Its expiry is on the clock of the life that was known when it was planned.

A start is now checked right before it is sent, like the term: its run still exists and is not to be stopped, and its worker is the same life and has answered its last order. Three of the tests of TestQueuedStarts failed before.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -438,6 +438,10 @@
         """Returns whether a planned order may still be sent."""
         return self.recently_confirmed() and not self.ended
 
+    def _may_start(self, order: scheduling.StartOrder) -> bool:
+        """Returns whether a start may still be sent."""
+        return self.may_send() and self.scheduler.is_current_start(order)
+
     def _confirmed_age_s(self) -> float:
         return platform.boot_time_s() - self.committer.confirmed_s
 
@@ -491,7 +495,9 @@
             if isinstance(order, scheduling.StartOrder):
                 return await self.start_limiter.run(
                     order.worker_id,
-                    lambda: self.worker_client.start(order, self.may_send),
+                    lambda: self.worker_client.start(
+                        order, lambda: self._may_start(order)
+                    ),
                 )
             if isinstance(order, scheduling.PaceOrder):
                 return await self.worker_client.pace(order)
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -570,6 +570,22 @@
             self, worker, wait_ms, now_s, may_extend
         )
 
+    def is_current_start(self, order: _orders.StartOrder) -> bool:
+        """Returns whether a start may still be sent.
+
+        It may have waited for its turn. If its worker has fallen silent or has
+        restarted since, it could reach a life with another clock, to which its
+        expiry means nothing.
+        """
+        worker = self.workers.get(order.worker_id)
+        run = worker.find_run(order.task, order.run_id) if worker else None
+        return (
+            run is not None
+            and not run.stopping
+            and run.worker_start_ms == worker.start_time_ms
+            and worker.last_report_s > worker.unanswered_s
+        )
+
     def observe_start(
         self,
         order: _orders.StartOrder,
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -414,6 +414,74 @@
         asyncio.run(scenario())
 
 
+class PermittedClient(dispatch_fixtures.SilentClient):
+    """Worker client that records whether each start may be sent."""
+
+    def __init__(self):
+        self.permits = []
+
+    async def start(self, order, permit):
+        self.permits.append(permit())
+        return scheduling.OrderResult(scheduling.OrderOutcome.NOT_SENT)
+
+
+class TestQueuedStarts:
+    """A start that waited for its turn reaches no other life of its worker."""
+
+    def is_sent(self, change):
+        """Returns whether a planned start is sent after a change."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            now_s = platform.boot_time_s()
+            scheduler.observe_worker(
+                scheduling_fixtures.record("w1"), now_s, now_s
+            )
+            worker = scheduler.workers["w1"]
+            report = scheduling.WorkerReport(1000, 1, (), ())
+            scheduler.observe_report("w1", report, worker.token, now_s)
+            worker.enrolled = True
+            spec = scheduling.JobSpec(
+                "00000000000000aa",
+                scheduling_fixtures.QUEUE,
+                "text",
+                (scheduling.StepSpec(1, cpu_milli=100),),
+            )
+            job = scheduler.submit(spec, now_s)
+            job.stored_state = scheduling.JobState.QUEUED
+            (order,) = scheduler.plan(now_s, True)
+            change(scheduler, worker, now_s + 0.001)
+            client = controller.worker_client = PermittedClient()
+            await controller._call_worker(order)
+            return client.permits
+
+        return asyncio.run(scenario()) == [True]
+
+    def test_it_is_sent_while_its_worker_responds(self):
+        assert self.is_sent(lambda scheduler, worker, now_s: None)
+
+    def test_it_is_not_sent_after_an_order_had_no_response(self):
+        def fall_silent(scheduler, worker, now_s):
+            worker.observe_no_response(now_s)
+
+        assert not self.is_sent(fall_silent)
+
+    def test_it_is_not_sent_after_a_restart(self):
+        def restart(scheduler, worker, now_s):
+            report = scheduling.WorkerReport(10, 2, (), ())
+            scheduler.observe_report("w1", report, worker.token, now_s)
+
+        assert not self.is_sent(restart)
+
+    def test_it_is_not_sent_after_its_job_was_cancelled(self):
+        def cancel(scheduler, worker, now_s):
+            scheduler.cancel("00000000000000aa")
+
+        assert not self.is_sent(cancel)
+
+
 class FailingClient(dispatch_fixtures.SilentClient):
     """Client whose calls raise for some workers, machines and steps.
 
