--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -70,12 +70,12 @@
 FIRST_SILENCE_SHARE = 0.3
 # Share of the starts on a worker whose present address is not stored after
 # which the leader is killed.
-STALE_ROSTER_KILL_SHARE = 0.3
+STALE_ROSTER_KILL_SHARE = 0.7
 # Shares of silences in which only the answers are lost, of terms that begin
 # while the store is slow, and of time steps with a transaction.
 LOST_ANSWERS_SHARE = 0.4
 SLOW_STORE_SHARE = 0.2
-COMMIT_SHARES = (0.05, 0.4, 1.0)
+COMMIT_SHARES = (0.05, 0.05, 0.4, 1.0)
 # Share of releases whose answer is lost.
 LOST_RELEASE_SHARE = 0.4
 # Rates in each time step.
