--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -570,6 +570,22 @@
             self, worker, wait_ms, now_s, may_extend
         )
 
+    def is_current_start(self, order: _orders.StartOrder) -> bool:
+        """Returns whether a start may still be sent.
+
+        It may have waited for its turn. If its worker has fallen silent or has
+        restarted since, it could reach a life with another clock, to which its
+        expiry means nothing.
+        """
+        worker = self.workers.get(order.worker_id)
+        run = worker.find_run(order.task, order.run_id) if worker else None
+        return (
+            run is not None
+            and not run.stopping
+            and run.worker_start_ms == worker.start_time_ms
+            and worker.last_report_s > worker.unanswered_s
+        )
+
     def observe_start(
         self,
         order: _orders.StartOrder,
@@ -618,11 +634,10 @@
         if self.unfenced and now_s > self.inherited_until_s:
             self._give_up_workers(now_s)
         for worker_id, worker in list(self.workers.items()):
-            expired = now_s > worker.lease_end_s
+            expired = worker.lease.has_ended(now_s)
             overdue = worker.report_overdue(now_s)
             if worker.runs and expired and overdue:
-                self.crashes.observe_lapse(worker, now_s)
-                self.release_all_runs(worker, "lease expired")
+                self._release_expired_runs(worker, now_s)
             if worker.fenced and expired and overdue:
                 # It may have restarted; it gets no starts before it reports.
                 worker.fenced = False
@@ -632,6 +647,22 @@
                 self.fencing.remove(worker)
                 self.unneeded_runs.pop(worker_id, None)
 
+    def _release_expired_runs(
+        self, worker: _worker.Worker, now_s: float
+    ) -> None:
+        """Releases the runs of a silent worker that ended with their lease."""
+        ended = [
+            run
+            for run in worker.runs.values()
+            if worker.run_has_ended(run, now_s)
+        ]
+        if not ended:
+            return
+        self.crashes.observe_lapse(worker, now_s)
+        _worker_events.emit_lost_runs(self, worker, "lease expired")
+        for run in ended:
+            self.release_run(worker, run, "lease expired")
+
     def _give_up_workers(self, now_s: float) -> None:
         """Stops waiting for workers whose runs of earlier terms have ended."""
         given_up = []
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -97,7 +97,9 @@
             configuration=scheduling_fixtures.configuration(),
             options=scheduling.Options(),
             now_s=self.now_s,
-            inherited_bound_s=dispatch.inherited_bound_s(scheduling.LEASE_S),
+            inherited_bound_s=dispatch.inherited_bound_s(
+                scheduling.Options().max_lease_s
+            ),
         )
         if predecessor is not None:
             self.load(predecessor.scheduler)
@@ -197,7 +199,7 @@
     """
     model = workers.models[worker_id]
     model.started_s -= OLD_CLOCK_MS / 1000
-    term.scheduler.workers[worker_id].clock_ms = 0
+    term.scheduler.workers[worker_id].lease.clock_ms = 0
     term.step()
     delayed = term.hold(worker_id)
     workers.start(worker_id)
@@ -302,3 +304,38 @@
         )
         workers.silent.clear()
         check_starts_again(term, workers, "w1")
+
+
+class TestMachinesListedAsDown:
+
+    def starts_after_takeover(self, requested_s):
+        """Returns whether the next leader starts a task of a lost machine.
+
+        Args:
+            requested_s: Time between its start and the request for a list that
+                shows the machine as down.
+        """
+        workers, term, worker_id = started()
+        successor = Term(workers, 1, term)
+        workers.silent.add(worker_id)
+        model = workers.models[worker_id]
+        model.runs.clear()
+        successor.advance(2.0)
+        down = scheduling.MachineRecord(
+            model.record.machine,
+            scheduling_fixtures.POOL,
+            scheduling.MachineState.DOWN,
+            "z",
+            "",
+        )
+        successor.scheduler.maintenance.observe_machines(
+            (down,), successor.scheduler.started_s + requested_s
+        )
+        successor.step()
+        return successor.task.run is not None
+
+    def test_inherited_tasks_do_not_wait_for_a_crashed_machine(self):
+        assert self.starts_after_takeover(1.2)
+
+    def test_a_list_that_may_be_older_than_the_term_ends_no_wait(self):
+        assert not self.starts_after_takeover(0.5)
