--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -2,8 +2,9 @@
 
 Timing that the walks assume:
 
-- An order whose call is not given up is under way for at most MAX_TRANSIT_S. It
-  reaches the life that its worker then has, at the address that it names.
+- An order whose call is not given up is under way for at most MAX_TRANSIT_S, or
+  until its timeout if its worker restarts meanwhile. It reaches the life that
+  its worker then has, at the address that it names.
 - An order whose call was given up, or whose sender has left, reaches no later
   life than the one that it was sent to, because the restart of a worker resets
   the connections to it. It may reach that life up to MAX_LATE_S later.
@@ -68,6 +69,9 @@
 # silent towards it soon after their first report.
 UNHEARD_SHARE = 0.15
 FIRST_SILENCE_SHARE = 0.3
+# Share of the reports from a new address after which the store is slow, so that
+# the address is not stored soon.
+STALE_ROSTER_SHARE = 0.5
 # Share of the starts on a worker whose present address is not stored after
 # which the leader is killed.
 STALE_ROSTER_KILL_SHARE = 0.7
@@ -106,6 +110,7 @@
         if rng.random() < SLOW_STORE_SHARE:
             self.confirmed_s -= rng.uniform(0.0, dispatch.EXTEND_WINDOW_S)
         self.commit_share = rng.choice(COMMIT_SHARES)
+        self.slow_until_s = 0.0
 
     def step(self, current):
         walk, scheduler = self.walk, self.scheduler
@@ -127,7 +132,9 @@
         self.stopped |= scheduler.fenced_off
 
     def _commit(self):
-        if self.walk.lease_random.random() >= self.commit_share:
+        now_s = self.walk.now_s
+        draw = self.walk.lease_random.random()
+        if now_s < self.slow_until_s or draw >= self.commit_share:
             return
         super()._commit()
         # The row names the life that has reported, and no capacity.
@@ -154,17 +161,30 @@
             self.end_s = min(self.end_s, self.walk.now_s + rng.uniform(0, 0.2))
         self.walk.succeed_at(self.walk.now_s + rng.uniform(0.05, 0.5))
 
+    def _send_start(self, order):
+        if self.scheduler.is_current_start(order):
+            super()._send_start(order)
+        else:
+            result = scheduling.OrderResult(OUTCOMES.NOT_SENT)
+            self._observe_start(order, result)
+
     def _observe_report(self, order, result):
         worker = self.scheduler.workers.get(order.worker_id)
-        first = worker is not None and worker.last_report_s < 0
+        reported_s = worker.first_report_s if worker is not None else 0
         super()._observe_report(order, result)
-        if isinstance(result, scheduling.WorkerReport) and first:
-            rng = self.walk.lease_random
+        if worker is None or worker.first_report_s == reported_s:
+            return
+        rng = self.walk.lease_random
+        if worker.first_report_s == worker.last_report_s:
             cut = self.walk.has_cut_lease(order.worker_id)
             share = CUT_FIRST_SILENCE_SHARE if cut else FIRST_SILENCE_SHARE
             if rng.random() < share:
                 delay_s = rng.choice((0.0, rng.uniform(0.0, 0.6)))
                 self.walk.silence(self, order.worker_id, delay_s)
+        stored = self.walk.roster.get(order.worker_id)
+        stale = stored and stored.address != worker.record.address
+        if stale and rng.random() < STALE_ROSTER_SHARE:
+            self.slow_until_s = self.walk.now_s + rng.uniform(0.2, 1.5)
 
     def _observe_stop(self, order, result):
         self.scheduler.observe_stop(order, result)
