--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -9,17 +9,21 @@
   life than the one that it was sent to, because the restart of a worker resets
   the connections to it. It may reach that life up to MAX_LATE_S later.
 - A leader is replaced at the earliest when its last heartbeat is as old as the
-  election timeout, when its release was applied, or after its process ended. One
-  that waits for the answer to its release ends within RELEASE_WAIT_S.
+  election timeout, when its release was applied, or after its process ended.
+  One that waits for the answer to its release ends within RELEASE_WAIT_S.
 - A leader and a worker do not hear each other for at most MAX_SILENCE_S.
 """
 
 import math
 import random
+import types
 
 import attrs
 import pytest
+import scheduling_fixtures
+import test_scheduling_fencing
 import test_scheduling_in_flight
+import test_scheduling_leases
 
 from baobabdoor import dispatch
 from baobabdoor import scheduling
@@ -337,8 +341,9 @@
     def send(self, leader, order, observe):
         rng = self.lease_random
         hold = isinstance(order, scheduling.HoldOrder)
-        timeout_range_s = HOLD_TIMEOUT_RANGE_S if hold else ORDER_TIMEOUT_RANGE_S
-        timeout_s = rng.uniform(*timeout_range_s)
+        timeout_s = rng.uniform(
+            *(HOLD_TIMEOUT_RANGE_S if hold else ORDER_TIMEOUT_RANGE_S)
+        )
         transit_s = return_s = 0.0
         if rng.random() < SLOW_SHARE:
             transit_s = rng.uniform(0, MAX_TRANSIT_S)
@@ -348,18 +353,14 @@
         )
         silent = from_s <= self.now_s < until_s
         given_to = self.workers.get(order.worker_id)
-        if not silent and given_to and getattr(order, "until_ms", 0):
-            if rng.random() < CROSSING_SHARE:
-                transit_s = rng.uniform(0, timeout_s)
-                if rng.random() < LOST_ANSWER_SHARE:
-                    return_s = math.inf
-                    if not hold and rng.random() < LOST_START_SILENCE_SHARE:
-                        self.silence(leader, order.worker_id)
-                self.note(
-                    f"{order.worker_id} restarts before an order of leader "
-                    f"{leader.number}"
-                )
-                self.add_worker(order.worker_id)
+        if not silent and self._restarts_under(order):
+            transit_s = rng.uniform(0, timeout_s)
+            if rng.random() < LOST_ANSWER_SHARE:
+                return_s = math.inf
+                if not hold and rng.random() < LOST_START_SILENCE_SHARE:
+                    self.silence(leader, order.worker_id)
+            self.note(f"leader {leader.number} has an order under way")
+            self.add_worker(order.worker_id)
         answered = not silent and transit_s + return_s < timeout_s
         if not answered:
             unknown = scheduling.OrderResult(OUTCOMES.UNKNOWN)
@@ -373,17 +374,22 @@
             if abandoned and self.workers.get(order.worker_id) is not given_to:
                 return
             result = self.deliver(leader, order)
-            if not answered:
-                return
-            if return_s:
-                self.after(return_s, lambda: observe(order, result))
-            else:
-                observe(order, result)
+            if answered:
+                self._after_transit(return_s, lambda: observe(order, result))
+
+        self._after_transit(transit_s, arrive)
+
+    def _restarts_under(self, order):
+        """Returns whether a worker restarts while an order is under way."""
+        extends = getattr(order, "until_ms", 0) > 0
+        known = order.worker_id in self.workers
+        return extends and known and self.lease_random.random() < CROSSING_SHARE
 
-        if transit_s:
-            self.after(transit_s, arrive)
+    def _after_transit(self, delay_s, action):
+        if delay_s:
+            self.after(delay_s, action)
         else:
-            arrive()
+            action()
 
     def deliver(self, leader, order):
         worker_id = self._worker_at(order.address)
@@ -573,3 +579,142 @@
         walk = LeaseWalk(seed)
         assert not walk.run(SECONDS), f"seed {seed}"
         assert walk.oracle.starts > 20
+
+
+class TestTraces:
+    """The shortest orders of events behind violations that walks have found."""
+
+    def test_a_late_answer_of_a_former_address_ends_no_run(self):
+        # The worker that took the former address answers after its predecessor
+        # has restarted elsewhere under its id.
+        fleet = scheduling_fixtures.Fleet(["w1"])
+        worker = fleet.scheduler.workers["w1"]
+        late = scheduling.StopOrder(
+            worker_id="w1",
+            address=worker.record.address,
+            token=worker.token,
+            task=f"{test_scheduling_leases.JOB}.0.0.0",
+            run_id=1,
+        )
+        moved = scheduling_fixtures.record(
+            "w1", start_time_ms=2, address="10.0.0.9:80"
+        )
+        fleet.scheduler.observe_worker(moved, fleet.now_s)
+        for _ in range(3):
+            fleet.now_s += 0.1
+            fleet.commit()
+            fleet.report("w1", start_time_ms=2)
+        job = fleet.submit(
+            test_scheduling_leases.JOB,
+            [scheduling.StepSpec(1, cpu_milli=1000)],
+        )
+        (start,) = fleet.accept(fleet.starts())
+        assert start.address != late.address
+        fleet.answer(late, OUTCOMES.WRONG_WORKER)
+        (task,) = job.tasks()
+        assert task.run is not None
+
+    def test_a_stored_address_of_before_a_move_ends_no_run(self):
+        # The leader is lost before it has stored the address at which it
+        # started a task, and the former address belongs to another worker.
+        workers = test_scheduling_leases.Workers("w1", "w2")
+        term = test_scheduling_leases.Term(workers)
+        term.advance(0.5)
+        workers.silent.add("w2")
+        term.advance(2.0)
+        stored = [
+            types.SimpleNamespace(
+                worker_id=worker.worker_id,
+                record=worker.record,
+                start_time_ms=worker.start_time_ms,
+            )
+            for worker in term.scheduler.workers_to_enroll()
+        ]
+        term.submit(
+            test_scheduling_leases.JOB,
+            [scheduling.StepSpec(1, cpu_milli=1000)],
+        )
+        workers.start("w1")
+        model = workers.models["w1"]
+        model.record = attrs.evolve(model.record, address="10.0.0.9:80")
+        term.list_workers()
+        for _ in range(3):
+            term.poll("w1")
+        starts = term.starts()
+        for order in starts:
+            term.send(order)
+        before = types.SimpleNamespace(
+            scheduler=types.SimpleNamespace(
+                jobs=term.scheduler.jobs, workers_to_enroll=lambda: stored
+            )
+        )
+        workers.silent.clear()
+        successor = test_scheduling_leases.Term(workers, 1, before)
+        successor.poll("w2")
+        refused = scheduling.StopOrder(
+            worker_id="w1",
+            address=stored[0].record.address,
+            token=successor.scheduler.token,
+            task=f"{test_scheduling_leases.JOB}.0.0.0",
+            run_id=1,
+        )
+        for _ in range(60):
+            record = successor.scheduler.workers["w1"].record
+            if record.address == model.record.address:
+                break
+            successor.scheduler.observe_stop(
+                refused, scheduling.OrderResult(OUTCOMES.WRONG_WORKER)
+            )
+            workers.now_s = successor.now_s = successor.now_s + 0.05
+            successor.list_workers()
+            successor.poll("w2")
+            successor.enroll()
+            for order in successor.starts():
+                successor.send(order)
+
+    def test_a_hold_of_before_a_restart_hides_no_end(self):
+        # It has been answered with the same number before, so that it
+        # acknowledges nothing that the former life has listed since.
+        fleet = test_scheduling_fencing.RestartingFleet()
+        fleet.run_task(test_scheduling_fencing.FIRST)
+        fleet.poll()
+        fleet.poll()
+        delayed = fleet.hold("w1")
+        fleet.restart()
+        order = fleet.start_task(test_scheduling_fencing.SECOND)
+        fleet.now_s += test_scheduling_fencing.RUN_S
+        fleet.deliver(delayed)
+        assert order.task not in fleet.observer.acknowledged
+
+    def test_a_start_under_way_extends_the_lease_of_other_runs(self):
+        # Both starts reach the life after a restart; the second after the
+        # report of the first and before the renewed token.
+        workers = test_scheduling_leases.Workers("w1", "w2")
+        term = test_scheduling_leases.Term(workers)
+        term.advance(0.5)
+        workers.silent.add("w2")
+        term.advance(2.0)
+        model = workers.models["w1"]
+        model.started_s -= test_scheduling_leases.OLD_CLOCK_MS / 1000
+        term.step()
+        term.submit(
+            test_scheduling_leases.JOB,
+            [scheduling.StepSpec(2, cpu_milli=1000)],
+        )
+        first, second = term.starts()
+        workers.start("w1")
+        workers.carry_out(first)
+        term.poll("w1")
+        run = term.scheduler.workers["w1"].runs[first.task]
+        assert run.confirmed
+        workers.silent.add("w1")
+        workers.now_s = term.now_s = term.now_s + 1.0
+        workers.carry_out(second)
+        term.scheduler.observe_start(
+            second, scheduling.OrderResult(OUTCOMES.UNKNOWN), term.now_s
+        )
+        workers.silent.discard("w2")
+        term.advance(9.0)
+        run = term.scheduler.find_task(first.task).run
+        assert run is not None
+        assert run.worker_id == "w2"
