Count orders that are under way at a restart for the whole lease of a worker

A start that was under way when its worker restarted may reach the next life after that one's first report, and before the token that excludes it. The worker then cuts its only lease to 6 s from there.

An order with an expiry is under way for at most ORDER_LIFETIME_S, so the lease of a new life counts as the longest one from the last extension on the clock of the life before plus that time, until the worker has answered with the token of its life. The same bound replaces the one for starts without an answer, which was kept for each run.

--- a/baobabdoor/scheduling/_fencing.py
+++ b/baobabdoor/scheduling/_fencing.py
@@ -59,10 +59,18 @@
         for worker in waiting.values():
             self.renew(worker)
 
-    def observe_answer(self, worker: _worker.Worker, token: int) -> None:
-        """Records that an incarnation answered a hold with a token."""
-        if not worker.token_outdated and token >= worker.token:
-            worker.token_confirmed = True
+    def observe_answer(self, worker: _worker.Worker, token: int) -> bool:
+        """Records that an incarnation answered a hold with a token.
+
+        Returns:
+            Whether this is the first answer with its token, from which on it
+            rejects orders of earlier terms and to its earlier incarnations.
+        """
+        outdated = worker.token_outdated or token < worker.token
+        if outdated or worker.token_confirmed:
+            return False
+        worker.token_confirmed = True
+        return True
 
     def observe_refusal(
         self,
--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -39,8 +39,6 @@
         clock_ms: The worker's clock at the confirmation.
         stopping: Whether the run is to be stopped.
         outcome_unknown: Whether the start had no response.
-        start_closed_s: Time after which the start no longer arrives, unless
-            the network holds it back; negative infinity if it does not matter.
         stop_clock_ms: The worker's clock when it accepted the stop; 0 if it
             has not.
         order_pending: Whether an order for this run awaits its response.
@@ -64,7 +62,6 @@
     clock_ms: int = 0
     stopping: bool = False
     outcome_unknown: bool = False
-    start_closed_s: float = -math.inf
     stop_clock_ms: int = 0
     order_pending: bool = True
     stop_sent_s: float = -1e9
--- a/baobabdoor/scheduling/_lease.py
+++ b/baobabdoor/scheduling/_lease.py
@@ -7,6 +7,9 @@
 CLOCK_DRIFT_FACTOR = 1.025
 # Margin of a time that is computed from another process's clock, in seconds.
 CLOCK_SLACK_S = 0.1
+# Maximum time for which an order with an expiry is under way: the timeout of a
+# hold with its wait, and that of a start with the wait for its turn.
+ORDER_LIFETIME_S = 2.5
 
 
 class Lease:
@@ -23,17 +26,32 @@
     Attributes:
         clock_ms: The incarnation's clock in a report; 0 before the first one.
         clock_at_s: Time of that report.
-        end_s: Time at which the lease has certainly ended; negative infinity
-            if no order can have extended it.
         extended_s: When an order of this term last extended it.
+        own_end_s: Time at which the lease has ended as far as orders of this
+            term have extended it; negative infinity if none has.
+        foreign_end_s: The same for all other orders.
     """
 
     def __init__(self, max_lease_s: float):
         self.max_lease_s = max_lease_s
         self.clock_ms = 0
         self.clock_at_s = 0.0
-        self.end_s = -math.inf
         self.extended_s = -math.inf
+        self.own_end_s = -math.inf
+        self.foreign_end_s = -math.inf
+
+    @property
+    def end_s(self) -> float:
+        """Time at which the lease has certainly ended."""
+        return max(self.own_end_s, self.foreign_end_s)
+
+    @property
+    def next_end_s(self) -> float:
+        """Time at which that of an unnoticed next incarnation has ended.
+
+        Orders that were under way at the restart may have extended it.
+        """
+        return self._longest_end_s(self.extended_s + ORDER_LIFETIME_S)
 
     def observe_clock(self, clock_ms: int, now_s: float) -> None:
         """Records the worker's clock from a report.
@@ -53,28 +71,33 @@
             + (until_ms - self.clock_ms) / 1000 * CLOCK_DRIFT_FACTOR
             + CLOCK_SLACK_S
         )
-        self.end_s = max(self.end_s, end_s)
+        self.own_end_s = max(self.own_end_s, end_s)
         self.extended_s = now_s
         return int(until_ms)
 
-    def longest_end_s(self, applied_s: float) -> float:
-        """Returns the latest end of any lease that an order has extended.
-
-        Args:
-            applied_s: Latest time at which the worker may have applied it.
-        """
-        return applied_s + self.max_lease_s * CLOCK_DRIFT_FACTOR + CLOCK_SLACK_S
+    def include_other_orders(self, now_s: float) -> None:
+        """Records that other orders may have extended it until now."""
+        end_s = self._longest_end_s(now_s)
+        self.foreign_end_s = max(self.foreign_end_s, end_s)
 
-    def assume_longest(self, now_s: float) -> None:
-        """Records that orders of other origin may have extended it so far."""
-        self.end_s = max(self.end_s, self.longest_end_s(now_s))
+    def exclude_other_orders(self, now_s: float) -> None:
+        """Records that from now on only orders of this term extend it."""
+        self.foreign_end_s = self._longest_end_s(now_s)
 
     def begin_incarnation(self, now_s: float) -> None:
-        """Records that a new incarnation, with a new clock, has reported."""
+        """Records that a new incarnation, with a new clock, has reported.
+
+        Orders to the one before may still extend its lease.
+        """
+        self.foreign_end_s = self.next_end_s
+        self.include_other_orders(now_s)
         self.clock_ms = 0
-        self.extended_s = -math.inf
-        self.assume_longest(now_s)
+        self.extended_s = self.own_end_s = -math.inf
 
     def has_ended(self, now_s: float) -> bool:
         """Returns whether the lease has certainly ended."""
         return now_s > self.end_s
+
+    def _longest_end_s(self, applied_s: float) -> float:
+        """Returns the latest end of a lease that was extended until a time."""
+        return applied_s + self.max_lease_s * CLOCK_DRIFT_FACTOR + CLOCK_SLACK_S
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -100,7 +100,6 @@
     if run is None:
         return
     run.order_pending = False
-    run.start_closed_s = now_s
     outcome = result.outcome
     if outcome is OUTCOMES.ACCEPTED:
         _observe_accepted_start(worker, run, result, now_s)
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -40,10 +40,6 @@
     if worker.lease_expired:
         scheduler.release_all_runs(worker, "lease expired")
     worker.lease.observe_clock(report.clock_ms, now_s)
-    if not worker.token_confirmed:
-        # Only from its first answer with this token on does it reject orders of
-        # earlier terms and of its earlier incarnations.
-        worker.lease.assume_longest(now_s)
     last_lapsed = max(
         (end.number for end in report.ended if end.outcome == "lapsed"),
         default=0,
@@ -67,7 +63,8 @@
     worker.partitioned = False
     worker.observe_response(now_s)
     worker.fenced = True
-    scheduler.fencing.observe_answer(worker, token)
+    if scheduler.fencing.observe_answer(worker, token):
+        worker.lease.exclude_other_orders(now_s)
     if report.lists_all_ends:
         scheduler.unfenced.discard(worker_id)
     scheduler.crashes.observe_alive(worker)
@@ -78,6 +75,7 @@
 ) -> None:
     """Records the first report of an incarnation to this term."""
     worker.first_report_s = now_s
+    worker.lease.include_other_orders(now_s)
     adopted = sum(run.confirmed for run in worker.runs.values())
     if adopted:
         scheduler.emit(
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -191,14 +191,10 @@
     def run_has_ended(self, run: _job.Run, now_s: float) -> bool:
         """Returns whether a run has certainly ended with its lease.
 
-        A start without a confirmation may have reached the next incarnation,
-        with an expiry that is not on that one's clock.
+        A start without a confirmation may have reached the next incarnation.
         """
-        if run.confirmed:
-            return self.lease.has_ended(now_s)
-        start_applied_s = now_s if run.order_pending else run.start_closed_s
-        end_s = self.lease.longest_end_s(start_applied_s)
-        return now_s > max(self.lease.end_s, end_s)
+        next_ended = run.confirmed or now_s > self.lease.next_end_s
+        return next_ended and self.lease.has_ended(now_s)
 
     def add_run(self, run: _job.Run) -> None:
         """Adds a run and reserves its resources."""
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -18,6 +18,9 @@
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _start_limiter
+from baobabdoor.platform import _workers
+from baobabdoor.scheduling import _lease
 from baobabdoor.standin import _row_store
 
 
@@ -482,6 +485,20 @@
         assert not self.is_sent(cancel)
 
 
+class TestOrderLifetime:
+    """An order may extend a lease while its call is under way."""
+
+    def test_it_covers_a_hold_with_its_wait(self):
+        wait_s = _controller.HOLD_WAIT_MS / 1000
+        hold_s = wait_s + _workers.HOLD_TIMEOUT_RANGE_S[1]
+        assert hold_s <= _lease.ORDER_LIFETIME_S
+
+    def test_it_covers_a_start_with_the_wait_for_its_turn(self):
+        start_s = _workers.ORDER_TIMEOUT_RANGE_S[1]
+        start_s += _start_limiter.PERMIT_WAIT_S
+        assert start_s <= _lease.ORDER_LIFETIME_S
+
+
 class FailingClient(dispatch_fixtures.SilentClient):
     """Client whose calls raise for some workers, machines and steps.
 
--- a/tests/test_scheduling_walks.py
+++ b/tests/test_scheduling_walks.py
@@ -84,7 +84,9 @@
     def patched(now_s):
         for worker in scheduler.workers.values():
             if now_s - worker.last_report_s > 0.5:
-                worker.lease.end_s = min(worker.lease.end_s, now_s - 0.1)
+                lease = worker.lease
+                lease.own_end_s = min(lease.own_end_s, now_s - 0.1)
+                lease.foreign_end_s = min(lease.foreign_end_s, now_s - 0.1)
                 worker.last_report_s = min(worker.last_report_s, now_s - 10)
         expire(now_s)
 
