Acknowledge ended runs only until a report no longer lists them

Each hold repeated the number of the last acknowledged end.

A worker forgets the ends that are acknowledged, and its next report shows that it has. From then on the hold carries no number. test_a_hold_of_before_a_restart_hides_no_end failed before.

What remains: a hold with a number that is still needed may cross the restart in the same way. In normal operation that is one hold after each stored end.

--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -39,6 +39,7 @@
     # acknowledgement meant for the previous incarnation, it would drop ended
     # runs that were never processed.
     new_incarnation = worker.may_have_restarted(now_s) or not worker.fenced
+    forgotten = worker.acknowledged == worker.forgotten
     known = worker.fenced and worker.lease.clock_ms
     # The lease of an unresponsive worker is not renewed, so that its runs
     # are certain to end.
@@ -48,7 +49,7 @@
         worker_id=worker.worker_id,
         address=worker.record.address,
         token=worker.token,
-        last_seen=0 if new_incarnation else worker.acknowledged,
+        last_seen=0 if new_incarnation or forgotten else worker.acknowledged,
         until_ms=until_ms,
         wait_ms=0 if new_incarnation or not worker.token_confirmed else wait_ms,
     )
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -54,6 +54,8 @@
     _observe_unneeded_runs(scheduler, worker, report)
     for entry in report.running:
         _observe_running(scheduler, worker, entry, report.clock_ms, now_s)
+    if all(end.number > worker.acknowledged for end in report.ended):
+        worker.forgotten = worker.acknowledged
     worker.lists_all_ends = report.lists_all_ends
     if report.lists_all_ends:
         _observe_missing_runs(scheduler, worker, report)
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -81,6 +81,9 @@
         # that may be acknowledged, since its effect is stored.
         self.processed = 0
         self.acknowledged = 0
+        # Number up to which its reports no longer list ended runs, so that
+        # these need no further acknowledgement.
+        self.forgotten = 0
         # Numbers of processed ended runs, each with the revision that contains
         # its effect.
         self.unsaved_ends: list[tuple[int, int]] = []
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -186,7 +186,7 @@
     worker.lease.begin_incarnation(now_s)
     worker.lists_all_ends = True
     worker.processed = 0
-    worker.acknowledged = 0
+    worker.acknowledged = worker.forgotten = 0
     worker.unsaved_ends = []
 
 
