Extend no lease once a release of the term may be applied

Cause: a release frees the leader's row at once, and the next leader counts the leases of the term before from its own start, as if the last heartbeat were 1.6 s old. The leader that waited for the answer went on extending leases. It also sent starts that waited for a permit or a connection.

Fix: from the moment at which a release is sent, until the store refuses it, no order with a lease and no start is sent, which is checked right before sending. An unanswered release may be applied seconds later, so it counts until the term ends. So the last extension precedes each release that may be applied. Holds without a lease go on, and a refused release leaves the term as it was.

A write that conflicts with an applied release no longer delays the stop by up to 2 s.

The fakes of the worker client accept the new optional argument of `hold`.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -98,6 +98,9 @@
         # changes, so that the next one follows without a pause.
         self.backlog = False
         self.releasing = False
+        # Whether the store may have applied a release, or may still do so.
+        # Another leader may then take over at any moment.
+        self.release_possible = False
         self.released = asyncio.Event()
 
     async def run(self) -> None:
@@ -117,8 +120,9 @@
                 if not self.backlog:
                     await asyncio.sleep(RETRY_DELAY_S)
             unsaved = self.scheduler.dirty or self.sequence.unresolved
-            if self.releasing and not unsaved:
-                await self._release()
+            if self.releasing and not unsaved and not await self._release():
+                self.write_requested.set()
+                await asyncio.sleep(RETRY_DELAY_S)
 
     async def wait_committed(self, timeout_s: float) -> None:
         """Waits for the next confirmed transaction."""
@@ -225,7 +229,9 @@
         limit = _document_limit(snapshot.jobs if snapshot else ())
         documents = self._changed_documents(limit)
         now_s = platform.boot_time_s()
-        heartbeat_due = (
+        # Leases are not extended while a release may be applied, so the next
+        # leader has to take over before they expire.
+        heartbeat_due = not self.release_possible and (
             now_s - self.confirmed_s >= _election.HEARTBEAT_INTERVAL_S * 0.8
         )
         # An unresolved transaction could still be applied after its changes
@@ -443,6 +449,8 @@
         leader = self.leader_row()
         stored = current.get((leader.table, leader.key))
         if stored is not None and stored.version != leader.version:
+            # After a release without an answer, the row may show that one.
+            self.released.set()
             self.on_lost("another leader was elected")
             return
         LOG.info("commit_conflict", rows=len(conflict.rows))
@@ -481,7 +489,13 @@
             ):
                 self._notify_committed()
 
-    async def _release(self) -> None:
+    async def _release(self) -> bool:
+        """Releases the term; returns whether it has ended.
+
+        A release without an answer may be applied seconds later, so it counts
+        until the end of the term. Its repetition shows whether it was applied:
+        the leader's row has changed then.
+        """
         released = attrs.evolve(self.leader, released=True)
         row = platform.StoredRow(
             _election.TABLE,
@@ -489,13 +503,25 @@
             _election.LEADER_KEY,
             released.encode(),
         )
-        answer = await self.store.transact([row], (), [self.leader_row()])
+        earlier_possible = self.release_possible
+        self.release_possible = True
+        answer = await self.store.transact(
+            [row], (), [self.leader_row()], timeout_s=self.timeout_s
+        )
         if isinstance(answer, base.Refusal):
-            LOG.warning("release_unanswered", reason=str(answer))
-            return
+            self.release_possible = earlier_possible or _is_unknown(answer)
+            LOG.warning(
+                "release_unanswered"
+                if _is_unknown(answer)
+                else "release_refused",
+                token=self.leader.token,
+                reason=str(answer),
+            )
+            return False
         LOG.info("tenure_released", token=self.leader.token)
         self.released.set()
         self.on_lost("released")
+        return True
 
 
 def _document_limit(jobs: Sequence) -> int:
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -363,9 +363,11 @@
             worker,
             wait_ms,
             platform.boot_time_s(),
-            self._confirmed_age_s() < _election.EXTEND_WINDOW_S,
+            self.may_extend(),
         )
-        result = await self.worker_client.hold(order)
+        # A hold without a lease still lists ended runs.
+        permit = self.may_extend if order.until_ms else None
+        result = await self.worker_client.hold(order, permit)
         now_s = platform.boot_time_s()
         if isinstance(result, scheduling.WorkerReport):
             fenced = worker.fenced
@@ -436,7 +438,20 @@
 
     def may_send(self) -> bool:
         """Returns whether a planned order may still be sent."""
-        return self.recently_confirmed() and not self.ended
+        return self.recently_confirmed() and not self._may_be_replaced()
+
+    def may_extend(self) -> bool:
+        """Returns whether an order that extends a lease may be sent."""
+        in_window = self._confirmed_age_s() < _election.EXTEND_WINDOW_S
+        return in_window and not self._may_be_replaced()
+
+    def _may_be_replaced(self) -> bool:
+        """Returns whether another leader may start before a heartbeat is due.
+
+        The bound on leases of earlier terms counts from the start of the next
+        one, which may follow a release at once.
+        """
+        return self.ended or self.committer.release_possible
 
     def _confirmed_age_s(self) -> float:
         return platform.boot_time_s() - self.committer.confirmed_s
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -76,16 +76,29 @@
         return await self._order(order, "/api/pace", body)
 
     async def hold(
-        self, order: scheduling.HoldOrder
+        self,
+        order: scheduling.HoldOrder,
+        permit: Callable[[], bool] | None = None,
     ) -> scheduling.WorkerReport | scheduling.OrderResult:
-        """Extends the lease, acknowledges ended runs and returns a report."""
+        """Extends the lease, acknowledges ended runs and returns a report.
+
+        Args:
+            order: The order.
+            permit: Returns whether it may still be sent; `None` if it always
+                may.
+        """
         body = {"fencing-token": order.token, "last-seen": order.last_seen}
         if order.until_ms:
             body["until-ms"] = order.until_ms
         if order.wait_ms:
             body["wait-ms"] = order.wait_ms
         answer = await self._post(
-            order, "/api/hold", body, HOLD_TIMEOUT_RANGE_S, order.wait_ms / 1000
+            order,
+            "/api/hold",
+            body,
+            HOLD_TIMEOUT_RANGE_S,
+            order.wait_ms / 1000,
+            permit,
         )
         if isinstance(answer, scheduling.OrderResult):
             return answer
--- a/tests/dispatch_fixtures.py
+++ b/tests/dispatch_fixtures.py
@@ -18,7 +18,7 @@
     async def list_machines(self):
         await asyncio.sleep(3600)
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         await asyncio.sleep(3600)
 
 
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -353,7 +353,7 @@
         self.result = result
         self.interrupt = interrupt
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         self.interrupt()
         return self.result
 
@@ -429,7 +429,7 @@
         if name in self.failing:
             raise OverflowError("injected")
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         self.held.append(order.worker_id)
         self._check(order.worker_id)
         await asyncio.sleep(0.01)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -301,6 +301,39 @@
         assert len(report.ended) == count
         assert report.lists_all_ends == complete
 
+    def test_a_hold_that_may_no_longer_be_sent_is_not_sent(self):
+        """Guards against a lease that is extended after its term."""
+        order = scheduling.HoldOrder(
+            worker_id="w",
+            address="127.0.0.1:1",
+            token=1,
+            last_seen=0,
+            until_ms=5000,
+        )
+        received = []
+
+        async def hold(permit):
+            async def accept(reader, writer):
+                received.append(await reader.readline())
+                writer.close()
+
+            server = await asyncio.start_server(accept, "127.0.0.1", 0)
+            client = transport.Client()
+            client._find_peer(order.address).endpoint = server.sockets[
+                0
+            ].getsockname()[:2]
+            result = await platform.WorkerClient(client).hold(order, permit)
+            client.discard_peer(order.address)
+            await asyncio.sleep(0.05)
+            server.close()
+            return result
+
+        result = asyncio.run(hold(lambda: False))
+        assert result.outcome is scheduling.OrderOutcome.NOT_SENT
+        assert not any(received)
+        asyncio.run(hold(lambda: True))
+        assert any(received)
+
 
 class TestMachines:
 
