Ignore a list of machines that is older than a confirmed start

Cause: a list shows the machines as they were when the service was asked, and its answer takes up to 1.5 s. `observe_machine_down` compared the request with the worker's last report alone. A worker that starts again under its identifier may confirm a start before its first report, and the older list ended that run.

Evidence: the test failed before with

AssertionError: assert not [StartOrder(worker_id='w2', ... run_id=2, ...)]

Fix: an answer to an order counts like a report: the worker was up at that time. The next list, 0.5 s later, shows whether its machine is down.

--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -208,9 +208,10 @@
         worker: The worker.
         requested_s: Time of the request for the list.
     """
-    known_s = max(worker.first_listed_s, worker.last_report_s)
+    known_s = max(worker.first_listed_s, worker.last_report_s, worker.heard_s)
     if known_s >= requested_s - _crashes.LISTING_DELAY_S:
-        # The list may show the machine as it was before the worker's start.
+        # The list may show the machine as it was before the worker's start,
+        # or before its next incarnation confirmed a start.
         return
     confirmed = [run for run in worker.runs.values() if run.confirmed]
     if not confirmed:
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -808,6 +808,40 @@
     def test_a_start_that_may_still_arrive_is_not_repeated(self):
         assert not self.starts_after_crash(listed_after_s=1.2, confirmed=False)
 
+    def test_a_list_older_than_a_confirmed_start_ends_no_run(self):
+        """Guards against a second run of a task (TWICE, issue 40).
+
+        A list that was requested while the machine was down arrived after the
+        worker's next incarnation had confirmed a start, before its first
+        report. Answers of the service take up to 1.5 s when it is slow.
+        """
+        fleet = scheduling_fixtures.Fleet([])
+        fleet.add_worker("w1", machine="m1")
+        worker = fleet.scheduler.workers["w1"]
+        # A restart, after which the clock of its incarnation is new as well.
+        for clock_ms in (200, 210):
+            report = scheduling.WorkerReport(clock_ms, 2, (), ())
+            fleet.scheduler.observe_report(
+                "w1", report, worker.token, fleet.now_s
+            )
+            fleet.commit()
+        fleet.submit(JOB, [step()])
+        fleet.now_s += 1.15
+        (order,) = fleet.starts()
+        requested_s = fleet.now_s - 0.1
+        fleet.now_s += 0.15
+        accepted = scheduling.OrderResult(scheduling.OrderOutcome.ACCEPTED, 250)
+        fleet.scheduler.observe_start(order, accepted, fleet.now_s)
+        assert worker.find_run(order.task, order.run_id).confirmed
+        fleet.now_s += 0.1
+        fleet.add_worker("w2", machine="m2")
+        down = scheduling.MachineState.DOWN
+        record = scheduling.MachineRecord(
+            "m1", scheduling_fixtures.POOL, down, "z", ""
+        )
+        fleet.scheduler.maintenance.observe_machines((record,), requested_s)
+        assert not fleet.starts()
+
 
 class TestAttempts:
 
