Check how old a leader's heartbeat is when it is replaced

The test guards it for a store that answers all the time and for gaps around the length of an outage. No behaviour changes.

--- a/tests/test_dispatch_election.py
+++ b/tests/test_dispatch_election.py
@@ -260,3 +260,57 @@
     def test_a_gap_between_answers_is_an_outage(self):
         answers_ms = [5000.0, 9000.0, 9500.0]
         assert self.outage_ended_ms(answers_ms, 4.0) == 9000.0
+
+
+class TestHeartbeatAgeAtElection:
+    """The bound on leases of earlier terms counts on this age (issue 40).
+
+    A leader extends leases for a while after its last heartbeat. If it were
+    replaced sooner, its leases could outlast the next leader's wait for them.
+    """
+
+    def elected_after_ms(self, answers_ms):
+        """Returns the age of the last heartbeat at the first answer that wins.
+
+        Args:
+            answers_ms: Times of the answers of the store; the last heartbeat
+                precedes the first one.
+        """
+
+        async def scenario():
+            store = _row_store.MemoryRowStore()
+            leader, follower = Candidate(store, "a"), Candidate(store, "b")
+            follower.eligible = False
+            await leader.poll()
+            follower.election.started_s -= 60.0
+            leader.heartbeat()
+            start_ms = store.time_ms
+            await follower.poll()
+            follower.eligible = True
+            for after_ms in answers_ms:
+                store.time_ms = start_ms + after_ms
+                await follower.poll(is_snapshot=True)
+                if follower.won:
+                    return after_ms
+            return math.inf
+
+        return asyncio.run(scenario())
+
+    LONGEST_GAP_MS = _election.FEED_GAP_MS + _election.FEED_WAIT_S * 1000
+
+    @pytest.mark.parametrize(
+        "answers_ms",
+        [
+            # A store that answers all the time.
+            [800, 1550, 1650, 1750, 1850],
+            # A gap that just counts as an outage.
+            [LONGEST_GAP_MS + 10, 2700, 2900],
+            # A gap that just does not.
+            [LONGEST_GAP_MS - 10, 1750, 1850],
+        ],
+    )
+    def test_a_silent_leader_is_replaced_after_its_start_window(
+        self, answers_ms
+    ):
+        age_s = self.elected_after_ms(answers_ms) / 1000
+        assert _election.START_WINDOW_S < age_s < math.inf
