--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -203,9 +203,10 @@
         worker: The worker.
         requested_s: Time of the request for the list.
     """
-    known_s = max(worker.first_listed_s, worker.last_report_s)
+    known_s = max(worker.first_listed_s, worker.last_report_s, worker.heard_s)
     if known_s >= requested_s - _crashes.LISTING_DELAY_S:
-        # The list may show the machine as it was before the worker's start.
+        # The list may show the machine as it was before the worker's start,
+        # or before its next incarnation confirmed a start.
         return
     # Nothing of an earlier term runs there any more.
     scheduler.unfenced.discard(worker.worker_id)
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -356,7 +356,7 @@
         self.result = result
         self.interrupt = interrupt
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         self.interrupt()
         return self.result
 
@@ -514,7 +514,7 @@
         if name in self.failing:
             raise OverflowError("injected")
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         self.held.append(order.worker_id)
         self._check(order.worker_id)
         await asyncio.sleep(0.01)
