Store a worker's address and life before its first start

Callers see a task run twice: a worker restarts under its identifier at another address and gets a start before any transaction has stored that address. The next leader calls the former address, where another worker answers 421, takes the runs as ended and starts the tasks again. A release has the same effect without a crash, since it follows the jobs and may leave rows of the roster unwritten.

Cause: `Worker.enrolled` was set for each worker whose identifier the stored roster lists, whatever address and life the entry has.

A worker is now enrolled only while the stored entry equals the one that the next roster would have for it: address, pool, zone, life and machine. So a life that has runs is always listed where it is called. The first start after a restart waits for one transaction, which the report requests at once; a restart at the same address waited only if it needed a newer fencing token.

Six tests assumed a start without such a write. They now check that there is none before the write and one after it; the fixture's commit stores the roster.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 import json
 import zlib
@@ -83,8 +82,8 @@
         self.on_lost = on_lost
         self.metrics = metrics
         self.roster: dict[str, _transactions.Document] = {}
-        # Workers listed in the stored roster.
-        self.enrolled: set[str] = set()
+        # Entries of the last confirmed roster, by row and by worker.
+        self.roster_entries: dict[str, dict[str, tuple]] = {}
         self.waves: dict[int, _transactions.Document] = {}
         self.write_requested = asyncio.Event()
         self.committed = asyncio.Event()
@@ -132,19 +131,17 @@
         self.committed.set()
         self.committed = asyncio.Event()
 
-    def _desired_roster(self) -> dict[str, dict[str, list]]:
+    @property
+    def enrolled(self) -> dict[str, tuple]:
+        """Workers in the last confirmed roster, with their entries."""
+        return _merge_rows(self.roster_entries)
+
+    def _desired_roster(self) -> dict[str, dict[str, tuple]]:
         """Returns entries of the workers to enroll, by roster row."""
-        desired: dict[str, dict[str, list]] = {key: {} for key in self.roster}
+        desired: dict[str, dict[str, tuple]] = {key: {} for key in self.roster}
         for worker in self.scheduler.workers_to_enroll():
-            record = worker.record
-            key = roster_shard_key(record.worker_id)
-            desired.setdefault(key, {})[record.worker_id] = [
-                record.address,
-                record.pool,
-                record.zone,
-                worker.start_time_ms,
-                record.machine,
-            ]
+            key = roster_shard_key(worker.worker_id)
+            desired.setdefault(key, {})[worker.worker_id] = worker.roster_entry
         return desired
 
     def _changed_documents(
@@ -186,7 +183,9 @@
         # An unreadable row is replaced once its workers have no runs.
         document.content, document.version = b"", row.version
         entries = json.loads(row.value)
-        self.enrolled |= entries.keys()
+        self.roster_entries[row.key] = {
+            worker_id: _as_tuple(entry) for worker_id, entry in entries.items()
+        }
         document.content = row.value
         return entries
 
@@ -422,22 +421,28 @@
     def _confirm_documents(
         self, written: list[tuple[_transactions.Document, bytes]]
     ) -> None:
-        if any(document.table == ROSTER_TABLE for document, _ in written):
-            previous = self.enrolled
-            self.enrolled = {
-                worker_id
-                for document in self.roster.values()
-                for worker_id in _enrolled_workers(document.content)
-            }
-            if removed := previous - self.enrolled:
+        changed = {
+            document.key: _decode_entries(content)
+            for document, content in written
+            if document.table == ROSTER_TABLE
+        }
+        if changed:
+            previous = self.enrolled.keys()
+            self.roster_entries |= changed
+            if removed := previous - self.enrolled.keys():
                 LOG.info("roster_shrunk", removed=" ".join(sorted(removed)))
-        for worker in self.scheduler.workers.values():
-            worker.enrolled = worker.worker_id in self.enrolled
+        self._observe_roster()
         for number, plan in self.scheduler.maintenance.plans.items():
             content = self.wave_document(number).content
             if content:
                 plan.mark_saved(content)
 
+    def _observe_roster(self) -> None:
+        """Records which entry of each worker the store has."""
+        entries = self.enrolled
+        for worker in self.scheduler.workers.values():
+            worker.stored_entries = (entries.get(worker.worker_id),)
+
     async def _observe_conflict(self, conflict: platform.Conflict) -> None:
         current = {(row.table, row.key): row for row in conflict.rows}
         leader = self.leader_row()
@@ -504,16 +509,23 @@
     return rows - len(jobs)
 
 
-def _enrolled_workers(content: bytes) -> Iterable[str]:
-    """Returns the workers that a roster row lists.
+def _decode_entries(content: bytes) -> dict[str, tuple]:
+    """Returns the entries of a roster row of this term by worker."""
+    entries = json.loads(content)
+    return {worker_id: tuple(entry) for worker_id, entry in entries.items()}
 
-    A row that cannot be read lists none; it was logged when it was loaded.
-    """
-    try:
-        entries = json.loads(content)
-    except (RecursionError, ValueError):
-        return ()
-    return entries if isinstance(entries, dict) else ()
+
+def _merge_rows(rows: dict[str, dict[str, tuple]]) -> dict[str, tuple]:
+    """Returns the entries of all roster rows by worker."""
+    merged: dict[str, tuple] = {}
+    for entries in rows.values():
+        merged |= entries
+    return merged
+
+
+def _as_tuple(entry: object) -> tuple:
+    """Returns a stored entry; that of another program may be of any type."""
+    return tuple(entry) if isinstance(entry, list) else ()
 
 
 def unreadable_roster_mark(key: str) -> str:
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -372,7 +372,8 @@
             self.scheduler.observe_report(
                 worker.worker_id, result, order.token, now_s
             )
-            if not fenced or worker.token_outdated:
+            enroll = self.scheduler.awaits_enrollment(worker)
+            if not fenced or worker.token_outdated or enroll:
                 self.committer.write_requested.set()
             self.request_plan()
             if worker.processed > processed:
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -248,13 +248,13 @@
             worker = self.workers.get(task.run.worker_id) if task.run else None
             if worker is not None and worker.responsive(now_s):
                 return True
-        enrolled = [
+        listed = [
             worker
             for worker in self.workers.values()
-            if worker.enrolled and worker.listed and not worker.retired
+            if worker.maybe_enrolled and worker.listed and not worker.retired
         ]
-        return bool(enrolled) and all(
-            worker.responsive(now_s) for worker in enrolled
+        return any(worker.enrolled for worker in listed) and all(
+            worker.responsive(now_s) for worker in listed
         )
 
     def pool_jobs(self, pool: str) -> Iterator[tuple[_job.Job, _types.Queue]]:
@@ -407,15 +407,18 @@
         They may get or have runs, or list ends whose effect is not stored.
         """
         for worker in self.workers.values():
-            usable = worker.fenced and worker.listed and not worker.retired
             if (
-                usable
+                _may_get_runs(worker)
                 or worker.runs
                 or worker.unsaved_ends
                 or worker.worker_id in self.unfenced
             ):
                 yield worker
 
+    def awaits_enrollment(self, worker: _worker.Worker) -> bool:
+        """Returns whether a worker gets starts after a write of the roster."""
+        return _may_get_runs(worker) and not worker.enrolled
+
     def observe_worker(
         self,
         record: _types.WorkerRecord,
@@ -676,3 +679,8 @@
         """Returns and clears the events since the last call."""
         events, self.events = self.events, []
         return events
+
+
+def _may_get_runs(worker: _worker.Worker) -> bool:
+    """Returns whether a worker may get starts once it is enrolled."""
+    return worker.fenced and worker.listed and not worker.retired
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -94,8 +94,9 @@
         # Runs that may exist, by name of the task.
         self.runs: dict[str, _job.Run] = {}
         self.cordoned = False
-        # Whether the stored roster lists it as a worker that may have runs.
-        self.enrolled = False
+        # Entries that the stored roster may have for it; `None` stands for
+        # none. There are several while the result of a write is not known.
+        self.stored_entries: tuple[tuple | None, ...] = (None,)
         self.failed_jobs: set[str] = set()
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until_s = -1e9
@@ -118,6 +119,38 @@
         """Identifier of the worker."""
         return self.record.worker_id
 
+    @property
+    def roster_entry(self) -> tuple:
+        """Entry of the roster, by which the next leader finds its runs."""
+        record = self.record
+        return (
+            record.address,
+            record.pool,
+            record.zone,
+            self.start_time_ms,
+            record.machine,
+        )
+
+    @property
+    def enrolled(self) -> bool:
+        """Whether the stored roster certainly has its entry.
+
+        The next leader waits for the runs of the lives that the roster lists,
+        where it lists them. So another life or address needs a further write
+        before the first start.
+        """
+        entry = self.roster_entry
+        return all(stored == entry for stored in self.stored_entries)
+
+    @enrolled.setter
+    def enrolled(self, enrolled: bool) -> None:
+        self.stored_entries = (self.roster_entry if enrolled else None,)
+
+    @property
+    def maybe_enrolled(self) -> bool:
+        """Whether the stored roster may have any entry of it."""
+        return any(stored is not None for stored in self.stored_entries)
+
     def usable(self, now_s: float, as_last_resort: bool = False) -> bool:
         """Returns whether new runs may be sent to it.
 
--- a/tests/scheduling_fixtures.py
+++ b/tests/scheduling_fixtures.py
@@ -114,6 +114,10 @@
         return job
 
     def commit(self):
+        """Stores the changed jobs and the roster in one transaction."""
+        enrolled = set(self.scheduler.workers_to_enroll())
+        for worker in self.scheduler.workers.values():
+            worker.enrolled = worker in enrolled
         snapshot = self.scheduler.begin_commit()
         self.version += 1
         self.scheduler.observe_commit(self.version)
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -413,6 +413,32 @@
 
         asyncio.run(scenario())
 
+    def test_a_restart_with_a_newer_token_requests_a_transaction_at_once(self):
+        """Guards against a first start that waits for the next heartbeat."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            scheduler.observe_worker(
+                scheduling_fixtures.record("w1"), platform.boot_time_s()
+            )
+            worker = scheduler.workers["w1"]
+            for start_time_ms in (1, 2):
+                assert await controller.committer._write()
+                scheduler.observe_commit(controller.committer.leader.token + 9)
+                controller.committer.write_requested.clear()
+                report = scheduling.WorkerReport(1000, start_time_ms, (), ())
+                controller.worker_client = FencingClient(report)
+                await controller._hold(worker)
+            assert not worker.token_outdated
+            assert controller.committer.write_requested.is_set()
+            assert not worker.enrolled
+            assert await controller.committer._write()
+            assert worker.enrolled
+
+        asyncio.run(scenario())
+
 
 class FailingClient(dispatch_fixtures.SilentClient):
     """Client whose calls raise for some workers, machines and steps.
--- a/tests/test_scheduling_advice_and_pace.py
+++ b/tests/test_scheduling_advice_and_pace.py
@@ -131,6 +131,7 @@
         # The first report shows the restart, the second the new token.
         for _ in range(2):
             fleet.report("w2", start_time_ms=2)
+        fleet.commit()
         assert "w2" in self.ask(fleet).workers
 
     def test_a_ticket_that_was_refused_is_requested_again(self):
--- a/tests/test_scheduling_fencing.py
+++ b/tests/test_scheduling_fencing.py
@@ -173,6 +173,8 @@
         assert not fleet.starts()
         confirming = fleet.poll()
         assert confirming.token > revealing.token
+        assert not fleet.starts()
+        fleet.commit()
         (order,) = fleet.starts()
         assert order.token == confirming.token
 
@@ -185,6 +187,8 @@
         fleet.poll()
         assert not fleet.starts()
         assert fleet.poll().token > before
+        assert not fleet.starts()
+        fleet.commit()
         assert len(fleet.starts()) == 1
 
     def test_a_second_restart_waits_for_a_further_transaction(self):
@@ -224,6 +228,8 @@
         assert not fleet.scheduler.workers
         fleet.list_worker()
         assert fleet.poll().token > before
+        assert not fleet.starts()
+        fleet.commit()
         assert len(fleet.starts()) == 1
 
     def test_a_revived_worker_gets_a_higher_token(self):
@@ -252,6 +258,8 @@
         fleet.scheduler.observe_start(order, result, fleet.now_s)
         assert not fleet.scheduler.fenced_off
         fleet.now_s += 0.2
+        assert not fleet.starts()
+        fleet.commit()
         (again,) = fleet.starts()
         assert fleet.deliver(again).outcome is OUTCOMES.ACCEPTED
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -48,6 +48,8 @@
         fleet.report("w1", start_time_ms=2)
         assert not fleet.starts()
         fleet.report("w1", start_time_ms=2)
+        assert not fleet.starts()
+        fleet.commit()
         (again,) = fleet.starts()
         assert again.run_id == 2
 
