Count a roster entry as stored only if no write may remove it

Callers see a task run twice: a transaction whose roster lacks a silent worker is under way or unanswered, the worker reports again, still counts as enrolled and gets a start. Once the transaction is applied, the next leader does not know the worker and starts the task elsewhere.

Cause: enrollment followed the last confirmed roster only.

The committer now records for each worker the entries of all rosters that the store may have: the confirmed one, and those of transactions that await their answer or have no known result. A worker is enrolled if all of them have its entry. The row of the sequence lets at most one of these transactions be applied, so the next confirmed one excludes the others. `witnesses_state` also asks the workers that only some of these rosters list, as before.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -84,6 +84,8 @@
         self.roster: dict[str, _transactions.Document] = {}
         # Entries of the last confirmed roster, by row and by worker.
         self.roster_entries: dict[str, dict[str, tuple]] = {}
+        # Transaction that awaits its answer.
+        self.writing: _transactions.Transaction | None = None
         self.waves: dict[int, _transactions.Document] = {}
         self.write_requested = asyncio.Event()
         self.committed = asyncio.Event()
@@ -202,7 +204,13 @@
         if transaction is None:
             return True
         dirty_count = len(self.scheduler.dirty)
-        answer = await self._transact(transaction)
+        self.writing = transaction
+        if transaction.documents:
+            self._observe_roster()
+        try:
+            answer = await self._transact(transaction)
+        finally:
+            self.writing = None
         if isinstance(answer, platform.Commit):
             self.backlog = len(transaction.jobs) < dirty_count
             self._observe_latency(transaction.sent_s)
@@ -216,6 +224,7 @@
             await self._observe_conflict(answer)
         else:
             self._observe_refusal(answer)
+        self._observe_roster()
         return False
 
     def _next_transaction(self) -> _transactions.Transaction | None:
@@ -438,10 +447,31 @@
                 plan.mark_saved(content)
 
     def _observe_roster(self) -> None:
-        """Records which entry of each worker the store has."""
-        entries = self.enrolled
+        """Records which entries of each worker the store may have.
+
+        A transaction that awaits its answer, or whose result is not known, may
+        be applied at any time.
+        """
+        open_transactions = [*self.sequence.unresolved]
+        if self.writing is not None:
+            open_transactions.append(self.writing)
+        # Repeated transactions mostly write the same rows.
+        written = {
+            tuple(
+                (document.key, content)
+                for document, content in transaction.documents
+                if document.table == ROSTER_TABLE
+            )
+            for transaction in open_transactions
+        }
+        rosters = [self.enrolled]
+        for rows in written - {()}:
+            entries = {key: _decode_entries(content) for key, content in rows}
+            rosters.append(_merge_rows(self.roster_entries | entries))
         for worker in self.scheduler.workers.values():
-            worker.stored_entries = (entries.get(worker.worker_id),)
+            worker.stored_entries = tuple(
+                roster.get(worker.worker_id) for roster in rosters
+            )
 
     async def _observe_conflict(self, conflict: platform.Conflict) -> None:
         current = {(row.table, row.key): row for row in conflict.rows}
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -136,8 +136,8 @@
         """Whether the stored roster certainly has its entry.
 
         The next leader waits for the runs of the lives that the roster lists,
-        where it lists them. So another life or address needs a further write
-        before the first start.
+        where it lists them. So another life or address, or a write that may
+        still remove the entry, needs a further write before the first start.
         """
         entry = self.roster_entry
         return all(stored == entry for stored in self.stored_entries)
--- a/tests/test_dispatch_roster.py
+++ b/tests/test_dispatch_roster.py
@@ -182,6 +182,75 @@
         assert len(term.starts()) == 1
 
 
+class TestRemovalUnderWay:
+    """A write without a worker is not applied yet while the worker reports.
+
+    The next leader did not know the worker at all and started its task again.
+    """
+
+    def drop(self, term):
+        """Starts to write the roster without w1; returns the transaction."""
+        term.expire()
+        term.bench.store.delay_writes = 1
+        assert not term.bench.write()
+        return term.bench.store.delayed.pop()
+
+    def test_no_start_before_the_removal_is_excluded(self):
+        term = Term()
+        term.submit()
+        removal = self.drop(term)
+        term.report(times=3)
+        starts = term.starts()
+        term.bench.store._apply(*removal)
+        roster = term.bench.roster()[_commits.roster_shard_key("w1")]
+        assert "w1" not in roster
+        following = NextTerm(term)
+        starts += following.starts()
+        assert len(starts) <= 1
+
+    def test_worker_is_usable_once_the_removal_is_excluded(self):
+        term = Term()
+        removal = self.drop(term)
+        term.report(times=3)
+        term.write_all()
+        term.bench.store._apply(*removal)
+        assert term.w1.usable(term.fleet.now_s)
+        assert "w1" in term.bench.roster()[_commits.roster_shard_key("w1")]
+
+    def test_no_start_while_the_removal_awaits_its_answer(self):
+        term = Term()
+        term.submit()
+        term.expire()
+        usable = []
+        transact = term.bench.store.transact
+
+        async def transact_slowly(*args, **options):
+            term.report(times=3)
+            usable.append(term.w1.usable(term.fleet.now_s))
+            return await transact(*args, **options)
+
+        term.bench.store.transact = transact_slowly
+        term.bench.write()
+        assert usable == [False]
+        assert not term.starts()
+
+    def test_refused_removal_removes_nothing(self):
+        """Guards against a worker that gets no starts until the next write."""
+        term = Term()
+        term.expire()
+        transact = term.bench.store.transact
+
+        async def refuse(*_, **__):
+            del __
+            return platform.Conflict(())
+
+        term.bench.store.transact = refuse
+        term.bench.write()
+        term.bench.store.transact = transact
+        term.report(times=3)
+        assert term.w1.enrolled
+
+
 class TestRelease:
     """The release follows the jobs and may leave rows of the roster behind."""
 
