Ignore a 421 from an address that a worker has left

Callers see a task run twice, and a worker gets no more starts: an order is under way to the former address of a worker that has restarted elsewhere, the list shows its new address, and the answer is 421. The worker was retired with all runs of its new life, and no later entry of that life took this back.

Cause: `observe_wrong_worker` did not know which address had answered.

The address of the order is now compared with the worker's. A start that was refused at a former address has not happened there, so only its run is released.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -388,7 +388,7 @@
             if self.scheduler.fenced_off:
                 self.end(f"fenced by {worker.worker_id}")
         elif result.outcome is OUTCOMES.WRONG_WORKER:
-            self.scheduler.observe_wrong_worker(worker.worker_id)
+            self.scheduler.observe_wrong_worker(order.worker_id, order.address)
         else:
             self.scheduler.observe_no_response(worker.worker_id, now_s)
         await asyncio.sleep(UNRESPONSIVE_PAUSE_S)
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -109,7 +109,7 @@
     )
     if outcome is OUTCOMES.FENCED:
         scheduler.observe_fenced(order)
-    _observe_refused_start(scheduler, worker, run, outcome, now_s)
+    _observe_refused_start(scheduler, worker, run, order, outcome, now_s)
 
 
 def _observe_accepted_start(
@@ -139,6 +139,7 @@
     scheduler,
     worker: _worker.Worker,
     run: _job.Run,
+    order: _orders.StartOrder,
     outcome: _types.OrderOutcome,
     now_s: float,
 ) -> None:
@@ -149,7 +150,10 @@
         run.stopping = True
         return
     if outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(worker.worker_id)
+        scheduler.observe_wrong_worker(worker.worker_id, order.address)
+        if worker.runs.get(run.task.name) is run:
+            # It was ordered at a former address of the worker.
+            scheduler.release_run(worker, run, outcome.value)
         return
     scheduler.release_run(worker, run, outcome.value)
     run.task.retry_at_s = now_s + RETRY_DELAY_S
@@ -192,7 +196,7 @@
     if result.outcome is OUTCOMES.FENCED:
         scheduler.observe_fenced(order)
     elif result.outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(order.worker_id)
+        scheduler.observe_wrong_worker(order.worker_id, order.address)
     if result.outcome is not OUTCOMES.ACCEPTED:
         scheduler.emit(
             "stop_refused",
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -392,6 +392,31 @@
     def test_a_hold_of_before_a_restart_that_is_refused_does_not(self):
         assert not self.hold(self.REFUSAL, restarts=True).ended
 
+    def test_a_hold_at_a_former_address_retires_no_worker(self):
+        """Guards against a worker that is lost for good after a restart."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            now_s = platform.boot_time_s()
+            scheduler.observe_worker(scheduling_fixtures.record("w1"), now_s)
+            moved = scheduling_fixtures.record(
+                "w1", address="10.0.0.9:80", start_time_ms=2
+            )
+            wrong_worker = scheduling.OrderResult(
+                scheduling.OrderOutcome.WRONG_WORKER
+            )
+            controller.worker_client = FencingClient(
+                wrong_worker, lambda: scheduler.observe_worker(moved, now_s)
+            )
+            await controller._hold(scheduler.workers["w1"])
+            return scheduler.workers["w1"]
+
+        worker = asyncio.run(scenario())
+        assert worker.record.address == "10.0.0.9:80"
+        assert not worker.retired
+
     def test_a_restart_requests_a_transaction_at_once(self):
         async def scenario():
             bench = dispatch_fixtures.Bench()
