Wait for a later life that the list shows elsewhere

Callers see a task run twice, or a worker that is listed and gets no starts. The next leader knows a former life of a worker from the roster, and refuses the entry of the later one, since the former one may have runs. A 421 from the former address, or a successor on the former machine, then retired the worker: inherited tasks started at once, although the later life was not asked.

Cause: a proof that one life has ended counted for the identifier.

The refused entry is kept while the list shows it. Once the known life has ended, its runs are released and the worker is called where that entry says; inherited tasks wait for its report, at most until the inherited bound. An entry of another program can cause that wait, but ends no run.

--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -439,6 +439,7 @@
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.listed = False
+            worker.refused_record = None
 
     def observe_report(
         self,
@@ -490,7 +491,10 @@
     def retire_worker(
         self, worker_id: str, reason: str, crashed: bool = False
     ) -> None:
-        """Marks a worker as certainly terminated and releases its runs.
+        """Releases the runs of a life of a worker that has certainly ended.
+
+        The worker is retired, unless the list shows a later life of it
+        elsewhere: that the known life has ended says nothing of that one.
 
         Args:
             worker_id: The worker.
@@ -508,11 +512,14 @@
                 runs=len(worker.runs),
                 unfenced=worker_id in self.unfenced,
             )
-            worker.retired = True
-            self.unfenced.discard(worker_id)
             if crashed:
                 self.crashes.observe_crash(worker)
             self.release_all_runs(worker, f"worker {reason}")
+            if worker.refused_record is not None:
+                _worker_events.follow_refused_entry(self, worker)
+            else:
+                worker.retired = True
+                self.unfenced.discard(worker_id)
 
     def revive_worker(self, worker_id: str) -> None:
         """Reverses the retirement of a worker that still runs."""
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -59,6 +59,8 @@
         self.entry_s = -math.inf
         # Whether that entry was too old for a start when last checked.
         self.capacity_outdated = False
+        # Entry of a later life elsewhere, which its runs keep out.
+        self.refused_record: _types.WorkerRecord | None = None
         # When an entry that contradicts its runs was last put on record.
         self.entry_refused_s = -math.inf
         self.last_report_s = -1e9
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -32,6 +32,7 @@
         scheduler.workers[record.worker_id] = worker
         scheduler.fencing.add(worker)
         return
+    worker.refused_record = None
     moved = _has_moved(worker.record, record)
     if moved and not _may_move(scheduler, worker, record):
         _refuse_entry(scheduler, worker, record, now_s)
@@ -100,6 +101,8 @@
     the worker is called where it reported, and gets no starts.
     """
     worker.listed = False
+    if record.start_time_ms > worker.start_time_ms:
+        worker.refused_record = record
     if now_s - worker.entry_refused_s >= REFUSAL_INTERVAL_S:
         worker.entry_refused_s = now_s
         scheduler.emit(
@@ -112,6 +115,26 @@
         )
 
 
+def follow_refused_entry(scheduler, worker: _worker.Worker) -> None:
+    """Expects a worker where the list shows a later life of it.
+
+    The life that kept the entry out has ended and its runs are released. The
+    later one may have runs of earlier terms, so they are still waited for.
+    """
+    scheduler.emit(
+        "worker_followed",
+        worker=worker.worker_id,
+        address=worker.refused_record.address,
+        machine=worker.refused_record.machine,
+        born_ms=worker.refused_record.start_time_ms,
+    )
+    worker.record, worker.refused_record = worker.refused_record, None
+    worker.listed = True
+    worker.fenced = False
+    worker.first_listed_s = max(worker.first_listed_s, scheduler.crashes.now_s)
+    worker.entry_s = -math.inf
+
+
 def check_capacity_age(scheduler, worker: _worker.Worker, now_s: float) -> bool:
     """Returns whether a worker's capacity is recent enough for a start.
 
--- a/tests/test_scheduling_lives.py
+++ b/tests/test_scheduling_lives.py
@@ -1,5 +1,10 @@
-"""Tests of which life of a worker an answer shows as ended."""
+"""Tests of which life of a worker an answer or a list shows as ended.
 
+That a life has ended at its address or on its machine says nothing of another
+life of the same identifier that the list of workers shows elsewhere.
+"""
+
+import pytest
 import scheduling_fixtures
 
 from baobabdoor import scheduling
@@ -29,6 +34,22 @@
             scheduling_fixtures.record("w1", **fields), self.now_s
         )
 
+    def list_machines(self, requested_s, **workers):
+        """Applies a list with the given workers on their machines."""
+        self.scheduler.maintenance.observe_machines(
+            tuple(
+                scheduling.MachineRecord(
+                    machine,
+                    scheduling_fixtures.POOL,
+                    scheduling.MachineState.UP,
+                    "z",
+                    worker_id,
+                )
+                for machine, worker_id in workers.items()
+            ),
+            requested_s,
+        )
+
     def start_on_w1(self):
         self.scheduler.workers["w22"].cordoned = True
         self.submit(JOB, [scheduling.StepSpec(1, cpu_milli=1000)])
@@ -38,6 +59,59 @@
         return order
 
 
+class TestLifeElsewhere:
+    """The next leader knows a former life and is shown a later one."""
+
+    def inherited(self):
+        fleet = Lives(term=1)
+        fleet.scheduler.unfenced.add("w1")
+        fleet.list_w1(address=NEXT_ADDRESS, machine="m9")
+        assert fleet.w1.record.address == ADDRESS
+        return fleet
+
+    def end_at_address(self, fleet):
+        fleet.scheduler.observe_wrong_worker("w1", ADDRESS)
+
+    def end_on_machine(self, fleet):
+        fleet.now_s += 2.0
+        fleet.list_machines(fleet.now_s, m1="w7", m22="w22")
+
+    @pytest.mark.parametrize("end", ["end_at_address", "end_on_machine"])
+    def test_its_runs_are_waited_for(self, end):
+        """Guards against tasks that start while the later life runs them."""
+        fleet = self.inherited()
+        getattr(self, end)(fleet)
+        assert fleet.scheduler.inherited_blocked()
+        assert fleet.hold("w1").address == NEXT_ADDRESS
+        fleet.report("w1", start_time_ms=2)
+        assert not fleet.scheduler.inherited_blocked()
+
+    @pytest.mark.parametrize("end", ["end_at_address", "end_on_machine"])
+    def test_it_is_used(self, end):
+        """Guards against a worker that stays retired while it is listed."""
+        fleet = self.inherited()
+        getattr(self, end)(fleet)
+        for _ in range(2):
+            fleet.now_s += 0.1
+            fleet.report("w1", start_time_ms=2)
+            fleet.commit()
+        assert fleet.w1.usable(fleet.now_s)
+
+    def test_runs_of_the_life_that_ended_start_again(self):
+        fleet = Lives()
+        fleet.accept([fleet.start_on_w1()])
+        fleet.list_w1(address=NEXT_ADDRESS)
+        self.end_at_address(fleet)
+        (again,) = fleet.starts()
+        assert again.worker_id == "w22"
+
+    def test_a_life_that_is_not_listed_any_more_is_not_waited_for(self):
+        fleet = self.inherited()
+        fleet.scheduler.observe_unlisted("w1")
+        self.end_at_address(fleet)
+        assert not fleet.scheduler.inherited_blocked()
+
+
 class TestFormerAddress:
     """An order to a former address is answered after the worker moved."""
 
