Allow for the age of the list of machines where it retires workers

Callers see a task run twice if the list of machines lags: a list that still shows the worker before, a move or a maintenance retires a worker that came up since and was silent when the list was requested. A new leader did so with each worker of the roster, since it knows none of their reports.

Cause: only for machines that are `down` did the list count as up to `LISTING_DELAY_S` old; for successors, moves and maintenance it counted as current.

Evidence: test_a_list_that_may_be_older_than_the_worker failed before with `assert not [StartOrder(worker_id='w22', ..., run_id=2, ...)]` for each of the three, test_a_list_soon_after_a_takeover with `assert False` (inherited_blocked).

All of them now use the same age. The cost: runs of a worker whose machine is followed within a second of its last report are released up to a second later. Moves and maintenance that the leader itself orders retire the worker with the answer, as before.

--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from baobabdoor.scheduling import _crashes
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _types
@@ -232,11 +233,12 @@
     def _retire_replaced(self, requested_s: float) -> None:
         """Retires workers whose machine has restarted or is down.
 
-        Workers that were first listed or reported after the list was requested
-        are skipped: the list may show an earlier incarnation of them.
+        Workers that were first listed or reported later than the list may show
+        are skipped: it may show an earlier incarnation of them.
         """
+        shown_s = requested_s - _crashes.LISTING_DELAY_S
         for worker in list(self.scheduler.workers.values()):
-            if max(worker.first_listed_s, worker.last_report_s) >= requested_s:
+            if max(worker.first_listed_s, worker.last_report_s) > shown_s:
                 continue
             record = self.machines.get(worker.record.machine)
             if record is None:
--- a/tests/test_scheduling_lives.py
+++ b/tests/test_scheduling_lives.py
@@ -154,3 +154,50 @@
         fleet.answer(order, OUTCOMES.WRONG_WORKER)
         assert not fleet.w1.runs
         assert not fleet.w1.retired
+
+
+class TestOldLists:
+    """A list of machines may show a machine as it was a second ago."""
+
+    def running(self):
+        fleet = Lives()
+        fleet.accept([fleet.start_on_w1()])
+        return fleet
+
+    def list_as(self, fleet, state, worker_id, after_s):
+        """Returns the starts after a list that does not show w1."""
+        fleet.now_s += after_s
+        fleet.report("w22")
+        record = scheduling.MachineRecord(
+            "m1", scheduling_fixtures.POOL, state, "z", worker_id
+        )
+        fleet.scheduler.maintenance.observe_machines((record,), fleet.now_s)
+        return fleet.starts()
+
+    SIGHTS = (
+        (scheduling.MachineState.UP, "w0"),
+        (scheduling.MachineState.MOVING, ""),
+        (scheduling.MachineState.MAINTENANCE, ""),
+    )
+
+    @pytest.mark.parametrize(("state", "worker_id"), SIGHTS)
+    def test_a_list_that_may_be_older_than_the_worker(self, state, worker_id):
+        """Guards against a second run while the first goes on."""
+        fleet = self.running()
+        assert not self.list_as(fleet, state, worker_id, after_s=0.5)
+        assert not fleet.w1.retired
+
+    @pytest.mark.parametrize(("state", "worker_id"), SIGHTS)
+    def test_a_list_that_is_newer_than_the_worker(self, state, worker_id):
+        """Guards against runs that wait for the end of their lease."""
+        fleet = self.running()
+        (again,) = self.list_as(fleet, state, worker_id, after_s=1.2)
+        assert again.worker_id == "w22"
+
+    def test_a_list_soon_after_a_takeover(self):
+        """Guards against inherited tasks that start beside their runs."""
+        fleet = Lives(term=1)
+        fleet.scheduler.unfenced.add("w1")
+        up = scheduling.MachineState.UP
+        self.list_as(fleet, up, "w0", after_s=0.5)
+        assert fleet.scheduler.inherited_blocked()
