Ask a later life of a silent worker where its refused entry shows it

Callers wait: a worker that may have runs restarts at another address, and nobody answers at the former one. Its entry is refused, so the worker was not used, and inherited tasks did not start, until the leases of the former life had certainly ended.

Evidence: test_the_later_life_is_asked_for_its_runs failed before with `assert 1 == 2` (calls), test_inherited_tasks_wait_no_longer with `assert '10.0.0.2:80' == '10.0.0.9:80'`.

While the worker is silent, the controller also calls the address of the refused entry, one call at a time and beside the calls to the known address. A worker answers only orders that name it, so a report of the listed life shows that the former one has ended; the entry is then accepted. No other result of these calls changes anything, so an entry of another program costs calls only.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -5,6 +5,8 @@
 import math
 import time
 
+import attrs
+
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
@@ -92,6 +94,8 @@
         self.plan_requested = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
         self.hold_tasks: dict[str, asyncio.Task] = {}
+        # Workers with a call to the place of a refused entry under way.
+        self.asking_later_lives: set[str] = set()
         self.background_tasks: set[asyncio.Task] = set()
 
     def start(self) -> None:
@@ -391,8 +395,54 @@
             self.scheduler.observe_wrong_worker(order.worker_id, order.address)
         else:
             self.scheduler.observe_no_response(worker.worker_id, now_s)
+            self._ask_later_life(worker)
         await asyncio.sleep(UNRESPONSIVE_PAUSE_S)
 
+    def _ask_later_life(self, worker: scheduling.Worker) -> None:
+        """Starts a call to the place where a refused entry shows a worker.
+
+        It does not delay the calls to the known place: any program may have
+        written the entry, and calls to its address may not be answered.
+        """
+        later = worker.refused_record
+        if later is None or worker.worker_id in self.asking_later_lives:
+            return
+        self.asking_later_lives.add(worker.worker_id)
+        self.spawn(self._hold_later_life(worker, later))
+
+    async def _hold_later_life(
+        self, worker: scheduling.Worker, later: scheduling.WorkerRecord
+    ) -> None:
+        """Applies the report of a later life of a silent worker, if any.
+
+        A worker answers only orders that name it, so a report of this life
+        shows that the one before has ended. No other result shows anything.
+        """
+        try:
+            order = self.scheduler.hold_order(
+                worker, 0, platform.boot_time_s(), may_extend=False
+            )
+            order = attrs.evolve(order, address=later.address, last_seen=0)
+            result = await self.worker_client.hold(order)
+            if (
+                isinstance(result, scheduling.WorkerReport)
+                and result.start_time_ms == later.start_time_ms
+                and worker.refused_record is not None
+                and worker.refused_record.address == later.address
+            ):
+                self.scheduler.observe_report(
+                    worker.worker_id,
+                    result,
+                    order.token,
+                    platform.boot_time_s(),
+                )
+                self.committer.write_requested.set()
+                self.request_plan()
+        except Exception as error:
+            self.faults.observe_call("hold", worker.worker_id, error)
+        finally:
+            self.asking_later_lives.discard(worker.worker_id)
+
     # Orders.
 
     def request_plan(self) -> None:
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -5,6 +5,7 @@
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
+from baobabdoor.scheduling import _worker_events
 
 
 def observe_report(
@@ -103,6 +104,9 @@
                 _listed_runs(report),
             )
         worker.start_time_ms = report.start_time_ms
+        refused = worker.refused_record
+        if refused and refused.start_time_ms == report.start_time_ms:
+            _worker_events.follow_refused_entry(scheduler, worker)
     elif report.clock_ms < worker.reported_ms:
         # Responses on different connections may arrive out of order.
         return False
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -61,6 +61,8 @@
         self.capacity_outdated = False
         # Entry of a later life elsewhere, which its runs keep out.
         self.refused_record: _types.WorkerRecord | None = None
+        # Earliest time at which that life can have written it.
+        self.refused_written_s = -math.inf
         # When an entry that contradicts its runs was last put on record.
         self.entry_refused_s = -math.inf
         self.last_report_s = -1e9
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -35,7 +35,7 @@
     worker.refused_record = None
     moved = _has_moved(worker.record, record)
     if moved and not _may_move(scheduler, worker, record):
-        _refuse_entry(scheduler, worker, record, now_s)
+        _refuse_entry(scheduler, worker, record, now_s, written_s)
         return
     newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
     if moved or record.start_time_ms > newest_ms:
@@ -93,6 +93,7 @@
     worker: _worker.Worker,
     record: _types.WorkerRecord,
     now_s: float,
+    written_s: float,
 ) -> None:
     """Ignores an entry that another life of a worker with runs would have.
 
@@ -103,6 +104,7 @@
     worker.listed = False
     if record.start_time_ms > worker.start_time_ms:
         worker.refused_record = record
+        worker.refused_written_s = written_s
     if now_s - worker.entry_refused_s >= REFUSAL_INTERVAL_S:
         worker.entry_refused_s = now_s
         scheduler.emit(
@@ -132,7 +134,7 @@
     worker.listed = True
     worker.fenced = False
     worker.first_listed_s = max(worker.first_listed_s, scheduler.crashes.now_s)
-    worker.entry_s = -math.inf
+    worker.entry_s = worker.refused_written_s
 
 
 def check_capacity_age(scheduler, worker: _worker.Worker, now_s: float) -> bool:
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -465,6 +465,74 @@
         asyncio.run(scenario())
 
 
+class TestRefusedEntries:
+    """The list shows a later life of a silent worker at another address."""
+
+    ADDRESS = "10.0.0.9:80"
+
+    def call(self, result):
+        """Returns the worker after calls to its address and to the other."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            now_s = platform.boot_time_s()
+            for start_time_ms in (1, 2):
+                address = (
+                    {} if start_time_ms == 1 else {"address": self.ADDRESS}
+                )
+                record = scheduling_fixtures.record(
+                    "w1", start_time_ms=start_time_ms, **address
+                )
+                scheduler.observe_worker(record, now_s)
+                scheduler.workers["w1"].start_time_ms = 1
+                scheduler.unfenced.add("w1")
+            self.called = []
+
+            async def hold(order):
+                self.called.append(order)
+                if order.address == self.ADDRESS:
+                    return result
+                return scheduling.OrderResult(scheduling.OrderOutcome.UNKNOWN)
+
+            controller.worker_client.hold = hold
+            await controller._hold(scheduler.workers["w1"])
+            await asyncio.gather(*controller.background_tasks)
+            return controller
+
+        return asyncio.run(scenario())
+
+    def test_the_later_life_is_asked_for_its_runs(self):
+        """Guards against a wait until the leases of the former life end."""
+        report = scheduling.WorkerReport(1000, 2, (), ())
+        controller = self.call(report)
+        assert len(self.called) == 2
+        # Nothing is acknowledged or extended before that life is known.
+        assert not self.called[1].last_seen and not self.called[1].until_ms
+        assert not controller.scheduler.inherited_blocked()
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            scheduling.OrderOutcome.WRONG_WORKER,
+            scheduling.OrderOutcome.UNKNOWN,
+            scheduling.OrderOutcome.FENCED,
+        ],
+    )
+    def test_any_other_answer_changes_nothing(self, outcome):
+        """Guards against an entry of another program."""
+        controller = self.call(scheduling.OrderResult(outcome))
+        assert len(self.called) == 2
+        assert controller.scheduler.inherited_blocked()
+        assert not controller.scheduler.workers["w1"].retired
+        assert not controller.ended
+
+    def test_a_report_of_another_life_changes_nothing(self):
+        controller = self.call(scheduling.WorkerReport(1000, 3, (), ()))
+        assert controller.scheduler.inherited_blocked()
+
+
 class FailingClient(dispatch_fixtures.SilentClient):
     """Client whose calls raise for some workers, machines and steps.
 
--- a/tests/test_scheduling_lives.py
+++ b/tests/test_scheduling_lives.py
@@ -201,3 +201,42 @@
         up = scheduling.MachineState.UP
         self.list_as(fleet, up, "w0", after_s=0.5)
         assert fleet.scheduler.inherited_blocked()
+
+
+class TestReportElsewhere:
+    """A later life reports where its refused entry says."""
+
+    def test_inherited_tasks_wait_no_longer(self):
+        """Guards against a wait for the inherited bound at each such restart.
+
+        The entry is refused, and at the former address nobody answers.
+        """
+        fleet = Lives(term=1)
+        fleet.scheduler.unfenced.add("w1")
+        fleet.list_w1(address=NEXT_ADDRESS, machine="m9")
+        fleet.now_s += 0.1
+        fleet.report("w1", start_time_ms=2)
+        assert not fleet.scheduler.inherited_blocked()
+        assert fleet.w1.record.address == NEXT_ADDRESS
+        assert fleet.hold("w1").address == NEXT_ADDRESS
+
+    def test_it_is_used(self):
+        fleet = Lives()
+        fleet.accept([fleet.start_on_w1()])
+        fleet.list_w1(address=NEXT_ADDRESS)
+        fleet.running["w1"].clear()
+        for _ in range(2):
+            fleet.now_s += 0.1
+            fleet.report("w1", start_time_ms=2)
+            fleet.commit()
+        assert fleet.w1.usable(fleet.now_s)
+        assert fleet.w1.record.address == NEXT_ADDRESS
+
+    def test_an_entry_of_yet_another_life_is_not_followed(self):
+        """Guards against an entry of another program."""
+        fleet = Lives(term=1)
+        fleet.scheduler.unfenced.add("w1")
+        fleet.list_w1(address=NEXT_ADDRESS, start_time_ms=2**53)
+        fleet.now_s += 0.1
+        fleet.report("w1", start_time_ms=2)
+        assert fleet.w1.record.address == ADDRESS
