--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -469,8 +469,9 @@
             entries = {key: _decode_entries(content) for key, content in rows}
             rosters.append(_merge_rows(self.roster_entries | entries))
         for worker in self.scheduler.workers.values():
+            worker_id = worker.worker_id
             worker.stored_entries = tuple(
-                roster.get(worker.worker_id) for roster in rosters
+                [roster.get(worker_id) for roster in rosters]
             )
 
     async def _observe_conflict(self, conflict: platform.Conflict) -> None:
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -143,8 +143,8 @@
         where it lists them. So another life or address, or a write that may
         still remove the entry, needs a further write before the first start.
         """
-        entry = self.roster_entry
-        return all(stored == entry for stored in self.stored_entries)
+        stored = self.stored_entries
+        return stored.count(self.roster_entry) == len(stored)
 
     @enrolled.setter
     def enrolled(self, enrolled: bool) -> None:
