--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -490,7 +490,8 @@
                 scheduler.unfenced.add("w1")
             self.called = []
 
-            async def hold(order):
+            async def hold(order, permit=None):
+                del permit
                 self.called.append(order)
                 if order.address == self.ADDRESS:
                     return result
