--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -248,13 +248,13 @@
             worker = self.workers.get(task.run.worker_id) if task.run else None
             if worker is not None and worker.responsive(now_s):
                 return True
-        enrolled = [
+        listed = [
             worker
             for worker in self.workers.values()
-            if worker.enrolled and worker.listed and not worker.retired
+            if worker.maybe_enrolled and worker.listed and not worker.retired
         ]
-        return bool(enrolled) and all(
-            worker.responsive(now_s) for worker in enrolled
+        return any(worker.enrolled for worker in listed) and all(
+            worker.responsive(now_s) for worker in listed
         )
 
     def pool_jobs(self, pool: str) -> Iterator[tuple[_job.Job, _types.Queue]]:
@@ -407,15 +407,18 @@
         They may get or have runs, or list ends whose effect is not stored.
         """
         for worker in self.workers.values():
-            usable = worker.fenced and worker.listed and not worker.retired
             if (
-                usable
+                _may_get_runs(worker)
                 or worker.runs
                 or worker.unsaved_ends
                 or worker.worker_id in self.unfenced
             ):
                 yield worker
 
+    def awaits_enrollment(self, worker: _worker.Worker) -> bool:
+        """Returns whether a worker gets starts after a write of the roster."""
+        return _may_get_runs(worker) and not worker.enrolled
+
     def observe_worker(
         self,
         record: _types.WorkerRecord,
@@ -436,6 +439,7 @@
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.listed = False
+            worker.refused_record = None
 
     def observe_report(
         self,
@@ -470,14 +474,27 @@
         if worker is not None:
             worker.observe_no_response(now_s)
 
-    def observe_wrong_worker(self, worker_id: str) -> None:
-        """Retires a worker at whose address another worker responds."""
-        self.retire_worker(worker_id, "replaced", crashed=True)
+    def observe_wrong_worker(
+        self, worker_id: str, address: str | None = None
+    ) -> None:
+        """Retires a worker at whose address another worker responds.
+
+        Args:
+            worker_id: The worker.
+            address: Address that the order was sent to; `None` for its current
+                one. What responds at a former address says nothing of it.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is not None and address in (None, worker.record.address):
+            self.retire_worker(worker_id, "replaced", crashed=True)
 
     def retire_worker(
         self, worker_id: str, reason: str, crashed: bool = False
     ) -> None:
-        """Marks a worker as certainly terminated and releases its runs.
+        """Releases the runs of a life of a worker that has certainly ended.
+
+        The worker is retired, unless the list shows a later life of it
+        elsewhere: that the known life has ended says nothing of that one.
 
         Args:
             worker_id: The worker.
@@ -495,11 +512,14 @@
                 runs=len(worker.runs),
                 unfenced=worker_id in self.unfenced,
             )
-            worker.retired = True
-            self.unfenced.discard(worker_id)
             if crashed:
                 self.crashes.observe_crash(worker)
             self.release_all_runs(worker, f"worker {reason}")
+            if worker.refused_record is not None:
+                _worker_events.follow_refused_entry(self, worker)
+            else:
+                worker.retired = True
+                self.unfenced.discard(worker_id)
 
     def revive_worker(self, worker_id: str) -> None:
         """Reverses the retirement of a worker that still runs."""
@@ -707,3 +727,8 @@
         """Returns and clears the events since the last call."""
         events, self.events = self.events, []
         return events
+
+
+def _may_get_runs(worker: _worker.Worker) -> bool:
+    """Returns whether a worker may get starts once it is enrolled."""
+    return worker.fenced and worker.listed and not worker.retired
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -32,9 +32,10 @@
         scheduler.workers[record.worker_id] = worker
         scheduler.fencing.add(worker)
         return
+    worker.refused_record = None
     moved = _has_moved(worker.record, record)
     if moved and not _may_move(scheduler, worker, record):
-        _refuse_entry(scheduler, worker, record, now_s)
+        _refuse_entry(scheduler, worker, record, now_s, written_s)
         return
     newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
     if moved or record.start_time_ms > newest_ms:
@@ -92,6 +93,7 @@
     worker: _worker.Worker,
     record: _types.WorkerRecord,
     now_s: float,
+    written_s: float,
 ) -> None:
     """Ignores an entry that another life of a worker with runs would have.
 
@@ -100,6 +102,9 @@
     the worker is called where it reported, and gets no starts.
     """
     worker.listed = False
+    if record.start_time_ms > worker.start_time_ms:
+        worker.refused_record = record
+        worker.refused_written_s = written_s
     if now_s - worker.entry_refused_s >= REFUSAL_INTERVAL_S:
         worker.entry_refused_s = now_s
         scheduler.emit(
@@ -112,6 +117,26 @@
         )
 
 
+def follow_refused_entry(scheduler, worker: _worker.Worker) -> None:
+    """Expects a worker where the list shows a later life of it.
+
+    The life that kept the entry out has ended and its runs are released. The
+    later one may have runs of earlier terms, so they are still waited for.
+    """
+    scheduler.emit(
+        "worker_followed",
+        worker=worker.worker_id,
+        address=worker.refused_record.address,
+        machine=worker.refused_record.machine,
+        born_ms=worker.refused_record.start_time_ms,
+    )
+    worker.record, worker.refused_record = worker.refused_record, None
+    worker.listed = True
+    worker.fenced = False
+    worker.first_listed_s = max(worker.first_listed_s, scheduler.crashes.now_s)
+    worker.entry_s = worker.refused_written_s
+
+
 def check_capacity_age(scheduler, worker: _worker.Worker, now_s: float) -> bool:
     """Returns whether a worker's capacity is recent enough for a start.
 
