Wait for orders under way before a machine listed as down ends other runs

The list of machines ended the wait for a worker of earlier terms a second after the start of the term. A start of the leader before may then still be under way to a next life of that worker (TWICE). Runs whose start had no answer, on the other hand, were kept for up to 8.75 s although the list showed later that the machine was down, longer than a task may wait that could run (LOST).

Both now end once the list certainly shows the machine as it was after ORDER_LIFETIME_S from the last order that may reach it: whichever life got it has ended. A worker that the list of workers shows elsewhere is still asked. test_a_list_that_may_be_older_than_an_order_ends_no_wait and test_a_start_that_no_longer_arrives_is_repeated failed before.

--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -3,6 +3,7 @@
 import math
 
 from baobabdoor.scheduling import _crashes
+from baobabdoor.scheduling import _lease
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
@@ -220,8 +221,9 @@
 ) -> None:
     """Releases the runs of a worker whose machine is listed as down.
 
-    A start that has not been confirmed may still arrive at the worker's next
-    incarnation, so its run is kept until that is seen or its lease expires.
+    While an order is under way, it may still arrive at the worker's next
+    incarnation, so runs that are not confirmed and those of earlier terms are
+    kept until the list certainly shows the machine as it was later.
 
     Args:
         scheduler: The scheduler.
@@ -229,19 +231,25 @@
         requested_s: Time of the request for the list.
     """
     known_s = max(worker.first_listed_s, worker.last_report_s, worker.heard_s)
-    if known_s >= requested_s - _crashes.LISTING_DELAY_S:
+    shown_s = requested_s - _crashes.LISTING_DELAY_S
+    if known_s >= shown_s:
         # The list may show the machine as it was before the worker's start,
         # or before its next incarnation confirmed a start.
         return
-    # Nothing of an earlier term runs there any more.
-    scheduler.unfenced.discard(worker.worker_id)
-    confirmed = [run for run in worker.runs.values() if run.confirmed]
-    if not confirmed:
+    arrived_s = shown_s - _lease.ORDER_LIFETIME_S
+    if worker.refused_record is None and scheduler.started_s < arrived_s:
+        scheduler.unfenced.discard(worker.worker_id)
+    ended = [
+        run
+        for run in worker.runs.values()
+        if run.confirmed or worker.lease.extended_s < arrived_s
+    ]
+    if not ended:
         return
     emit_lost_runs(scheduler, worker, "machine down")
     scheduler.crashes.observe_crash(worker)
     worker.observe_no_response(requested_s)
-    for run in confirmed:
+    for run in ended:
         scheduler.release_run(worker, run, "machine down")
 
 
--- a/tests/test_scheduling_leases.py
+++ b/tests/test_scheduling_leases.py
@@ -308,6 +308,17 @@
 
 class TestMachinesListedAsDown:
 
+    def observe_down(self, term, model, requested_s):
+        down = scheduling.MachineRecord(
+            model.record.machine,
+            scheduling_fixtures.POOL,
+            scheduling.MachineState.DOWN,
+            "z",
+            "",
+        )
+        term.scheduler.maintenance.observe_machines((down,), requested_s)
+        term.step()
+
     def starts_after_takeover(self, requested_s):
         """Returns whether the next leader starts a task of a lost machine.
 
@@ -320,22 +331,40 @@
         workers.silent.add(worker_id)
         model = workers.models[worker_id]
         model.runs.clear()
-        successor.advance(2.0)
-        down = scheduling.MachineRecord(
-            model.record.machine,
-            scheduling_fixtures.POOL,
-            scheduling.MachineState.DOWN,
-            "z",
-            "",
-        )
-        successor.scheduler.maintenance.observe_machines(
-            (down,), successor.scheduler.started_s + requested_s
+        successor.advance(4.0)
+        self.observe_down(
+            successor, model, successor.scheduler.started_s + requested_s
         )
-        successor.step()
         return successor.task.run is not None
 
     def test_inherited_tasks_do_not_wait_for_a_crashed_machine(self):
-        assert self.starts_after_takeover(1.2)
+        assert self.starts_after_takeover(3.6)
+
+    def test_a_list_that_may_be_older_than_an_order_ends_no_wait(self):
+        assert not self.starts_after_takeover(3.4)
 
-    def test_a_list_that_may_be_older_than_the_term_ends_no_wait(self):
-        assert not self.starts_after_takeover(0.5)
+    def starts_after_unanswered_start(self, requested_s):
+        """Returns whether a task starts again whose start had no answer.
+
+        Args:
+            requested_s: Time between its start and the request for a list that
+                shows the machine as down.
+        """
+        workers = Workers("w1", "w2")
+        term = Term(workers)
+        term.advance(0.5)
+        term.submit(JOB, [scheduling.StepSpec(1, cpu_milli=1000)])
+        (order,) = term.starts()
+        ordered_s = term.now_s
+        workers.silent.add(order.worker_id)
+        term.send(order)
+        term.advance(4.0)
+        model = workers.models[order.worker_id]
+        self.observe_down(term, model, ordered_s + requested_s)
+        return term.task.run.worker_id != order.worker_id
+
+    def test_a_start_that_no_longer_arrives_is_repeated(self):
+        assert self.starts_after_unanswered_start(3.6)
+
+    def test_a_start_that_may_still_arrive_is_not_repeated(self):
+        assert not self.starts_after_unanswered_start(3.4)
