Require the address of a 421 in the scheduler

A caller without the address would let an answer of a former address end the runs of a later life. Fixtures pass the address that they mean; the walks with orders under way pass that of the order, as the controller does.

--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -474,18 +474,16 @@
         if worker is not None:
             worker.observe_no_response(now_s)
 
-    def observe_wrong_worker(
-        self, worker_id: str, address: str | None = None
-    ) -> None:
+    def observe_wrong_worker(self, worker_id: str, address: str) -> None:
         """Retires a worker at whose address another worker responds.
 
         Args:
             worker_id: The worker.
-            address: Address that the order was sent to; `None` for its current
-                one. What responds at a former address says nothing of it.
+            address: Address that the order was sent to. What responds at a
+                former address says nothing of it.
         """
         worker = self.workers.get(worker_id)
-        if worker is not None and address in (None, worker.record.address):
+        if worker is not None and address == worker.record.address:
             self.retire_worker(worker_id, "replaced", crashed=True)
 
     def retire_worker(
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -45,7 +45,9 @@
             self.advance(1.0)
         for worker_id in worker_ids:
             self.scheduler.observe_unlisted(worker_id)
-            self.scheduler.observe_wrong_worker(worker_id)
+            self.scheduler.observe_wrong_worker(
+                worker_id, self.scheduler.workers[worker_id].record.address
+            )
             place, _, life = worker_id.partition(".")
             self.add_worker(f"{place}.{int(life) + 1}")
 
--- a/tests/test_dispatch_roster.py
+++ b/tests/test_dispatch_roster.py
@@ -155,7 +155,7 @@
         starts = term.starts()
         following = NextTerm(term)
         following.list("w1", 2, address=NEXT_ADDRESS)
-        following.scheduler.observe_wrong_worker("w1")
+        following.scheduler.observe_wrong_worker("w1", ADDRESS)
         starts += following.starts()
         assert len(starts) <= 1
 
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -329,7 +329,9 @@
             self.fall_silent(fleet, worker)
             fleet.advance(2)
             self.list_machine(fleet, worker, scheduling.MachineState.UP)
-            fleet.scheduler.observe_wrong_worker(worker.worker_id)
+            fleet.scheduler.observe_wrong_worker(
+                worker.worker_id, worker.record.address
+            )
 
         assert self.crashes_after(crash_behind_partition) == 0
 
--- a/tests/test_scheduling_in_flight.py
+++ b/tests/test_scheduling_in_flight.py
@@ -79,7 +79,7 @@
         elif result.outcome is OUTCOMES.FENCED:
             self.scheduler.observe_fenced(order)
         elif result.outcome is OUTCOMES.WRONG_WORKER:
-            self.scheduler.observe_wrong_worker(order.worker_id)
+            self.scheduler.observe_wrong_worker(order.worker_id, order.address)
         else:
             self.scheduler.observe_no_response(order.worker_id, now_s)
 
