--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -31,6 +31,7 @@
 
 SECONDS = 60
 SEEDS = range(60)
+MAX_PLANTED_SEEDS = 120
 OUTCOMES = scheduling.OrderOutcome
 # Time for which the first life of a worker has run.
 OLD_LIFE_S = 3600.0
@@ -44,9 +45,10 @@
 ORDER_TIMEOUT_RANGE_S = (0.45, 1.2)
 HOLD_TIMEOUT_RANGE_S = (0.6, 1.8)
 SLOW_SHARE = 0.2
-# Share of the orders with a lease that are under way while their worker
-# restarts, and of these the share whose answer is lost.
-CROSSING_SHARE = 0.015
+# Shares of the holds with a lease and of the starts that are under way while
+# their worker restarts, and of these the share whose answer is lost.
+CROSSING_HOLD_SHARE = 0.012
+CROSSING_START_SHARE = 0.06
 LOST_ANSWER_SHARE = 0.4
 # Share of the unanswered starts among these after which the worker is silent.
 LOST_START_SILENCE_SHARE = 0.5
@@ -55,6 +57,11 @@
 CUT_TERM_END_SHARE = 0.5
 CUT_SILENCE_SHARE = 0.6
 CUT_DELAY_RANGE_S = (0.2, 1.2)
+# Share of the starts under a lease that was cut within this time after which
+# the term ends without a wait for its heartbeat, with the time until then.
+CUT_START_TERM_END_SHARE = 0.4
+CUT_START_S = 1.5
+CUT_START_DELAY_RANGE_S = (0.0, 0.4)
 # Maximum time until the next job after a cut lease, which finds its worker
 # empty.
 CUT_SUBMIT_S = 0.3
@@ -62,8 +69,8 @@
 # silent after their first report to a new leader.
 CUT_LEASE_S = 6.0
 CUT_FIRST_SILENCE_SHARE = 0.8
-CUT_UNHEARD_SHARE = 0.3
-CUT_SILENCE_RANGE_S = (4.0, MAX_SILENCE_S)
+CUT_UNHEARD_SHARE = 0.4
+CUT_SILENCE_RANGE_S = (5.0, MAX_SILENCE_S)
 # Shares of restarts at another address, and of the former addresses that
 # another worker takes, with the maximum time until then.
 MOVE_SHARE = 0.4
@@ -82,7 +89,7 @@
 # Shares of silences in which only the answers are lost, of terms that begin
 # while the store is slow, and of time steps with a transaction.
 LOST_ANSWERS_SHARE = 0.4
-SLOW_STORE_SHARE = 0.2
+SLOW_STORE_SHARE = 0.3
 COMMIT_SHARES = (0.05, 0.05, 0.4, 1.0)
 # Share of releases whose answer is lost.
 LOST_RELEASE_SHARE = 0.4
@@ -95,8 +102,8 @@
 LOSS_CHANGE_RATE = 0.02
 SUBMIT_RATE = 0.02
 # Share of runs that outlast a lease, and bounds of their duration.
-LONG_RUN_SHARE = 0.7
-LONG_RUN_RANGE_S = (4.0, 15.0)
+LONG_RUN_SHARE = 0.8
+LONG_RUN_RANGE_S = (6.0, 15.0)
 
 
 class LeaseLeader(test_scheduling_in_flight.InFlightLeader):
@@ -111,10 +118,11 @@
         self.release_asked_s = None
         self.end_s = math.inf
         self.loaded_s = walk.now_s + rng.choice((0, rng.uniform(0, 0.5)))
+        self.slow_until_s = 0.0
         if rng.random() < SLOW_STORE_SHARE:
             self.confirmed_s -= rng.uniform(0.0, dispatch.EXTEND_WINDOW_S)
+            self.slow_until_s = walk.now_s + rng.uniform(0.0, 2.5)
         self.commit_share = rng.choice(COMMIT_SHARES)
-        self.slow_until_s = 0.0
 
     def step(self, current):
         walk, scheduler = self.walk, self.scheduler
@@ -320,10 +328,10 @@
 
     # Orders.
 
-    def silence(self, leader, worker_id, delay_s=0.0):
+    def silence(self, leader, worker_id, delay_s=0.0, is_long=False):
         """Makes a worker silent towards one leader for some time."""
         rng = self.lease_random
-        cut = self.has_cut_lease(worker_id)
+        cut = is_long or self.has_cut_lease(worker_id)
         from_s = self.now_s + delay_s
         until_s = from_s + rng.uniform(
             *(CUT_SILENCE_RANGE_S if cut else SILENCE_RANGE_S)
@@ -358,7 +366,7 @@
             if rng.random() < LOST_ANSWER_SHARE:
                 return_s = math.inf
                 if not hold and rng.random() < LOST_START_SILENCE_SHARE:
-                    self.silence(leader, order.worker_id)
+                    self.silence(leader, order.worker_id, is_long=True)
             self.note(f"leader {leader.number} has an order under way")
             self.add_worker(order.worker_id)
         answered = not silent and transit_s + return_s < timeout_s
@@ -381,9 +389,12 @@
 
     def _restarts_under(self, order):
         """Returns whether a worker restarts while an order is under way."""
-        extends = getattr(order, "until_ms", 0) > 0
+        if not getattr(order, "until_ms", 0):
+            return False
+        hold = isinstance(order, scheduling.HoldOrder)
+        share = CROSSING_HOLD_SHARE if hold else CROSSING_START_SHARE
         known = order.worker_id in self.workers
-        return extends and known and self.lease_random.random() < CROSSING_SHARE
+        return known and self.lease_random.random() < share
 
     def _after_transit(self, delay_s, action):
         if delay_s:
@@ -407,15 +418,29 @@
                 f"{order.worker_id} start {order.task} run {order.run_id} "
                 f"token {order.token}: {result.outcome.value}"
             )
-            self._kill_leader_with_stale_roster(model)
+            if result.outcome is OUTCOMES.ACCEPTED:
+                self._end_term_after_start(model)
         return result
 
-    def _kill_leader_with_stale_roster(self, model):
-        stored = self.roster.get(model.record.worker_id)
+    def _end_term_after_start(self, model):
+        """Often ends the term if the next leader may misjudge the run."""
+        rng = self.lease_random
+        leader = self.leaders[-1]
+        worker_id = model.record.worker_id
+        stored = self.roster.get(worker_id)
         stale = stored is None or stored.address != model.record.address
-        if stale and self.lease_random.random() < STALE_ROSTER_KILL_SHARE:
+        cut_ago_s = self.now_s - self.cut_s.get(worker_id, -math.inf)
+        if stale and rng.random() < STALE_ROSTER_KILL_SHARE:
             self.stale_kills += 1
-            self._end_term_of(self.leaders[-1], "kill")
+            self._end_term_of(leader, "kill")
+            return
+        soon = cut_ago_s < CUT_START_S
+        if soon and rng.random() < CUT_START_TERM_END_SHARE:
+            kind = rng.choice(("release", "kill"))
+            self.after(
+                rng.uniform(*CUT_START_DELAY_RANGE_S),
+                lambda: self._end_term_of(leader, kind),
+            )
 
     def has_cut_lease(self, worker_id):
         """Returns whether a worker may still have a lease that it has cut."""
@@ -481,7 +506,8 @@
         else:
             leader.stopped = True
             # The next process on the same machine does not wait.
-            self.succeed_at(self.now_s + rng.uniform(0.3, timeout_s))
+            wait_s = rng.choice((rng.uniform(0.2, 0.5), timeout_s))
+            self.succeed_at(self.now_s + wait_s)
 
     def _change_leader_if_due(self):
         rng = self.lease_random
@@ -581,6 +607,83 @@
         assert walk.oracle.starts > 20
 
 
+def without_longest_lease(scheduler, applies):
+    """Assumes no longest lease at the reports to which this applies."""
+    observe = scheduler.observe_report
+
+    def patched(worker_id, report, token, now_s):
+        worker = scheduler.workers.get(worker_id)
+        planted = worker is not None and applies(worker, report)
+        if planted:
+            worker.lease.assume_longest = lambda now_s: None
+        observe(worker_id, report, token, now_s)
+        if planted:
+            del worker.lease.assume_longest
+
+    scheduler.observe_report = patched
+
+
+def is_of_known_life(worker, report):
+    return report.start_time_ms == worker.start_time_ms
+
+
+def assume_no_lease_at_the_first_report(scheduler):
+    """Counts no lease that leaders before have extended."""
+    without_longest_lease(
+        scheduler,
+        lambda worker, report: is_of_known_life(worker, report)
+        and worker.first_report_s == -math.inf,
+    )
+
+
+def assume_no_lease_after_a_restart(scheduler):
+    """Counts no lease that orders to the life before have extended."""
+    without_longest_lease(
+        scheduler,
+        lambda worker, report: not is_of_known_life(worker, report)
+        or worker.first_report_s > -math.inf,
+    )
+
+
+def release_unanswered_starts_with_the_lease(scheduler):
+    """Takes an unanswered start as ended with the lease of its worker."""
+    observe = scheduler.observe_worker
+
+    def patched(record, now_s, written_s=-math.inf):
+        observe(record, now_s, written_s)
+        worker = scheduler.workers[record.worker_id]
+        worker.run_has_ended = lambda run, now_s: worker.lease.has_ended(now_s)
+
+    scheduler.observe_worker = patched
+
+
+def wait_only_for_requested_leases(scheduler):
+    """Reckons with no longer lease of earlier terms than they request."""
+    lease_s = scheduling.LEASE_S
+    scheduler.inherited_until_s = scheduler.started_s + (
+        dispatch.inherited_bound_s(lease_s)
+    )
+
+
+PLANTED = (
+    assume_no_lease_at_the_first_report,
+    assume_no_lease_after_a_restart,
+    release_unanswered_starts_with_the_lease,
+    wait_only_for_requested_leases,
+)
+
+
+class TestPlantedFaults:
+
+    @pytest.mark.parametrize("plant", PLANTED)
+    def test_the_walk_rejects_a_planted_fault(self, plant):
+        for seed in range(MAX_PLANTED_SEEDS):
+            violations = LeaseWalk(seed, plant).run(SECONDS)
+            if violations and violations[0].rule in ("STARTABLE", "TWICE"):
+                return
+        pytest.fail(f"not found in {MAX_PLANTED_SEEDS} walks")
+
+
 class TestTraces:
     """The shortest orders of events behind violations that walks have found."""
 
