--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Sequence
 import json
 import zlib
@@ -83,8 +82,10 @@
         self.on_lost = on_lost
         self.metrics = metrics
         self.roster: dict[str, _transactions.Document] = {}
-        # Workers listed in the stored roster.
-        self.enrolled: set[str] = set()
+        # Entries of the last confirmed roster, by row and by worker.
+        self.roster_entries: dict[str, dict[str, tuple]] = {}
+        # Transaction that awaits its answer.
+        self.writing: _transactions.Transaction | None = None
         self.waves: dict[int, _transactions.Document] = {}
         self.write_requested = asyncio.Event()
         self.committed = asyncio.Event()
@@ -98,6 +99,9 @@
         # changes, so that the next one follows without a pause.
         self.backlog = False
         self.releasing = False
+        # Whether the store may have applied a release, or may still do so.
+        # Another leader may then take over at any moment.
+        self.release_possible = False
         self.released = asyncio.Event()
 
     async def run(self) -> None:
@@ -117,8 +121,9 @@
                 if not self.backlog:
                     await asyncio.sleep(RETRY_DELAY_S)
             unsaved = self.scheduler.dirty or self.sequence.unresolved
-            if self.releasing and not unsaved:
-                await self._release()
+            if self.releasing and not unsaved and not await self._release():
+                self.write_requested.set()
+                await asyncio.sleep(RETRY_DELAY_S)
 
     async def wait_committed(self, timeout_s: float) -> None:
         """Waits for the next confirmed transaction."""
@@ -132,19 +137,17 @@
         self.committed.set()
         self.committed = asyncio.Event()
 
-    def _desired_roster(self) -> dict[str, dict[str, list]]:
+    @property
+    def enrolled(self) -> dict[str, tuple]:
+        """Workers in the last confirmed roster, with their entries."""
+        return _merge_rows(self.roster_entries)
+
+    def _desired_roster(self) -> dict[str, dict[str, tuple]]:
         """Returns entries of the workers to enroll, by roster row."""
-        desired: dict[str, dict[str, list]] = {key: {} for key in self.roster}
+        desired: dict[str, dict[str, tuple]] = {key: {} for key in self.roster}
         for worker in self.scheduler.workers_to_enroll():
-            record = worker.record
-            key = roster_shard_key(record.worker_id)
-            desired.setdefault(key, {})[record.worker_id] = [
-                record.address,
-                record.pool,
-                record.zone,
-                worker.start_time_ms,
-                record.machine,
-            ]
+            key = roster_shard_key(worker.worker_id)
+            desired.setdefault(key, {})[worker.worker_id] = worker.roster_entry
         return desired
 
     def _changed_documents(
@@ -186,7 +189,9 @@
         # An unreadable row is replaced once its workers have no runs.
         document.content, document.version = b"", row.version
         entries = json.loads(row.value)
-        self.enrolled |= entries.keys()
+        self.roster_entries[row.key] = {
+            worker_id: _as_tuple(entry) for worker_id, entry in entries.items()
+        }
         document.content = row.value
         return entries
 
@@ -203,7 +208,13 @@
         if transaction is None:
             return True
         dirty_count = len(self.scheduler.dirty)
-        answer = await self._transact(transaction)
+        self.writing = transaction
+        if transaction.documents:
+            self._observe_roster()
+        try:
+            answer = await self._transact(transaction)
+        finally:
+            self.writing = None
         if isinstance(answer, platform.Commit):
             self.backlog = len(transaction.jobs) < dirty_count
             self._observe_latency(transaction.sent_s)
@@ -217,6 +228,7 @@
             await self._observe_conflict(answer)
         else:
             self._observe_refusal(answer)
+        self._observe_roster()
         return False
 
     def _next_transaction(self) -> _transactions.Transaction | None:
@@ -225,7 +237,9 @@
         limit = _document_limit(snapshot.jobs if snapshot else ())
         documents = self._changed_documents(limit)
         now_s = platform.boot_time_s()
-        heartbeat_due = (
+        # Leases are not extended while a release may be applied, so the next
+        # leader has to take over before they expire.
+        heartbeat_due = not self.release_possible and (
             now_s - self.confirmed_s >= _election.HEARTBEAT_INTERVAL_S * 0.8
         )
         # An unresolved transaction could still be applied after its changes
@@ -422,27 +436,57 @@
     def _confirm_documents(
         self, written: list[tuple[_transactions.Document, bytes]]
     ) -> None:
-        if any(document.table == ROSTER_TABLE for document, _ in written):
-            previous = self.enrolled
-            self.enrolled = {
-                worker_id
-                for document in self.roster.values()
-                for worker_id in _enrolled_workers(document.content)
-            }
-            if removed := previous - self.enrolled:
+        changed = {
+            document.key: _decode_entries(content)
+            for document, content in written
+            if document.table == ROSTER_TABLE
+        }
+        if changed:
+            previous = self.enrolled.keys()
+            self.roster_entries |= changed
+            if removed := previous - self.enrolled.keys():
                 LOG.info("roster_shrunk", removed=" ".join(sorted(removed)))
-        for worker in self.scheduler.workers.values():
-            worker.enrolled = worker.worker_id in self.enrolled
+        self._observe_roster()
         for number, plan in self.scheduler.maintenance.plans.items():
             content = self.wave_document(number).content
             if content:
                 plan.mark_saved(content)
 
+    def _observe_roster(self) -> None:
+        """Records which entries of each worker the store may have.
+
+        A transaction that awaits its answer, or whose result is not known, may
+        be applied at any time.
+        """
+        open_transactions = [*self.sequence.unresolved]
+        if self.writing is not None:
+            open_transactions.append(self.writing)
+        # Repeated transactions mostly write the same rows.
+        written = {
+            tuple(
+                (document.key, content)
+                for document, content in transaction.documents
+                if document.table == ROSTER_TABLE
+            )
+            for transaction in open_transactions
+        }
+        rosters = [self.enrolled]
+        for rows in written - {()}:
+            entries = {key: _decode_entries(content) for key, content in rows}
+            rosters.append(_merge_rows(self.roster_entries | entries))
+        for worker in self.scheduler.workers.values():
+            worker_id = worker.worker_id
+            worker.stored_entries = tuple(
+                [roster.get(worker_id) for roster in rosters]
+            )
+
     async def _observe_conflict(self, conflict: platform.Conflict) -> None:
         current = {(row.table, row.key): row for row in conflict.rows}
         leader = self.leader_row()
         stored = current.get((leader.table, leader.key))
         if stored is not None and stored.version != leader.version:
+            # After a release without an answer, the row may show that one.
+            self.released.set()
             self.on_lost("another leader was elected")
             return
         LOG.info("commit_conflict", rows=len(conflict.rows))
@@ -481,7 +525,13 @@
             ):
                 self._notify_committed()
 
-    async def _release(self) -> None:
+    async def _release(self) -> bool:
+        """Releases the term; returns whether it has ended.
+
+        A release without an answer may be applied seconds later, so it counts
+        until the end of the term. Its repetition shows whether it was applied:
+        the leader's row has changed then.
+        """
         released = attrs.evolve(self.leader, released=True)
         row = platform.StoredRow(
             _election.TABLE,
@@ -489,13 +539,25 @@
             _election.LEADER_KEY,
             released.encode(),
         )
-        answer = await self.store.transact([row], (), [self.leader_row()])
+        earlier_possible = self.release_possible
+        self.release_possible = True
+        answer = await self.store.transact(
+            [row], (), [self.leader_row()], timeout_s=self.timeout_s
+        )
         if isinstance(answer, base.Refusal):
-            LOG.warning("release_unanswered", reason=str(answer))
-            return
+            self.release_possible = earlier_possible or _is_unknown(answer)
+            LOG.warning(
+                "release_unanswered"
+                if _is_unknown(answer)
+                else "release_refused",
+                token=self.leader.token,
+                reason=str(answer),
+            )
+            return False
         LOG.info("tenure_released", token=self.leader.token)
         self.released.set()
         self.on_lost("released")
+        return True
 
 
 def _document_limit(jobs: Sequence) -> int:
@@ -504,16 +566,23 @@
     return rows - len(jobs)
 
 
-def _enrolled_workers(content: bytes) -> Iterable[str]:
-    """Returns the workers that a roster row lists.
+def _decode_entries(content: bytes) -> dict[str, tuple]:
+    """Returns the entries of a roster row of this term by worker."""
+    entries = json.loads(content)
+    return {worker_id: tuple(entry) for worker_id, entry in entries.items()}
 
-    A row that cannot be read lists none; it was logged when it was loaded.
-    """
-    try:
-        entries = json.loads(content)
-    except (RecursionError, ValueError):
-        return ()
-    return entries if isinstance(entries, dict) else ()
+
+def _merge_rows(rows: dict[str, dict[str, tuple]]) -> dict[str, tuple]:
+    """Returns the entries of all roster rows by worker."""
+    merged: dict[str, tuple] = {}
+    for entries in rows.values():
+        merged |= entries
+    return merged
+
+
+def _as_tuple(entry: object) -> tuple:
+    """Returns a stored entry; that of another program may be of any type."""
+    return tuple(entry) if isinstance(entry, list) else ()
 
 
 def unreadable_roster_mark(key: str) -> str:
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -5,6 +5,8 @@
 import math
 import time
 
+import attrs
+
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
@@ -92,6 +94,8 @@
         self.plan_requested = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
         self.hold_tasks: dict[str, asyncio.Task] = {}
+        # Workers with a call to the place of a refused entry under way.
+        self.asking_later_lives: set[str] = set()
         self.background_tasks: set[asyncio.Task] = set()
 
     def start(self) -> None:
@@ -363,16 +367,19 @@
             worker,
             wait_ms,
             platform.boot_time_s(),
-            self._confirmed_age_s() < _election.EXTEND_WINDOW_S,
+            self.may_extend(),
         )
-        result = await self.worker_client.hold(order)
+        # A hold without a lease still lists ended runs.
+        permit = self.may_extend if order.until_ms else None
+        result = await self.worker_client.hold(order, permit)
         now_s = platform.boot_time_s()
         if isinstance(result, scheduling.WorkerReport):
             fenced = worker.fenced
             self.scheduler.observe_report(
                 worker.worker_id, result, order.token, now_s
             )
-            if not fenced or worker.token_outdated:
+            enroll = self.scheduler.awaits_enrollment(worker)
+            if not fenced or worker.token_outdated or enroll:
                 self.committer.write_requested.set()
             self.request_plan()
             if worker.processed > processed:
@@ -387,11 +394,57 @@
             if self.scheduler.fenced_off:
                 self.end(f"fenced by {worker.worker_id}")
         elif result.outcome is OUTCOMES.WRONG_WORKER:
-            self.scheduler.observe_wrong_worker(worker.worker_id)
+            self.scheduler.observe_wrong_worker(order.worker_id, order.address)
         else:
             self.scheduler.observe_no_response(worker.worker_id, now_s)
+            self._ask_later_life(worker)
         await asyncio.sleep(UNRESPONSIVE_PAUSE_S)
 
+    def _ask_later_life(self, worker: scheduling.Worker) -> None:
+        """Starts a call to the place where a refused entry shows a worker.
+
+        It does not delay the calls to the known place: any program may have
+        written the entry, and calls to its address may not be answered.
+        """
+        later = worker.refused_record
+        if later is None or worker.worker_id in self.asking_later_lives:
+            return
+        self.asking_later_lives.add(worker.worker_id)
+        self.spawn(self._hold_later_life(worker, later))
+
+    async def _hold_later_life(
+        self, worker: scheduling.Worker, later: scheduling.WorkerRecord
+    ) -> None:
+        """Applies the report of a later life of a silent worker, if any.
+
+        A worker answers only orders that name it, so a report of this life
+        shows that the one before has ended. No other result shows anything.
+        """
+        try:
+            order = self.scheduler.hold_order(
+                worker, 0, platform.boot_time_s(), may_extend=False
+            )
+            order = attrs.evolve(order, address=later.address, last_seen=0)
+            result = await self.worker_client.hold(order)
+            if (
+                isinstance(result, scheduling.WorkerReport)
+                and result.start_time_ms == later.start_time_ms
+                and worker.refused_record is not None
+                and worker.refused_record.address == later.address
+            ):
+                self.scheduler.observe_report(
+                    worker.worker_id,
+                    result,
+                    order.token,
+                    platform.boot_time_s(),
+                )
+                self.committer.write_requested.set()
+                self.request_plan()
+        except Exception as error:
+            self.faults.observe_call("hold", worker.worker_id, error)
+        finally:
+            self.asking_later_lives.discard(worker.worker_id)
+
     # Orders.
 
     def request_plan(self) -> None:
@@ -436,7 +489,20 @@
 
     def may_send(self) -> bool:
         """Returns whether a planned order may still be sent."""
-        return self.recently_confirmed() and not self.ended
+        return self.recently_confirmed() and not self._may_be_replaced()
+
+    def may_extend(self) -> bool:
+        """Returns whether an order that extends a lease may be sent."""
+        in_window = self._confirmed_age_s() < _election.EXTEND_WINDOW_S
+        return in_window and not self._may_be_replaced()
+
+    def _may_be_replaced(self) -> bool:
+        """Returns whether another leader may start before a heartbeat is due.
+
+        The bound on leases of earlier terms counts from the start of the next
+        one, which may follow a release at once.
+        """
+        return self.ended or self.committer.release_possible
 
     def _may_start(self, order: scheduling.StartOrder) -> bool:
         """Returns whether a start may still be sent."""
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -39,6 +39,7 @@
     # acknowledgement meant for the previous incarnation, it would drop ended
     # runs that were never processed.
     new_incarnation = worker.may_have_restarted(now_s) or not worker.fenced
+    forgotten = worker.acknowledged == worker.forgotten
     known = worker.fenced and worker.lease.clock_ms
     # The lease of an unresponsive worker is not renewed, so that its runs
     # are certain to end.
@@ -48,7 +49,7 @@
         worker_id=worker.worker_id,
         address=worker.record.address,
         token=worker.token,
-        last_seen=0 if new_incarnation else worker.acknowledged,
+        last_seen=0 if new_incarnation or forgotten else worker.acknowledged,
         until_ms=until_ms,
         wait_ms=0 if new_incarnation or not worker.token_confirmed else wait_ms,
     )
@@ -100,7 +101,6 @@
     if run is None:
         return
     run.order_pending = False
-    run.start_closed_s = now_s
     outcome = result.outcome
     if outcome is OUTCOMES.ACCEPTED:
         _observe_accepted_start(worker, run, result, now_s)
@@ -110,7 +110,7 @@
     )
     if outcome is OUTCOMES.FENCED:
         scheduler.observe_fenced(order)
-    _observe_refused_start(scheduler, worker, run, outcome, now_s)
+    _observe_refused_start(scheduler, worker, run, order, outcome, now_s)
 
 
 def _observe_accepted_start(
@@ -140,6 +140,7 @@
     scheduler,
     worker: _worker.Worker,
     run: _job.Run,
+    order: _orders.StartOrder,
     outcome: _types.OrderOutcome,
     now_s: float,
 ) -> None:
@@ -150,7 +151,10 @@
         run.stopping = True
         return
     if outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(worker.worker_id)
+        scheduler.observe_wrong_worker(worker.worker_id, order.address)
+        if worker.runs.get(run.task.name) is run:
+            # It was ordered at a former address of the worker.
+            scheduler.release_run(worker, run, outcome.value)
         return
     scheduler.release_run(worker, run, outcome.value)
     run.task.retry_at_s = now_s + RETRY_DELAY_S
@@ -193,7 +197,7 @@
     if result.outcome is OUTCOMES.FENCED:
         scheduler.observe_fenced(order)
     elif result.outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(order.worker_id)
+        scheduler.observe_wrong_worker(order.worker_id, order.address)
     if result.outcome is not OUTCOMES.ACCEPTED:
         scheduler.emit(
             "stop_refused",
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -5,6 +5,7 @@
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
+from baobabdoor.scheduling import _worker_events
 
 
 def observe_report(
@@ -40,10 +41,6 @@
     if worker.lease_expired:
         scheduler.release_all_runs(worker, "lease expired")
     worker.lease.observe_clock(report.clock_ms, now_s)
-    if not worker.token_confirmed:
-        # Only from its first answer with this token on does it reject orders of
-        # earlier terms and of its earlier incarnations.
-        worker.lease.assume_longest(now_s)
     last_lapsed = max(
         (end.number for end in report.ended if end.outcome == "lapsed"),
         default=0,
@@ -58,6 +55,8 @@
     _observe_unneeded_runs(scheduler, worker, report)
     for entry in report.running:
         _observe_running(scheduler, worker, entry, report.clock_ms, now_s)
+    if all(end.number > worker.acknowledged for end in report.ended):
+        worker.forgotten = worker.acknowledged
     worker.lists_all_ends = report.lists_all_ends
     if report.lists_all_ends:
         _observe_missing_runs(scheduler, worker, report)
@@ -67,7 +66,8 @@
     worker.partitioned = False
     worker.observe_response(now_s)
     worker.fenced = True
-    scheduler.fencing.observe_answer(worker, token)
+    if scheduler.fencing.observe_answer(worker, token):
+        worker.lease.exclude_other_orders(now_s)
     if report.lists_all_ends:
         scheduler.unfenced.discard(worker_id)
     scheduler.crashes.observe_alive(worker)
@@ -78,6 +78,7 @@
 ) -> None:
     """Records the first report of an incarnation to this term."""
     worker.first_report_s = now_s
+    worker.lease.include_other_orders(now_s)
     adopted = sum(run.confirmed for run in worker.runs.values())
     if adopted:
         scheduler.emit(
@@ -108,6 +109,9 @@
                 _listed_runs(report),
             )
         worker.start_time_ms = report.start_time_ms
+        refused = worker.refused_record
+        if refused and refused.start_time_ms == report.start_time_ms:
+            _worker_events.follow_refused_entry(scheduler, worker)
     elif report.clock_ms < worker.reported_ms:
         # Responses on different connections may arrive out of order.
         return False
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -55,6 +55,10 @@
         self.entry_s = -math.inf
         # Whether that entry was too old for a start when last checked.
         self.capacity_outdated = False
+        # Entry of a later life elsewhere, which its runs keep out.
+        self.refused_record: _types.WorkerRecord | None = None
+        # Earliest time at which that life can have written it.
+        self.refused_written_s = -math.inf
         # When an entry that contradicts its runs was last put on record.
         self.entry_refused_s = -math.inf
         self.last_report_s = -1e9
@@ -81,14 +85,18 @@
         # that may be acknowledged, since its effect is stored.
         self.processed = 0
         self.acknowledged = 0
+        # Number up to which its reports no longer list ended runs, so that
+        # these need no further acknowledgement.
+        self.forgotten = 0
         # Numbers of processed ended runs, each with the revision that contains
         # its effect.
         self.unsaved_ends: list[tuple[int, int]] = []
         # Runs that may exist, by name of the task.
         self.runs: dict[str, _job.Run] = {}
         self.cordoned = False
-        # Whether the stored roster lists it as a worker that may have runs.
-        self.enrolled = False
+        # Entries that the stored roster may have for it; `None` stands for
+        # none. There are several while the result of a write is not known.
+        self.stored_entries: tuple[tuple | None, ...] = (None,)
         self.failed_jobs: set[str] = set()
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until_s = -1e9
@@ -111,6 +119,38 @@
         """Identifier of the worker."""
         return self.record.worker_id
 
+    @property
+    def roster_entry(self) -> tuple:
+        """Entry of the roster, by which the next leader finds its runs."""
+        record = self.record
+        return (
+            record.address,
+            record.pool,
+            record.zone,
+            self.start_time_ms,
+            record.machine,
+        )
+
+    @property
+    def enrolled(self) -> bool:
+        """Whether the stored roster certainly has its entry.
+
+        The next leader waits for the runs of the lives that the roster lists,
+        where it lists them. So another life or address, or a write that may
+        still remove the entry, needs a further write before the first start.
+        """
+        stored = self.stored_entries
+        return stored.count(self.roster_entry) == len(stored)
+
+    @enrolled.setter
+    def enrolled(self, enrolled: bool) -> None:
+        self.stored_entries = (self.roster_entry if enrolled else None,)
+
+    @property
+    def maybe_enrolled(self) -> bool:
+        """Whether the stored roster may have any entry of it."""
+        return any(stored is not None for stored in self.stored_entries)
+
     def usable(self, now_s: float, as_last_resort: bool = False) -> bool:
         """Returns whether new runs may be sent to it.
 
@@ -191,14 +231,10 @@
     def run_has_ended(self, run: _job.Run, now_s: float) -> bool:
         """Returns whether a run has certainly ended with its lease.
 
-        A start without a confirmation may have reached the next incarnation,
-        with an expiry that is not on that one's clock.
+        A start without a confirmation may have reached the next incarnation.
         """
-        if run.confirmed:
-            return self.lease.has_ended(now_s)
-        start_applied_s = now_s if run.order_pending else run.start_closed_s
-        end_s = self.lease.longest_end_s(start_applied_s)
-        return now_s > max(self.lease.end_s, end_s)
+        next_ended = run.confirmed or now_s > self.lease.next_end_s
+        return next_ended and self.lease.has_ended(now_s)
 
     def add_run(self, run: _job.Run) -> None:
         """Adds a run and reserves its resources."""
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -18,6 +18,9 @@
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _start_limiter
+from baobabdoor.platform import _workers
+from baobabdoor.scheduling import _lease
 from baobabdoor.standin import _row_store
 
 
@@ -353,7 +356,7 @@
         self.result = result
         self.interrupt = interrupt
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         self.interrupt()
         return self.result
 
@@ -392,6 +395,31 @@
     def test_a_hold_of_before_a_restart_that_is_refused_does_not(self):
         assert not self.hold(self.REFUSAL, restarts=True).ended
 
+    def test_a_hold_at_a_former_address_retires_no_worker(self):
+        """Guards against a worker that is lost for good after a restart."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            now_s = platform.boot_time_s()
+            scheduler.observe_worker(scheduling_fixtures.record("w1"), now_s)
+            moved = scheduling_fixtures.record(
+                "w1", address="10.0.0.9:80", start_time_ms=2
+            )
+            wrong_worker = scheduling.OrderResult(
+                scheduling.OrderOutcome.WRONG_WORKER
+            )
+            controller.worker_client = FencingClient(
+                wrong_worker, lambda: scheduler.observe_worker(moved, now_s)
+            )
+            await controller._hold(scheduler.workers["w1"])
+            return scheduler.workers["w1"]
+
+        worker = asyncio.run(scenario())
+        assert worker.record.address == "10.0.0.9:80"
+        assert not worker.retired
+
     def test_a_restart_requests_a_transaction_at_once(self):
         async def scenario():
             bench = dispatch_fixtures.Bench()
@@ -413,6 +441,101 @@
 
         asyncio.run(scenario())
 
+    def test_a_restart_with_a_newer_token_requests_a_transaction_at_once(self):
+        """Guards against a first start that waits for the next heartbeat."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            scheduler.observe_worker(
+                scheduling_fixtures.record("w1"), platform.boot_time_s()
+            )
+            worker = scheduler.workers["w1"]
+            for start_time_ms in (1, 2):
+                assert await controller.committer._write()
+                scheduler.observe_commit(controller.committer.leader.token + 9)
+                controller.committer.write_requested.clear()
+                report = scheduling.WorkerReport(1000, start_time_ms, (), ())
+                controller.worker_client = FencingClient(report)
+                await controller._hold(worker)
+            assert not worker.token_outdated
+            assert controller.committer.write_requested.is_set()
+            assert not worker.enrolled
+            assert await controller.committer._write()
+            assert worker.enrolled
+
+        asyncio.run(scenario())
+
+
+class TestRefusedEntries:
+    """The list shows a later life of a silent worker at another address."""
+
+    ADDRESS = "10.0.0.9:80"
+
+    def call(self, result):
+        """Returns the worker after calls to its address and to the other."""
+
+        async def scenario():
+            bench = dispatch_fixtures.Bench()
+            controller = bench.controller()
+            scheduler = controller.scheduler
+            now_s = platform.boot_time_s()
+            for start_time_ms in (1, 2):
+                address = (
+                    {} if start_time_ms == 1 else {"address": self.ADDRESS}
+                )
+                record = scheduling_fixtures.record(
+                    "w1", start_time_ms=start_time_ms, **address
+                )
+                scheduler.observe_worker(record, now_s)
+                scheduler.workers["w1"].start_time_ms = 1
+                scheduler.unfenced.add("w1")
+            self.called = []
+
+            async def hold(order, permit=None):
+                del permit
+                self.called.append(order)
+                if order.address == self.ADDRESS:
+                    return result
+                return scheduling.OrderResult(scheduling.OrderOutcome.UNKNOWN)
+
+            controller.worker_client.hold = hold
+            await controller._hold(scheduler.workers["w1"])
+            await asyncio.gather(*controller.background_tasks)
+            return controller
+
+        return asyncio.run(scenario())
+
+    def test_the_later_life_is_asked_for_its_runs(self):
+        """Guards against a wait until the leases of the former life end."""
+        report = scheduling.WorkerReport(1000, 2, (), ())
+        controller = self.call(report)
+        assert len(self.called) == 2
+        # Nothing is acknowledged or extended before that life is known.
+        assert not self.called[1].last_seen and not self.called[1].until_ms
+        assert not controller.scheduler.inherited_blocked()
+
+    @pytest.mark.parametrize(
+        "outcome",
+        [
+            scheduling.OrderOutcome.WRONG_WORKER,
+            scheduling.OrderOutcome.UNKNOWN,
+            scheduling.OrderOutcome.FENCED,
+        ],
+    )
+    def test_any_other_answer_changes_nothing(self, outcome):
+        """Guards against an entry of another program."""
+        controller = self.call(scheduling.OrderResult(outcome))
+        assert len(self.called) == 2
+        assert controller.scheduler.inherited_blocked()
+        assert not controller.scheduler.workers["w1"].retired
+        assert not controller.ended
+
+    def test_a_report_of_another_life_changes_nothing(self):
+        controller = self.call(scheduling.WorkerReport(1000, 3, (), ()))
+        assert controller.scheduler.inherited_blocked()
+
 
 class PermittedClient(dispatch_fixtures.SilentClient):
     """Worker client that records whether each start may be sent."""
@@ -482,6 +605,20 @@
         assert not self.is_sent(cancel)
 
 
+class TestOrderLifetime:
+    """An order may extend a lease while its call is under way."""
+
+    def test_it_covers_a_hold_with_its_wait(self):
+        wait_s = _controller.HOLD_WAIT_MS / 1000
+        hold_s = wait_s + _workers.HOLD_TIMEOUT_RANGE_S[1]
+        assert hold_s <= _lease.ORDER_LIFETIME_S
+
+    def test_it_covers_a_start_with_the_wait_for_its_turn(self):
+        start_s = _workers.ORDER_TIMEOUT_RANGE_S[1]
+        start_s += _start_limiter.PERMIT_WAIT_S
+        assert start_s <= _lease.ORDER_LIFETIME_S
+
+
 class FailingClient(dispatch_fixtures.SilentClient):
     """Client whose calls raise for some workers, machines and steps.
 
@@ -497,7 +634,7 @@
         if name in self.failing:
             raise OverflowError("injected")
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         self.held.append(order.worker_id)
         self._check(order.worker_id)
         await asyncio.sleep(0.01)
