Reproduce two runs under a lease of the life before with real daemons

A worker restarts under its id and carries out a hold of the life before, so that its lease lasts for 6 s. A task starts there, and the worker is then silent towards its leader, or towards the next one after the first answer.

The soak platform gets what this needs: workers that are silent towards a single daemon, orders that reach the next life of a worker under its id, and workers that move to another address, which another worker may take.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -66,6 +66,7 @@
         self.foreign_random = random.Random(f"{seed}-foreign")
         self.isolation_random = random.Random(f"{seed}-isolation")
         self.cancel_random = random.Random(f"{seed}-cancel")
+        self.lease_random = random.Random(f"{seed}-leases")
         self.repeat_random = random.Random(f"{seed}-repeat")
         self.simulator.foreign_entries = self._choose_foreign_entries()
         self.daemons = [
@@ -77,8 +78,10 @@
             for number in range(soak_faults.DAEMONS)
         ]
         self.worker_proxies = [
-            self._proxy(8, number, 8600, number + 2)
-            for number in range(soak_platform.WORKERS)
+            self._proxy(8, place, 8600, place + 2)
+            for place in range(
+                soak_platform.WORKERS + soak_platform.SPARE_ADDRESSES
+            )
         ]
         self.specs: dict[str, scheduling.JobSpec] = {}
         self.accepted: set[str] = set()
@@ -144,6 +147,7 @@
             ]
             callers.append(asyncio.ensure_future(self._replace_entries()))
             callers.append(asyncio.ensure_future(self._isolate_leaders()))
+            callers.append(asyncio.ensure_future(self._disturb_leases()))
             await self._inject_faults()
             await asyncio.gather(*callers)
             await self._wait_for_cancels()
@@ -207,6 +211,8 @@
         f"overtaken={len(soak.overtaken)} "
         f"cancelled={len(soak.cancelled_accepted)} "
         f"unanswered={len(soak.unanswered_cancels)} "
+        f"carried_over={soak.simulator.carried_over.total()} "
+        f"misdirected={soak.simulator.misdirected} "
         f"faults={len(soak.fault_log)} broken={len(violations)}"
     )
     rules = collections.Counter(violation.rule for violation in violations)
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -18,6 +18,8 @@
 CHUNK_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.02
 STORE_PORT = 8650
+# Time from SIGTERM to SIGKILL.
+GRACE_S = 6.0
 
 
 class Disruptions:
@@ -150,7 +152,7 @@
             "platform": {"address": f"127.{subnet}.9.{number + 1}:8650"},
             "cloud-api": {"address": f"127.{subnet}.7.1:8700"},
             "heartbeat-ms": 500,
-            "bounds": {"grace-s": 6, "contact-ms": 3000},
+            "bounds": {"grace-s": GRACE_S, "contact-ms": 3000},
         }
         self.settings.write_text(yaml.safe_dump(content))
 
--- a/tests/soak_injection.py
+++ b/tests/soak_injection.py
@@ -24,6 +24,17 @@
 # Bounds of the time between two entries of another program that replace that
 # of a worker until its next heartbeat.
 REPLACEMENT_RANGE_S = (0.5, 3.0)
+# Bounds of the time between two faults that concern leases, and of the time for
+# which a worker is silent towards one daemon: also longer than the longest
+# lease.
+LEASE_FAULT_PAUSE_RANGE_S = (0.5, 3.0)
+SILENCE_RANGE_S = (4.0, 8.0)
+# Time in which the next leader has to call a worker that falls silent then.
+TAKEOVER_TIMEOUT_S = 5.0
+# Bounds of the time from the restart of a worker to the stop of the leader: a
+# task starts under the lease of the life before, and the lease outlives the
+# term.
+RESTART_TO_STOP_RANGE_S = (0.4, 1.5)
 
 
 class FaultInjection:
@@ -120,6 +131,123 @@
                 proxy.set_mode("pass")
                 self._log_fault(f"daemon {number} reaches all again")
 
+    async def _disturb_leases(self) -> None:
+        """Silences and restarts workers, one after the other.
+
+        Leaders are also stopped, so that a next one takes over the runs.
+        """
+        generator = self.lease_random
+        while True:
+            pause_s = generator.uniform(*LEASE_FAULT_PAUSE_RANGE_S)
+            silence_s = generator.uniform(*SILENCE_RANGE_S)
+            restarts, moves, changes_leader = (
+                generator.random() < 0.6,
+                generator.random() < 0.4,
+                generator.random() < 0.6,
+            )
+            worker = generator.choice(self.simulator.workers)
+            mode = generator.choice(("requests", "requests", "responses"))
+            delay_s = generator.uniform(*RESTART_TO_STOP_RANGE_S)
+            left_s = self.end_s - time.monotonic() - pause_s - silence_s
+            if left_s < delay_s + TAKEOVER_TIMEOUT_S:
+                return
+            await asyncio.sleep(pause_s)
+            while self.is_calm:
+                await asyncio.sleep(soak_oracle.QUIET_CHECK_INTERVAL_S)
+            with self.disruptions.span("leases"):
+                if restarts:
+                    self._restart_in_hold(worker, moves, generator)
+                    await asyncio.sleep(delay_s)
+                if changes_leader:
+                    await self._change_leader(worker, mode, silence_s)
+                elif (number := self._leader()) is not None:
+                    await self._silence(worker, number, mode, silence_s)
+
+    def _restart_in_hold(self, worker, moves: bool, generator) -> None:
+        """Restarts a worker under its id while a hold may wait there.
+
+        Its connections stay open, so that orders that are under way reach the
+        next life. If it moves, another worker restarts at its address.
+        """
+        if worker.is_down:
+            return
+        name = worker.model.record.worker_id
+        previous = worker.place
+        place = generator.choice(self.simulator.free_places())
+        others = [
+            other
+            for other in self.simulator.workers
+            if other is not worker and not other.is_down
+        ]
+        with self.disruptions.span("workers"):
+            worker.start(name, place if moves else None)
+            self._log_fault(
+                f"worker {name} restarted in a hold, "
+                f"at address {worker.place} after {previous}"
+            )
+            if moves and others:
+                other = generator.choice(others)
+                other_name = other.model.record.worker_id
+                other.start(other_name, previous)
+                self._log_fault(f"worker {other_name} moved to {previous}")
+
+    async def _silence(
+        self, worker, daemon: int, mode: str, duration_s: float
+    ) -> None:
+        """Cuts a worker off from one daemon."""
+        key = (worker.number, daemon)
+        with self.disruptions.span(f"daemon {daemon}"):
+            self.simulator.silences[key] = mode
+            self._log_fault(
+                f"worker {worker.number} silent towards daemon {daemon} "
+                f"({mode}) for {duration_s:.1f} s"
+            )
+            await asyncio.sleep(duration_s)
+            del self.simulator.silences[key]
+            self._log_fault(f"worker {worker.number} answers daemon {daemon}")
+
+    async def _change_leader(
+        self, worker, mode: str, duration_s: float, kills: bool = False
+    ) -> None:
+        """Ends the leader; a worker answers the next one only once.
+
+        Args:
+            worker: The worker.
+            mode: How the worker is silent, as in `silences`.
+            duration_s: How long it is silent.
+            kills: Whether the leader is killed instead of stopped.
+        """
+        previous = self._leader()
+        if previous is None:
+            return
+        answered = asyncio.get_running_loop().create_future()
+
+        def observe(daemon: int) -> None:
+            if daemon != previous and not answered.done():
+                # Applied now, so that no second answer comes before.
+                self.simulator.silences[worker.number, daemon] = mode
+                answered.set_result(daemon)
+
+        self.simulator.awaited_answers[worker.number] = observe
+        with self.disruptions.span(f"daemon {previous}"):
+            self._log_fault(
+                f"leader {previous} {'killed' if kills else 'stopped'}",
+                previous,
+            )
+            self.daemons[previous].send(
+                signal.SIGKILL if kills else signal.SIGTERM
+            )
+            # The daemon stays away until then, so that another one leads.
+            await asyncio.wait([answered], timeout=TAKEOVER_TIMEOUT_S)
+            del self.simulator.awaited_answers[worker.number]
+            restart = asyncio.ensure_future(
+                self.daemons[previous].restart(soak_faults.GRACE_S)
+            )
+            if answered.done():
+                daemon = answered.result()
+                await self._silence(worker, daemon, mode, duration_s)
+            await restart
+
     def _leader(self) -> int | None:
         """Returns the number of the daemon that the store names as leader."""
         row = self.simulator.store.get("tenure", "holder", "fleet")
@@ -163,10 +291,10 @@
             )
 
     async def _fault_worker_connection(self, duration_s: float) -> None:
-        number = self.random.randrange(soak_platform.WORKERS)
-        with self.disruptions.span(f"connections of worker {number}"):
+        place = self.random.randrange(soak_platform.WORKERS)
+        with self.disruptions.span(f"connections of address {place}"):
             await self._fault_proxy(
-                self.worker_proxies[number], f"worker {number}", duration_s
+                self.worker_proxies[place], f"address {place}", duration_s
             )
 
     async def _suspend_daemon(self, duration_s: float) -> None:
@@ -192,7 +320,7 @@
         with self.disruptions.span(f"daemon {number}"):
             self.fault_log.append(f"daemon {number} stopped gracefully")
             self.daemons[number].send(signal.SIGTERM)
-            await self.daemons[number].restart(6.0)
+            await self.daemons[number].restart(soak_faults.GRACE_S)
 
     async def _restart_worker(self, duration_s: float) -> None:
         worker = self.random.choice(self.simulator.workers)
@@ -201,8 +329,8 @@
         keeps_id = self.random.random() < 0.5
         name = worker.model.record.worker_id
         self._log_fault(f"worker {name} restarted, same id: {keeps_id}")
-        with self.disruptions.span(f"connections of worker {worker.number}"):
-            proxy = self.worker_proxies[worker.number]
+        with self.disruptions.span(f"connections of address {worker.place}"):
+            proxy = self.worker_proxies[worker.place]
             proxy.set_mode("reset")
             worker.start(
                 name
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -129,7 +129,7 @@
             return False
         subjects = ["store", f"daemon {sender}"]
         subjects += [
-            f"connections of worker {other.number}"
+            f"connections of address {other.place}"
             for other in self.simulator.workers
             if other.model is worker
         ]
@@ -217,8 +217,10 @@
         """
         subjects = [f"daemon {number}" for number in range(soak_faults.DAEMONS)]
         subjects += [
-            f"connections of worker {number}"
-            for number in range(soak_platform.WORKERS)
+            f"connections of address {place}"
+            for place in range(
+                soak_platform.WORKERS + soak_platform.SPARE_ADDRESSES
+            )
         ]
         return max(
             self.disruptions.calm_since_s(*subjects),
--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import base64
+import collections
+from collections.abc import Callable
 import json
 import random
 import time
@@ -26,6 +28,9 @@
 HOST = "race.example"
 PREFIX = "/race/"
 WORKERS = 5
+# Addresses beyond one for each worker, so that a worker can move, and one that
+# returns always finds a free address.
+SPARE_ADDRESSES = 2
 MAX_ATTEMPTS = 3
 CPU_MILLI = 4000
 # Capacities to which a worker may shrink or grow while it runs.
@@ -101,11 +106,16 @@
 
 
 class SimulatedWorker:
-    """A worker at one address with successive incarnations."""
+    """A worker with successive incarnations, each at one address.
+
+    Attributes:
+        place: Number of the address of its current or last incarnation.
+    """
 
     def __init__(self, simulator: "PlatformSimulator", number: int):
         self.simulator = simulator
         self.number = number
+        self.place = number
         self.incarnation = 0
         self.model: _worker_model.ModelWorker | None = None
         self.is_down = False
@@ -113,16 +123,23 @@
         self.past_capacities: list[tuple[float, int]] = []
         self.start(f"w{number}-1")
 
-    def start(self, worker_id: str) -> None:
-        """Starts a new incarnation, which has no runs of the previous one."""
+    def start(self, worker_id: str, place: int | None = None) -> None:
+        """Starts a new incarnation, which has no runs of the previous one.
+
+        Args:
+            worker_id: Its identifier.
+            place: Number of its address; by default that of the previous one.
+        """
         now_s = time.monotonic()
         self._end_runs()
+        if place is not None:
+            self.place = place
         self.incarnation += 1
         self.is_down = False
         self.past_capacities = []
         record = scheduling.WorkerRecord(
             worker_id=worker_id,
-            address=self.simulator.worker_address(self.number),
+            address=self.simulator.worker_address(self.place),
             pool=POOL,
             zone="z",
             machine=f"m{self.number}",
@@ -156,7 +173,11 @@
 
     def _return(self) -> None:
         if self.is_down:
-            self.start(f"w{self.number}-{self.incarnation + 1}")
+            occupied = self.simulator.worker_at(self.place) is not None
+            self.start(
+                f"w{self.number}-{self.incarnation + 1}",
+                self.simulator.free_places()[0] if occupied else None,
+            )
 
     def change_capacity(self, cpu_milli: int) -> None:
         """Changes the capacity; the next heartbeat shows it."""
@@ -178,6 +199,18 @@
         """Returns whether an incarnation is the current one and is up."""
         return self.model is model and not self.is_down
 
+    def succeeds(self, model) -> bool:
+        """Returns whether the current incarnation gets the orders of another.
+
+        Orders name an incarnation by its identifier alone.
+        """
+        record = self.model.record
+        return (
+            not self.is_down
+            and record.worker_id == model.record.worker_id
+            and record.address == model.record.address
+        )
+
     def apply(
         self, call: str, body: dict, received_s: float, delayed: bool = False
     ):
@@ -254,6 +287,15 @@
             response.
         cut_token: Orders with a token up to this get no response, because
             their sender is cut off from the workers.
+        silences: How workers are cut off from single daemons, by the numbers of
+            both: `requests` also keeps orders from the worker, `responses` only
+            its responses from the daemon.
+        awaited_answers: Called with the number of the daemon when a worker, by
+            its number, has answered a hold.
+        carried_over: Orders that a life of a worker received and the next one
+            under its identifier carried out, by call.
+        misdirected: Orders that reached a worker at the former address of
+            another one.
     """
 
     def __init__(self, seed: int, subnet: int, workers: int, oracle):
@@ -268,6 +310,10 @@
         self.store_fault = ""
         self.delayed_order_rate = 0.0
         self.cut_token = 0
+        self.silences: dict[tuple[int, int], str] = {}
+        self.awaited_answers: dict[int, Callable[[int], None]] = {}
+        self.carried_over: collections.Counter = collections.Counter()
+        self.misdirected = 0
         self.start_time_s = time.monotonic()
         self.tasks: list[asyncio.Task] = []
         self.servers: list[httpserver.HTTPServer] = []
@@ -295,9 +341,26 @@
             if not worker.is_down
         }
 
-    def worker_address(self, number: int) -> str:
+    def worker_address(self, place: int) -> str:
         """Returns the address of a worker's proxy."""
-        return f"127.{self.subnet}.8.{number + 1}:8600"
+        return f"127.{self.subnet}.8.{place + 1}:8600"
+
+    def worker_at(self, place: int) -> SimulatedWorker | None:
+        """Returns the worker at the address with a number; `None` if none."""
+        for worker in self.workers:
+            if worker.place == place and not worker.is_down:
+                return worker
+        return None
+
+    def free_places(self) -> list[int]:
+        """Returns the numbers of the addresses without a worker."""
+        places = range(len(self.workers) + SPARE_ADDRESSES)
+        return [place for place in places if self.worker_at(place) is None]
+
+    def silence(self, worker: SimulatedWorker, token: int) -> str:
+        """Returns how a worker is cut off from the sender of a token."""
+        sender = self.oracle.system.find_sender(token)
+        return self.silences.get((worker.number, sender), "")
 
     def make_run(self, order, now_s: float) -> _worker_model.ModelRun:
         """Creates a run with random duration and outcome."""
@@ -337,9 +400,10 @@
             (r"/api/machines", MachinesHandler, {"simulator": self}),
         ]
         self._listen(f"127.{self.subnet}.7.1", web.Application(routes))
-        for worker in self.workers:
-            route = (r"/api/(.*)", WorkerHandler, {"worker": worker})
-            address = f"127.{self.subnet}.7.{worker.number + 2}"
+        for place in range(len(self.workers) + SPARE_ADDRESSES):
+            arguments = {"simulator": self, "place": place}
+            route = (r"/api/(.*)", WorkerHandler, arguments)
+            address = f"127.{self.subnet}.7.{place + 2}"
             self._listen(address, web.Application([route]))
         self.tasks.append(asyncio.ensure_future(self._write_heartbeats()))
 
@@ -527,21 +591,23 @@
 
 
 class WorkerHandler(web.RequestHandler):
-    """Applies orders to one worker."""
+    """Applies orders to the worker at one address."""
 
-    def initialize(self, worker: SimulatedWorker):
-        self.worker = worker
-        self.simulator = worker.simulator
+    def initialize(self, simulator: PlatformSimulator, place: int):
+        self.simulator = simulator
+        self.place = place
 
     async def post(self, call: str):
         body = json.loads(self.request.body)
-        model = self.worker.model
         received_s = time.monotonic()
-        if self.worker.is_down:
+        worker = self.simulator.worker_at(self.place)
+        if worker is None:
             self.request.connection.stream.close()
             return
+        model = worker.model
         expected = self.request.headers.get("X-Expected-Instance")
         if expected != model.record.worker_id:
+            self.simulator.misdirected += expected in self.simulator.models
             self.set_status(421)
             self.finish({})
             return
@@ -550,28 +616,69 @@
         ):
             delay_s = self.simulator.random.uniform(0.5, 5.0)
             asyncio.get_running_loop().call_later(
-                delay_s, self._apply_delayed, model, call, body, received_s
+                delay_s,
+                self._apply_delayed,
+                worker,
+                model,
+                call,
+                body,
+                received_s,
             )
             await asyncio.sleep(1.0)
             self.request.connection.stream.close()
             return
-        if body["fencing-token"] <= self.simulator.cut_token:
-            await asyncio.sleep(CUT_RESPONSE_DELAY_S)
-            self.request.connection.stream.close()
+        token = body["fencing-token"]
+        if (
+            token <= self.simulator.cut_token
+            or self.simulator.silence(worker, token) == "requests"
+        ):
+            await self._give_no_response()
             return
         if call == "hold":
             await self._wait_for_run_end(model, body)
-        if not self.worker.runs_model(model):
+        result = self._apply(worker, model, call, body, received_s)
+        if result is None:
             self.request.connection.stream.close()
             return
-        result = self.worker.apply(call, body, time.monotonic())
-        self._respond(model, result)
+        if self.simulator.silence(worker, token):
+            await self._give_no_response()
+            return
+        self._respond(worker.model, result)
+        if isinstance(result, scheduling.WorkerReport):
+            self._observe_answer(worker, token)
+
+    async def _give_no_response(self) -> None:
+        await asyncio.sleep(CUT_RESPONSE_DELAY_S)
+        self.request.connection.stream.close()
+
+    def _observe_answer(self, worker: SimulatedWorker, token: int) -> None:
+        sender = self.simulator.oracle.system.find_sender(token)
+        awaited = self.simulator.awaited_answers.get(worker.number)
+        if awaited is not None and sender is not None:
+            awaited(sender)
+
+    def _apply(
+        self, worker, model, call: str, body: dict, received_s: float, **options
+    ):
+        """Applies an order to the incarnation that received it or the next.
+
+        Returns:
+            The result; `None` if there is no such incarnation.
+        """
+        if worker.runs_model(model):
+            if call == "hold":
+                # It was received when the wait began, but is applied now.
+                received_s = time.monotonic()
+            return worker.apply(call, body, received_s, **options)
+        if not worker.succeeds(model):
+            return None
+        self.simulator.carried_over[call] += 1
+        return worker.apply(call, body, received_s, delayed=True)
 
     def _apply_delayed(
-        self, model, call: str, body: dict, received_s: float
+        self, worker, model, call: str, body: dict, received_s: float
     ) -> None:
-        if self.worker.runs_model(model):
-            self.worker.apply(call, body, received_s, delayed=True)
+        self._apply(worker, model, call, body, received_s, delayed=True)
 
     async def _wait_for_run_end(self, model, body: dict) -> None:
         end_s = time.monotonic() + body.get("wait-ms", 0) / 1000
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -128,6 +128,9 @@
     async def _isolate_leaders(self) -> None:
         pass
 
+    async def _disturb_leases(self) -> None:
+        pass
+
     async def _send_request(self, method, *arguments):
         if method == "DELETE" and self.denies:
             return 503, {}
@@ -401,7 +404,7 @@
         assert not self.rules(soak_run)
 
     @pytest.mark.parametrize(
-        "subject", ["store", "daemon 1", "connections of worker 2"]
+        "subject", ["store", "daemon 1", "connections of address 2"]
     )
     @pytest.mark.parametrize("is_over", [False, True])
     def test_a_start_is_allowed_near_a_disruption(
@@ -416,7 +419,9 @@
             self.order_start_after_cancel(soak_run, soak_oracle.CANCEL_S + 0.1)
         assert not self.rules(soak_run)
 
-    @pytest.mark.parametrize("subject", ["daemon 0", "connections of worker 1"])
+    @pytest.mark.parametrize(
+        "subject", ["daemon 0", "connections of address 1"]
+    )
     def test_a_disruption_elsewhere_excuses_no_start(self, soak_run, subject):
         with soak_run.disruptions.span(subject):
             self.order_start_after_cancel(soak_run, soak_oracle.CANCEL_S + 0.1)
@@ -535,7 +540,7 @@
         ("subject", "excused_s"),
         [
             ("daemon 0", 0.0),
-            ("connections of worker 1", 0.0),
+            ("connections of address 1", 0.0),
             ("store", soak_platform.CONTACT_S),
         ],
     )
--- /dev/null
+++ b/tests/test_soak_leases.py
@@ -0,0 +1,164 @@
+"""Tests with real daemons of runs under leases that a leader has not given."""
+
+import asyncio
+import time
+
+import pytest
+import soak
+import soak_callers
+import soak_oracle
+import soak_platform
+
+from baobabdoor import scheduling
+
+SEED = 1011
+JOB = "00000000000000f1"
+TASK = f"{JOB}.0.0.0"
+TASK_CPU_MILLI = 1000
+# Capacity of workers that are to start no task yet.
+SMALL_CPU_MILLI = 100
+# Longer than a test.
+RUN_S = 60.0
+# Longer than the longest lease, on the slowest clock, after a first answer.
+SILENCE_S = 7.0
+SLOWEST_CLOCK_RATE = 0.98
+# Clock of a worker from which a lease that is extended on it lasts for the
+# maximum on the clock of the next life, which starts anew.
+MIN_CLOCK_MS = 4500
+MIN_LEASE_MS = 5900
+WAIT_TIMEOUT_S = 10.0
+
+
+class LeaseSoak(soak.Soak):
+    """A task starts on worker 0, which then is silent towards a leader.
+
+    Worker 0 restarts under its id and carries out an order of the life before,
+    so that its lease is longer than those that leaders give.
+
+    Args:
+        folder: Directory for settings and logs.
+        leader_fault: `stopped` or `killed` if the worker is silent towards the
+            next leader, after its first answer; empty if it is silent towards
+            the one that started the task.
+    """
+
+    def __init__(self, folder, leader_fault: str):
+        super().__init__(SEED, 1.0, folder)
+        self.leader_fault = leader_fault
+        self.simulator.foreign_entries = {}
+        for worker in self.simulator.workers:
+            worker.change_capacity(SMALL_CPU_MILLI)
+        # Runs of worker 0 at the end of the silence.
+        self.last_runs: set[str] = set()
+
+    async def _run_caller(self, number):
+        del number
+
+    async def _replace_entries(self) -> None:
+        pass
+
+    async def _isolate_leaders(self) -> None:
+        pass
+
+    async def _disturb_leases(self) -> None:
+        pass
+
+    async def _wait_until(self, condition) -> None:
+        async def poll():
+            while not condition():
+                await asyncio.sleep(0.01)
+
+        await asyncio.wait_for(poll(), WAIT_TIMEOUT_S)
+
+    async def _submit_job(self) -> None:
+        step = scheduling.StepSpec(1, cpu_milli=TASK_CPU_MILLI)
+        self.specs[JOB] = scheduling.JobSpec(
+            JOB, soak_platform.QUEUE, "", (step,)
+        )
+        # It does not end within the test.
+        self.unconfirmed.add(JOB)
+        connection = soak_callers.Connection(self.daemons[0].front)
+        path, body = soak_platform.PREFIX + JOB, self._body(JOB)
+        while (await connection.request("POST", path, body))[0] != 200:
+            await asyncio.sleep(0.1)
+        connection.close()
+
+    async def _inject_faults(self) -> None:
+        worker, *others = self.simulator.workers
+        await asyncio.wait_for(self._submit_job(), soak.LISTEN_TIMEOUT_S)
+        await self._wait_until(
+            lambda: worker.model.clock_ms(time.monotonic()) > MIN_CLOCK_MS
+        )
+        self._restart(worker)
+        await self._wait_until(lambda: worker.model.lease_end_ms > 0)
+        # The lease is longer than those on the clock of this life.
+        clock_ms = worker.model.clock_ms(time.monotonic())
+        assert worker.model.lease_end_ms - clock_ms > MIN_LEASE_MS
+        await self._wait_until(lambda: TASK in worker.model.runs)
+        for other in others:
+            other.change_capacity(soak_platform.CPU_MILLI)
+        if self.leader_fault:
+            await self._change_leader(
+                worker, "requests", SILENCE_S, self.leader_fault == "killed"
+            )
+        else:
+            await self._silence(worker, self._leader(), "requests", SILENCE_S)
+        worker.model.advance(time.monotonic())
+        self.last_runs = set(worker.model.runs)
+
+    def _restart(self, worker) -> None:
+        worker.start(worker.model.record.worker_id)
+        worker.model.clock_rate = SLOWEST_CLOCK_RATE
+        # The sequence numbers of a life start anew.
+        worker.write_heartbeat(1)
+
+    def events(self) -> str:
+        """Returns the events of the daemons that concern the test."""
+        names = (
+            "tenure_",
+            "runs_adopted",
+            "worker_",
+            "runs_ordered",
+            "run_lost",
+        )
+        return "\n".join(
+            f"{daemon.number}: {line}"
+            for daemon in self.daemons
+            for line in daemon.log.read_text("utf-8", "replace").splitlines()
+            if any(name in line for name in names)
+        )
+
+
+@pytest.fixture
+def run_soak(tmp_path, monkeypatch):
+    """Returns a function that runs the scenario on two workers."""
+    monkeypatch.setattr(soak_platform, "WORKERS", 2)
+    monkeypatch.setattr(soak_platform, "LONG_RUN_SHARE", 1.0)
+    monkeypatch.setattr(soak_platform, "LONG_RUN_RANGE_S", (RUN_S, RUN_S))
+    monkeypatch.setattr(soak_oracle, "QUIET_S", 1.0)
+
+    def run(*arguments) -> LeaseSoak:
+        soak_run = LeaseSoak(tmp_path, *arguments)
+        asyncio.run(asyncio.wait_for(soak_run.run(), 2 * soak.LISTEN_TIMEOUT_S))
+        return soak_run
+
+    return run
+
+
+class TestLeasesOfTheLifeBefore:
+    """A leader took a lease for ended that an order of another life gave."""
+
+    @pytest.mark.parametrize("leader_fault", ["", "stopped", "killed"])
+    def test_a_task_of_a_silent_worker_runs_once(self, run_soak, leader_fault):
+        soak_run = run_soak(leader_fault)
+        assert not soak_run.oracle.violations, "\n".join(
+            [
+                *map(str, soak_run.oracle.violations),
+                *soak_run.fault_log,
+                soak_run.events(),
+            ]
+        )
+        assert any("silent towards" in fault for fault in soak_run.fault_log)
+        # The silence was longer than the lease.
+        assert soak_run.last_runs != {TASK}
+        assert soak_run.oracle.starts == 2
