Reproduce two runs after a worker's address was taken by another one

A worker restarts under its id at another address and starts a task while the leader cannot write the roster.

--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -282,7 +282,8 @@
     """Store, workers and machines with fault injection.
 
     Attributes:
-        store_fault: Active fault of the store: `down`, `lost`, `slow` or empty.
+        store_fault: Active fault of the store: `down`, `lost`, `slow`,
+            `read-only`, in which it refuses transactions, or empty.
         delayed_order_rate: Fraction of orders that are applied late and get no
             response.
         cut_token: Orders with a token up to this get no response, because
@@ -501,6 +502,8 @@
     """Applies transactions."""
 
     async def post(self):
+        if self.simulator.store_fault == "read-only":
+            raise web.HTTPError(503)
         body = json.loads(self.request.body)
         tables = {entry["table"] for entry in body["puts"] + body["remove"]}
         if tables & {platform.CONFIGURATION_TABLE, platform.WORKERS_TABLE}:
--- a/tests/test_soak_leases.py
+++ b/tests/test_soak_leases.py
@@ -1,6 +1,7 @@
 """Tests with real daemons of runs under leases that a leader has not given."""
 
 import asyncio
+import signal
 import time
 
 import pytest
@@ -27,31 +28,27 @@
 MIN_CLOCK_MS = 4500
 MIN_LEASE_MS = 5900
 WAIT_TIMEOUT_S = 10.0
+# Longer than a transaction of a daemon that was killed is under way.
+TRANSACTION_S = 0.3
+# Time in which another daemon leads and the runs of the term before are known,
+# or their leases have ended.
+TAKEOVER_S = 9.0
 
 
 class LeaseSoak(soak.Soak):
-    """A task starts on worker 0, which then is silent towards a leader.
-
-    Worker 0 restarts under its id and carries out an order of the life before,
-    so that its lease is longer than those that leaders give.
+    """A task waits for worker 0, which alone restarts with enough room.
 
     Args:
         folder: Directory for settings and logs.
-        leader_fault: `stopped` or `killed` if the worker is silent towards the
-            next leader, after its first answer; `none` if it is silent towards
-            the one that started the task.
     """
 
-    def __init__(self, folder, leader_fault: str):
+    def __init__(self, folder):
         super().__init__(SEED, 1.0, folder)
-        self.leader_fault = leader_fault
         self.simulator.foreign_entries = {}
         for worker in self.simulator.workers:
             worker.change_capacity(SMALL_CPU_MILLI)
-        # End of the lease that the order of the life before has given.
+        # End of the lease under which the task runs first.
         self.lease_end_s = 0.0
-        # Runs of worker 0 at the end of the silence.
-        self.last_runs: set[str] = set()
 
     async def _run_caller(self, number):
         del number
@@ -85,6 +82,51 @@
             await asyncio.sleep(0.1)
         connection.close()
 
+    def describe(self) -> str:
+        """Returns violations, faults and events, for a test that fails."""
+        violations = [
+            f"{violation.rule} {self.lease_end_s - violation.time_s:.2f} s "
+            f"before the end of the lease: {violation.detail}"
+            for violation in self.oracle.violations
+        ]
+        return "\n".join([*violations, *self.fault_log, self.events()])
+
+    def events(self) -> str:
+        """Returns the events of the daemons that concern the test."""
+        names = (
+            "tenure_",
+            "runs_adopted",
+            "worker_",
+            "runs_ordered",
+            "run_lost",
+        )
+        return "\n".join(
+            f"{daemon.number}: {line}"
+            for daemon in self.daemons
+            for line in daemon.log.read_text("utf-8", "replace").splitlines()
+            if any(name in line for name in names)
+        )
+
+
+class SilentWorkerSoak(LeaseSoak):
+    """A worker is silent under a lease that an order of another life gave.
+
+    It restarts under its id and carries out an order of the life before, so
+    that its lease is longer than those that leaders give.
+
+    Args:
+        folder: Directory for settings and logs.
+        leader_fault: `stopped` or `killed` if the worker is silent towards the
+            next leader, after its first answer; `none` if it is silent towards
+            the one that started the task.
+    """
+
+    def __init__(self, folder, leader_fault: str):
+        super().__init__(folder)
+        self.leader_fault = leader_fault
+        # Runs of worker 0 at the end of the silence.
+        self.last_runs: set[str] = set()
+
     async def _inject_faults(self) -> None:
         worker, *others = self.simulator.workers
         await asyncio.wait_for(self._submit_job(), soak.LISTEN_TIMEOUT_S)
@@ -116,42 +158,58 @@
         # The sequence numbers of a life start anew.
         worker.write_heartbeat(1)
 
-    def describe(self) -> str:
-        """Returns violations, faults and events, for a test that fails."""
-        violations = [
-            f"{violation.rule} {self.lease_end_s - violation.time_s:.2f} s "
-            f"before the end of the lease: {violation.detail}"
-            for violation in self.oracle.violations
-        ]
-        return "\n".join([*violations, *self.fault_log, self.events()])
 
-    def events(self) -> str:
-        """Returns the events of the daemons that concern the test."""
-        names = (
-            "tenure_",
-            "runs_adopted",
-            "worker_",
-            "runs_ordered",
-            "run_lost",
-        )
-        return "\n".join(
-            f"{daemon.number}: {line}"
-            for daemon in self.daemons
-            for line in daemon.log.read_text("utf-8", "replace").splitlines()
-            if any(name in line for name in names)
-        )
+class MovedWorkerSoak(LeaseSoak):
+    """A task starts on a worker whose address no transaction has stored.
+
+    The worker restarts under its id at another address, and a new worker takes
+    its former one. The leader sees both in the list of workers, but cannot
+    write before it is killed.
+    """
+
+    def __init__(self, folder):
+        super().__init__(folder)
+        # No stored address is its own, so no leader has to wait for it.
+        self.simulator.workers[1].is_down = True
+
+    async def _inject_faults(self) -> None:
+        mover, taker, *others = self.simulator.workers
+        await asyncio.wait_for(self._submit_job(), soak.LISTEN_TIMEOUT_S)
+        await self._wait_until(lambda: mover.model.lease_end_ms > 0)
+        place = self.simulator.free_places()[-1]
+        with self.disruptions.span("store", "workers"):
+            self._log_fault(f"store read-only, worker 0 moves to {place}")
+            self.simulator.store_fault = "read-only"
+            mover.start(mover.model.record.worker_id, place)
+            taker.start("w1-2", 0)
+            taker.change_capacity(SMALL_CPU_MILLI)
+            for worker in (mover, taker):
+                worker.write_heartbeat(1)
+            await self._wait_until(lambda: TASK in mover.model.runs)
+            number = self._leader()
+            self._log_fault(f"leader {number} killed")
+            self.daemons[number].send(signal.SIGKILL)
+            # Transactions that are under way are refused, too.
+            await asyncio.sleep(TRANSACTION_S)
+            self.simulator.store_fault = ""
+        for other in others:
+            other.change_capacity(soak_platform.CPU_MILLI)
+        now_s = time.monotonic()
+        clock_ms = mover.model.clock_ms(now_s)
+        self.lease_end_s = now_s + (mover.model.lease_end_ms - clock_ms) / 1000
+        await asyncio.sleep(TAKEOVER_S)
 
 
 @pytest.fixture
 def run_soak(tmp_path, monkeypatch):
-    """Returns a function that runs the scenario on two workers."""
-    monkeypatch.setattr(soak_platform, "WORKERS", 2)
+    """Returns a function that runs a scenario on three workers."""
+    monkeypatch.setattr(soak_platform, "WORKERS", 3)
     monkeypatch.setattr(soak_platform, "LONG_RUN_SHARE", 1.0)
     monkeypatch.setattr(soak_platform, "LONG_RUN_RANGE_S", (RUN_S, RUN_S))
     monkeypatch.setattr(soak_oracle, "QUIET_S", 1.0)
 
-    def run(*arguments) -> LeaseSoak:
-        soak_run = LeaseSoak(tmp_path, *arguments)
+    def run(scenario, *arguments) -> LeaseSoak:
+        soak_run = scenario(tmp_path, *arguments)
         asyncio.run(asyncio.wait_for(soak_run.run(), 2 * soak.LISTEN_TIMEOUT_S))
         return soak_run
 
@@ -163,9 +221,21 @@
 
     @pytest.mark.parametrize("leader_fault", ["none", "stopped", "killed"])
     def test_a_task_of_a_silent_worker_runs_once(self, run_soak, leader_fault):
-        soak_run = run_soak(leader_fault)
+        soak_run = run_soak(SilentWorkerSoak, leader_fault)
         assert not soak_run.oracle.violations, soak_run.describe()
         assert any("silent towards" in fault for fault in soak_run.fault_log)
         # The silence was longer than the lease.
         assert soak_run.last_runs != {TASK}
         assert soak_run.oracle.starts == 2
+
+
+class TestMovedWorkers:
+    """The next leader took the runs of a worker that had moved for ended.
+
+    It called the stored address, where another worker answered with 421.
+    """
+
+    def test_a_task_of_a_worker_that_has_moved_runs_once(self, run_soak):
+        soak_run = run_soak(MovedWorkerSoak)
+        assert not soak_run.oracle.violations, soak_run.describe()
+        assert soak_run.simulator.misdirected
