Silence and restart workers under leases in the soak test

Workers are now silent towards one daemon for 4 to 8 s, also right after their first answer to the next leader, restart under their id while a hold waits, and move to addresses whose former workers are called there (421). Tasks that start on a worker before it is silent often outlast a lease, as others end before a leader takes the lease for ended. The faults have streams of random numbers of their own, so that a seed keeps its sequence of the others.

The scenario without a restart passes on this commit, and fails with a planted fault.

--- a/scripts/planted_faults.py
+++ b/scripts/planted_faults.py
@@ -104,6 +104,14 @@
         "        drained = await self._drain(deadline_s)\n",
         "        drained = True\n",
     ),
+    Fault(
+        9,
+        "a lease is taken for ended too early",
+        "scheduling/_worker.py",
+        "CLOCK_DRIFT_FACTOR = 1.025\n",
+        "CLOCK_DRIFT_FACTOR = 0.5\n",
+        ("test_soak_leases.py",),
+    ),
 )
 
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -66,7 +66,8 @@
         self.foreign_random = random.Random(f"{seed}-foreign")
         self.isolation_random = random.Random(f"{seed}-isolation")
         self.cancel_random = random.Random(f"{seed}-cancel")
-        self.lease_random = random.Random(f"{seed}-leases")
+        self.silence_random = random.Random(f"{seed}-silences")
+        self.restart_random = random.Random(f"{seed}-restarts")
         self.repeat_random = random.Random(f"{seed}-repeat")
         self.simulator.foreign_entries = self._choose_foreign_entries()
         self.daemons = [
@@ -147,7 +148,8 @@
             ]
             callers.append(asyncio.ensure_future(self._replace_entries()))
             callers.append(asyncio.ensure_future(self._isolate_leaders()))
-            callers.append(asyncio.ensure_future(self._disturb_leases()))
+            callers.append(asyncio.ensure_future(self._silence_workers()))
+            callers.append(asyncio.ensure_future(self._restart_workers()))
             await self._inject_faults()
             await asyncio.gather(*callers)
             await self._wait_for_cancels()
--- a/tests/soak_injection.py
+++ b/tests/soak_injection.py
@@ -24,17 +24,26 @@
 # Bounds of the time between two entries of another program that replace that
 # of a worker until its next heartbeat.
 REPLACEMENT_RANGE_S = (0.5, 3.0)
-# Bounds of the time between two faults that concern leases, and of the time for
-# which a worker is silent towards one daemon: also longer than the longest
-# lease.
-LEASE_FAULT_PAUSE_RANGE_S = (0.5, 3.0)
+# Bounds of the time between two silences of a worker towards one daemon, and of
+# their duration, which may be longer than the longest lease.
+SILENCE_PAUSE_RANGE_S = (0.5, 3.0)
 SILENCE_RANGE_S = (4.0, 8.0)
-# Time in which the next leader has to call a worker that falls silent then.
+# Shares of silences that begin after the restart of the worker, and with the
+# first answer to the next leader.
+RESTART_SHARE = 0.6
+TAKEOVER_SHARE = 0.6
+# Share of the runs on the worker that take longer than a lease. Others have
+# ended before a leader takes the lease for ended.
+SILENT_LONG_RUN_SHARE = 0.5
+# Time in which the next leader has to call the worker.
 TAKEOVER_TIMEOUT_S = 5.0
-# Bounds of the time from the restart of a worker to the stop of the leader: a
-# task starts under the lease of the life before, and the lease outlives the
-# term.
-RESTART_TO_STOP_RANGE_S = (0.4, 1.5)
+# Bounds of the time before, in which tasks start on the worker. After a restart
+# their lease is that of an order of the life before, and has to go on.
+BEFORE_SILENCE_RANGE_S = (0.4, 1.5)
+# Bounds of the time between two further restarts while holds wait, and the
+# share of restarts at another address.
+RESTART_PAUSE_RANGE_S = (2.0, 6.0)
+MOVE_SHARE = 0.4
 
 
 class FaultInjection:
@@ -113,8 +122,7 @@
             if time.monotonic() + pause_s + duration_s > self.end_s:
                 return
             await asyncio.sleep(pause_s)
-            while self.is_calm:
-                await asyncio.sleep(soak_oracle.QUIET_CHECK_INTERVAL_S)
+            await self._wait_while_calm()
             number = self._leader()
             if number is None:
                 continue
@@ -131,62 +139,73 @@
                 proxy.set_mode("pass")
                 self._log_fault(f"daemon {number} reaches all again")
 
-    async def _disturb_leases(self) -> None:
-        """Silences and restarts workers, one after the other.
+    async def _restart_workers(self) -> None:
+        """Restarts workers under their ids while holds wait there."""
+        generator = self.restart_random
+        while True:
+            await self._wait_while_calm()
+            pause_s = generator.uniform(*RESTART_PAUSE_RANGE_S)
+            if time.monotonic() + pause_s > self.end_s:
+                return
+            await asyncio.sleep(pause_s)
+            await self._wait_while_calm()
+            worker = generator.choice(self.simulator.workers)
+            self._restart_in_hold(worker, generator)
 
-        Leaders are also stopped, so that a next one takes over the runs.
+    async def _silence_workers(self) -> None:
+        """Cuts single workers off from single daemons, one after the other.
+
+        Some have restarted shortly before, and some answer a new leader once.
         """
-        generator = self.lease_random
+        generator = self.silence_random
         while True:
-            pause_s = generator.uniform(*LEASE_FAULT_PAUSE_RANGE_S)
-            silence_s = generator.uniform(*SILENCE_RANGE_S)
-            restarts, moves, changes_leader = (
-                generator.random() < 0.6,
-                generator.random() < 0.4,
-                generator.random() < 0.6,
-            )
+            await self._wait_while_calm()
+            pause_s = generator.uniform(*SILENCE_PAUSE_RANGE_S)
+            duration_s = generator.uniform(*SILENCE_RANGE_S)
+            restarts = generator.random() < RESTART_SHARE
+            changes_leader = generator.random() < TAKEOVER_SHARE
             worker = generator.choice(self.simulator.workers)
             mode = generator.choice(("requests", "requests", "responses"))
-            delay_s = generator.uniform(*RESTART_TO_STOP_RANGE_S)
-            left_s = self.end_s - time.monotonic() - pause_s - silence_s
-            if left_s < delay_s + TAKEOVER_TIMEOUT_S:
+            delay_s = generator.uniform(*BEFORE_SILENCE_RANGE_S)
+            if time.monotonic() + pause_s + duration_s > self.end_s:
                 return
             await asyncio.sleep(pause_s)
-            while self.is_calm:
-                await asyncio.sleep(soak_oracle.QUIET_CHECK_INTERVAL_S)
-            with self.disruptions.span("leases"):
+            await self._wait_while_calm()
+            with self.disruptions.span("workers"):
+                worker.long_run_share = SILENT_LONG_RUN_SHARE
                 if restarts:
-                    self._restart_in_hold(worker, moves, generator)
-                    await asyncio.sleep(delay_s)
+                    self._restart_in_hold(worker, generator)
+                await asyncio.sleep(delay_s)
                 if changes_leader:
-                    await self._change_leader(worker, mode, silence_s)
+                    await self._change_leader(worker, mode, duration_s)
                 elif (number := self._leader()) is not None:
-                    await self._silence(worker, number, mode, silence_s)
+                    await self._silence(worker, number, mode, duration_s)
+                worker.long_run_share = soak_platform.LONG_RUN_SHARE
+
+    async def _wait_while_calm(self) -> None:
+        while self.is_calm:
+            await asyncio.sleep(soak_oracle.QUIET_CHECK_INTERVAL_S)
 
-    def _restart_in_hold(self, worker, moves: bool, generator) -> None:
+    def _restart_in_hold(self, worker, generator) -> None:
         """Restarts a worker under its id while a hold may wait there.
 
         Its connections stay open, so that orders that are under way reach the
         next life. If it moves, another worker restarts at its address.
         """
+        moves = generator.random() < MOVE_SHARE
+        previous = worker.place
+        place = generator.choice(self.simulator.free_places())
+        other = generator.choice(self.simulator.workers)
         if worker.is_down:
             return
         name = worker.model.record.worker_id
-        previous = worker.place
-        place = generator.choice(self.simulator.free_places())
-        others = [
-            other
-            for other in self.simulator.workers
-            if other is not worker and not other.is_down
-        ]
         with self.disruptions.span("workers"):
             worker.start(name, place if moves else None)
             self._log_fault(
                 f"worker {name} restarted in a hold, "
                 f"at address {worker.place} after {previous}"
             )
-            if moves and others:
-                other = generator.choice(others)
+            if moves and other is not worker and not other.is_down:
                 other_name = other.model.record.worker_id
                 other.start(other_name, previous)
                 self._log_fault(f"worker {other_name} moved to {previous}")
--- a/tests/soak_platform.py
+++ b/tests/soak_platform.py
@@ -9,6 +9,7 @@
 import base64
 import collections
 from collections.abc import Callable
+import functools
 import json
 import random
 import time
@@ -110,12 +111,14 @@
 
     Attributes:
         place: Number of the address of its current or last incarnation.
+        long_run_share: Share of its runs that take longer than a lease.
     """
 
     def __init__(self, simulator: "PlatformSimulator", number: int):
         self.simulator = simulator
         self.number = number
         self.place = number
+        self.long_run_share = LONG_RUN_SHARE
         self.incarnation = 0
         self.model: _worker_model.ModelWorker | None = None
         self.is_down = False
@@ -154,7 +157,7 @@
             record,
             now_s,
             self.simulator.random.uniform(0.98, 1.0),
-            self.simulator.make_run,
+            functools.partial(self.simulator.make_run, self),
             self.simulator.oracle,
             checkpoints=self.simulator.checkpoints,
         )
@@ -363,10 +366,12 @@
         sender = self.oracle.system.find_sender(token)
         return self.silences.get((worker.number, sender), "")
 
-    def make_run(self, order, now_s: float) -> _worker_model.ModelRun:
+    def make_run(
+        self, worker: SimulatedWorker, order, now_s: float
+    ) -> _worker_model.ModelRun:
         """Creates a run with random duration and outcome."""
         duration_s = self.random.uniform(0.1, 1.2)
-        if self.duration_random.random() < LONG_RUN_SHARE:
+        if self.duration_random.random() < worker.long_run_share:
             duration_s = self.duration_random.uniform(*LONG_RUN_RANGE_S)
         run = _worker_model.ModelRun(
             order.task,
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -43,6 +43,9 @@
         self.rows = rows or {}
         self.leader_versions: set[int] = set()
 
+    async def _restart_workers(self) -> None:
+        pass
+
     def _at_worker(self, entries: dict[str, bytes]) -> dict[str, bytes]:
         address = self.simulator.worker_address(0)
         return {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -128,7 +128,10 @@
     async def _isolate_leaders(self) -> None:
         pass
 
-    async def _disturb_leases(self) -> None:
+    async def _silence_workers(self) -> None:
+        pass
+
+    async def _restart_workers(self) -> None:
         pass
 
     async def _send_request(self, method, *arguments):
--- a/tests/test_soak_leases.py
+++ b/tests/test_soak_leases.py
@@ -59,7 +59,10 @@
     async def _isolate_leaders(self) -> None:
         pass
 
-    async def _disturb_leases(self) -> None:
+    async def _silence_workers(self) -> None:
+        pass
+
+    async def _restart_workers(self) -> None:
         pass
 
     async def _wait_until(self, condition) -> None:
@@ -109,20 +112,21 @@
 
 
 class SilentWorkerSoak(LeaseSoak):
-    """A worker is silent under a lease that an order of another life gave.
-
-    It restarts under its id and carries out an order of the life before, so
-    that its lease is longer than those that leaders give.
+    """A worker that runs a task is silent towards one leader.
 
     Args:
         folder: Directory for settings and logs.
+        restarts: Whether it restarts under its id and carries out an order of
+            the life before, so that its lease is longer than those that leaders
+            give.
         leader_fault: `stopped` or `killed` if the worker is silent towards the
             next leader, after its first answer; `none` if it is silent towards
             the one that started the task.
     """
 
-    def __init__(self, folder, leader_fault: str):
+    def __init__(self, folder, restarts: bool, leader_fault: str):
         super().__init__(folder)
+        self.restarts = restarts
         self.leader_fault = leader_fault
         # Runs of worker 0 at the end of the silence.
         self.last_runs: set[str] = set()
@@ -133,13 +137,10 @@
         await self._wait_until(
             lambda: worker.model.clock_ms(time.monotonic()) > MIN_CLOCK_MS
         )
-        self._restart(worker)
-        await self._wait_until(lambda: worker.model.lease_end_ms > 0)
-        # The lease is longer than those on the clock of this life.
-        now_s = time.monotonic()
-        lease_ms = worker.model.lease_end_ms - worker.model.clock_ms(now_s)
-        assert lease_ms > MIN_LEASE_MS
-        self.lease_end_s = now_s + lease_ms / 1000 / SLOWEST_CLOCK_RATE
+        if self.restarts:
+            await self._restart(worker)
+        else:
+            worker.change_capacity(soak_platform.CPU_MILLI)
         await self._wait_until(lambda: TASK in worker.model.runs)
         for other in others:
             other.change_capacity(soak_platform.CPU_MILLI)
@@ -152,11 +153,18 @@
         worker.model.advance(time.monotonic())
         self.last_runs = set(worker.model.runs)
 
-    def _restart(self, worker) -> None:
+    async def _restart(self, worker) -> None:
+        """Restarts a worker; an order of the life before reaches the next."""
         worker.start(worker.model.record.worker_id)
         worker.model.clock_rate = SLOWEST_CLOCK_RATE
         # The sequence numbers of a life start anew.
         worker.write_heartbeat(1)
+        await self._wait_until(lambda: worker.model.lease_end_ms > 0)
+        # The lease is longer than those on the clock of this life.
+        now_s = time.monotonic()
+        lease_ms = worker.model.lease_end_ms - worker.model.clock_ms(now_s)
+        assert lease_ms > MIN_LEASE_MS
+        self.lease_end_s = now_s + lease_ms / 1000 / SLOWEST_CLOCK_RATE
 
 
 class MovedWorkerSoak(LeaseSoak):
@@ -216,17 +224,29 @@
     return run
 
 
+def check_second_run(soak_run):
+    """Checks that the task ran again only after its lease had ended."""
+    assert not soak_run.oracle.violations, soak_run.describe()
+    assert any("silent towards" in fault for fault in soak_run.fault_log)
+    # The silence was longer than the lease.
+    assert not soak_run.last_runs
+    assert soak_run.oracle.starts == 2
+
+
+class TestLeasesOfThisLife:
+    """A leader took a lease that a leader had given for ended too early."""
+
+    @pytest.mark.parametrize("leader_fault", ["none", "stopped"])
+    def test_a_task_of_a_silent_worker_runs_once(self, run_soak, leader_fault):
+        check_second_run(run_soak(SilentWorkerSoak, False, leader_fault))
+
+
 class TestLeasesOfTheLifeBefore:
     """A leader took a lease for ended that an order of another life gave."""
 
     @pytest.mark.parametrize("leader_fault", ["none", "stopped", "killed"])
     def test_a_task_of_a_silent_worker_runs_once(self, run_soak, leader_fault):
-        soak_run = run_soak(SilentWorkerSoak, leader_fault)
-        assert not soak_run.oracle.violations, soak_run.describe()
-        assert any("silent towards" in fault for fault in soak_run.fault_log)
-        # The silence was longer than the lease.
-        assert soak_run.last_runs != {TASK}
-        assert soak_run.oracle.starts == 2
+        check_second_run(run_soak(SilentWorkerSoak, True, leader_fault))
 
 
 class TestMovedWorkers:
