Test the soak's faults that give foreign leases

Without these tests a fault of the soak platform itself, such as an order that no longer reaches the next life of a worker, would make the soak blind again.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import json
 import math
 import signal
 import time
@@ -234,6 +235,191 @@
         }
 
 
+class TestLeaseFaults:
+    """Tests of the faults that give a worker a lease of another leader or life.
+
+    The soak saw no fault of this kind while orders did not reach the next life
+    of a worker, or while workers were silent towards all daemons or none.
+    """
+
+    # On the clock of a life that has run for an hour.
+    UNTIL_MS = 3_600_000
+    MAX_LEASE_MS = 6000
+
+    @pytest.fixture
+    def soak_run(self, tmp_path):
+        soak_run = soak.Soak(SEED + 5, 1.0, tmp_path)
+        for number, proxy in enumerate(soak_run.store_proxies):
+            # Each daemon has a fencing token of its own.
+            soak_run.simulator.transaction_sources[number + 1] = proxy.host
+        yield soak_run
+        soak_run.subnet_lock.close()
+
+    def play(self, soak_run, scenario):
+        async def run():
+            soak_run.simulator.start()
+            try:
+                return await asyncio.wait_for(scenario(), 20.0)
+            finally:
+                soak_run.simulator.stop()
+
+        return asyncio.run(run())
+
+    async def post(self, soak_run, call, daemon, place=0, expected="w0-1"):
+        """Sends an order and returns status and content; 0 without any."""
+        body = {
+            "fencing-token": daemon + 1,
+            "last-seen": 0,
+            "until-ms": self.UNTIL_MS,
+            "wait-ms": 200,
+            "task": TASK,
+            "run-id": 1,
+            "spec": "",
+        }
+        content = json.dumps(body).encode()
+        reader, writer = await asyncio.open_connection(
+            f"127.{soak_run.subnet}.7.{place + 2}", 8700
+        )
+        writer.write(
+            f"POST /api/{call} HTTP/1.1\r\nHost: worker\r\n"
+            f"X-Expected-Instance: {expected}\r\nConnection: close\r\n"
+            f"Content-Length: {len(content)}\r\n\r\n".encode() + content
+        )
+        response = await reader.read()
+        writer.close()
+        head, _, text = response.partition(b"\r\n\r\n")
+        if not head:
+            return 0, {}
+        return int(head.split()[1]), json.loads(text)
+
+    def test_the_clock_of_the_next_life_starts_anew(self, soak_run):
+        worker = soak_run.simulator.workers[0]
+        later_s = time.monotonic() + 60.0
+        assert worker.model.clock_ms(later_s) > 50_000
+        worker.start("w0-1")
+        assert worker.model.clock_ms(time.monotonic()) < 2000
+        assert worker.model.token == worker.model.lease_end_ms == 0
+
+    @pytest.mark.parametrize("call", ["hold", "run-start"])
+    def test_an_order_reaches_the_next_life_under_an_id(self, soak_run, call):
+        worker = soak_run.simulator.workers[0]
+        if call != "hold":
+            soak_run.simulator.delayed_order_rate = 1.0
+            soak_run.simulator.random.uniform = lambda first, last: 0.3
+        soak_run.specs[JOB] = scheduling.JobSpec(
+            JOB, soak_platform.QUEUE, "", (scheduling.StepSpec(1),)
+        )
+
+        async def scenario():
+            order = asyncio.ensure_future(self.post(soak_run, call, 0))
+            await asyncio.sleep(0.1)
+            worker.start("w0-1")
+            return await order
+
+        status, content = self.play(soak_run, scenario)
+        model = worker.model
+        lease_ms = model.lease_end_ms - model.clock_ms(time.monotonic())
+        assert self.MAX_LEASE_MS - 2000 < lease_ms <= self.MAX_LEASE_MS
+        assert soak_run.simulator.carried_over == {call: 1}
+        if call == "hold":
+            assert status == 200
+            assert content["born"] == model.record.start_time_ms
+        else:
+            assert TASK in model.runs
+
+    @pytest.mark.parametrize(
+        ("worker_id", "place"), [("w0-2", None), ("w0-1", 5)]
+    )
+    def test_an_order_does_not_reach_another_worker_or_address(
+        self, soak_run, worker_id, place
+    ):
+        worker = soak_run.simulator.workers[0]
+
+        async def scenario():
+            order = asyncio.ensure_future(self.post(soak_run, "hold", 0))
+            await asyncio.sleep(0.1)
+            worker.start(worker_id, place)
+            return await order
+
+        assert self.play(soak_run, scenario) == (0, {})
+        assert worker.model.lease_end_ms == 0
+
+    def test_a_worker_that_has_moved(self, soak_run):
+        mover, taker, *_ = soak_run.simulator.workers
+
+        async def scenario():
+            mover.start("w0-1", 5)
+            nobody = await self.post(soak_run, "hold", 0)
+            taker.start("w1-1", 0)
+            another = await self.post(soak_run, "hold", 0)
+            return nobody, another, await self.post(soak_run, "hold", 0, 5)
+
+        nobody, another, own = self.play(soak_run, scenario)
+        assert nobody == (0, {})
+        assert another == (421, {})
+        assert own[0] == 200
+        assert soak_run.simulator.misdirected == 1
+        assert mover.model.record.address.startswith(
+            f"127.{soak_run.subnet}.8.6:"
+        )
+        assert taker.model.lease_end_ms == 0
+
+    def test_a_crashed_worker_returns_at_a_free_address(self, soak_run):
+        mover, taker, *_ = soak_run.simulator.workers
+        mover.is_down = True
+        taker.start("w1-1", 0)
+        mover._return()
+        assert mover.place == 1
+        assert taker.place == 0
+
+    @pytest.mark.parametrize("mode", ["requests", "responses"])
+    def test_a_worker_is_silent_towards_one_daemon(
+        self, soak_run, monkeypatch, mode
+    ):
+        monkeypatch.setattr(soak_platform, "CUT_RESPONSE_DELAY_S", 0.1)
+        worker = soak_run.simulator.workers[0]
+        soak_run.simulator.silences[0, 1] = mode
+
+        async def scenario():
+            silent = await self.post(soak_run, "hold", 1)
+            lease_end_ms = worker.model.lease_end_ms
+            other = await self.post(soak_run, "hold", 2)
+            neighbour = await self.post(soak_run, "hold", 1, 1, "w1-1")
+            return silent, lease_end_ms, other, neighbour
+
+        silent, lease_end_ms, other, neighbour = self.play(soak_run, scenario)
+        assert silent == (0, {})
+        assert bool(lease_end_ms) == (mode == "responses")
+        assert other[0] == neighbour[0] == 200
+
+    @pytest.mark.parametrize("kills", [False, True])
+    def test_a_worker_is_silent_after_the_first_answer_to_a_leader(
+        self, soak_run, monkeypatch, kills
+    ):
+        monkeypatch.setattr(soak_platform, "CUT_RESPONSE_DELAY_S", 0.1)
+        worker = soak_run.simulator.workers[0]
+        soak_run._leader = lambda: 0
+
+        async def restart(timeout_s):
+            del timeout_s
+
+        soak_run.daemons[0].restart = restart
+
+        async def scenario():
+            change = asyncio.ensure_future(
+                soak_run._change_leader(worker, "requests", 1.5, kills)
+            )
+            await asyncio.sleep(0.1)
+            statuses = [
+                (await self.post(soak_run, "hold", daemon))[0]
+                for daemon in (0, 0, 1, 1)
+            ]
+            await change
+            return [*statuses, (await self.post(soak_run, "hold", 1))[0]]
+
+        assert self.play(soak_run, scenario) == [200, 200, 200, 0, 200]
+
+
 class TestOracle:
     """Tests that each rule detects a planted violation."""
 
