--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 import soak_faults
 import soak_oracle
 import soak_platform
+from tornado import httpclient
 
 from baobabdoor import platform
 from baobabdoor import scheduling
@@ -392,6 +393,34 @@
         assert bool(lease_end_ms) == (mode == "responses")
         assert other[0] == neighbour[0] == 200
 
+    def test_a_store_that_is_read_only(self, soak_run):
+        leader = platform.StoredRow("tenure", "fleet", "holder", b"{}")
+        soak_run.simulator.store._apply([leader], [], [])
+
+        async def send(client, target, **options):
+            response = await client.fetch(
+                f"http://127.{soak_run.subnet}.7.1:8700{target}",
+                raise_error=False,
+                **options,
+            )
+            return response.code
+
+        async def scenario():
+            client = httpclient.AsyncHTTPClient()
+            rows = "/api/rows-get?table=tenure&part=fleet"
+            body = json.dumps({"puts": [], "remove": [], "expected-rev": []})
+            statuses = []
+            for fault in ("", "read-only"):
+                soak_run.simulator.store_fault = fault
+                statuses.append(await send(client, rows))
+                target = "/api/rows-tx"
+                statuses.append(
+                    await send(client, target, method="POST", body=body)
+                )
+            return statuses
+
+        assert self.play(soak_run, scenario) == [200, 200, 200, 503]
+
     @pytest.mark.parametrize("kills", [False, True])
     def test_a_worker_is_silent_after_the_first_answer_to_a_leader(
         self, soak_run, monkeypatch, kills
