--- a/tests/soak_injection.py
+++ b/tests/soak_injection.py
@@ -24,6 +24,26 @@
 # Bounds of the time between two entries of another program that replace that
 # of a worker until its next heartbeat.
 REPLACEMENT_RANGE_S = (0.5, 3.0)
+# Bounds of the time between two silences of a worker towards one daemon, and of
+# their duration, which may be longer than the longest lease.
+SILENCE_PAUSE_RANGE_S = (0.5, 3.0)
+SILENCE_RANGE_S = (4.0, 8.0)
+# Shares of silences that begin after the restart of the worker, and with the
+# first answer to the next leader.
+RESTART_SHARE = 0.6
+TAKEOVER_SHARE = 0.6
+# Share of the runs on the worker that take longer than a lease. Others have
+# ended before a leader takes the lease for ended.
+SILENT_LONG_RUN_SHARE = 0.5
+# Time in which the next leader has to call the worker.
+TAKEOVER_TIMEOUT_S = 5.0
+# Bounds of the time before, in which tasks start on the worker. After a restart
+# their lease is that of an order of the life before, and has to go on.
+BEFORE_SILENCE_RANGE_S = (0.4, 1.5)
+# Bounds of the time between two further restarts while holds wait, and the
+# share of restarts at another address.
+RESTART_PAUSE_RANGE_S = (2.0, 6.0)
+MOVE_SHARE = 0.4
 
 
 class FaultInjection:
@@ -102,8 +122,7 @@
             if time.monotonic() + pause_s + duration_s > self.end_s:
                 return
             await asyncio.sleep(pause_s)
-            while self.is_calm:
-                await asyncio.sleep(soak_oracle.QUIET_CHECK_INTERVAL_S)
+            await self._wait_while_calm()
             number = self._leader()
             if number is None:
                 continue
@@ -120,6 +139,132 @@
                 proxy.set_mode("pass")
                 self._log_fault(f"daemon {number} reaches all again")
 
+    async def _restart_workers(self) -> None:
+        """Restarts workers under their ids while holds wait there."""
+        generator = self.restart_random
+        while True:
+            await self._wait_while_calm()
+            pause_s = generator.uniform(*RESTART_PAUSE_RANGE_S)
+            if time.monotonic() + pause_s > self.end_s:
+                return
+            await asyncio.sleep(pause_s)
+            await self._wait_while_calm()
+            worker = generator.choice(self.simulator.workers)
+            self._restart_in_hold(worker, generator)
+
+    async def _silence_workers(self) -> None:
+        """Cuts single workers off from single daemons, one after the other.
+
+        Some have restarted shortly before, and some answer a new leader once.
+        """
+        generator = self.silence_random
+        while True:
+            await self._wait_while_calm()
+            pause_s = generator.uniform(*SILENCE_PAUSE_RANGE_S)
+            duration_s = generator.uniform(*SILENCE_RANGE_S)
+            restarts = generator.random() < RESTART_SHARE
+            changes_leader = generator.random() < TAKEOVER_SHARE
+            worker = generator.choice(self.simulator.workers)
+            mode = generator.choice(("requests", "requests", "responses"))
+            delay_s = generator.uniform(*BEFORE_SILENCE_RANGE_S)
+            if time.monotonic() + pause_s + duration_s > self.end_s:
+                return
+            await asyncio.sleep(pause_s)
+            await self._wait_while_calm()
+            with self.disruptions.span("workers"):
+                worker.long_run_share = SILENT_LONG_RUN_SHARE
+                if restarts:
+                    self._restart_in_hold(worker, generator)
+                await asyncio.sleep(delay_s)
+                if changes_leader:
+                    await self._change_leader(worker, mode, duration_s)
+                elif (number := self._leader()) is not None:
+                    await self._silence(worker, number, mode, duration_s)
+                worker.long_run_share = soak_platform.LONG_RUN_SHARE
+
+    async def _wait_while_calm(self) -> None:
+        while self.is_calm:
+            await asyncio.sleep(soak_oracle.QUIET_CHECK_INTERVAL_S)
+
+    def _restart_in_hold(self, worker, generator) -> None:
+        """Restarts a worker under its id while a hold may wait there.
+
+        Its connections stay open, so that orders that are under way reach the
+        next life. If it moves, another worker restarts at its address.
+        """
+        moves = generator.random() < MOVE_SHARE
+        previous = worker.place
+        place = generator.choice(self.simulator.free_places())
+        other = generator.choice(self.simulator.workers)
+        if worker.is_down:
+            return
+        name = worker.model.record.worker_id
+        with self.disruptions.span("workers"):
+            worker.start(name, place if moves else None)
+            self._log_fault(
+                f"worker {name} restarted in a hold, "
+                f"at address {worker.place} after {previous}"
+            )
+            if moves and other is not worker and not other.is_down:
+                other_name = other.model.record.worker_id
+                other.start(other_name, previous)
+                self._log_fault(f"worker {other_name} moved to {previous}")
+
+    async def _silence(
+        self, worker, daemon: int, mode: str, duration_s: float
+    ) -> None:
+        """Cuts a worker off from one daemon."""
+        key = (worker.number, daemon)
+        with self.disruptions.span(f"daemon {daemon}"):
+            self.simulator.silences[key] = mode
+            self._log_fault(
+                f"worker {worker.number} silent towards daemon {daemon} "
+                f"({mode}) for {duration_s:.1f} s"
+            )
+            await asyncio.sleep(duration_s)
+            del self.simulator.silences[key]
+            self._log_fault(f"worker {worker.number} answers daemon {daemon}")
+
+    async def _change_leader(
+        self, worker, mode: str, duration_s: float, kills: bool = False
+    ) -> None:
+        """Ends the leader; a worker answers the next one only once.
+
+        Args:
+            worker: The worker.
+            mode: How the worker is silent, as in `silences`.
+            duration_s: How long it is silent.
+            kills: Whether the leader is killed instead of stopped.
+        """
+        previous = self._leader()
+        if previous is None:
+            return
+        answered = asyncio.get_running_loop().create_future()
+
+        def observe(daemon: int) -> None:
+            if daemon != previous and not answered.done():
+                answered.set_result(daemon)
+
+        self.simulator.awaited_answers[worker.number] = observe
+        with self.disruptions.span(f"daemon {previous}"):
+            self._log_fault(
+                f"leader {previous} {'killed' if kills else 'stopped'}",
+                previous,
+            )
+            self.daemons[previous].send(
+                signal.SIGKILL if kills else signal.SIGTERM
+            )
+            # The daemon stays away until then, so that another one leads.
+            await asyncio.wait([answered], timeout=TAKEOVER_TIMEOUT_S)
+            del self.simulator.awaited_answers[worker.number]
+            restart = asyncio.ensure_future(
+                self.daemons[previous].restart(soak_faults.GRACE_S)
+            )
+            if answered.done():
+                daemon = answered.result()
+                await self._silence(worker, daemon, mode, duration_s)
+            await restart
+
     def _leader(self) -> int | None:
         """Returns the number of the daemon that the store names as leader."""
         row = self.simulator.store.get("tenure", "holder", "fleet")
@@ -163,10 +308,10 @@
             )
 
     async def _fault_worker_connection(self, duration_s: float) -> None:
-        number = self.random.randrange(soak_platform.WORKERS)
-        with self.disruptions.span(f"connections of worker {number}"):
+        place = self.random.randrange(soak_platform.WORKERS)
+        with self.disruptions.span(f"connections of address {place}"):
             await self._fault_proxy(
-                self.worker_proxies[number], f"worker {number}", duration_s
+                self.worker_proxies[place], f"address {place}", duration_s
             )
 
     async def _suspend_daemon(self, duration_s: float) -> None:
@@ -192,7 +337,7 @@
         with self.disruptions.span(f"daemon {number}"):
             self.fault_log.append(f"daemon {number} stopped gracefully")
             self.daemons[number].send(signal.SIGTERM)
-            await self.daemons[number].restart(6.0)
+            await self.daemons[number].restart(soak_faults.GRACE_S)
 
     async def _restart_worker(self, duration_s: float) -> None:
         worker = self.random.choice(self.simulator.workers)
@@ -201,8 +346,8 @@
         keeps_id = self.random.random() < 0.5
         name = worker.model.record.worker_id
         self._log_fault(f"worker {name} restarted, same id: {keeps_id}")
-        with self.disruptions.span(f"connections of worker {worker.number}"):
-            proxy = self.worker_proxies[worker.number]
+        with self.disruptions.span(f"connections of address {worker.place}"):
+            proxy = self.worker_proxies[worker.place]
             proxy.set_mode("reset")
             worker.start(
                 name
