--- a/scripts/planted_faults.py
+++ b/scripts/planted_faults.py
@@ -107,7 +107,7 @@
     Fault(
         9,
         "a lease is taken for ended too early",
-        "scheduling/_worker.py",
+        "scheduling/_lease.py",
         "CLOCK_DRIFT_FACTOR = 1.025\n",
         "CLOCK_DRIFT_FACTOR = 0.5\n",
         ("test_soak_leases.py",),
