Remember orders under way over a second restart of a worker

A new life forgot when an order had last extended the lease of the life before. If a second restart followed before another hold with a lease, a start that was still under way counted as never sent: the list of machines or the end of the lease released it while the second life ran it (TWICE; found by the review).

The time of the newest order to any life is kept.

--- a/baobabdoor/scheduling/_lease.py
+++ b/baobabdoor/scheduling/_lease.py
@@ -26,7 +26,8 @@
     Attributes:
         clock_ms: The incarnation's clock in a report; 0 before the first one.
         clock_at_s: Time of that report.
-        extended_s: When an order of this term last extended it.
+        extended_s: When an order of this term last extended that of any
+            incarnation.
         own_end_s: Time at which the lease has ended as far as orders of this
             term have extended it; negative infinity if none has.
         foreign_end_s: The same for all other orders.
@@ -92,7 +93,7 @@
         self.foreign_end_s = self.next_end_s
         self.include_other_orders(now_s)
         self.clock_ms = 0
-        self.extended_s = self.own_end_s = -math.inf
+        self.own_end_s = -math.inf
 
     def has_ended(self, now_s: float) -> bool:
         """Returns whether the lease has certainly ended."""
