Do not count a withheld order as a worker's silence

A start that was not sent any more because its job was cancelled, or because the term may have been released, had the result of a failed connection.

An order without a permit now has the outcome `withheld`, which says nothing of the worker. test_a_cancel_does_not_withhold_starts_of_other_jobs failed before with the outcome that the client returned then, and the client's own test requires the new outcome.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -395,7 +395,7 @@
                 self.end(f"fenced by {worker.worker_id}")
         elif result.outcome is OUTCOMES.WRONG_WORKER:
             self.scheduler.observe_wrong_worker(order.worker_id, order.address)
-        else:
+        elif result.outcome is not OUTCOMES.WITHHELD:
             self.scheduler.observe_no_response(worker.worker_id, now_s)
             self._ask_later_life(worker)
         await asyncio.sleep(UNRESPONSIVE_PAUSE_S)
--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -153,6 +153,13 @@
             "Content-Type: application/json\r\n"
             f"X-Expected-Instance: {order.worker_id}\r\n"
         )
+        withheld = False
+
+        def check_permit() -> bool:
+            nonlocal withheld
+            withheld = not permit()
+            return not withheld
+
         started_s = time.monotonic()
         answer = await self.client.fetch(
             order.address,
@@ -161,16 +168,16 @@
             json.dumps(body).encode(),
             headers,
             wait_s + self.adaptive_timeout.timeout_s(*timeout_range_s),
-            permit,
+            check_permit if permit else None,
         )
         if isinstance(answer, base.Refusal):
-            not_sent = answer.reason is base.Reason.CONNECTION_FAILED
-            return scheduling.OrderResult(
-                scheduling.OrderOutcome.NOT_SENT
-                if not_sent
-                else scheduling.OrderOutcome.UNKNOWN,
-                detail=str(answer),
-            )
+            outcome = scheduling.OrderOutcome.UNKNOWN
+            if withheld:
+                # This says nothing of the worker.
+                outcome = scheduling.OrderOutcome.WITHHELD
+            elif answer.reason is base.Reason.CONNECTION_FAILED:
+                outcome = scheduling.OrderOutcome.NOT_SENT
+            return scheduling.OrderResult(outcome, detail=str(answer))
         if not wait_s:
             self.adaptive_timeout.observe(time.monotonic() - started_s)
         try:
