Count a maintenance of an earlier term from the start of this one

A new leader that loaded a maintenance as under way took the first list that showed the machine with its worker as its end, also one that was older than the accepted order.

The order counts as accepted LISTING_DELAY_S after the start of the term. test_a_list_of_before_the_accepted_order_ends_no_maintenance failed before.

Three further findings of the review stay known red: the pace of an adopted run, an increase of pace that arrives after the pause, and an acknowledgement under way at a restart together with a start.

--- a/baobabdoor/scheduling/_maintenance.py
+++ b/baobabdoor/scheduling/_maintenance.py
@@ -193,6 +193,11 @@
             plan = WavePlan(wave, self.scheduler.store_ms)
             if stored:
                 plan.restore(stored)
+            for target in plan.targets.values():
+                # The order of an earlier term was accepted before this one.
+                target.accepted_s = (
+                    self.scheduler.started_s + _crashes.LISTING_DELAY_S
+                )
             self.plans[wave.number] = plan
 
     def observe_machines(
