--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -74,8 +74,10 @@
 # Shares of restarts at another address, and of the former addresses that
 # another worker takes, with the maximum time until then.
 MOVE_SHARE = 0.4
-TAKEN_SHARE = 0.6
+TAKEN_SHARE = 0.8
 MAX_FREE_S = 2.0
+# Share of the answers of another worker that are under way for long.
+LATE_REFUSAL_SHARE = 0.6
 # Shares of workers that do not hear a new leader from the start, and that fall
 # silent towards it soon after their first report.
 UNHEARD_SHARE = 0.15
@@ -295,10 +297,8 @@
         if not first and address != known:
             self.moves += 1
             if self.takes_addresses and rng.random() < TAKEN_SHARE:
-                self.after(
-                    rng.uniform(0, MAX_FREE_S),
-                    lambda: self._take_address(known),
-                )
+                free_s = rng.choice((0.0, rng.uniform(0, MAX_FREE_S)))
+                self.after(free_s, lambda: self._take_address(known))
 
     def _take_address(self, address):
         """Restarts a worker at an address, unless it is used."""
@@ -352,10 +352,8 @@
         timeout_s = rng.uniform(
             *(HOLD_TIMEOUT_RANGE_S if hold else ORDER_TIMEOUT_RANGE_S)
         )
-        transit_s = return_s = 0.0
-        if rng.random() < SLOW_SHARE:
-            transit_s = rng.uniform(0, MAX_TRANSIT_S)
-            return_s = rng.uniform(0, MAX_TRANSIT_S)
+        slow_s = MAX_TRANSIT_S if rng.random() < SLOW_SHARE else 0.0
+        transit_s, return_s = rng.uniform(0, slow_s), rng.uniform(0, slow_s)
         from_s, until_s, lost_answers = self.silences.get(
             (leader.number, order.worker_id), (0.0, 0.0, False)
         )
@@ -383,10 +381,19 @@
                 return
             result = self.deliver(leader, order)
             if answered:
-                self._after_transit(return_s, lambda: observe(order, result))
+                late = self._is_late_refusal(result)
+                left_s = timeout_s - transit_s if late else return_s
+                delay_s = rng.uniform(return_s, left_s)
+                self._after_transit(delay_s, lambda: observe(order, result))
 
         self._after_transit(transit_s, arrive)
 
+    def _is_late_refusal(self, result):
+        """Returns whether the answer of another worker is long under way."""
+        outcome = getattr(result, "outcome", None)
+        late = self.lease_random.random() < LATE_REFUSAL_SHARE
+        return outcome is OUTCOMES.WRONG_WORKER and late
+
     def _restarts_under(self, order):
         """Returns whether a worker restarts while an order is under way."""
         if not getattr(order, "until_ms", 0):
@@ -608,17 +615,18 @@
 
 
 def without_longest_lease(scheduler, applies):
-    """Assumes no longest lease at the reports to which this applies."""
+    """Assumes no lease at the reports to which this applies.
+
+    Only the orders of this term then extend the lease.
+    """
     observe = scheduler.observe_report
 
     def patched(worker_id, report, token, now_s):
         worker = scheduler.workers.get(worker_id)
         planted = worker is not None and applies(worker, report)
-        if planted:
-            worker.lease.assume_longest = lambda now_s: None
         observe(worker_id, report, token, now_s)
         if planted:
-            del worker.lease.assume_longest
+            worker.lease.foreign_end_s = now_s
 
     scheduler.observe_report = patched
 
@@ -641,7 +649,7 @@
     without_longest_lease(
         scheduler,
         lambda worker, report: not is_of_known_life(worker, report)
-        or worker.first_report_s > -math.inf,
+        or (worker.first_report_s > -math.inf and not worker.token_confirmed),
     )
 
 
@@ -665,11 +673,22 @@
     )
 
 
+def retire_workers_at_former_addresses(scheduler):
+    """Takes an answer of another worker for one at the current address."""
+
+    def patched(worker_id, address):
+        del address
+        scheduler.retire_worker(worker_id, "replaced", crashed=True)
+
+    scheduler.observe_wrong_worker = patched
+
+
 PLANTED = (
     assume_no_lease_at_the_first_report,
     assume_no_lease_after_a_restart,
     release_unanswered_starts_with_the_lease,
     wait_only_for_requested_leases,
+    retire_workers_at_former_addresses,
 )
 
 
