--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -72,6 +72,12 @@
     pace_certain: bool = True
     paced_s: float = -1e9
 
+    @property
+    def start_pending(self) -> bool:
+        """Whether its start awaits its response."""
+        answered = self.confirmed or self.outcome_unknown
+        return self.order_pending and not answered
+
 
 @attrs.define(eq=False)
 class Task:
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -146,7 +146,7 @@
 ) -> None:
     if outcome in (OUTCOMES.UNKNOWN, OUTCOMES.NOT_SENT):
         worker.observe_no_response(now_s)
-    if outcome is OUTCOMES.UNKNOWN:
+    if outcome is OUTCOMES.UNKNOWN and not worker.retired:
         run.outcome_unknown = True
         run.stopping = True
         return
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -492,7 +492,8 @@
         """Releases the runs of a life of a worker that has certainly ended.
 
         The worker is retired, unless the list shows a later life of it
-        elsewhere: that the known life has ended says nothing of that one.
+        elsewhere: that the known life has ended says nothing of that one. A
+        start that is under way has a result of its own.
 
         Args:
             worker_id: The worker.
@@ -512,7 +513,10 @@
             )
             if crashed:
                 self.crashes.observe_crash(worker)
-            self.release_all_runs(worker, f"worker {reason}")
+            _worker_events.emit_lost_runs(self, worker, f"worker {reason}")
+            for run in list(worker.runs.values()):
+                if not run.start_pending:
+                    self.release_run(worker, run, f"worker {reason}")
             if worker.refused_record is not None:
                 _worker_events.follow_refused_entry(self, worker)
             else:
