Abort connections that hold orders up when a worker restarts in a hold

An order that a silent connection holds up for seconds reached the life after the one that it was sent to, which no leader may have reached since.

--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -88,8 +88,12 @@
         """Changes the mode; `reset` aborts all open connections."""
         self.mode = mode
         if mode == "reset":
-            for writer in list(self.writers):
-                writer.transport.abort()
+            self.abort()
+
+    def abort(self) -> None:
+        """Aborts all open connections."""
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     async def _serve(self, reader, writer) -> None:
         if self.mode == "reset":
--- a/tests/soak_injection.py
+++ b/tests/soak_injection.py
@@ -190,7 +190,9 @@
         """Restarts a worker under its id while a hold may wait there.
 
         Its connections stay open, so that orders that are under way reach the
-        next life. If it moves, another worker restarts at its address.
+        next life, unless they are held up: an order that arrives after its
+        sender gave up could start a task in a life that no leader has reached.
+        If the worker moves, another one restarts at its address.
         """
         moves = generator.random() < MOVE_SHARE
         previous = worker.place
@@ -199,6 +201,9 @@
         if worker.is_down:
             return
         name = worker.model.record.worker_id
+        proxy = self.worker_proxies[previous]
+        if proxy.mode == "silent":
+            proxy.abort()
         with self.disruptions.span("workers"):
             worker.start(name, place if moves else None)
             self._log_fault(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -328,6 +328,30 @@
         else:
             assert TASK in model.runs
 
+    @pytest.mark.parametrize("mode", ["pass", "silent"])
+    def test_an_order_that_is_held_up_does_not_reach_the_next_life(
+        self, soak_run, mode
+    ):
+        proxy = soak_run.worker_proxies[0]
+
+        async def scenario():
+            await proxy.start()
+            reader, writer = await asyncio.open_connection(
+                proxy.host, proxy.port
+            )
+            proxy.set_mode(mode)
+            writer.write(b"POST")
+            await asyncio.sleep(0.1)
+            worker = soak_run.simulator.workers[0]
+            soak_run._restart_in_hold(worker, soak_run.random)
+            await asyncio.sleep(0.1)
+            closed = reader.at_eof() or reader.exception() is not None
+            proxy.stop()
+            writer.close()
+            return closed
+
+        assert self.play(soak_run, scenario) == (mode == "silent")
+
     def test_a_late_order_ends_with_a_life_if_nobody_waits_for_it(
         self, soak_run
     ):
