Hold no crash as proven beside a start of a job that has ended

A task was given up, and its job shown as failed, after a second crash right after its start even if another task had started on the worker at the same time, when the job of the other one was cancelled before the crash became known. Tasks of ended jobs are not accused, and the number of accused tasks was taken for the number of starts.

The number of all starts of the worker counts now. The test failed before (harmless.final).

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -225,7 +225,7 @@
             self.accused_tasks.add(task)
             self.scheduler.mark_dirty(task.job)
             task.accused_revision = self.scheduler.revision
-        causes = _find_causes(accused, crash_id)
+        causes = _find_causes(accused, losses)
         self.scheduler.emit(
             "crash_attributed",
             crash=crash_id,
@@ -362,23 +362,37 @@
     return bool(task.start_crashes) or must_isolate(task)
 
 
+def _unit_name(task: _job.Task) -> str:
+    """Returns the name of the task, or of its step for a member of a gang.
+
+    The members of a gang start together.
+    """
+    return task.step_name if task.spec.gang else task.name
+
+
 def _find_causes(
-    accused: Iterable[_job.Task], crash_id: str
+    accused: Iterable[_job.Task], losses: _Losses
 ) -> list[_job.Task]:
     """Returns the tasks that have caused a crash; none if it is not certain.
 
-    The members of a gang start together; the one with most crashes counts.
+    Of the members of a gang, the one with most crashes counts.
+
+    Args:
+        accused: Tasks against which the crash is held.
+        losses: All tasks that ended in it.
     """
     units: dict[str, _job.Task] = {}
     for task in accused:
-        name = task.step_name if task.spec.gang else task.name
+        name = _unit_name(task)
         units[name] = max(
             units.get(name, task), task, key=lambda member: len(member.crashes)
         )
+    # A task whose job has ended since its start may be the cause as well.
+    started = {_unit_name(task) for task in losses.starting if not task.done}
     starting = [
-        task for task in units.values() if crash_id in task.start_crashes
+        task for task in units.values() if losses.crash_id in task.start_crashes
     ]
-    if len(starting) == 1 and _has_repeated_crash(starting[0]):
+    if len(started) == len(starting) == 1 and _has_repeated_crash(starting[0]):
         return starting
     alone = len(units) == 1
     max_crashes = ISOLATION_CRASHES if alone else MAX_UNPROVEN_CRASHES
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -376,6 +376,25 @@
         fleet.run_starts()
         assert job.state is scheduling.JobState.FAILED
 
+    def test_a_crash_beside_a_start_of_a_cancelled_job_fails_no_job(self):
+        """Guards against a task that is given up for the start of another."""
+        fleet = crashing_fleet.CrashingFleet(1)
+        fleet.submit(crashing_fleet.CRASHING, [crashing_fleet.step()])
+        assert len(fleet.accept(fleet.starts())) == 1
+        harmless = fleet.submit(
+            crashing_fleet.HARMLESS, [crashing_fleet.step()]
+        )
+        (task,) = harmless.tasks()
+        task.crashes = task.start_crashes = frozenset(("a@1",))
+        # Waits for so long that it starts beside any other run.
+        task.trial_wanted_s = fleet.now_s - 3
+        fleet.scheduler.crashes.accused_tasks.add(task)
+        assert len(fleet.accept(fleet.starts())) == 1
+        fleet.scheduler.cancel(crashing_fleet.CRASHING)
+        fleet.crash("w0.0")
+        assert len(task.start_crashes & task.crashes) == 2
+        assert not harmless.final
+
     def test_a_worker_that_restarts_under_its_id_has_crashed(self):
         def restart(fleet, worker):
             fleet.running[worker.worker_id].clear()
