Start many suspects of one crash in groups

Each task that had just started there was a suspect and started alone, on a worker that started nothing else for 0.3 s, so the last of N suspects on W workers started after N / W such rounds.

Suspects with a single crash start in groups now, if the pool's workers would otherwise try them too late. The size of a group follows from the target: all that wait have started after MAX_WAIT_S. It is at most the number of tasks that share the crash, so that one cause is expected in a group; otherwise most groups would crash where many tasks crash their workers. A group that survives is cleared; the members of one that does not start alone, as before, so a task that crashes its workers is given up with its third crash instead of its second. BUDGET allows two starts after the third crash; two crashes that prove nothing remain.

Not chosen: halving groups down to one task (more crashes than BUDGET allows, and a third crash asks for a worker without other runs), and clearing the tasks of a rack that fails as a whole (several tasks of one job may crash all workers of a small rack).

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -3,9 +3,10 @@
 A run that ends with its worker leaves no record, so it does not count as a
 failed attempt. To keep a task from crashing one worker after another, a crash
 is held against the tasks that the worker ran, above all against those that it
-had just started. A suspect starts next on a worker that starts nothing else
-(see `_trials`), so that a second crash shows whether it is the cause. Then it
-is given up, and the tasks that ran beside it are cleared.
+had just started. A suspect starts next on a worker that starts nothing else,
+or, if there are many, after its first crash only others of them (see
+`_trials`), so that a further crash shows whether it is the cause. Then it is
+given up, and the tasks that ran beside it are cleared.
 """
 
 from collections.abc import Iterable
--- a/baobabdoor/scheduling/_trials.py
+++ b/baobabdoor/scheduling/_trials.py
@@ -2,8 +2,13 @@
 
 A suspect starts on a worker that starts nothing else for a moment, so that a
 crash after its start is certainly due to it.
+
+Where so many suspects wait that they would start too late one by one, those of
+a single crash start in groups. If a group survives, all of its members are
+cleared; if not, each of them starts alone next.
 """
 
+import collections
 from collections.abc import Container
 from collections.abc import Sequence
 import math
@@ -23,6 +28,9 @@
 # trial. A crash may then prove nothing, but `_crashes` gives it up after a
 # limited number in any case.
 UNPROVEN_WAIT_S = 2 * MAX_WAIT_S
+# Trials one after the other on a worker within MAX_WAIT_S. A worker has to
+# become free before each of them.
+TRIAL_ROUNDS = MAX_WAIT_S / (2 * _crashes.TRIAL_S)
 # Maximum number of machines that a pool gets to try its suspects, so that some
 # remain while others restart after a crash.
 MAX_TRIAL_MACHINES = 3
@@ -43,6 +51,32 @@
     until_s: float
 
 
+@attrs.define
+class _Group:
+    """Suspects that start together on a worker.
+
+    Attributes:
+        size: Number of its members.
+        max_size: Maximum number of members.
+    """
+
+    size: int
+    max_size: int
+
+
+@attrs.define
+class _Backlog:
+    """Suspects of a pool that found no worker and may start in groups.
+
+    Attributes:
+        count: Number of them.
+        since_s: Time from which the first of them waits.
+    """
+
+    count: int = 0
+    since_s: float = math.inf
+
+
 class TrialPlacement:
     """Keeps the starts of suspects apart from other starts.
 
@@ -58,6 +92,12 @@
         # suspect, and those that run a task that needs a worker of its own.
         self.trial_workers: set[str] = set()
         self.isolated_workers: set[str] = set()
+        # Groups that start in the current plan, by worker.
+        self.groups: dict[str, _Group] = {}
+        # Suspects that waited in the plan before, by pool.
+        self.backlogs: dict[str, _Backlog] = {}
+        # Number of tasks against whose start each crash is held.
+        self.sharers: collections.Counter[str] = collections.Counter()
         # Time from which only workers that are kept for suspects have room for
         # the tasks of a step.
         self.held_back_s: dict[str, float] = {}
@@ -73,12 +113,18 @@
         }
         self.trial_workers = set()
         self.isolated_workers = set()
+        self.groups.clear()
+        self.backlogs.clear()
+        self.sharers.clear()
         if not self.crashes.accused_tasks:
             self.held_back_s.clear()
             return
         self.crashes.discard_ended()
         for task in self.crashes.accused_tasks:
+            self.sharers.update(task.start_crashes)
             run = task.run
+            if run is None:
+                self._count_waiting(task)
             if run is None or not _crashes.is_suspect(task):
                 continue
             if _crashes.must_isolate(task):
@@ -86,6 +132,19 @@
             if now_s - run.started_s < _crashes.TRIAL_S:
                 self.trial_workers.add(run.worker_id)
 
+    def _count_waiting(self, task: _job.Task) -> None:
+        queues = self.crashes.scheduler.configuration.queues
+        queue = queues.get(task.job.spec.queue)
+        if (
+            queue is None
+            or task.trial_wanted_s is None
+            or not _may_join_group(task)
+        ):
+            return
+        backlog = self.backlogs.setdefault(queue.pool, _Backlog())
+        backlog.count += 1
+        backlog.since_s = min(backlog.since_s, task.trial_wanted_s)
+
     def required_machines(self, pool: str) -> int:
         """Returns how many machines a pool needs to try its suspects in time.
 
@@ -97,9 +156,7 @@
             queue = queues.get(task.job.spec.queue)
             if queue is not None and queue.pool == pool and task.run is None:
                 waiting += _crashes.is_suspect(task)
-        # A worker has to become free before each trial.
-        rounds = MAX_WAIT_S / (2 * _crashes.TRIAL_S)
-        return min(math.ceil(waiting / rounds), MAX_TRIAL_MACHINES)
+        return min(math.ceil(waiting / TRIAL_ROUNDS), MAX_TRIAL_MACHINES)
 
     def must_wait(self, task: _job.Task) -> bool:
         """Returns whether a task must not start before its job is stored.
@@ -129,10 +186,70 @@
             and _is_suitable(task, worker, waited_s, now_s)
         ]
         if not suitable:
-            self._reserve([task], candidates, len(workers), now_s)
-            return []
+            joined = self._join_group(task, workers)
+            if not joined:
+                self._reserve([task], candidates, len(workers), now_s)
+            return joined
         best = min(suitable, key=lambda worker: self._trial_rank(worker, now_s))
         self._begin_trial(task, best.worker_id)
+        if _may_join_group(task):
+            max_size = self._max_group_size(task, workers, now_s)
+            self.groups[best.worker_id] = _Group(1, max_size)
+        return [best]
+
+    def _max_group_size(
+        self, task: _job.Task, workers: list[_worker.Worker], now_s: float
+    ) -> int:
+        """Returns the maximum size of a group that begins with a suspect.
+
+        It is what all suspects that wait require to start within MAX_WAIT_S,
+        but no more than share its crash: one of these is expected to be the
+        cause, and a group with more than one would nearly always crash.
+        """
+        backlog = self.backlogs.get(workers[0].record.pool)
+        if backlog is None or backlog.count <= TRIAL_ROUNDS * len(workers):
+            return 1
+        # Later suspects have longer, but then the groups would get smaller
+        # and smaller, and the last of them would start too late.
+        left_s = max(0.0, MAX_WAIT_S - (now_s - backlog.since_s))
+        rounds = 1 + int(left_s / (2 * _crashes.TRIAL_S))
+        required = math.ceil(backlog.count / (rounds * len(workers)))
+        return min(required, self._sharers_of(task))
+
+    def _sharers_of(self, task: _job.Task) -> int:
+        """Returns against how many starts its first crash is held."""
+        (crash_id,) = task.start_crashes
+        return self.sharers[crash_id]
+
+    def _join_group(
+        self, task: _job.Task, workers: list[_worker.Worker]
+    ) -> list[_worker.Worker]:
+        """Adds a suspect to the smallest group that it may join.
+
+        Returns:
+            The worker of the group; empty if there is no such group.
+        """
+        if not self.groups or not _may_join_group(task):
+            return []
+        sharers = self._sharers_of(task)
+        candidates = []
+        for worker in workers:
+            group = self.groups.get(worker.worker_id)
+            if (
+                group is not None
+                and group.size < min(group.max_size, sharers)
+                and _placement.may_run(worker, task)
+            ):
+                candidates.append(worker)
+        if not candidates:
+            return []
+        best = min(
+            candidates, key=lambda worker: self.groups[worker.worker_id].size
+        )
+        group = self.groups[best.worker_id]
+        group.size += 1
+        group.max_size = min(group.max_size, sharers)
+        self._begin_trial(task, best.worker_id)
         return [best]
 
     def allowed_gang_workers(
@@ -234,8 +351,8 @@
     ) -> list[_worker.Worker]:
         """Returns the workers that are not used up by another suspect.
 
-        Two suspects never start together, however long they wait: a crash
-        would prove nothing.
+        Two suspects with several crashes never start together, however long
+        they wait: a crash would prove nothing.
         """
         pool = workers[0].record.pool if workers else ""
         if now_s < self.paused_until_s.get(pool, -math.inf):
@@ -353,6 +470,19 @@
             self.reservations[worker.worker_id] = reservation
 
 
+def _may_join_group(task: _job.Task) -> bool:
+    """Returns whether a suspect may start together with others.
+
+    Only after its first crash: the number of crashes after which it is the
+    cause in any case has to leave room for trials on its own.
+    """
+    return (
+        bool(task.start_crashes)
+        and len(task.crashes | task.start_crashes) == 1
+        and not task.spec.gang
+    )
+
+
 def _is_suitable(
     task: _job.Task, worker: _worker.Worker, waited_s: float, now_s: float
 ) -> bool:
