Hold a crash against a start that was sent late

A start waits for up to 0.4 s for its turn. If it was sent more than 0.3 s after its plan, and its worker had answered other orders since and crashed before it answered this one, the crash was held against no start: the worker counted as having survived it, though it had not been sent. A task could crash one worker after another in this way without being accused.

A start without an answer counts as survived only after that wait, too. The new test failed with delays of 0.35 and 0.4 s.

--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -44,6 +44,8 @@
 # the crash to count as one right after a start: the interval and delay of the
 # list of machines and a margin.
 MAX_CRASH_DELAY_S = 2.0
+# Maximum time until a start is sent, since starts wait for their turn.
+MAX_SEND_DELAY_S = 0.4
 # Time after which the list of machines certainly shows a crash.
 LISTING_DELAY_S = 1.0
 
@@ -319,7 +321,11 @@
 
 def _is_starting(worker: _worker.Worker, run: _job.Run) -> bool:
     """Returns whether a worker is not known to have survived a start."""
-    return _alive_s(worker) - run.started_s < TRIAL_S
+    survived_s = _alive_s(worker) - run.started_s
+    if run.confirmed:
+        return survived_s < TRIAL_S
+    # The start may have been sent late.
+    return survived_s < TRIAL_S + MAX_SEND_DELAY_S
 
 
 def _alive_s(worker: _worker.Worker) -> float:
--- a/tests/test_dispatch_start_limiter.py
+++ b/tests/test_dispatch_start_limiter.py
@@ -4,6 +4,7 @@
 
 from baobabdoor import scheduling
 from baobabdoor.dispatch import _start_limiter
+from baobabdoor.scheduling import _crashes
 
 OUTCOMES = scheduling.OrderOutcome
 
@@ -60,3 +61,6 @@
         peak, outcomes = self.run_starts([*silent, "w1"], 0.05)
         assert peak == 12 * _start_limiter.MAX_WORKER_STARTS + 1
         assert outcomes[-1] is OUTCOMES.ACCEPTED
+
+    def test_a_start_waits_no_longer_than_crashes_after_it_are_counted(self):
+        assert _crashes.MAX_SEND_DELAY_S >= _start_limiter.PERMIT_WAIT_S
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -3,6 +3,7 @@
 import collections
 
 import crashing_fleet
+import pytest
 import scheduling_fixtures
 
 from baobabdoor import scheduling
@@ -494,5 +495,23 @@
     def test_a_crash_that_may_have_come_long_after_a_start_is_no_proof(self):
         assert self.crashes(down_s=2.8) == (1, 0)
 
+    @pytest.mark.parametrize("sent_s", [0.2, 0.35, 0.4])
+    def test_a_crash_after_a_start_that_was_sent_late_is_held_against_it(
+        self, sent_s
+    ):
+        """Guards against a task that crashes workers and is never accused."""
+        fleet = crashing_fleet.CrashingFleet(1)
+        fleet.submit(crashing_fleet.HARMLESS, [crashing_fleet.step()])
+        job = fleet.submit(crashing_fleet.CRASHING, [crashing_fleet.step()])
+        sent, delayed = fleet.starts()
+        fleet.accept([sent])
+        fleet.now_s += sent_s
+        fleet.report("w0.0")
+        fleet.now_s += 0.1
+        fleet.answer(delayed, scheduling.OrderOutcome.UNKNOWN)
+        fleet.crash("w0.0")
+        (task,) = job.tasks()
+        assert len(task.start_crashes) == 1
+
     def test_a_worker_that_was_listed_as_up_has_survived_the_start(self):
         assert self.crashes(down_s=1.9, up_s=1.4)[1] == 0
