--- a/baobabdoor/scheduling/_crashes.py
+++ b/baobabdoor/scheduling/_crashes.py
@@ -3,9 +3,10 @@
 A run that ends with its worker leaves no record, so it does not count as a
 failed attempt. To keep a task from crashing one worker after another, a crash
 is held against the tasks that the worker ran, above all against those that it
-had just started. A suspect starts next on a worker that starts nothing else
-(see `_trials`), so that a second crash shows whether it is the cause. Then it
-is given up, and the tasks that ran beside it are cleared.
+had just started. A suspect starts next on a worker that starts nothing else,
+or, if there are many, after its first crash only others of them (see
+`_trials`), so that a further crash shows whether it is the cause. Then it is
+given up, and the tasks that ran beside it are cleared.
 """
 
 from collections.abc import Iterable
@@ -43,6 +44,8 @@
 # the crash to count as one right after a start: the interval and delay of the
 # list of machines and a margin.
 MAX_CRASH_DELAY_S = 2.0
+# Maximum time until a start is sent, since starts wait for their turn.
+MAX_SEND_DELAY_S = 0.4
 # Time after which the list of machines certainly shows a crash.
 LISTING_DELAY_S = 1.0
 
@@ -225,7 +228,7 @@
             self.accused_tasks.add(task)
             self.scheduler.mark_dirty(task.job)
             task.accused_revision = self.scheduler.revision
-        causes = _find_causes(accused, crash_id)
+        causes = _find_causes(accused, losses)
         self.scheduler.emit(
             "crash_attributed",
             crash=crash_id,
@@ -318,7 +321,11 @@
 
 def _is_starting(worker: _worker.Worker, run: _job.Run) -> bool:
     """Returns whether a worker is not known to have survived a start."""
-    return _alive_s(worker) - run.started_s < TRIAL_S
+    survived_s = _alive_s(worker) - run.started_s
+    if run.confirmed:
+        return survived_s < TRIAL_S
+    # The start may have been sent late.
+    return survived_s < TRIAL_S + MAX_SEND_DELAY_S
 
 
 def _alive_s(worker: _worker.Worker) -> float:
@@ -362,23 +369,37 @@
     return bool(task.start_crashes) or must_isolate(task)
 
 
+def _unit_name(task: _job.Task) -> str:
+    """Returns the name of the task, or of its step for a member of a gang.
+
+    The members of a gang start together.
+    """
+    return task.step_name if task.spec.gang else task.name
+
+
 def _find_causes(
-    accused: Iterable[_job.Task], crash_id: str
+    accused: Iterable[_job.Task], losses: _Losses
 ) -> list[_job.Task]:
     """Returns the tasks that have caused a crash; none if it is not certain.
 
-    The members of a gang start together; the one with most crashes counts.
+    Of the members of a gang, the one with most crashes counts.
+
+    Args:
+        accused: Tasks against which the crash is held.
+        losses: All tasks that ended in it.
     """
     units: dict[str, _job.Task] = {}
     for task in accused:
-        name = task.step_name if task.spec.gang else task.name
+        name = _unit_name(task)
         units[name] = max(
             units.get(name, task), task, key=lambda member: len(member.crashes)
         )
+    # A task whose job has ended since its start may be the cause as well.
+    started = {_unit_name(task) for task in losses.starting if not task.done}
     starting = [
-        task for task in units.values() if crash_id in task.start_crashes
+        task for task in units.values() if losses.crash_id in task.start_crashes
     ]
-    if len(starting) == 1 and _has_repeated_crash(starting[0]):
+    if len(started) == len(starting) == 1 and _has_repeated_crash(starting[0]):
         return starting
     alone = len(units) == 1
     max_crashes = ISOLATION_CRASHES if alone else MAX_UNPROVEN_CRASHES
--- a/tests/test_scheduling_crashes.py
+++ b/tests/test_scheduling_crashes.py
@@ -3,6 +3,7 @@
 import collections
 
 import crashing_fleet
+import pytest
 import scheduling_fixtures
 
 from baobabdoor import scheduling
@@ -382,6 +383,25 @@
         fleet.run_starts()
         assert job.state is scheduling.JobState.FAILED
 
+    def test_a_crash_beside_a_start_of_a_cancelled_job_fails_no_job(self):
+        """Guards against a task that is given up for the start of another."""
+        fleet = crashing_fleet.CrashingFleet(1)
+        fleet.submit(crashing_fleet.CRASHING, [crashing_fleet.step()])
+        assert len(fleet.accept(fleet.starts())) == 1
+        harmless = fleet.submit(
+            crashing_fleet.HARMLESS, [crashing_fleet.step()]
+        )
+        (task,) = harmless.tasks()
+        task.crashes = task.start_crashes = frozenset(("a@1",))
+        # Waits for so long that it starts beside any other run.
+        task.trial_wanted_s = fleet.now_s - 3
+        fleet.scheduler.crashes.accused_tasks.add(task)
+        assert len(fleet.accept(fleet.starts())) == 1
+        fleet.scheduler.cancel(crashing_fleet.CRASHING)
+        fleet.crash("w0.0")
+        assert len(task.start_crashes & task.crashes) == 2
+        assert not harmless.final
+
     def test_a_worker_that_restarts_under_its_id_has_crashed(self):
         def restart(fleet, worker):
             fleet.running[worker.worker_id].clear()
@@ -481,5 +501,23 @@
     def test_a_crash_that_may_have_come_long_after_a_start_is_no_proof(self):
         assert self.crashes(down_s=2.8) == (1, 0)
 
+    @pytest.mark.parametrize("sent_s", [0.2, 0.35, 0.4])
+    def test_a_crash_after_a_start_that_was_sent_late_is_held_against_it(
+        self, sent_s
+    ):
+        """Guards against a task that crashes workers and is never accused."""
+        fleet = crashing_fleet.CrashingFleet(1)
+        fleet.submit(crashing_fleet.HARMLESS, [crashing_fleet.step()])
+        job = fleet.submit(crashing_fleet.CRASHING, [crashing_fleet.step()])
+        sent, delayed = fleet.starts()
+        fleet.accept([sent])
+        fleet.now_s += sent_s
+        fleet.report("w0.0")
+        fleet.now_s += 0.1
+        fleet.answer(delayed, scheduling.OrderOutcome.UNKNOWN)
+        fleet.crash("w0.0")
+        (task,) = job.tasks()
+        assert len(task.start_crashes) == 1
+
     def test_a_worker_that_was_listed_as_up_has_survived_the_start(self):
         assert self.crashes(down_s=1.9, up_s=1.4)[1] == 0
