Refuse another address for a life that has reported from its own

Callers see a task run twice: a worker reports a restart before its own entry shows it, gets a start, and another program writes an entry of the same life with another address. The entry was accepted as the worker's own although it has runs; a 421 from that address then ended them.

Evidence: test_an_entry_with_another_address_ends_no_run failed before with `assert not [StartOrder(worker_id='w22', ..., run_id=2, ...)]`.

An entry of the life that reports may still correct pool and machine, and the address while the worker has not reported from its known place and may have no runs, so that the worker's own entry is accepted after one of another program.

--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -78,13 +78,17 @@
     """Returns whether an entry with another place may be a worker's own.
 
     Address, pool and machine of a life do not change. Only an entry of the life
-    that reports, or of a later one of a worker without runs, is credible.
+    that reports, or of a later one of a worker without runs, is credible. A
+    life that has reported from its known address has no other one.
     """
     if not worker.start_time_ms:
         return True
-    if record.start_time_ms == worker.start_time_ms:
-        return worker.record.start_time_ms != worker.start_time_ms
     may_have_runs = worker.runs or worker.worker_id in scheduler.unfenced
+    if record.start_time_ms == worker.start_time_ms:
+        address_shown = worker.fenced or may_have_runs
+        return worker.record.start_time_ms != worker.start_time_ms and (
+            worker.record.address == record.address or not address_shown
+        )
     return record.start_time_ms > worker.start_time_ms and not may_have_runs
 
 
--- a/tests/test_scheduling_lives.py
+++ b/tests/test_scheduling_lives.py
@@ -240,3 +240,37 @@
         fleet.now_s += 0.1
         fleet.report("w1", start_time_ms=2)
         assert fleet.w1.record.address == ADDRESS
+
+
+class TestEntriesOfTheLifeThatReports:
+    """A worker reports a restart before its own entry shows it."""
+
+    def restarted(self):
+        fleet = Lives()
+        for _ in range(2):
+            fleet.now_s += 0.1
+            fleet.report("w1", start_time_ms=2)
+            fleet.commit()
+        return fleet
+
+    def test_an_entry_with_another_address_ends_no_run(self):
+        """Guards against an entry of another program: a 421 ended the run."""
+        fleet = self.restarted()
+        fleet.accept([fleet.start_on_w1()])
+        fleet.list_w1(address=NEXT_ADDRESS)
+        fleet.scheduler.observe_wrong_worker("w1", NEXT_ADDRESS)
+        assert not fleet.starts()
+        assert fleet.hold("w1").address == ADDRESS
+
+    def test_an_entry_with_another_machine_is_its_own(self):
+        fleet = self.restarted()
+        fleet.list_w1(machine="m9")
+        assert fleet.w1.record.machine == "m9"
+
+    def test_its_own_entry_follows_one_of_another_program(self):
+        """Guards against a worker that is lost for good."""
+        fleet = self.restarted()
+        fleet.list_w1(address=NEXT_ADDRESS, start_time_ms=2**50)
+        assert fleet.w1.record.address == NEXT_ADDRESS
+        fleet.list_w1(address=ADDRESS)
+        assert fleet.w1.record.address == ADDRESS
