--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -31,7 +31,7 @@
 
 SECONDS = 60
 SEEDS = range(60)
-PLANTED_SEEDS = range(20, 140)
+PLANTED_SEEDS = range(40, 160)
 OUTCOMES = scheduling.OrderOutcome
 # Time for which the first life of a worker has run.
 OLD_LIFE_S = 3600.0
@@ -49,9 +49,11 @@
 # their worker restarts, and of these the share whose answer is lost.
 CROSSING_HOLD_SHARE = 0.012
 CROSSING_START_SHARE = 0.06
-LOST_ANSWER_SHARE = 0.4
+LOST_ANSWER_SHARE = 0.5
 # Share of the unanswered starts among these after which the worker is silent.
-LOST_START_SILENCE_SHARE = 0.5
+LOST_START_SILENCE_SHARE = 0.7
+# Share of these restarts that may be at another address.
+CROSSING_MOVE_SHARE = 0.3
 # Shares of the cut leases soon after which the term ends, and after which the
 # worker falls silent towards the leader, with bounds of the time until then.
 CUT_TERM_END_SHARE = 0.5
@@ -88,11 +90,17 @@
 # Share of the starts on a worker whose present address is not stored after
 # which the leader is killed.
 STALE_ROSTER_KILL_SHARE = 0.7
+# Time for which every other term lasts at least, so that it may take the runs
+# of a silent worker as ended and start them elsewhere.
+KEPT_TERM_S = 8.0
 # Shares of silences in which only the answers are lost, of terms that begin
 # while the store is slow, and of time steps with a transaction.
 LOST_ANSWERS_SHARE = 0.4
 SLOW_STORE_SHARE = 0.3
-COMMIT_SHARES = (0.05, 0.05, 0.4, 1.0)
+MAX_SLOW_S = 2.0
+# Timeout of the transaction by which a leader is elected.
+MAX_CAMPAIGN_S = 1.5
+COMMIT_SHARES = (0.05, 0.4, 1.0, 1.0)
 # Share of releases whose answer is lost.
 LOST_RELEASE_SHARE = 0.4
 # Rates in each time step.
@@ -102,7 +110,7 @@
 SILENCE_RATE = 0.005
 OUTAGE_RATE = 0.002
 LOSS_CHANGE_RATE = 0.02
-SUBMIT_RATE = 0.02
+SUBMIT_RATE = 0.01
 # Share of runs that outlast a lease, and bounds of their duration.
 LONG_RUN_SHARE = 0.8
 LONG_RUN_RANGE_S = (6.0, 15.0)
@@ -119,11 +127,15 @@
         self.released = False
         self.release_asked_s = None
         self.end_s = math.inf
+        self.kept_until_s = walk.now_s + rng.choice((0.0, KEPT_TERM_S))
         self.loaded_s = walk.now_s + rng.choice((0, rng.uniform(0, 0.5)))
         self.slow_until_s = 0.0
         if rng.random() < SLOW_STORE_SHARE:
-            self.confirmed_s -= rng.uniform(0.0, dispatch.EXTEND_WINDOW_S)
-            self.slow_until_s = walk.now_s + rng.uniform(0.0, 2.5)
+            # The answer to the campaign, the rows and the first transaction
+            # each take their time.
+            self.confirmed_s -= rng.uniform(0.0, MAX_CAMPAIGN_S)
+            self.loaded_s = walk.now_s + rng.uniform(0.0, MAX_SLOW_S)
+            self.slow_until_s = self.loaded_s + rng.uniform(0.0, MAX_SLOW_S)
         self.commit_share = rng.choice(COMMIT_SHARES)
 
     def step(self, current):
@@ -366,7 +378,9 @@
                 if not hold and rng.random() < LOST_START_SILENCE_SHARE:
                     self.silence(leader, order.worker_id, is_long=True)
             self.note(f"leader {leader.number} has an order under way")
-            self.add_worker(order.worker_id)
+            moves = rng.random() < CROSSING_MOVE_SHARE
+            address = None if moves else given_to.record.address
+            self.add_worker(order.worker_id, address)
         answered = not silent and transit_s + return_s < timeout_s
         if not answered:
             unknown = scheduling.OrderResult(OUTCOMES.UNKNOWN)
@@ -498,7 +512,8 @@
     def _end_term_of(self, leader, kind=None):
         """Ends a term unless it has ended or is ending."""
         ending = self.succession_s is not None or leader.release_asked_s
-        if leader is not self.leaders[-1] or leader.stopped or ending:
+        kept = self.now_s < leader.kept_until_s
+        if leader is not self.leaders[-1] or leader.stopped or ending or kept:
             return
         rng = self.lease_random
         kind = kind or rng.choice(("lapse", "release", "kill"))
