--- a/tests/test_scheduling_lease_walks.py
+++ b/tests/test_scheduling_lease_walks.py
@@ -628,6 +628,18 @@
         assert not walk.run(SECONDS), f"seed {seed}"
         assert walk.oracle.starts > 20
 
+    def test_leases_come_from_several_leaders_and_lives(self):
+        walks = [LeaseWalk(seed) for seed in SEEDS[:6]]
+        for walk in walks:
+            walk.run(SECONDS)
+        for count in (
+            sum(walk.cut_leases for walk in walks),
+            sum(walk.moves for walk in walks),
+            sum(walk.wrong_workers for walk in walks),
+            sum(walk.terms_of_releases for walk in walks),
+        ):
+            assert count > len(walks)
+
 
 def without_longest_lease(scheduler, applies):
     """Assumes no lease at the reports to which this applies.
@@ -836,6 +848,28 @@
         fleet.deliver(delayed)
         assert order.task not in fleet.observer.acknowledged
 
+    def test_a_late_report_of_a_young_former_life_ends_no_run(self):
+        # The clock of the next life is above the last one that was reported
+        # and below the one in the late report, which cannot list the run.
+        fleet = test_scheduling_fencing.RestartingFleet()
+        fleet.now_s += 1.2
+        hold = fleet.hold("w1")
+        late = fleet.deliver(hold)
+        fleet.submit(
+            test_scheduling_fencing.FIRST,
+            [scheduling.StepSpec(1, cpu_milli=1000)],
+        )
+        (start,) = fleet.starts()
+        fleet.restart()
+        fleet.now_s += 0.15
+        result = fleet.deliver(start)
+        assert result.clock_ms < late.clock_ms
+        fleet.scheduler.observe_start(start, result, fleet.now_s)
+        fleet.scheduler.observe_report("w1", late, hold.token, fleet.now_s)
+        assert start.task in fleet.model.runs
+        task = fleet.scheduler.find_task(start.task)
+        assert task.run is not None
+
     def test_a_start_under_way_extends_the_lease_of_other_runs(self):
         # Both starts reach the life after a restart; the second after the
         # report of the first and before the renewed token.
