--- a/baobabdoor/platform/_workers.py
+++ b/baobabdoor/platform/_workers.py
@@ -76,16 +76,29 @@
         return await self._order(order, "/api/pace", body)
 
     async def hold(
-        self, order: scheduling.HoldOrder
+        self,
+        order: scheduling.HoldOrder,
+        permit: Callable[[], bool] | None = None,
     ) -> scheduling.WorkerReport | scheduling.OrderResult:
-        """Extends the lease, acknowledges ended runs and returns a report."""
+        """Extends the lease, acknowledges ended runs and returns a report.
+
+        Args:
+            order: The order.
+            permit: Returns whether it may still be sent; `None` if it always
+                may.
+        """
         body = {"fencing-token": order.token, "last-seen": order.last_seen}
         if order.until_ms:
             body["until-ms"] = order.until_ms
         if order.wait_ms:
             body["wait-ms"] = order.wait_ms
         answer = await self._post(
-            order, "/api/hold", body, HOLD_TIMEOUT_RANGE_S, order.wait_ms / 1000
+            order,
+            "/api/hold",
+            body,
+            HOLD_TIMEOUT_RANGE_S,
+            order.wait_ms / 1000,
+            permit,
         )
         if isinstance(answer, scheduling.OrderResult):
             return answer
@@ -140,6 +153,13 @@
             "Content-Type: application/json\r\n"
             f"X-Expected-Instance: {order.worker_id}\r\n"
         )
+        withheld = False
+
+        def check_permit() -> bool:
+            nonlocal withheld
+            withheld = not permit()
+            return not withheld
+
         started_s = time.monotonic()
         answer = await self.client.fetch(
             order.address,
@@ -148,16 +168,16 @@
             json.dumps(body).encode(),
             headers,
             wait_s + self.adaptive_timeout.timeout_s(*timeout_range_s),
-            permit,
+            check_permit if permit else None,
         )
         if isinstance(answer, base.Refusal):
-            not_sent = answer.reason is base.Reason.CONNECTION_FAILED
-            return scheduling.OrderResult(
-                scheduling.OrderOutcome.NOT_SENT
-                if not_sent
-                else scheduling.OrderOutcome.UNKNOWN,
-                detail=str(answer),
-            )
+            outcome = scheduling.OrderOutcome.UNKNOWN
+            if withheld:
+                # This says nothing of the worker.
+                outcome = scheduling.OrderOutcome.WITHHELD
+            elif answer.reason is base.Reason.CONNECTION_FAILED:
+                outcome = scheduling.OrderOutcome.NOT_SENT
+            return scheduling.OrderResult(outcome, detail=str(answer))
         if not wait_s:
             self.adaptive_timeout.observe(time.monotonic() - started_s)
         try:
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -39,16 +39,17 @@
     # acknowledgement meant for the previous incarnation, it would drop ended
     # runs that were never processed.
     new_incarnation = worker.may_have_restarted(now_s) or not worker.fenced
-    known = worker.fenced and worker.clock_ms
+    forgotten = worker.acknowledged == worker.forgotten
+    known = worker.fenced and worker.lease.clock_ms
     # The lease of an unresponsive worker is not renewed, so that its runs
     # are certain to end.
     if may_extend and known and worker.responsive(now_s):
-        until_ms = worker.lease_until_ms(now_s, scheduler.options.lease_s)
+        until_ms = worker.lease.extend(now_s, scheduler.options.lease_s)
     return _orders.HoldOrder(
         worker_id=worker.worker_id,
         address=worker.record.address,
         token=worker.token,
-        last_seen=0 if new_incarnation else worker.acknowledged,
+        last_seen=0 if new_incarnation or forgotten else worker.acknowledged,
         until_ms=until_ms,
         wait_ms=0 if new_incarnation or not worker.token_confirmed else wait_ms,
     )
@@ -82,7 +83,7 @@
         task=task.name,
         run_id=run.run_id,
         payload=task.job.spec.payload,
-        until_ms=worker.lease_until_ms(now_s, scheduler.options.lease_s),
+        until_ms=worker.lease.extend(now_s, scheduler.options.lease_s),
         checkpoint=task.checkpoint,
         ticket=scheduler.advice.ticket(task, worker, now_s) or "",
     )
@@ -109,7 +110,7 @@
     )
     if outcome is OUTCOMES.FENCED:
         scheduler.observe_fenced(order)
-    _observe_refused_start(scheduler, worker, run, outcome, now_s)
+    _observe_refused_start(scheduler, worker, run, order, outcome, now_s)
 
 
 def _observe_accepted_start(
@@ -125,7 +126,7 @@
         # It is being stopped in the worker's next incarnation; a late response
         # of the previous one confirms nothing.
         return
-    clock_ms = result.clock_ms or worker.clock_ms
+    clock_ms = result.clock_ms or worker.lease.clock_ms
     if clock_ms < run.ordered_clock_ms:
         # The clock is that of the next incarnation, and the one before is
         # silent. No ended runs are acknowledged before the next report.
@@ -139,17 +140,21 @@
     scheduler,
     worker: _worker.Worker,
     run: _job.Run,
+    order: _orders.StartOrder,
     outcome: _types.OrderOutcome,
     now_s: float,
 ) -> None:
     if outcome in (OUTCOMES.UNKNOWN, OUTCOMES.NOT_SENT):
         worker.observe_no_response(now_s)
-    if outcome is OUTCOMES.UNKNOWN:
+    if outcome is OUTCOMES.UNKNOWN and not worker.retired:
         run.outcome_unknown = True
         run.stopping = True
         return
     if outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(worker.worker_id)
+        scheduler.observe_wrong_worker(worker.worker_id, order.address)
+        if worker.runs.get(run.task.name) is run:
+            # It was ordered at a former address of the worker.
+            scheduler.release_run(worker, run, outcome.value)
         return
     scheduler.release_run(worker, run, outcome.value)
     run.task.retry_at_s = now_s + RETRY_DELAY_S
@@ -192,7 +197,7 @@
     if result.outcome is OUTCOMES.FENCED:
         scheduler.observe_fenced(order)
     elif result.outcome is OUTCOMES.WRONG_WORKER:
-        scheduler.observe_wrong_worker(order.worker_id)
+        scheduler.observe_wrong_worker(order.worker_id, order.address)
     if result.outcome is not OUTCOMES.ACCEPTED:
         scheduler.emit(
             "stop_refused",
@@ -207,7 +212,7 @@
         return
     run.order_pending = False
     if result.outcome is OUTCOMES.ACCEPTED:
-        run.stop_clock_ms = result.clock_ms or worker.clock_ms
+        run.stop_clock_ms = result.clock_ms or worker.lease.clock_ms
 
 
 def plan_stops(scheduler, now_s: float) -> list[_orders.WorkerOrder]:
--- a/baobabdoor/scheduling/_reports.py
+++ b/baobabdoor/scheduling/_reports.py
@@ -5,6 +5,7 @@
 from baobabdoor.scheduling import _job
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
+from baobabdoor.scheduling import _worker_events
 
 
 def observe_report(
@@ -35,10 +36,11 @@
     if not _accept_report(scheduler, worker, report, now_s):
         return
     # Ended runs that are reported after the lease has expired are ignored.
-    worker.lease_expired = 0 < worker.lease_end_s < now_s
+    known = worker.first_report_s > -math.inf
+    worker.lease_expired = known and worker.lease.has_ended(now_s)
     if worker.lease_expired:
         scheduler.release_all_runs(worker, "lease expired")
-    worker.observe_clock(report.clock_ms, now_s)
+    worker.lease.observe_clock(report.clock_ms, now_s)
     last_lapsed = max(
         (end.number for end in report.ended if end.outcome == "lapsed"),
         default=0,
@@ -53,6 +55,8 @@
     _observe_unneeded_runs(scheduler, worker, report)
     for entry in report.running:
         _observe_running(scheduler, worker, entry, report.clock_ms, now_s)
+    if all(end.number > worker.acknowledged for end in report.ended):
+        worker.forgotten = worker.acknowledged
     worker.lists_all_ends = report.lists_all_ends
     if report.lists_all_ends:
         _observe_missing_runs(scheduler, worker, report)
@@ -62,7 +66,8 @@
     worker.partitioned = False
     worker.observe_response(now_s)
     worker.fenced = True
-    scheduler.fencing.observe_answer(worker, token)
+    if scheduler.fencing.observe_answer(worker, token):
+        worker.lease.exclude_other_orders(now_s)
     if report.lists_all_ends:
         scheduler.unfenced.discard(worker_id)
     scheduler.crashes.observe_alive(worker)
@@ -73,6 +78,7 @@
 ) -> None:
     """Records the first report of an incarnation to this term."""
     worker.first_report_s = now_s
+    worker.lease.include_other_orders(now_s)
     adopted = sum(run.confirmed for run in worker.runs.values())
     if adopted:
         scheduler.emit(
@@ -103,6 +109,9 @@
                 _listed_runs(report),
             )
         worker.start_time_ms = report.start_time_ms
+        refused = worker.refused_record
+        if refused and refused.start_time_ms == report.start_time_ms:
+            _worker_events.follow_refused_entry(scheduler, worker)
     elif report.clock_ms < worker.reported_ms:
         # Responses on different connections may arrive out of order.
         return False
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -248,13 +248,13 @@
             worker = self.workers.get(task.run.worker_id) if task.run else None
             if worker is not None and worker.responsive(now_s):
                 return True
-        enrolled = [
+        listed = [
             worker
             for worker in self.workers.values()
-            if worker.enrolled and worker.listed and not worker.retired
+            if worker.maybe_enrolled and worker.listed and not worker.retired
         ]
-        return bool(enrolled) and all(
-            worker.responsive(now_s) for worker in enrolled
+        return any(worker.enrolled for worker in listed) and all(
+            worker.responsive(now_s) for worker in listed
         )
 
     def pool_jobs(self, pool: str) -> Iterator[tuple[_job.Job, _types.Queue]]:
@@ -407,15 +407,18 @@
         They may get or have runs, or list ends whose effect is not stored.
         """
         for worker in self.workers.values():
-            usable = worker.fenced and worker.listed and not worker.retired
             if (
-                usable
+                _may_get_runs(worker)
                 or worker.runs
                 or worker.unsaved_ends
                 or worker.worker_id in self.unfenced
             ):
                 yield worker
 
+    def awaits_enrollment(self, worker: _worker.Worker) -> bool:
+        """Returns whether a worker gets starts after a write of the roster."""
+        return _may_get_runs(worker) and not worker.enrolled
+
     def observe_worker(
         self,
         record: _types.WorkerRecord,
@@ -436,6 +439,7 @@
         worker = self.workers.get(worker_id)
         if worker is not None:
             worker.listed = False
+            worker.refused_record = None
 
     def observe_report(
         self,
@@ -470,14 +474,26 @@
         if worker is not None:
             worker.observe_no_response(now_s)
 
-    def observe_wrong_worker(self, worker_id: str) -> None:
-        """Retires a worker at whose address another worker responds."""
-        self.retire_worker(worker_id, "replaced", crashed=True)
+    def observe_wrong_worker(self, worker_id: str, address: str) -> None:
+        """Retires a worker at whose address another worker responds.
+
+        Args:
+            worker_id: The worker.
+            address: Address that the order was sent to. What responds at a
+                former address says nothing of it.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is not None and address == worker.record.address:
+            self.retire_worker(worker_id, "replaced", crashed=True)
 
     def retire_worker(
         self, worker_id: str, reason: str, crashed: bool = False
     ) -> None:
-        """Marks a worker as certainly terminated and releases its runs.
+        """Releases the runs of a life of a worker that has certainly ended.
+
+        The worker is retired, unless the list shows a later life of it
+        elsewhere: that the known life has ended says nothing of that one. A
+        start that is under way has a result of its own.
 
         Args:
             worker_id: The worker.
@@ -495,11 +511,17 @@
                 runs=len(worker.runs),
                 unfenced=worker_id in self.unfenced,
             )
-            worker.retired = True
-            self.unfenced.discard(worker_id)
             if crashed:
                 self.crashes.observe_crash(worker)
-            self.release_all_runs(worker, f"worker {reason}")
+            _worker_events.emit_lost_runs(self, worker, f"worker {reason}")
+            for run in list(worker.runs.values()):
+                if not run.start_pending:
+                    self.release_run(worker, run, f"worker {reason}")
+            if worker.refused_record is not None:
+                _worker_events.follow_refused_entry(self, worker)
+            else:
+                worker.retired = True
+                self.unfenced.discard(worker_id)
 
     def revive_worker(self, worker_id: str) -> None:
         """Reverses the retirement of a worker that still runs."""
@@ -570,6 +592,22 @@
             self, worker, wait_ms, now_s, may_extend
         )
 
+    def is_current_start(self, order: _orders.StartOrder) -> bool:
+        """Returns whether a start may still be sent.
+
+        It may have waited for its turn. If its worker has fallen silent or has
+        restarted since, it could reach a life with another clock, to which its
+        expiry means nothing.
+        """
+        worker = self.workers.get(order.worker_id)
+        run = worker.find_run(order.task, order.run_id) if worker else None
+        return (
+            run is not None
+            and not run.stopping
+            and run.worker_start_ms == worker.start_time_ms
+            and worker.last_report_s > worker.unanswered_s
+        )
+
     def observe_start(
         self,
         order: _orders.StartOrder,
@@ -618,11 +656,10 @@
         if self.unfenced and now_s > self.inherited_until_s:
             self._give_up_workers(now_s)
         for worker_id, worker in list(self.workers.items()):
-            expired = now_s > worker.lease_end_s
+            expired = worker.lease.has_ended(now_s)
             overdue = worker.report_overdue(now_s)
             if worker.runs and expired and overdue:
-                self.crashes.observe_lapse(worker, now_s)
-                self.release_all_runs(worker, "lease expired")
+                self._release_expired_runs(worker, now_s)
             if worker.fenced and expired and overdue:
                 # It may have restarted; it gets no starts before it reports.
                 worker.fenced = False
@@ -632,6 +669,22 @@
                 self.fencing.remove(worker)
                 self.unneeded_runs.pop(worker_id, None)
 
+    def _release_expired_runs(
+        self, worker: _worker.Worker, now_s: float
+    ) -> None:
+        """Releases the runs of a silent worker that ended with their lease."""
+        ended = [
+            run
+            for run in worker.runs.values()
+            if worker.run_has_ended(run, now_s)
+        ]
+        if not ended:
+            return
+        self.crashes.observe_lapse(worker, now_s)
+        _worker_events.emit_lost_runs(self, worker, "lease expired")
+        for run in ended:
+            self.release_run(worker, run, "lease expired")
+
     def _give_up_workers(self, now_s: float) -> None:
         """Stops waiting for workers whose runs of earlier terms have ended."""
         given_up = []
@@ -676,3 +729,8 @@
         """Returns and clears the events since the last call."""
         events, self.events = self.events, []
         return events
+
+
+def _may_get_runs(worker: _worker.Worker) -> bool:
+    """Returns whether a worker may get starts once it is enrolled."""
+    return worker.fenced and worker.listed and not worker.retired
--- a/baobabdoor/scheduling/_worker.py
+++ b/baobabdoor/scheduling/_worker.py
@@ -4,13 +4,9 @@
 import math
 
 from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _lease
 from baobabdoor.scheduling import _types
 
-# Bound of the drift of a worker's clock: up to 2% slow according to the
-# platform's documentation, rounded up.
-CLOCK_DRIFT_FACTOR = 1.025
-# Margin of a time that is computed from another process's clock, in seconds.
-CLOCK_SLACK_S = 0.1
 # A worker whose last report is older than this gets no new runs.
 REPORT_TIMEOUT_S = 1.8
 # Time after a report in which the worker is assumed not to have restarted:
@@ -34,10 +30,12 @@
 
     Args:
         record: The worker's entry in the platform's list.
+        max_lease_s: Longest lease that it accepts.
     """
 
-    def __init__(self, record: _types.WorkerRecord):
+    def __init__(self, record: _types.WorkerRecord, max_lease_s: float):
         self.record = record
+        self.lease = _lease.Lease(max_lease_s)
         self.listed = True
         self.retired = False
         # Whether it has responded to this term and so rejects orders of
@@ -49,8 +47,6 @@
         self.token_confirmed = False
         self.token_outdated = False
         self.start_time_ms = 0
-        self.clock_ms = 0
-        self.clock_at_s = 0.0
         # The worker's clock in its newest report.
         self.reported_ms = 0
         # When this incarnation was first listed, and when it last reported.
@@ -59,6 +55,10 @@
         self.entry_s = -math.inf
         # Whether that entry was too old for a start when last checked.
         self.capacity_outdated = False
+        # Entry of a later life elsewhere, which its runs keep out.
+        self.refused_record: _types.WorkerRecord | None = None
+        # Earliest time at which that life can have written it.
+        self.refused_written_s = -math.inf
         # When an entry that contradicts its runs was last put on record.
         self.entry_refused_s = -math.inf
         self.last_report_s = -1e9
@@ -75,9 +75,6 @@
         self.partitioned = False
         # Newest incarnation whose crash was held against its tasks.
         self.observed_crash = ""
-        self.lease_end_s = 0.0
-        # When an order of this term last extended its lease.
-        self.extended_s = -math.inf
         # When its incarnation first reported to this term.
         self.first_report_s = -math.inf
         # Whether its lease had expired at its last report.
@@ -88,14 +85,18 @@
         # that may be acknowledged, since its effect is stored.
         self.processed = 0
         self.acknowledged = 0
+        # Number up to which its reports no longer list ended runs, so that
+        # these need no further acknowledgement.
+        self.forgotten = 0
         # Numbers of processed ended runs, each with the revision that contains
         # its effect.
         self.unsaved_ends: list[tuple[int, int]] = []
         # Runs that may exist, by name of the task.
         self.runs: dict[str, _job.Run] = {}
         self.cordoned = False
-        # Whether the stored roster lists it as a worker that may have runs.
-        self.enrolled = False
+        # Entries that the stored roster may have for it; `None` stands for
+        # none. There are several while the result of a write is not known.
+        self.stored_entries: tuple[tuple | None, ...] = (None,)
         self.failed_jobs: set[str] = set()
         self.quarantine_s = QUARANTINE_S
         self.quarantined_until_s = -1e9
@@ -118,6 +119,38 @@
         """Identifier of the worker."""
         return self.record.worker_id
 
+    @property
+    def roster_entry(self) -> tuple:
+        """Entry of the roster, by which the next leader finds its runs."""
+        record = self.record
+        return (
+            record.address,
+            record.pool,
+            record.zone,
+            self.start_time_ms,
+            record.machine,
+        )
+
+    @property
+    def enrolled(self) -> bool:
+        """Whether the stored roster certainly has its entry.
+
+        The next leader waits for the runs of the lives that the roster lists,
+        where it lists them. So another life or address, or a write that may
+        still remove the entry, needs a further write before the first start.
+        """
+        stored = self.stored_entries
+        return stored.count(self.roster_entry) == len(stored)
+
+    @enrolled.setter
+    def enrolled(self, enrolled: bool) -> None:
+        self.stored_entries = (self.roster_entry if enrolled else None,)
+
+    @property
+    def maybe_enrolled(self) -> bool:
+        """Whether the stored roster may have any entry of it."""
+        return any(stored is not None for stored in self.stored_entries)
+
     def usable(self, now_s: float, as_last_resort: bool = False) -> bool:
         """Returns whether new runs may be sent to it.
 
@@ -187,7 +220,7 @@
 
     def ends_outstanding(self, now_s: float) -> bool:
         """Returns whether further ended runs under its lease will be listed."""
-        expired = now_s > self.lease_end_s and self.report_overdue(now_s)
+        expired = self.lease.has_ended(now_s) and self.report_overdue(now_s)
         return not self.lists_all_ends and not expired
 
     def may_have_restarted(self, now_s: float) -> bool:
@@ -195,30 +228,13 @@
         overdue = now_s - self.last_report_s > SAME_INCARNATION_S
         return overdue or self.last_report_s <= self.unanswered_s
 
-    def observe_clock(self, clock_ms: int, now_s: float) -> None:
-        """Records the worker's clock from a report.
+    def run_has_ended(self, run: _job.Run, now_s: float) -> bool:
+        """Returns whether a run has certainly ended with its lease.
 
-        Responses to orders are not used: they do not identify the incarnation
-        and may come from the previous one.
+        A start without a confirmation may have reached the next incarnation.
         """
-        if clock_ms >= self.clock_ms:
-            self.clock_ms = clock_ms
-            self.clock_at_s = now_s
-
-    def lease_until_ms(self, now_s: float, lease_s: float) -> int:
-        """Returns a new lease expiry on the worker's clock and records it.
-
-        Every run under this lease has certainly ended at `lease_end_s`.
-        """
-        until_ms = self.clock_ms + (now_s - self.clock_at_s + lease_s) * 1000
-        end_s = (
-            self.clock_at_s
-            + (until_ms - self.clock_ms) / 1000 * CLOCK_DRIFT_FACTOR
-            + CLOCK_SLACK_S
-        )
-        self.lease_end_s = max(self.lease_end_s, end_s)
-        self.extended_s = now_s
-        return int(until_ms)
+        next_ended = run.confirmed or now_s > self.lease.next_end_s
+        return next_ended and self.lease.has_ended(now_s)
 
     def add_run(self, run: _job.Run) -> None:
         """Adds a run and reserves its resources."""
--- a/baobabdoor/scheduling/_worker_events.py
+++ b/baobabdoor/scheduling/_worker_events.py
@@ -3,6 +3,7 @@
 import math
 
 from baobabdoor.scheduling import _crashes
+from baobabdoor.scheduling import _lease
 from baobabdoor.scheduling import _types
 from baobabdoor.scheduling import _worker
 
@@ -26,15 +27,16 @@
     """
     worker = scheduler.workers.get(record.worker_id)
     if worker is None:
-        worker = _worker.Worker(record)
+        worker = _worker.Worker(record, scheduler.options.max_lease_s)
         worker.first_listed_s = now_s
         worker.entry_s = written_s
         scheduler.workers[record.worker_id] = worker
         scheduler.fencing.add(worker)
         return
+    worker.refused_record = None
     moved = _has_moved(worker.record, record)
     if moved and not _may_move(scheduler, worker, record):
-        _refuse_entry(scheduler, worker, record, now_s)
+        _refuse_entry(scheduler, worker, record, now_s, written_s)
         return
     newest_ms = max(worker.start_time_ms, worker.record.start_time_ms, 1)
     if moved or record.start_time_ms > newest_ms:
@@ -92,6 +94,7 @@
     worker: _worker.Worker,
     record: _types.WorkerRecord,
     now_s: float,
+    written_s: float,
 ) -> None:
     """Ignores an entry that another life of a worker with runs would have.
 
@@ -100,6 +103,9 @@
     the worker is called where it reported, and gets no starts.
     """
     worker.listed = False
+    if record.start_time_ms > worker.start_time_ms:
+        worker.refused_record = record
+        worker.refused_written_s = written_s
     if now_s - worker.entry_refused_s >= REFUSAL_INTERVAL_S:
         worker.entry_refused_s = now_s
         scheduler.emit(
@@ -112,6 +118,26 @@
         )
 
 
+def follow_refused_entry(scheduler, worker: _worker.Worker) -> None:
+    """Expects a worker where the list shows a later life of it.
+
+    The life that kept the entry out has ended and its runs are released. The
+    later one may have runs of earlier terms, so they are still waited for.
+    """
+    scheduler.emit(
+        "worker_followed",
+        worker=worker.worker_id,
+        address=worker.refused_record.address,
+        machine=worker.refused_record.machine,
+        born_ms=worker.refused_record.start_time_ms,
+    )
+    worker.record, worker.refused_record = worker.refused_record, None
+    worker.listed = True
+    worker.fenced = False
+    worker.first_listed_s = max(worker.first_listed_s, scheduler.crashes.now_s)
+    worker.entry_s = worker.refused_written_s
+
+
 def check_capacity_age(scheduler, worker: _worker.Worker, now_s: float) -> bool:
     """Returns whether a worker's capacity is recent enough for a start.
 
@@ -181,17 +207,12 @@
     if worker.record.start_time_ms != start_time_ms:
         # The new incarnation may have another capacity.
         worker.entry_s = -math.inf
-    worker.clock_ms = 0
     worker.reported_ms = 0
-    worker.lease_end_s = 0.0
-    worker.extended_s = worker.first_report_s = -math.inf
-    if worker.runs:
-        # The expiry in the order is on the previous incarnation's clock.
-        longest_s = scheduler.options.max_lease_s * _worker.CLOCK_DRIFT_FACTOR
-        worker.lease_end_s = now_s + longest_s
+    worker.first_report_s = -math.inf
+    worker.lease.begin_incarnation(now_s)
     worker.lists_all_ends = True
     worker.processed = 0
-    worker.acknowledged = 0
+    worker.acknowledged = worker.forgotten = 0
     worker.unsaved_ends = []
 
 
@@ -200,25 +221,35 @@
 ) -> None:
     """Releases the runs of a worker whose machine is listed as down.
 
-    A start that has not been confirmed may still arrive at the worker's next
-    incarnation, so its run is kept until that is seen or its lease expires.
+    While an order is under way, it may still arrive at the worker's next
+    incarnation, so runs that are not confirmed and those of earlier terms are
+    kept until the list certainly shows the machine as it was later.
 
     Args:
         scheduler: The scheduler.
         worker: The worker.
         requested_s: Time of the request for the list.
     """
-    known_s = max(worker.first_listed_s, worker.last_report_s)
-    if known_s >= requested_s - _crashes.LISTING_DELAY_S:
-        # The list may show the machine as it was before the worker's start.
+    known_s = max(worker.first_listed_s, worker.last_report_s, worker.heard_s)
+    shown_s = requested_s - _crashes.LISTING_DELAY_S
+    if known_s >= shown_s:
+        # The list may show the machine as it was before the worker's start,
+        # or before its next incarnation confirmed a start.
         return
-    confirmed = [run for run in worker.runs.values() if run.confirmed]
-    if not confirmed:
+    arrived_s = shown_s - _lease.ORDER_LIFETIME_S
+    if worker.refused_record is None and scheduler.started_s < arrived_s:
+        scheduler.unfenced.discard(worker.worker_id)
+    ended = [
+        run
+        for run in worker.runs.values()
+        if run.confirmed or worker.lease.extended_s < arrived_s
+    ]
+    if not ended:
         return
     emit_lost_runs(scheduler, worker, "machine down")
     scheduler.crashes.observe_crash(worker)
     worker.observe_no_response(requested_s)
-    for run in confirmed:
+    for run in ended:
         scheduler.release_run(worker, run, "machine down")
 
 
@@ -240,11 +271,9 @@
     """
     times = {
         "first_report_ms_ago": now_s - worker.first_report_s,
-        "extended_ms_ago": now_s - worker.extended_s,
-        "lease_left_ms": worker.lease_end_s - now_s,
+        "extended_ms_ago": now_s - worker.lease.extended_s,
+        "lease_left_ms": worker.lease.end_s - now_s,
     }
-    if not worker.lease_end_s:
-        del times["lease_left_ms"]
     return {
         name: round(seconds * 1000)
         for name, seconds in times.items()
--- a/tests/dispatch_fixtures.py
+++ b/tests/dispatch_fixtures.py
@@ -15,10 +15,12 @@
 class SilentClient:
     """Platform client that never answers."""
 
+    entries_ignored_ = 0
+
     async def list_machines(self):
         await asyncio.sleep(3600)
 
-    async def hold(self, order):
+    async def hold(self, order, permit=None):
         await asyncio.sleep(3600)
 
 
--- a/tests/test_scheduling_runs.py
+++ b/tests/test_scheduling_runs.py
@@ -34,9 +34,9 @@
         fleet.submit(JOB, [step()])
         (order,) = fleet.accept(fleet.starts())
         worker = fleet.scheduler.workers[order.worker_id]
-        while fleet.now_s + 0.5 < worker.lease_end_s:
+        while fleet.now_s + 0.5 < worker.lease.end_s:
             fleet.advance(0.5, unresponsive=(order.worker_id,))
-            if fleet.now_s < worker.lease_end_s:
+            if fleet.now_s < worker.lease.end_s:
                 assert not fleet.starts()
 
     def test_runs_of_a_restarted_worker_start_again_at_its_next_report(self):
@@ -48,6 +48,8 @@
         fleet.report("w1", start_time_ms=2)
         assert not fleet.starts()
         fleet.report("w1", start_time_ms=2)
+        assert not fleet.starts()
+        fleet.commit()
         (again,) = fleet.starts()
         assert again.run_id == 2
 
@@ -201,7 +203,7 @@
         fleet.report("w1")
         fleet.hold("w1")
         worker = fleet.scheduler.workers["w1"]
-        end_s = max(worker.lease_end_s, fleet.scheduler.inherited_until_s)
+        end_s = max(worker.lease.end_s, fleet.scheduler.inherited_until_s)
         fleet.add_worker("w2")
         while fleet.now_s < end_s:
             assert not fleet.starts()
@@ -396,7 +398,7 @@
         worker = fleet.scheduler.workers[worker_id]
         assert len(worker.runs) == 1
         # Its leases are renewed where it reports.
-        assert worker.lease_end_s > fleet.now_s
+        assert worker.lease.end_s > fleet.now_s
         assert worker.record.address == f"10.0.0.{len(worker_id)}:80"
 
     def test_runs_of_earlier_terms_are_waited_for(self):
@@ -579,13 +581,13 @@
     def test_lease_is_not_renewed(self):
         fleet, _, order = self.started()
         worker = fleet.scheduler.workers[order.worker_id]
-        end_s = worker.lease_end_s
+        end_s = worker.lease.end_s
         while fleet.now_s < end_s:
             self.interrupt(fleet, order.worker_id)
             assert fleet.hold(order.worker_id).until_ms == 0
             assert not fleet.starts()
             fleet.now_s += 0.25
-        assert worker.lease_end_s == end_s
+        assert worker.lease.end_s == end_s
         fleet.running[order.worker_id].clear()
         fleet.advance(1.0)
         assert len(fleet.starts()) == 1
@@ -808,6 +810,40 @@
     def test_a_start_that_may_still_arrive_is_not_repeated(self):
         assert not self.starts_after_crash(listed_after_s=1.2, confirmed=False)
 
+    def test_a_list_older_than_a_confirmed_start_ends_no_run(self):
+        """Guards against a second run of a task (TWICE, issue 40).
+
+        A list that was requested while the machine was down arrived after the
+        worker's next incarnation had confirmed a start, before its first
+        report. Answers of the service take up to 1.5 s when it is slow.
+        """
+        fleet = scheduling_fixtures.Fleet([])
+        fleet.add_worker("w1", machine="m1")
+        worker = fleet.scheduler.workers["w1"]
+        # A restart, after which the clock of its incarnation is new as well.
+        for clock_ms in (200, 210):
+            report = scheduling.WorkerReport(clock_ms, 2, (), ())
+            fleet.scheduler.observe_report(
+                "w1", report, worker.token, fleet.now_s
+            )
+            fleet.commit()
+        fleet.submit(JOB, [step()])
+        fleet.now_s += 1.15
+        (order,) = fleet.starts()
+        requested_s = fleet.now_s - 0.1
+        fleet.now_s += 0.15
+        accepted = scheduling.OrderResult(scheduling.OrderOutcome.ACCEPTED, 250)
+        fleet.scheduler.observe_start(order, accepted, fleet.now_s)
+        assert worker.find_run(order.task, order.run_id).confirmed
+        fleet.now_s += 0.1
+        fleet.add_worker("w2", machine="m2")
+        down = scheduling.MachineState.DOWN
+        record = scheduling.MachineRecord(
+            "m1", scheduling_fixtures.POOL, down, "z", ""
+        )
+        fleet.scheduler.maintenance.observe_machines((record,), requested_s)
+        assert not fleet.starts()
+
 
 class TestAttempts:
 
