Tell the lives of a worker apart by the clock at the time of a start

The answer to a start does not name the life that gave it, so its clock is compared with that of the known life. The last reported clock was used, which may be up to 1.8 s old: a young next life could be above it.

The clock that the known life must have had when the start was sent is used now. test_a_late_report_of_a_young_former_life_ends_no_run failed before.

--- a/baobabdoor/scheduling/_job.py
+++ b/baobabdoor/scheduling/_job.py
@@ -33,8 +33,8 @@
         worker_start_ms: Unix time of the worker's start; 0 if unknown.
         machine: Machine of the worker.
         started_s: Time at which the start was sent.
-        ordered_clock_ms: The worker's clock in its newest report before the
-            start was sent.
+        ordered_clock_ms: Earliest time that the worker's clock may have shown
+            when the start was sent.
         confirmed: Whether the worker has confirmed the run.
         clock_ms: The worker's clock at the confirmation.
         stopping: Whether the run is to be stopped.
--- a/baobabdoor/scheduling/_lease.py
+++ b/baobabdoor/scheduling/_lease.py
@@ -64,6 +64,11 @@
             self.clock_ms = clock_ms
             self.clock_at_s = now_s
 
+    def min_clock_ms(self, now_s: float) -> int:
+        """Returns the earliest time that the incarnation's clock may show."""
+        passed_s = (now_s - self.clock_at_s) / CLOCK_DRIFT_FACTOR
+        return self.clock_ms and self.clock_ms + int(passed_s * 1000)
+
     def extend(self, now_s: float, lease_s: float) -> int:
         """Returns the expiry of an extension on the worker's clock, in ms."""
         until_ms = self.clock_ms + (now_s - self.clock_at_s + lease_s) * 1000
--- a/baobabdoor/scheduling/_order_handling.py
+++ b/baobabdoor/scheduling/_order_handling.py
@@ -67,7 +67,7 @@
         now_s,
         worker.start_time_ms,
         worker.record.machine,
-        ordered_clock_ms=worker.reported_ms,
+        ordered_clock_ms=worker.lease.min_clock_ms(now_s),
         progressed_s=now_s,
     )
     task.run = run
