--- a/tests/calm_fleet.py
+++ b/tests/calm_fleet.py
@@ -403,7 +403,7 @@
         if self.now_s >= self.next_list_s:
             self.next_list_s = self.now_s + LIST_INTERVAL_S
             self.scheduler.maintenance.observe_machines(
-                self._list_machines(), self.now_s
+                self._list_machines(), self.now_s, is_complete=True
             )
         # Decides with the shortages that the last planning pass has found.
         for move in self.scheduler.autoscaler.plan(self.now_s):
--- a/tests/test_scheduling_progress.py
+++ b/tests/test_scheduling_progress.py
@@ -10,7 +10,6 @@
 import pytest
 import scheduling_fixtures
 
-from baobabdoor import dispatch
 from baobabdoor import scheduling
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _worker
@@ -26,9 +25,9 @@
 CALM_S = 20.0
 # Machines in standby: more than all tasks of a state need.
 STANDBY_COUNT = 30
-# Time after which the leases of a lost worker have certainly expired, also to
-# the next leader.
-MAX_LEASE_S = dispatch.inherited_bound_s(scheduling.Options().max_lease_s) + 0.5
+# Time after the end of its last run from which the platform requires that a
+# lasting task that could run starts.
+RESTART_S = 6.0
 RACKS = ("r-1", "r-2", "r-3", "r-4")
 LABELS = ("a", "b")
 
@@ -266,8 +265,8 @@
     if state.change_leader:
         fleet.change_leader()
     # All workers report, and their entries are written. Runs on a lost worker,
-    # and those that the next leader inherits, end with their leases.
-    fleet.run(MAX_LEASE_S if state.lost else calm_fleet.HEARTBEAT_S)
+    # and those that the next leader inherits, are found to have ended.
+    fleet.run(RESTART_S if state.lost else calm_fleet.HEARTBEAT_S)
     fleet.run(CALM_S, watched=True)
 
 
