Leave jobs of the far future out of the backlog

Cause: the remaining work of a job includes occurrences that are not due, so admission takes the fleet for busy and the pools for too small. Change: occurrences that are due later than 60 s from now are left out.

--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -26,6 +26,8 @@
 DISCOVERY_S = 2.5
 # Time from the end of a machine's move until its worker gets starts.
 WORKER_START_S = 0.6
+# Occurrences that are due later than this do not delay the jobs of now.
+PLANNED_S = 60.0
 # Shortest time over which the log states a share of a pool, in seconds.
 MIN_SPAN_S = 0.1
 
@@ -347,11 +349,20 @@
         return view.timely_work, view.late_work
 
     def remaining_work(self, job) -> float:
-        """Returns the remaining work of a job in core-seconds."""
+        """Returns the remaining work of a job in core-seconds.
+
+        Without the occurrences that are due later than `PLANNED_S`.
+        """
         total = 0.0
+        spec = job.spec
+        planned_until_ms = self.scheduler.wall_ms + PLANNED_S * 1000
         for key, tasks in job.steps.items():
             if not job.remaining[key]:
                 continue
+            if spec.repeat_count and (
+                spec.start_at_ms + key[0] * spec.interval_ms > planned_until_ms
+            ):
+                continue
             step = job.spec.steps[key[1]]
             duration_s = self.scheduler.durations.predict_s(
                 job.spec.queue, step
