Close connections that hold at least the average; share a pool

Cause: when memory is short, the connection whose request is unfinished for longest is closed, also if it holds a few hundred bytes and its body is in another segment than its header. Change: the longest unfinished of those that hold at least the average is closed. Budgets can share a pool, charge connections and unread replies, and spare connections that have shown a credential; a stopping server accepts the connections that are established, which closing the socket would reset.

--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -123,6 +123,8 @@
         receive_buffer_bytes: Receive buffer of a connection in the kernel;
             0 for that of the system.
         count_closed: Counts a connection that the server closes, by reason.
+        refuse_waiting: Refuses one of the complete requests that wait for
+            their turn; returns whether there was one.
     """
 
     def __init__(
@@ -132,12 +134,14 @@
         limits: _types.RequestLimits,
         receive_buffer_bytes: int,
         count_closed: Callable[[str], None],
+        refuse_waiting: Callable[[], bool],
     ):
         self.make_exchange = make_exchange
         self.budget = budget
         self.limits = limits
         self.receive_buffer_bytes = receive_buffer_bytes
         self.count_closed = count_closed
+        self.refuse_waiting = refuse_waiting
         self.pacer = _chunk_pacer.ChunkPacer()
         self.parameters = http1connection.HTTP1ConnectionParameters(
             chunk_size=CHUNK_BYTES,
@@ -168,10 +172,17 @@
             )
 
     def stop(self) -> None:
-        """Stops accepting connections; open ones remain."""
+        """Stops accepting connections; open ones remain.
+
+        Those that are established are accepted, because closing the listening
+        socket would reset them.
+        """
         for remove_handler in self.remove_handlers_:
             remove_handler()
         for listening in self.sockets_:
+            with contextlib.suppress(OSError):
+                while True:
+                    self._accept(*listening.accept())
             listening.close()
         self.remove_handlers_ = []
         self.sockets_ = []
@@ -199,6 +210,11 @@
         )
         connection.start_serving(self)
 
+    def close_all(self) -> None:
+        """Closes all connections."""
+        for stream in list(self.budget.usages_):
+            self.close(stream, "stop")
+
     def close(self, stream: Stream, reason: str) -> None:
         """Closes a connection without a reply."""
         self.count_closed(reason)
@@ -212,6 +228,8 @@
     def start_request(self, server_conn, request_conn):
         """Returns the delegate of the next request of a connection."""
         stream = server_conn.stream
+        # The reply to the request before has been written.
+        self.budget.release(stream)
         self.budget.enter(stream, _memory_budget.Phase.IDLE, self.now_s())
         exchange = self.make_exchange(stream, request_conn)
         stream.start_request(exchange)
@@ -232,10 +250,52 @@
         if phase is _memory_budget.Phase.HEADER:
             self.budget.charge(stream, count)
 
+    def charge_header(self, stream: Stream) -> None:
+        """Replaces the charge of received bytes by that of decoded lines."""
+        usage = self.budget.usages_.get(stream)
+        if usage is not None:
+            cost = stream.header_cost_ - usage.held_bytes
+            self.budget.charge(stream, cost)
+            self.relieve(stream)
+
     def now_s(self) -> float:
         """Returns the time of the event loop."""
         return self.loop_.time()
 
+    # Memory.
+
+    def relieve(self, current: Stream) -> bool:
+        """Frees memory if more is held than may be.
+
+        Args:
+            current: Connection that has just received or been sent bytes.
+
+        Returns:
+            Whether the memory suffices for it.
+        """
+        while self.budget.overdrawn():
+            if self._close_one(current):
+                continue
+            # The memory of a refused request is released right after this.
+            return self.refuse_waiting() or self.budget.pool.reclaim(
+                self.reclaim
+            )
+        return True
+
+    def reclaim(self) -> bool:
+        """Frees memory for another server; returns whether it did."""
+        return self._close_one(None) or self.refuse_waiting()
+
+    def _close_one(self, current: Stream | None) -> bool:
+        """Closes a connection that waits for its client, if there is one."""
+        stream = self.budget.longest_idle()
+        if stream is None:
+            stream = self.budget.longest_unfinished(current)
+        if stream is None:
+            return False
+        self.close(stream, "memory")
+        return True
+
     # Timeouts.
 
     def _schedule_sweep(self) -> None:
--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -51,7 +51,7 @@
             headers,
             b"",
         )
-        self._charge_header()
+        self.server.listener.charge_header(self.stream)
         refusal, reason = self._check(headers)
         if refusal is not None:
             self.refuse(refusal, reason)
@@ -63,14 +63,6 @@
             self._enter(_memory_budget.Phase.BODY)
         return None
 
-    def _charge_header(self) -> None:
-        """Replaces the charge of received bytes by that of decoded lines."""
-        budget = self.server.budget
-        usage = budget.usages_.get(self.stream)
-        received_bytes = usage.held_bytes if usage else 0
-        budget.charge(self.stream, self.stream.header_cost_ - received_bytes)
-        self.server.relieve(self.stream)
-
     def _check(self, headers) -> tuple[_types.Reply | None, str]:
         """Returns the reply to a request whose body is not to be read."""
         length = headers.get("Content-Length", "")
@@ -79,6 +71,9 @@
         if is_number and _exceeds(length, self.server.limits.body_bytes):
             return _types.Reply(413), "body-size"
         reply = self.server.check_header(self.request_)
+        if reply is _types.AUTHENTICATED:
+            self.server.budget.trust(self.stream)
+            return None, ""
         if reply is None:
             return None, ""
         if _announces_body(headers) or "Expect" in headers:
@@ -96,7 +91,7 @@
             return
         self.buffer_ += chunk
         self.server.budget.charge(self.stream, int(BUFFER_FACTOR * len(chunk)))
-        if not self.server.relieve(self.stream):
+        if not self.server.listener.relieve(self.stream):
             self.refuse(OVERLOADED, "memory")
 
     def finish(self) -> None:
@@ -142,7 +137,7 @@
         """Sends a reply and closes the connection, whose body is not read."""
         if self.stream.closed():
             return
-        self.server.count_closed(reason)
+        self.server.closures.observe(reason)
         self.buffer_ = bytearray()
         self.stream.lingers = True
         self.stream.write(_types.encode_reply(reply, closing=True))
--- a/baobabdoor/transport/_server.py
+++ b/baobabdoor/transport/_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from baobabdoor import observability
+from baobabdoor.transport import _closures
 from baobabdoor.transport import _connections
 from baobabdoor.transport import _exchange
 from baobabdoor.transport import _gate
@@ -12,8 +13,6 @@
 
 # Requests up to this size do not wait for larger ones to be handled.
 SMALL_BODY_BYTES = 8192
-# Reasons for closing a connection that are part of normal operation.
-QUIET_REASONS = frozenset(["idle-timeout"])
 # Bounds of a server that is given none.
 DEFAULT_BOUNDS = _memory_budget.divide(512, 4096).callers
 LOG = observability.get_logger("transport")
@@ -29,10 +28,12 @@
         bounds: Bounds of memory and connections.
         limits: Limits of requests.
         check_header: Returns the reply to a request whose body is not needed,
-            from its header; `None` if the handler is to be called.
+            from its header; `None` if the handler is to be called, or
+            `AUTHENTICATED` if the header also shows a valid credential.
         metrics: Counts closed connections.
         receive_buffer_bytes: Receive buffer of a connection in the kernel;
             0 for that of the system.
+        pool: Memory that the servers of the process share. Default: none.
     """
 
     def __init__(
@@ -44,28 +45,30 @@
         bounds: _memory_budget.Bounds = DEFAULT_BOUNDS,
         limits: _types.RequestLimits | None = None,
         check_header: (
-            Callable[[_types.Request], _types.Reply | None] | None
+            Callable[[_types.Request], _types.Reply | _types.HeaderCheck | None]
+            | None
         ) = None,
         metrics: observability.Metrics | None = None,
         receive_buffer_bytes: int = 0,
+        pool: _memory_budget.MemoryPool | None = None,
     ):
         self.address = address
         self.handler = handler
         self.name = name
         self.header_check = check_header
-        self.metrics = metrics
         self.closing = False
         self.in_progress = 0
-        self.budget = _memory_budget.MemoryBudget(bounds)
+        self.budget = _memory_budget.MemoryBudget(bounds, pool)
+        self.closures = _closures.Closures(name, self.budget, metrics)
         self.small_gate = _gate.Gate(bounds.handled_bytes)
         self.large_gate = _gate.Gate(bounds.handled_bytes)
-        self.log = observability.LimitedLogger(LOG)
         self.listener = _connections.Listener(
             self._make_exchange,
             self.budget,
             limits or _types.RequestLimits(),
             receive_buffer_bytes,
-            self.count_closed,
+            self.closures.observe,
+            self._refuse_waiting,
         )
 
     @property
@@ -87,10 +90,16 @@
         self.closing = True
         self.listener.stop()
 
+    def close_all(self) -> None:
+        """Closes all connections, also those with requests in progress."""
+        self.listener.close_all()
+
     def _make_exchange(self, stream, http) -> _exchange.Exchange:
         return _exchange.Exchange(self, stream, http)
 
-    def check_header(self, request: _types.Request) -> _types.Reply | None:
+    def check_header(
+        self, request: _types.Request
+    ) -> _types.Reply | _types.HeaderCheck | None:
         """Returns the reply to a request whose body is not needed."""
         if self.header_check is None:
             return None
@@ -100,30 +109,8 @@
             LOG.exception("request_failed", path=request.path, error=str(error))
             return _types.Reply(500)
 
-    def relieve(self, current: _connections.Stream) -> bool:
-        """Frees memory if requests hold more than they may.
-
-        Args:
-            current: Connection that has just received bytes.
-
-        Returns:
-            Whether the memory suffices for it.
-        """
-        while self.budget.overdrawn():
-            stream = self.budget.longest_unfinished()
-            if stream is not None and stream is not current:
-                self.listener.close(stream, "memory")
-            else:
-                return self._relieve_otherwise(current)
-        return True
-
-    def _relieve_otherwise(self, current: _connections.Stream) -> bool:
-        """Closes another connection than the longest unfinished one."""
-        for stream in self.budget.unfinished_:
-            if stream is not current:
-                self.listener.close(stream, "memory")
-                return True
-        # Memory of a refused request is released right after this.
+    def _refuse_waiting(self) -> bool:
+        """Refuses a complete request that waits for its turn."""
         return bool(
             self.large_gate.refuse_longest_waiting()
             or self.small_gate.refuse_longest_waiting()
@@ -170,20 +157,3 @@
         except Exception as error:
             LOG.exception("request_failed", path=request.path, error=str(error))
             return _types.Reply(500)
-
-    def count_closed(self, reason: str) -> None:
-        """Counts a connection that the server closes and logs the reason."""
-        if self.metrics is not None:
-            self.metrics.count(
-                "connections_closed_total",
-                {"server": self.name, "reason": reason},
-            )
-        if reason not in QUIET_REASONS:
-            self.log.warning(
-                "connection_closed",
-                reason,
-                server=self.name,
-                reason=reason,
-                open=len(self.budget.usages_),
-                held_bytes=self.budget.held_bytes,
-            )
--- a/baobabdoor/transport/_types.py
+++ b/baobabdoor/transport/_types.py
@@ -1,5 +1,7 @@
 """Requests, replies and limits of servers."""
 
+import enum
+
 import attrs
 from tornado import httputil
 
@@ -64,6 +66,15 @@
     content_type: str = "application/json"
 
 
+class HeaderCheck(enum.Enum):
+    """Result of a check of a request's header that needs no reply."""
+
+    AUTHENTICATED = "authenticated"
+
+
+AUTHENTICATED = HeaderCheck.AUTHENTICATED
+
+
 def encode_reply(reply: Reply, closing: bool) -> bytes:
     """Returns the bytes of a reply.
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -62,6 +62,51 @@
         budget.enter("b", Phase.IDLE, 6.0)
         assert budget.longest_unfinished() == "a"
 
+    def test_small_requests_are_not_closed_in_favour_of_large_ones(self):
+        budget = make_budget(connections=9)
+        for name, size in (("small", 1), ("large", 50), ("larger", 60)):
+            budget.open(name, 0.0)
+            budget.enter(name, Phase.BODY, 1.0)
+            budget.charge(name, size)
+        assert budget.overdrawn()
+        assert budget.longest_unfinished() == "large"
+        assert budget.longest_unfinished("large") == "larger"
+
+    def test_others_are_closed_in_preference_to_trusted_connections(self):
+        budget = make_budget(connections=9)
+        for name in ("trusted", "other"):
+            budget.open(name, 0.0)
+            budget.enter(name, Phase.BODY, 1.0)
+        budget.trust("trusted")
+        budget.charge("trusted", 101)
+        assert budget.longest_unfinished() == "other"
+        assert budget.longest_waiting() == "other"
+        budget.close("other")
+        assert budget.longest_unfinished() == "trusted"
+        assert budget.longest_waiting() == "trusted"
+
+    def test_unread_replies_count_until_they_are_released(self):
+        budget = make_budget()
+        budget.open("a", 0.0)
+        budget.enter("a", Phase.WRITING, 1.0)
+        budget.charge("a", 101)
+        assert budget.longest_unfinished() == "a"
+        budget.release("a")
+        budget.enter("a", Phase.IDLE, 2.0)
+        assert (budget.held_bytes, budget.longest_unfinished()) == (0, None)
+
+    def test_idle_connections_over_their_share_are_closed_first(self):
+        bounds = _memory_budget.Bounds(100, 99, 50, connection_bytes=5)
+        budget = _memory_budget.MemoryBudget(bounds)
+        budget.open("body", 0.0)
+        budget.enter("body", Phase.BODY, 0.0)
+        for number in range(5):
+            budget.open(number, 1.0)
+        assert budget.held_bytes == 30
+        assert budget.longest_idle() is None
+        budget.open(5, 1.0)
+        assert budget.longest_idle() == 0
+
     def test_handled_requests_are_not_chosen(self):
         budget = make_budget()
         budget.open("a", 0.0)
@@ -108,6 +153,37 @@
         assert overdue == {"a": Phase.IDLE, "b": Phase.HEADER}
 
 
+class TestPool:
+
+    def test_servers_of_a_process_share_it(self):
+        pool = _memory_budget.MemoryPool(100)
+        bounds = _memory_budget.Bounds(100, 9, 50, connection_bytes=10)
+        first, second = (
+            _memory_budget.MemoryBudget(bounds, pool) for _ in range(2)
+        )
+        first.open("a", 0.0)
+        first.charge("a", 50)
+        assert not second.overdrawn()
+        second.open("b", 0.0)
+        second.charge("b", 31)
+        assert first.overdrawn()
+        held_bytes = second.start_handling("b", 1.0)
+        second.close("b")
+        assert pool.used_bytes_ == 91
+        second.end_handling(held_bytes)
+        first.close("a")
+        assert pool.used_bytes_ == 0
+
+    def test_memory_of_another_server_is_reclaimed(self):
+        pool = _memory_budget.MemoryPool(100)
+        asked = []
+        for name in ("first", "second"):
+            pool.add_reclaimer(lambda name=name: asked.append(name))
+        own = pool.reclaimers_[0]
+        assert not pool.reclaim(own)
+        assert asked == ["second"]
+
+
 class TestGate:
 
     def test_sum_of_sizes_is_bounded_and_order_is_kept(self):
