Bound the memory of accepted jobs

Callers saw: the leader ends when it is out of memory, and so does each next leader, which reads the same jobs. 40 submissions of 200 bytes took 87 MB. Cause: a job is kept with an object for each task until its retention time is over, and jobs with a start time are accepted whatever the load is. Change: jobs may use 0.35 of the memory beside the idle process; those that start later or last half of that, other large ones three quarters. A rejected job gets 429 and Retry-After until the state of the next ended job is dropped. The test's jobs started in 1970, so that rejecting the ordinary job after them was right; they now start in the future, and fails as before.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -65,6 +65,7 @@
                 quota_window_s=daemon.settings.quota_window_s,
                 quota_slack=daemon.settings.quota_slack,
                 move_rate=daemon.settings.move_rate,
+                job_bytes=daemon.bounds.job_bytes,
             ),
             now_s,
             _election.inherited_bound_s(daemon.settings.max_lease_s),
--- a/baobabdoor/scheduling/__init__.py
+++ b/baobabdoor/scheduling/__init__.py
@@ -1,6 +1,5 @@
 """Scheduling of batch jobs: admission, placement and run tracking."""
 
-from baobabdoor.scheduling._admission import Rejection
 from baobabdoor.scheduling._advice import AdviceRequest
 from baobabdoor.scheduling._autoscaler import Move
 from baobabdoor.scheduling._autoscaler import PoolAutoscaler
@@ -24,6 +23,7 @@
 from baobabdoor.scheduling._orders import StopOrder
 from baobabdoor.scheduling._orders import WorkerOrder
 from baobabdoor.scheduling._persistence import Snapshot
+from baobabdoor.scheduling._rejection import Rejection
 from baobabdoor.scheduling._scheduler import Scheduler
 from baobabdoor.scheduling._types import FINAL_STATES
 from baobabdoor.scheduling._types import AdvicePolicy
--- a/baobabdoor/scheduling/_admission.py
+++ b/baobabdoor/scheduling/_admission.py
@@ -12,6 +12,8 @@
 from baobabdoor import customers
 from baobabdoor import overload
 from baobabdoor.scheduling import _arrivals
+from baobabdoor.scheduling import _job_memory
+from baobabdoor.scheduling import _rejection
 from baobabdoor.scheduling import _types
 
 # Share of a pool's CPU time that tasks can use.
@@ -32,28 +34,6 @@
 MIN_SPAN_S = 0.1
 
 
-@attrs.frozen
-class Rejection:
-    """The rejection of a job.
-
-    Attributes:
-        reason: Reason of the rejection.
-        retry_after_s: Time after which to retry, in seconds; 0 if a retry
-            is rejected as well.
-        inputs: Inputs of the decision, for the log.
-        over_quota: Whether the job exceeds its customer's maximum, which is
-            no fault in the request.
-        hopeless: Whether a valid job came too late to have any value, so that
-            a retry is rejected as well.
-    """
-
-    reason: str
-    retry_after_s: int
-    inputs: dict
-    over_quota: bool = False
-    hopeless: bool = False
-
-
 @attrs.frozen
 class AdmissionDecision:
     """Decision on the admission of a job.
@@ -66,7 +46,7 @@
     """
 
     timely: bool
-    rejection: Rejection | None
+    rejection: _rejection.Rejection | None
     inputs: dict
     excess: bool = False
 
@@ -83,6 +63,7 @@
         self.first_seen_: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
+        self.job_memory = _job_memory.JobMemory(scheduler)
         options = scheduler.options
         self.allowance = customers.SubmissionAllowance(
             options.quota_window_s, options.quota_slack
@@ -155,7 +136,7 @@
         self._count_verdict(spec, verdict, now_s)
         if verdict.accepted:
             return AdmissionDecision(verdict.timely, None, inputs, job.excess)
-        rejection = Rejection(
+        rejection = _rejection.Rejection(
             verdict.reason,
             verdict.retry_after_s,
             inputs,
--- a/baobabdoor/scheduling/_options.py
+++ b/baobabdoor/scheduling/_options.py
@@ -37,6 +37,7 @@
         quota_window_s: Window over which a customer's submissions are counted.
         quota_slack: Jobs that a customer may submit in a window beyond its
             weight.
+        job_bytes: Maximum memory of all accepted jobs, in bytes.
         move_rate: Machine orders per second that the platform accepts.
         forecasts_turns: Whether pools are sized ahead of the peaks that were
             learned from earlier ones. Off by default: it has not served callers
@@ -55,6 +56,7 @@
     row_bytes: int = 65_536
     quota_window_s: float = 5.0
     quota_slack: int = 20
+    job_bytes: float = math.inf
     move_rate: float = 64.0
     forecasts_turns: bool = False
     scores_workers: bool = False
--- a/baobabdoor/scheduling/_scheduler.py
+++ b/baobabdoor/scheduling/_scheduler.py
@@ -1,8 +1,7 @@
 """State of all jobs and workers during one term, without I/O.
 
-The `observe` methods and the requests of callers update the state; `plan`
-returns the resulting orders. Times are seconds of a monotonic clock that also
-advances while the system is suspended.
+The `observe` methods and callers' requests update the state; `plan` returns the
+resulting orders. Times are seconds of a monotonic clock that counts suspension.
 """
 
 from collections.abc import Iterator
@@ -27,6 +26,7 @@
 from baobabdoor.scheduling import _persistence
 from baobabdoor.scheduling import _placement
 from baobabdoor.scheduling import _quotas
+from baobabdoor.scheduling import _rejection
 from baobabdoor.scheduling import _reports
 from baobabdoor.scheduling import _retention
 from baobabdoor.scheduling import _stalls
@@ -124,7 +124,7 @@
 
     def submit(
         self, spec: _types.JobSpec, now_s: float
-    ) -> _job.Job | _admission.Rejection:
+    ) -> _job.Job | _rejection.Rejection:
         """Accepts a job, which is then to be stored, or rejects it."""
         return _submission.submit(self, spec, now_s)
 
--- a/baobabdoor/scheduling/_submission.py
+++ b/baobabdoor/scheduling/_submission.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from baobabdoor.scheduling import _admission
 from baobabdoor.scheduling import _job
+from baobabdoor.scheduling import _rejection
 from baobabdoor.scheduling import _types
 
 # Maximum share of a row that a new job takes up. The rest is for its progress.
@@ -12,7 +12,7 @@
 
 def submit(
     scheduler, spec: _types.JobSpec, now_s: float
-) -> _job.Job | _admission.Rejection:
+) -> _job.Job | _rejection.Rejection:
     """Accepts a job, which is then to be stored, or rejects it."""
     job = scheduler.jobs.get(spec.job_id)
     if job is not None:
@@ -25,6 +25,9 @@
     excess = scheduler.quotas.find_excess(spec)
     if excess is not None:
         return _reject_above_maximum(spec, excess)
+    rejection = scheduler.admission.job_memory.check(spec, now_s)
+    if rejection is not None:
+        return rejection
     first_submission = spec.job_id not in scheduler.admission.first_seen_
     decision = scheduler.admission.check(spec, now_s)
     if queue is not None and first_submission and not spec.long_running:
@@ -40,7 +43,7 @@
     job = _job.Job(spec, first_ms)
     row_bytes = len(job.encode())
     if row_bytes > scheduler.options.row_bytes * MAX_NEW_JOB_SHARE:
-        return _admission.Rejection("too large", 0, {"bytes": row_bytes})
+        return _rejection.Rejection("too large", 0, {"bytes": row_bytes})
     job.timely = decision.timely
     job.excess = decision.excess
     scheduler.emit(
@@ -60,7 +63,7 @@
 
 def _reject_above_maximum(
     spec: _types.JobSpec, step: _types.StepSpec
-) -> _admission.Rejection:
+) -> _rejection.Rejection:
     """Rejects a job that its customer's maximum never allows to run."""
     inputs = {
         "customer": spec.customer,
@@ -69,4 +72,4 @@
         "memory_mb": step.memory_mb,
         "gpus": step.gpus,
     }
-    return _admission.Rejection("above maximum", 0, inputs, over_quota=True)
+    return _rejection.Rejection("above maximum", 0, inputs, over_quota=True)
--- a/tests/dispatch_fixtures.py
+++ b/tests/dispatch_fixtures.py
@@ -7,6 +7,7 @@
 
 from baobabdoor import observability
 from baobabdoor import platform
+from baobabdoor import transport
 from baobabdoor.dispatch import _controller
 from baobabdoor.dispatch import _election
 from baobabdoor.standin import _row_store
@@ -37,6 +38,7 @@
             configuration=scheduling_fixtures.configuration(),
             waves={},
             metrics=observability.Metrics(),
+            bounds=transport.divide(512, 4096),
             settings=types.SimpleNamespace(
                 stop_timeout_s=0.4,
                 max_lease_s=6.0,
--- a/tests/test_memory_crowd_moments.py
+++ b/tests/test_memory_crowd_moments.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+import time
 
 import memory_crowd
 import pytest
@@ -182,7 +183,7 @@
         """A text of 200 bytes took 2 MB of the leader's memory."""
 
         async def crowd(system):
-            due_ms = system.simulator.now_ms() + FAR_FUTURE_S * 1000
+            due_ms = int(time.time() + FAR_FUTURE_S) * 1000
             step = {"count": TASKS, "cpu": 200, "estimate-ms": 1000}
             body = json.dumps(
                 {
