Refuse settings whose limits serve no request

Operators saw: a daemon with limits.memory-mb of 0 starts. Change: limits.memory-mb below 48 and limits.max-fds below 264 give one line with the field's name, and the process does not start. Measured: TestSettings, ten values.

--- a/baobabdoor/platform/_settings.py
+++ b/baobabdoor/platform/_settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform provides to each process."""
 
+import math
 import pathlib
 
 import attrs
@@ -8,6 +9,10 @@
 SETTINGS_VARIABLE = "BAOBABDOOR_CONFIG"
 # Must match the port under `metrics` in deploy/system.toml.
 METRICS_PORT = 9464
+# Smallest memory and number of descriptors with which one request of the
+# maximum size is served: an idle process takes 42 MB and 30 sockets.
+MIN_MEMORY_MB = 48
+MIN_DESCRIPTORS = 264
 
 
 class SettingsError(ValueError):
@@ -103,6 +108,16 @@
             raise self._error(field, kind, value)
         return value
 
+    def at_least(self, field: str, kind: type | tuple, low, default):
+        """Returns a number that is not below a bound, and finite."""
+        value = self.get(field, kind, default)
+        if not low <= value < math.inf:
+            raise SettingsError(
+                f"{self.path}: {field}: expected at least {low},"
+                f" found {value!r}"
+            )
+        return value
+
     def flag(self, field: str) -> bool:
         """Returns a truth value; false if the field is missing."""
         value = self.find(field)
@@ -186,6 +201,10 @@
         quota_window_s=reader.seconds("bounds.quota-window-s", 1, 5.0),
         quota_slack=reader.get("bounds.quota-slack", int, 20),
         move_rate=reader.get("cloud-api.duty-per-s", numeric, 64.0),
-        memory_mb=reader.get("limits.memory-mb", numeric, 512),
-        max_descriptors=reader.get("limits.max-fds", int, 4096),
+        memory_mb=reader.at_least(
+            "limits.memory-mb", numeric, MIN_MEMORY_MB, 512
+        ),
+        max_descriptors=reader.at_least(
+            "limits.max-fds", int, MIN_DESCRIPTORS, 4096
+        ),
     )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -262,6 +262,32 @@
         with pytest.raises(platform.SettingsError, match=r"boot.yaml: ip: .*7"):
             platform.load_settings(str(path))
 
+    @pytest.mark.parametrize(
+        ("field", "value"),
+        [
+            ("memory-mb", "0"),
+            ("memory-mb", "-200"),
+            ("memory-mb", "47"),
+            ("memory-mb", ".inf"),
+            ("memory-mb", ".nan"),
+            ("memory-mb", "large"),
+            ("max-fds", "0"),
+            ("max-fds", "-1"),
+            ("max-fds", "263"),
+            ("max-fds", "4096.5"),
+        ],
+    )
+    def test_limit_that_serves_no_request_is_refused(
+        self, tmp_path, field, value
+    ):
+        path = tmp_path / "boot.yaml"
+        path.write_text(f"{self.TEXT}limits: {{{field}: {value}}}\n")
+        with pytest.raises(
+            platform.SettingsError, match=rf"boot.yaml: limits.{field}: .*found"
+        ) as error:
+            platform.load_settings(str(path))
+        assert "\n" not in str(error.value)
+
 
 class FixedClient:
     """HTTP client that answers each call with the same response."""
