Authenticate clients of an entry's control port before the body is read

Cause: the control port has the defaults of the HTTP library. It buffers bodies of up to 100 MB before a handler looks at the token or signature, and bounds neither connections nor the time for a body. Change: the control port is a transport.Server, whose budget has counted such crowds for the dispatch daemon. A request without the operators' token gets 401 and one without a peer's signature 403 from its header. Peers send the digest of the body in a header, so that the signature can be verified before the body; the body itself is verified as before. Clients that have shown a credential are the last to be closed. Limits are settings of the entry, checked at the start.

--- a/baobabdoor/control/__init__.py
+++ b/baobabdoor/control/__init__.py
@@ -11,6 +11,7 @@
 from baobabdoor.control._member import Identity
 from baobabdoor.control._member import Member
 from baobabdoor.control._peer_http import PeerClient
+from baobabdoor.control._peer_http import check_peer_header
 from baobabdoor.control._service import ControlService
 from baobabdoor.control._status import ControlStatus
 from baobabdoor.control._status import EntryStatus
@@ -36,4 +37,5 @@
     "Planners",
     "PoolStatus",
     "VmStatus",
+    "check_peer_header",
 ]
--- a/baobabdoor/control/_peer_http.py
+++ b/baobabdoor/control/_peer_http.py
@@ -16,6 +16,9 @@
 
 STEP = "control.peer"
 SIGNED_HEADER = "Baobabdoor-Peer-Signed"
+# Digest of the body, so that the signature can be verified before the body is
+# received.
+BODY_DIGEST_HEADER = "Baobabdoor-Peer-Body-Sha256"
 CONNECT_TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 64
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -25,6 +28,8 @@
 # The sender does not know the incarnation of this process.
 STATUS_UNKNOWN_RECEIVER = 409
 
+_DIGEST = re.compile("[0-9a-f]{64}")
+
 # Takes the sender, its incarnation and the request body; returns the response
 # body or a refusal.
 PeerEndpoint = Callable[[str, int, bytes], Awaitable[bytes | base.Refusal]]
@@ -97,6 +102,7 @@
                 **headers,
                 **envelope.to_headers(),
                 SIGNED_HEADER: ",".join(headers),
+                BODY_DIGEST_HEADER: content.body_digest(),
             },
             body=body,
             connect_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
@@ -165,6 +171,36 @@
     return base.Refusal(reason, STEP, peer_id, str(error))
 
 
+def signed_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Returns the headers that a request's signature covers."""
+    names = headers.get(SIGNED_HEADER, "")
+    return {name: headers.get(name, "") for name in names.split(",") if name}
+
+
+def check_peer_header(
+    signer: membership.PeerSigner, path: str, headers: Mapping[str, str]
+) -> base.Refusal | None:
+    """Returns why a request is not one of a peer, from its header.
+
+    Args:
+        signer: Verifies signatures.
+        path: Path of the request.
+        headers: Headers of the request.
+    """
+    envelope = membership.Envelope.from_headers(headers)
+    if isinstance(envelope, base.Refusal):
+        return envelope
+    digest = headers.get(BODY_DIGEST_HEADER, "")
+    if not _DIGEST.fullmatch(digest):
+        return base.Refusal(
+            base.Reason.FORGED, STEP, envelope.sender, "no digest of the body"
+        )
+    content = membership.SignedContent(
+        path, signed_headers(headers), claimed_body_digest=digest
+    )
+    return signer.check_header(envelope, content)
+
+
 class PeerHandler(web.RequestHandler):
     """Verifies requests of peers and signs the responses."""
 
@@ -183,7 +219,7 @@
             return
         body = self.request.body
         content = membership.SignedContent(
-            self.request.path, self._signed_headers(), body
+            self.request.path, signed_headers(self.request.headers), body
         )
         refusal = self.signer.verify_request(envelope, content)
         if refusal is None:
@@ -196,14 +232,6 @@
         else:
             self._refuse(refusal)
 
-    def _signed_headers(self) -> dict[str, str]:
-        names = self.request.headers.get(SIGNED_HEADER, "")
-        return {
-            name: self.request.headers.get(name, "")
-            for name in re.split(",", names)
-            if name
-        }
-
     def _respond(
         self, envelope: membership.Envelope, result: bytes | base.Refusal
     ) -> None:
--- /dev/null
+++ b/baobabdoor/entry/_control_access.py
@@ -0,0 +1,62 @@
+"""Authenticates the clients of the control port by the header of a request."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import hmac
+import json
+
+from baobabdoor import base
+from baobabdoor import transport
+
+METRICS_PATH = "/metrics"
+PEER_PREFIX = "/peer/"
+UNAUTHORIZED = 401
+FORBIDDEN = 403
+
+# Takes the path and the headers of a request; returns why it is not a peer's.
+PeerCheck = Callable[[str, Mapping[str, str]], base.Refusal | None]
+
+
+class ControlAccess:
+    """Decides from a header whether a request's body is read.
+
+    Args:
+        operator_token: Bearer token of operators.
+        check_peer: Checks the signature of a request of another entry.
+    """
+
+    def __init__(self, operator_token: str, check_peer: PeerCheck):
+        self.operator_token = operator_token
+        self.check_peer = check_peer
+
+    def check(
+        self, request: transport.Request
+    ) -> transport.Reply | transport.HeaderCheck | None:
+        """Returns the reply to a request without a valid credential.
+
+        Metrics need none: they are read without a body.
+        """
+        if request.path == METRICS_PATH:
+            return None
+        if request.path.startswith(PEER_PREFIX):
+            refusal = self.check_peer(request.path, request.headers)
+            if refusal is not None:
+                return _refuse(FORBIDDEN, refusal)
+        elif not self._is_operator(request.headers):
+            refusal = base.Refusal(
+                base.Reason.BAD_REQUEST,
+                "operator.authorize",
+                detail="expected a valid bearer token",
+            )
+            return _refuse(UNAUTHORIZED, refusal)
+        return transport.AUTHENTICATED
+
+    def _is_operator(self, headers: Mapping[str, str]) -> bool:
+        expected = f"Bearer {self.operator_token}".encode()
+        found = headers.get("Authorization", "").encode()
+        return hmac.compare_digest(expected, found)
+
+
+def _refuse(status: int, refusal: base.Refusal) -> transport.Reply:
+    body = json.dumps({"refusal": refusal.to_json()}).encode()
+    return transport.Reply(status, body)
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -5,12 +5,12 @@
 from typing import Any
 
 import attrs
-from tornado import httpserver
 from tornado import httputil
 from tornado import web
 
 from baobabdoor import admission
 from baobabdoor import base
+from baobabdoor import control
 from baobabdoor import idempotency
 from baobabdoor import observability
 from baobabdoor import requests
@@ -18,11 +18,14 @@
 from baobabdoor import settings
 from baobabdoor import slots
 from baobabdoor import timeline
+from baobabdoor import transport
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _caller_server
+from baobabdoor.entry import _control_access
 from baobabdoor.entry import _control_port
 from baobabdoor.entry import _forwarder
 from baobabdoor.entry import _idempotency_keys
+from baobabdoor.entry import _limits
 from baobabdoor.entry import _local_paths
 from baobabdoor.entry import _peer_requests
 from baobabdoor.entry import _pending_request
@@ -90,6 +93,8 @@
 
     def __init__(self, components: Components):
         self.components = components
+        self.bounds_ = _limits.divide(components.entry_settings)
+        self.pool_ = transport.MemoryPool(self.bounds_.pool_bytes)
         self.draining_ = False
         self.applied_configuration_: tuple[int, str] | None = None
         self.log_ = observability.get_logger("entry")
@@ -125,22 +130,23 @@
         )
         # `CallerServer.close_idle` enforces the timeout for headers instead.
         self.caller_http_server_.conn_params.header_timeout = None
-        self.control_http_server_: httpserver.HTTPServer | None = None
+        self.control_server_: transport.Server | None = None
         self.subscriptions_: list[base.Subscription] = []
 
     async def start(self) -> None:
         """Starts the control service, both listeners and the timers."""
         components = self.components
-        control = components.control
-        control.view.subscribe(self._on_view_changed)
-        control.add_exchange_provider("slots", components.slot_sharing)
-        control.set_load_source(self.dispatcher_.load)
-        control.set_sending_check(self.client_.is_sending)
-        control.add_peer_endpoint(
+        service = components.control
+        service.view.subscribe(self._on_view_changed)
+        service.add_exchange_provider("slots", components.slot_sharing)
+        service.set_load_source(self.dispatcher_.load)
+        service.set_sending_check(self.client_.is_sending)
+        service.add_peer_endpoint(
             _peer_requests.PATH, self.peer_request_handler.handle
         )
-        self._listen_control()
-        await control.start()
+        self.control_server_ = self._make_control_server()
+        self.control_server_.start()
+        await service.start()
         self._apply_configuration()
         address = components.entry_settings.caller
         self.caller_http_server_.listen_on(address.port, address.host)
@@ -178,9 +184,9 @@
         await self.caller_http_server_.close_all_connections()
         await components.claims.stop()
         await components.control.stop()
-        if self.control_http_server_ is not None:
-            self.control_http_server_.stop()
-            await self.control_http_server_.close_all_connections()
+        if self.control_server_ is not None:
+            self.control_server_.stop()
+            self.control_server_.close_all()
         self.log_.info("stopped", drained=drained)
         return drained
 
@@ -263,30 +269,30 @@
         return max(limit, routing.CROSS_ZONE_SLOTS)
 
     def _apply_configuration(self) -> None:
-        control = self.components.control
-        configuration = (control.generation, control.preset_name)
+        service = self.components.control
+        configuration = (service.generation, service.preset_name)
         if (
-            control.deployment is None
+            service.deployment is None
             or configuration == self.applied_configuration_
         ):
             return
         self.applied_configuration_ = configuration
-        self.components.admission_policy.set_callers(control.deployment.callers)
-        preset = control.deployment.presets.get(control.preset_name)
+        self.components.admission_policy.set_callers(service.deployment.callers)
+        preset = service.deployment.presets.get(service.preset_name)
         if preset is not None:
             self.components.slot_sharing.set_policy(preset.slot_policy)
         self._on_view_changed()
 
     def _on_view_changed(self) -> None:
-        control = self.components.control
-        deployment = control.deployment
+        service = self.components.control
+        deployment = service.deployment
         if deployment is None:
             return
         sharing = self.components.slot_sharing
         workers = []
         vm_ids = set()
         for name, pool in deployment.pools.items():
-            for vm in control.view.workers(name):
+            for vm in service.view.workers(name):
                 vm_ids.add(vm.vm_id)
                 if vm.availability_zone == sharing.zone:
                     workers.append(
@@ -326,8 +332,9 @@
             metrics.gauge("requests_in_progress", demand.in_progress, labels)
         metrics.gauge("body_bytes", self.caller_server_.buffered_bytes_)
 
-    def _listen_control(self) -> None:
+    def _make_control_server(self) -> transport.Server:
         components = self.components
+        entry_settings = components.entry_settings
         application = web.Application(
             [
                 *components.control.routes(),
@@ -335,12 +342,33 @@
                 *_control_port.make_routes(
                     components.metrics,
                     components.recorder,
-                    components.entry_settings.operator_token,
+                    entry_settings.operator_token,
                 ),
             ],
             log_function=lambda handler: None,
         )
-        address = components.entry_settings.control
-        self.control_http_server_ = application.listen(
-            address.port, address.host
+        access = _control_access.ControlAccess(
+            entry_settings.operator_token,
+            lambda path, headers: control.check_peer_header(
+                components.control.signer, path, headers
+            ),
+        )
+        address = entry_settings.control
+        return transport.Server(
+            f"{address.host}:{address.port}",
+            transport.ApplicationHandler(application).serve,
+            name="control",
+            bounds=self.bounds_.control,
+            limits=transport.RequestLimits(
+                header_bytes=MAX_HEADER_BYTES,
+                body_bytes=self.bounds_.control_body_bytes,
+                header_timeout_s=entry_settings.header_timeout_s,
+                idle_timeout_s=entry_settings.idle_timeout_s,
+                body_timeout_s=entry_settings.body_timeout_s,
+                reply_timeout_s=entry_settings.response_timeout_s,
+            ),
+            check_header=access.check,
+            metrics=components.metrics,
+            receive_buffer_bytes=transport.RECEIVE_BUFFER_BYTES,
+            pool=self.pool_,
         )
--- a/baobabdoor/entry/_main.py
+++ b/baobabdoor/entry/_main.py
@@ -8,6 +8,7 @@
 
 from baobabdoor import settings
 from baobabdoor.entry import _daemon
+from baobabdoor.entry import _limits
 
 FLAGS = flags.FLAGS
 EXIT_INVALID_SETTINGS = 2
@@ -25,6 +26,7 @@
         raise app.UsageError(f"unexpected argument {argv[1]!r}")
     try:
         entry_settings = settings.load_entry(FLAGS.config)
+        _limits.check(entry_settings, FLAGS.config)
     except settings.SettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_INVALID_SETTINGS
--- a/baobabdoor/membership/_signing.py
+++ b/baobabdoor/membership/_signing.py
@@ -90,11 +90,18 @@
         path: Path of the request; for a response, followed by its status.
         headers: Headers that must arrive unchanged.
         body: Body of the message.
+        claimed_body_digest: Digest that a header states of a body that is not
+            known yet; empty if the body is known.
     """
 
     path: str
     headers: Mapping[str, str] = attrs.field(factory=dict)
     body: bytes = b""
+    claimed_body_digest: str = ""
+
+    def body_digest(self) -> str:
+        """Returns the SHA-256 digest of the body in hexadecimal."""
+        return self.claimed_body_digest or hashlib.sha256(self.body).hexdigest()
 
     def digest(self) -> str:
         """Returns a SHA-256 digest of the path, headers and body."""
@@ -102,8 +109,8 @@
             (name.lower(), value) for name, value in self.headers.items()
         )
         text = json.dumps([self.path, headers])
-        body_digest = hashlib.sha256(self.body).hexdigest()
-        return hashlib.sha256(f"{text}\n{body_digest}".encode()).hexdigest()
+        signed_text = f"{text}\n{self.body_digest()}"
+        return hashlib.sha256(signed_text.encode()).hexdigest()
 
 
 @attrs.define
@@ -161,6 +168,25 @@
         )
         return self._sign(Direction.RESPONSE, envelope, content)
 
+    def check_header(
+        self, envelope: Envelope, content: SignedContent
+    ) -> base.Refusal | None:
+        """Returns why a request's body need not be read, or None.
+
+        Unlike `verify_request`, it does not use up the sequence number, since
+        the body may still differ from its claimed digest.
+        """
+        refusal = self._verify(Direction.REQUEST, envelope, content)
+        sender = self.senders_.get(envelope.sender)
+        if refusal is None and (
+            envelope.receiver_incarnation == self.incarnation
+            and sender is not None
+            and envelope.incarnation == sender.incarnation
+            and envelope.sequence in sender.seen_sequences
+        ):
+            return _forged(envelope.sender, "replayed message")
+        return refusal
+
     def verify_request(
         self, envelope: Envelope, content: SignedContent
     ) -> base.Refusal | None:
--- a/baobabdoor/settings/_entry.py
+++ b/baobabdoor/settings/_entry.py
@@ -8,6 +8,13 @@
 # brute force.
 MIN_KEY_LENGTH = 32
 MAX_PORT = 65535
+# A terabyte, so that an infinite value is refused.
+MAX_MEMORY_MB = 1_048_576
+# Descriptors of an idle entry, of files and of one connection of each kind.
+MIN_DESCRIPTORS = 264
+MAX_DESCRIPTORS = 1_048_576
+MIN_TIMEOUT_S = 0.1
+MAX_TIMEOUT_S = 3600
 
 
 @attrs.frozen(kw_only=True)
@@ -65,6 +72,17 @@
         drain_s: Maximum duration of a graceful shutdown in seconds.
             Default: 30.
         max_body_bytes: Maximum request or response body. Default: 4 MiB.
+        max_job_bytes: Maximum text of a submitted job. Default: 64 KiB.
+        memory_mb: Memory of the process in MB, divided among connections and
+            requests. Default: 64.
+        max_descriptors: Maximum number of open descriptors. Default: 4096.
+        header_timeout_s: Time for the header of a request in seconds.
+            Default: 10.
+        body_timeout_s: Time for the body of a request in seconds. Default: 10.
+        response_timeout_s: Time for a caller to read a response in seconds.
+            Default: 30.
+        idle_timeout_s: Time after which an idle connection is closed, in
+            seconds. Default: 75.
         log_level: Minimum level of log records. Default: `info`.
     """
 
@@ -84,6 +102,23 @@
     boot_id: str = ""
     drain_s: float = _fields.number(0, 3600, unit="seconds", default=30.0)
     max_body_bytes: int = _fields.number(1024, unit="bytes", default=4_194_304)
+    max_job_bytes: int = _fields.number(1024, unit="bytes", default=65_536)
+    memory_mb: float = _fields.number(1, MAX_MEMORY_MB, unit="MB", default=64.0)
+    max_descriptors: int = _fields.number(
+        MIN_DESCRIPTORS, MAX_DESCRIPTORS, unit="descriptors", default=4096
+    )
+    header_timeout_s: float = _fields.number(
+        MIN_TIMEOUT_S, MAX_TIMEOUT_S, unit="seconds", default=10.0
+    )
+    body_timeout_s: float = _fields.number(
+        MIN_TIMEOUT_S, MAX_TIMEOUT_S, unit="seconds", default=10.0
+    )
+    response_timeout_s: float = _fields.number(
+        MIN_TIMEOUT_S, MAX_TIMEOUT_S, unit="seconds", default=30.0
+    )
+    idle_timeout_s: float = _fields.number(
+        MIN_TIMEOUT_S, MAX_TIMEOUT_S, unit="seconds", default=75.0
+    )
     log_level: str = _fields.one_of(
         "debug", "info", "warning", "error", default="info"
     )
--- a/baobabdoor/transport/__init__.py
+++ b/baobabdoor/transport/__init__.py
@@ -1,6 +1,7 @@
 """HTTP between processes over persistent connections."""
 
 from baobabdoor.transport._adaptive_timeout import AdaptiveTimeout
+from baobabdoor.transport._application import ApplicationHandler
 from baobabdoor.transport._client import Client
 from baobabdoor.transport._client import Response
 from baobabdoor.transport._client import parse_address
@@ -25,6 +26,7 @@
     "AUTHENTICATED",
     "RECEIVE_BUFFER_BYTES",
     "AdaptiveTimeout",
+    "ApplicationHandler",
     "Bounds",
     "Client",
     "Closures",
--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -305,9 +305,16 @@
 
     def _sweep(self) -> None:
         self.sweeps_ = False
-        phases = _memory_budget.Phase
-        timeouts_s = dict.fromkeys(phases, self.limits.idle_timeout_s)
-        timeouts_s[phases.HEADER] = self.limits.header_timeout_s
+        limits = self.limits
+        idle_timeout_s = limits.idle_timeout_s
+        timeouts_s = {
+            _memory_budget.Phase.IDLE: idle_timeout_s,
+            _memory_budget.Phase.HEADER: limits.header_timeout_s,
+            _memory_budget.Phase.BODY: limits.body_timeout_s or idle_timeout_s,
+            _memory_budget.Phase.WRITING: (
+                limits.reply_timeout_s or idle_timeout_s
+            ),
+        }
         for stream, phase in self.budget.overdue(self.now_s(), timeouts_s):
             self.close(stream, f"{phase.value}-timeout")
         if self.budget.usages_:
--- a/baobabdoor/transport/_types.py
+++ b/baobabdoor/transport/_types.py
@@ -20,14 +20,19 @@
         header_bytes: Maximum size of a request's header.
         body_bytes: Maximum size of a request's body.
         header_timeout_s: Time in which a header must be complete.
-        idle_timeout_s: Time after which an idle connection is closed, and in
-            which a body must be complete.
+        idle_timeout_s: Time after which an idle connection is closed.
+        body_timeout_s: Time in which a body must be complete. Default: as for
+            an idle connection.
+        reply_timeout_s: Time in which a reply must be read. Default: as for
+            an idle connection.
     """
 
     header_bytes: int = MAX_HEADER_BYTES
     body_bytes: int = MAX_BODY_BYTES
     header_timeout_s: float = IDLE_TIMEOUT_S
     idle_timeout_s: float = IDLE_TIMEOUT_S
+    body_timeout_s: float | None = None
+    reply_timeout_s: float | None = None
 
 
 @attrs.frozen
--- a/tests/request_fakes.py
+++ b/tests/request_fakes.py
@@ -8,6 +8,7 @@
 
 from baobabdoor import admission
 from baobabdoor import base
+from baobabdoor import membership
 from baobabdoor import ownership
 from baobabdoor import settings
 from baobabdoor import slots
@@ -116,6 +117,7 @@
         self.deployment = deployment
         self.generation = 1
         self.preset_name = preset_name
+        self.signer = membership.PeerSigner(b"k" * 32, "entry-1", 5)
         self.posted = []
         self.peer_response = base.Refusal(base.Reason.PEER_GONE, "peer")
 
