Write an entry's log without blocking; free closed connections at once

Cause: the log was written to standard error directly. The error of a connection that was reset has a traceback that refers to its stream, so that the stream and its buffers waited for the collector of cycles: 705 streams existed for 117 open connections. Change: the entry uses the bounded writer of the other daemon; the error is dropped once the connection is closed.

--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -4,6 +4,7 @@
 import logging
 import secrets
 import signal
+import sys
 
 from baobabdoor import admission
 from baobabdoor import base
@@ -98,8 +99,11 @@
 
 async def run(entry_settings: settings.EntrySettings) -> int:
     """Serves until SIGTERM or SIGINT; returns the exit code."""
+    # A reader of the log that stops reading must not stop the process.
     observability.configure_logs(
-        entry_settings.entry_id, entry_settings.log_level
+        entry_settings.entry_id,
+        entry_settings.log_level,
+        observability.BoundedWriter(sys.stderr.fileno()),
     )
     # Tornado logs a line for each malformed message, so that a flood of invalid
     # input would flood the log.
--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -262,8 +262,10 @@
     def on_close(self, server_conn) -> None:
         """Observes that a connection has been closed."""
         self.budget.forget(server_conn.stream)
-        # Ends the cycle of references, which would outlive the connection.
+        # Ends cycles of references, which would outlive the connection. The
+        # traceback of an error refers to the stream.
         server_conn.stream.exchange_ = None
+        server_conn.stream.error = None
 
     def observe_received(self, stream: Stream, count: int) -> None:
         """Accounts for bytes that were received and are not read yet."""
--- a/tests/entry_crowd.py
+++ b/tests/entry_crowd.py
@@ -106,6 +106,8 @@
             **options,
         }
         self.process: subprocess.Popen | None = None
+        # Descriptor that the process writes its log to; `None` for a file.
+        self.log: int | None = None
         # Whether the backend server answers.
         self.answers = asyncio.Event()
         self.answers.set()
@@ -162,8 +164,9 @@
         path.write_text(yaml.safe_dump(self.settings))
         command = [sys.executable, "-c", PROGRAM, f"--config={path}"]
         with (self.folder / "entry.log").open("ab") as log:
+            output = log if self.log is None else self.log
             self.process = subprocess.Popen(
-                [*command, str(self.descriptors)], stdout=log, stderr=log
+                [*command, str(self.descriptors)], stdout=output, stderr=output
             )
 
     def end(self) -> None:
