Answer a Content-Length that no integer holds once, without a traceback

Callers saw: two responses, or a closed connection; the log got a traceback for each such request, written to standard error directly. Cause: the length was converted by int, which refuses over 4,300 digits and digits of other scripts that isdigit accepts. Change: one comparison of texts serves both daemons; a length that the HTTP library cannot convert counts as ambiguous: one response, then the connection is closed. Measured: new test in tests/test_entry_input.py, six cases.

--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -19,6 +19,8 @@
 # connection with unread data resets it, so the caller could not read the
 # response.
 MAX_DISCARDED_BYTES = 262_144
+# Digits of a length that the HTTP library converts.
+MAX_LENGTH_DIGITS = 18
 STEP = "entry.read"
 
 
@@ -282,7 +284,7 @@
         if "Transfer-Encoding" in self.headers:
             return True
         length = self.headers.get("Content-Length", "0")
-        return not length.isdigit() or int(length) > MAX_DISCARDED_BYTES
+        return transport.exceeds(length, MAX_DISCARDED_BYTES)
 
     def _finish_response(self) -> None:
         if self.finished:
@@ -353,4 +355,9 @@
     lengths = headers.get_list("Content-Length")
     if "Transfer-Encoding" in headers:
         return not lengths
-    return not lengths or (len(lengths) == 1 and lengths[0].isdigit())
+    return not lengths or (
+        len(lengths) == 1
+        and lengths[0].isascii()
+        and lengths[0].isdigit()
+        and len(lengths[0]) <= MAX_LENGTH_DIGITS
+    )
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -235,14 +235,15 @@
 
         Its body is a document, whose objects take many times its size.
         """
-        length = request.headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > self.max_job_bytes:
-            return _too_large(int(length), self.max_job_bytes)
+        length = request.headers.get("Content-Length", "0")
+        if transport.exceeds(length, self.max_job_bytes):
+            return _too_large(length, self.max_job_bytes)
         return None
 
 
-def _too_large(length: int, limit: int) -> base.Refusal:
-    detail = f"body: expected at most {limit} bytes, found {length}"
+def _too_large(length: int | str, limit: int) -> base.Refusal:
+    found = f"{length:.20}" if isinstance(length, str) else length
+    detail = f"body: expected at most {limit} bytes, found {found}"
     return base.Refusal(base.Reason.TOO_LARGE, STEP, detail=detail)
 
 
--- a/baobabdoor/entry/_control_access.py
+++ b/baobabdoor/entry/_control_access.py
@@ -67,11 +67,8 @@
         return transport.AUTHENTICATED
 
     def _is_too_large(self, headers: Mapping[str, str]) -> bool:
-        # The server refuses a length that is no number, or is far too large.
         length = headers.get("Content-Length", "0")
-        return "Transfer-Encoding" not in headers and (
-            int(length) > self.max_document_bytes
-        )
+        return transport.exceeds(length, self.max_document_bytes)
 
     def _is_operator(self, headers: Mapping[str, str]) -> bool:
         expected = f"Bearer {self.operator_token}".encode()
--- a/baobabdoor/transport/__init__.py
+++ b/baobabdoor/transport/__init__.py
@@ -21,6 +21,7 @@
 from baobabdoor.transport._types import Reply
 from baobabdoor.transport._types import Request
 from baobabdoor.transport._types import RequestLimits
+from baobabdoor.transport._types import exceeds
 
 __all__ = [
     "AUTHENTICATED",
@@ -43,5 +44,6 @@
     "Server",
     "Stream",
     "divide",
+    "exceeds",
     "parse_address",
 ]
--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -67,7 +67,7 @@
         length = headers.get("Content-Length", "")
         # Other values are refused by `http1connection`.
         is_number = length.isascii() and length.isdigit()
-        if is_number and _exceeds(length, self.server.limits.body_bytes):
+        if is_number and _types.exceeds(length, self.server.limits.body_bytes):
             return _types.Reply(413), "body-size"
         reply = self.server.check_header(self.request_)
         if reply is _types.AUTHENTICATED:
@@ -148,9 +148,3 @@
         "Transfer-Encoding" in headers
         or headers.get("Content-Length", "0").strip("0") != ""
     )
-
-
-def _exceeds(digits: str, limit: int) -> bool:
-    """Compares a number of any length, which `int` may not convert."""
-    digits = digits.lstrip("0")
-    return len(digits) > len(str(limit)) or int(digits or "0") > limit
--- a/baobabdoor/transport/_types.py
+++ b/baobabdoor/transport/_types.py
@@ -80,6 +80,17 @@
 AUTHENTICATED = HeaderCheck.AUTHENTICATED
 
 
+def exceeds(length: str, limit: int) -> bool:
+    """Returns whether a `Content-Length` exceeds a limit, or is no number.
+
+    It may have more digits than `int` converts.
+    """
+    if not (length.isascii() and length.isdigit()):
+        return True
+    digits = length.lstrip("0")
+    return len(digits) > len(str(limit)) or int(digits or "0") > limit
+
+
 def encode_reply(reply: Reply, closing: bool) -> bytes:
     """Returns the bytes of a reply.
 
--- a/tests/test_entry_input.py
+++ b/tests/test_entry_input.py
@@ -104,6 +104,27 @@
         assert received.count(b"HTTP/1.1 ") == 1
         assert received.startswith(b"HTTP/1.1 400 ")
 
+    @pytest.mark.parametrize("length", ["9" * 5000, "\xb2", "x"])
+    @pytest.mark.parametrize("path", ["/x", "/v1/jobs"])
+    def test_length_that_is_no_usable_number_gets_one_response(
+        self, path, length, caplog
+    ):
+        harness = entry_harness.EntryHarness()
+        head = entry_harness.request_head(path=path, Content_Length="L")
+        request = head.replace(b": L\r", f": {length}\r".encode("latin-1"))
+
+        async def scenario():
+            reader, writer = await harness.connect()
+            writer.write(request + b"hello")
+            received = await reader.read()
+            writer.close()
+            return received
+
+        received = harness.run(scenario)
+        assert received.count(b"HTTP/1.1 ") == 1
+        assert received.startswith(b"HTTP/1.1 4")
+        assert not caplog.records
+
     def test_slow_body_times_out_and_occupies_no_slot(self):
         harness = entry_harness.EntryHarness(per_worker=1, body_timeout_s=0.3)
         backend = harness.add_backend(entry_harness.echo)
