Log which requests are open when a daemon ends

The logs could not tell whether a connection that ended at a planned stop had a request that was read, handled, answered or not flushed. No change of behaviour.

--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -20,6 +20,7 @@
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _gateway
 from baobabdoor.dispatch import _refresh
+from baobabdoor.dispatch import _shutdown
 from baobabdoor.dispatch import _table_follower
 
 # The daemon reports that it is not ready if the store has not answered for this
@@ -184,6 +185,9 @@
             if not any(server.in_progress for server in self.servers):
                 break
             await asyncio.sleep(0.05)
+        _shutdown.log_open_requests(
+            self.servers, asyncio.get_running_loop().time()
+        )
         LOG.info("stopped")
 
     def _observe_reload(self) -> None:
