--- /dev/null
+++ b/tests/test_entry_stop_control.py
@@ -0,0 +1,129 @@
+"""Tests of the control port and of the time budget at a planned stop."""
+
+import asyncio
+import json
+
+import entry_harness
+import entry_stop_harness
+import pytest
+
+from baobabdoor import base
+from baobabdoor import idempotency
+
+OPERATOR = {"Authorization": "Bearer " + "t" * 16}
+SLOW_PATH = "/v1/slow"
+
+
+class TestPeerRequests:
+
+    def _message(self, **headers):
+        return json.dumps(
+            {
+                "method": "POST",
+                "target": "/x",
+                "headers": list({**entry_harness.HEADERS, **headers}.items()),
+                "left_ms": 20_000,
+                "body": "",
+            }
+        ).encode()
+
+    def test_request_of_a_peer_whose_claim_has_no_answer(self):
+        # Guards against a peer that waits for its own deadline.
+        harness = entry_stop_harness.StoppedHarness(drain_s=1.0)
+        harness.components.claims.service = entry_stop_harness.SilentPlatform()
+        harness.add_backend(entry_harness.echo)
+
+        async def scenario():
+            handling = asyncio.ensure_future(
+                harness.server.peer_request_handler.handle(
+                    "entry-2", 1, self._message(**{"Idempotency-Key": "k"})
+                )
+            )
+            await harness.wait_until_resolving()
+            await harness.server.stop()
+            return await asyncio.wait_for(handling, 1)
+
+        result = idempotency.from_json(json.loads(harness.run(scenario)))
+        assert result.outcome.value == "unknown"
+        assert result.refusal.reason is base.Reason.DRAINING
+
+
+class TestControlPort:
+
+    def _run(self, harness, release, before_stop):
+        harness.components.operator_routes = [
+            (SLOW_PATH, entry_stop_harness.SlowHandler, {"release": release})
+        ]
+
+        async def scenario():
+            reader, _ = await harness.send(
+                entry_harness.request_head(
+                    method="GET", path=SLOW_PATH, **OPERATOR
+                ),
+                harness.control_port,
+            )
+            await entry_harness.wait_until(
+                lambda: harness.server.control_server_.in_progress
+            )
+            stopping = harness.stop()
+            await asyncio.sleep(0)
+            before_stop()
+            response = await harness.exchange(reader)
+            await stopping
+            return response
+
+        return harness.run(scenario)
+
+    def test_operator_call_in_progress_completes(self):
+        # Guards against a control port that is closed with its calls open.
+        harness = entry_stop_harness.StoppedHarness(drain_s=5.0)
+        release = asyncio.Event()
+
+        def release_later():
+            asyncio.get_running_loop().call_later(0.5, release.set)
+
+        response, rest = self._run(harness, release, release_later)
+        assert (response[0], response[1]["Connection"]) == (200, "close")
+        assert (json.loads(response[2]), rest) == ({"done": True}, b"")
+
+    def test_operator_call_without_a_result_gets_an_unknown_result(self):
+        # Guards against a call whose effect the operator cannot tell.
+        harness = entry_stop_harness.StoppedHarness(drain_s=1.0)
+        response, rest = self._run(harness, asyncio.Event(), lambda: None)
+        assert (response[0], rest) == (503, b"")
+        assert response[1]["Baobabdoor-Outcome"] == "unknown"
+
+    def test_metrics_after_the_signal_close_their_connection(self):
+        # Guards against scrapers that keep a connection to an ending process.
+        harness = entry_stop_harness.StoppedHarness(balancer_wait_s=1.0)
+
+        async def scenario():
+            head = entry_harness.request_head(method="GET", path="/metrics")
+            reader, writer = await harness.send(head, harness.control_port)
+            before = await entry_harness.read_response(reader)
+            stopping = harness.stop()
+            await asyncio.sleep(0)
+            writer.write(head)
+            after = await entry_harness.read_response(reader)
+            await stopping
+            return before, after, await reader.read()
+
+        before, after, rest = harness.run(scenario)
+        assert "Connection" not in before[1]
+        assert (after[0], after[1]["Connection"]) == (200, "close")
+        assert rest == b""
+
+
+class TestTimeBudget:
+
+    @pytest.mark.parametrize("drain_s", [2.0, 3.0])
+    def test_silent_platform_does_not_prolong_a_stop(self, drain_s):
+        # Guards against claims and an entry row whose writes get no answer.
+        harness = entry_stop_harness.StoppedHarness(drain_s=drain_s)
+        harness.control.stop = entry_stop_harness.hang
+        harness.components.claims.stop = entry_stop_harness.hang
+
+        async def scenario():
+            await asyncio.wait_for(harness.server.stop(), drain_s)
+
+        harness.run(scenario)
