Entry: close each connection with the first reply after the stop signal

Cause: replies said 'Connection: close' only from the end of the wait for the load balancer on, and the connection stayed open then. Callers sent further requests on it until the process ended. A request in the buffer of a closed connection still ran, without an answer. Change: from the signal on each reply says so, and its connection is closed once the reply is flushed; what the caller still sends is read for a while, so that no reset discards the reply. Requests in the buffer of a closed connection are ignored.

--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -104,6 +104,11 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         """Queues or refuses the request before its body is received."""
+        if self.stream.closed():
+            # A pipelined request in the buffer of a connection that was closed
+            # after the response to the one before.
+            self.disconnected = True
+            return
         self.start_line = start_line
         self.headers = headers
         server = self.server
@@ -271,7 +276,7 @@
             self._finish_response()
 
     def _should_close(self) -> bool:
-        if self.server.draining or (
+        if self.server.stopping or (
             not self.body_complete and self._has_long_body()
         ):
             return True
@@ -291,7 +296,12 @@
             return
         self.finished = True
         stream = self.connection.stream
+        if self.server.stopping:
+            # The caller may still send, which must not discard the response.
+            stream.lingers = True
         self.connection.finish()
+        if self.server.stopping and not stream.closed():
+            _close_after_flush(stream)
         if stream.closed() or not stream.writing():
             self.release()
 
@@ -303,11 +313,7 @@
         second response for the response to its next request.
         """
         self.finished = True
-        stream = self.connection.detach()
-        write_future = stream.write(b"")
-        write_future.add_done_callback(
-            lambda future: (future.exception(), stream.close())
-        )
+        _close_after_flush(self.connection.detach())
         self.release()
 
     def _end_handling(self) -> None:
@@ -325,6 +331,14 @@
             self.pending = None
 
 
+def _close_after_flush(stream: transport.Stream) -> None:
+    """Closes a connection once everything that was written is flushed."""
+    write_future = stream.write(b"")
+    write_future.add_done_callback(
+        lambda future: (future.exception(), stream.close())
+    )
+
+
 # Cached because few distinct refusals occur under load.
 @functools.lru_cache(maxsize=256)
 def _encode_failure(
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -67,6 +67,9 @@
         )
         self.body_timeout_s = entry_settings.body_timeout_s
         self.response_timeout_s = entry_settings.response_timeout_s
+        # Whether replies close their connection.
+        self.stopping = False
+        # Whether requests are refused.
         self.draining = False
         self.open_requests_: set[_caller_request.CallerRequest] = set()
         self.refused_count_ = 0
--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -63,6 +63,7 @@
     async def run(self) -> bool:
         """Stops the entry; returns whether all requests completed."""
         parts = self.parts
+        self._announce()
         give_up = parts.timers.call_later(self.budget.answer_s, self._give_up)
         # The load balancer sends requests until it detects the unready state.
         await asyncio.sleep(self.budget.serve_s)
@@ -77,6 +78,14 @@
         give_up.cancel()
         return not self.gave_up
 
+    def _announce(self) -> None:
+        """Makes all further replies close their connection."""
+        parts = self.parts
+        parts.callers.stopping = True
+        parts.control_server.closing = True
+        # Applies to requests whose header is read from now on.
+        parts.control_server.listener.parameters.no_keep_alive = True
+
     @property
     def remaining_s(self) -> float:
         """Time in which replies may still be written, in seconds."""
--- a/tests/test_entry_stop_answers.py
+++ b/tests/test_entry_stop_answers.py
@@ -1,6 +1,7 @@
 """Tests that a planned stop answers every request that the entry has read."""
 
 import asyncio
+import os
 import socket
 
 import entry_harness
@@ -149,7 +150,7 @@
                 # Received by the kernel, not yet by the event loop.
                 if not raw_socket_used:
                     raw_socket_used.append(True)
-                    raw_socket.send(entry_harness.request_head())
+                    os.write(raw_socket.fileno(), entry_harness.request_head())
                 close_backends()
 
             raw_socket_used = []
