Entry: answer also the requests that wait for a key, a body or the entry itself

Cause: at the end of the time for requests only queued ones and those sent to a backend server got an answer. Cut off were requests that waited for a peer (up to their own deadline) or for the claim on their key, job calls, bodies under way to the entry's own paths, and refusals held back for a flooding caller. Change: Shutdown answers all of these when it gives up; the outcome is not-run only where nothing can have been sent.

--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -71,6 +71,8 @@
         self.stopping = False
         # Whether requests are refused.
         self.draining = False
+        # Whether also requests that the entry serves itself are refused.
+        self.gave_up = False
         self.open_requests_: set[_caller_request.CallerRequest] = set()
         self.refused_count_ = 0
         self.refusal_delay_s_ = 0.0
@@ -208,6 +210,13 @@
         largest.refuse(_out_of_memory())
         return True
 
+    def give_up(self, refusal: base.Refusal) -> None:
+        """Answers the requests that wait for a body or for the entry itself."""
+        self.draining = True
+        self.gave_up = True
+        for request in list(self.open_requests_):
+            request.give_up(refusal)
+
     def tick(self) -> None:
         """Ends requests that exceed their time limits."""
         now_s = self.timers.now_s()
@@ -238,6 +247,8 @@
 
         Its body is a document, whose objects take many times its size.
         """
+        if self.gave_up:
+            return base.Refusal(base.Reason.DRAINING, STEP)
         length = request.headers.get("Content-Length", "0")
         if transport.exceeds(length, self.max_job_bytes):
             return _too_large(length, self.max_job_bytes)
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -174,6 +174,7 @@
                 callers=self.caller_server_,
                 control_server=self.control_server_,
                 dispatcher=self.dispatcher_,
+                keys=self.keys_,
                 client=self.client_,
                 claims=self.components.claims,
                 control=self.components.control,
--- a/baobabdoor/entry/_idempotency_keys.py
+++ b/baobabdoor/entry/_idempotency_keys.py
@@ -36,7 +36,8 @@
         self.claims = claims
         self.control = control
         self.timers = timers
-        self.tasks_: set[asyncio.Task] = set()
+        # Requests whose key is being resolved, by the task that does it.
+        self.tasks_: dict[asyncio.Task, _pending_request.PendingRequest] = {}
 
     def check_headers(
         self, request: _pending_request.PendingRequest, now_s: float
@@ -69,14 +70,34 @@
         if request.info.idempotent or not request.info.key:
             self.dispatcher.mark_ready(request)
         elif self.belongs_to_peer(request):
-            self._start_task(self._forward_to_peer(request))
+            self._start_task(request, self._forward_to_peer(request))
         elif request.ticket is not None:
             begin_result = self.tickets.begin(
                 request.ticket, self._fingerprint(request), self.timers.now_s()
             )
             self._on_begun(request, begin_result, self.tickets)
         else:
-            self._start_task(self._claim(request))
+            self._start_task(request, self._claim(request))
+
+    @property
+    def unresolved(self) -> list[_pending_request.PendingRequest]:
+        """Requests without a result whose key is being resolved."""
+        return [
+            request
+            for request in self.tasks_.values()
+            if request.state is not _pending_request.RequestState.ENDED
+        ]
+
+    def refuse_unresolved(self, refusal: base.Refusal) -> None:
+        """Completes the requests whose key is being resolved.
+
+        Their outcome is `unknown`: a peer may run them, or another entry may
+        have run an earlier request with the key.
+        """
+        for request in self.unresolved:
+            self.dispatcher.complete(
+                request, _request_dispatcher.not_run(refusal)
+            )
 
     def _fingerprint(self, request: _pending_request.PendingRequest) -> str:
         info = request.info
@@ -124,7 +145,9 @@
         )
         self.dispatcher.complete(request, result)
 
-    def _start_task(self, coroutine: Any) -> None:
+    def _start_task(
+        self, request: _pending_request.PendingRequest, coroutine: Any
+    ) -> None:
         task = asyncio.ensure_future(coroutine)
-        self.tasks_.add(task)
-        task.add_done_callback(self.tasks_.discard)
+        self.tasks_[task] = request
+        task.add_done_callback(self.tasks_.pop)
--- a/baobabdoor/entry/_request_dispatcher.py
+++ b/baobabdoor/entry/_request_dispatcher.py
@@ -123,9 +123,8 @@
             request.record_result(result)
         request.on_result(result)
 
-    def refuse_queued(self) -> None:
-        """Refuses all queued requests because the process is stopping."""
-        refusal = base.Refusal(base.Reason.DRAINING, "entry.stop")
+    def refuse_queued(self, refusal: base.Refusal) -> None:
+        """Refuses all queued requests."""
         for request in list(self.queued_.values()):
             self.complete(request, not_run(refusal))
 
--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -12,11 +12,13 @@
 from baobabdoor import transport
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _caller_server
+from baobabdoor.entry import _idempotency_keys
 from baobabdoor.entry import _request_dispatcher
 
 # Also the time in which a connection that was just accepted is read for the
 # first time.
 POLL_INTERVAL_S = 0.05
+STEP = "entry.stop"
 
 
 @attrs.define(kw_only=True)
@@ -28,6 +30,7 @@
         callers: The callers' port.
         control_server: The control port.
         dispatcher: Requests that are queued or in progress.
+        keys: Requests whose key is being resolved.
         client: Sends requests to backend servers.
         claims: Claims on keys, whose outcomes are stored.
         control: The `control.ControlService`, which leaves the deployment.
@@ -37,6 +40,7 @@
     callers: _caller_server.CallerServer
     control_server: transport.Server
     dispatcher: _request_dispatcher.RequestDispatcher
+    keys: _idempotency_keys.IdempotencyKeys
     client: _backend_client.BackendClient
     claims: idempotency.Claims
     control: Any
@@ -101,7 +105,11 @@
 
     def _callers_answered(self) -> bool:
         parts = self.parts
-        return not parts.dispatcher.active and not parts.callers.open_requests_
+        return not (
+            parts.dispatcher.active
+            or parts.keys.unresolved
+            or parts.callers.open_requests_
+        )
 
     def _give_up(self) -> None:
         """Answers the requests that did not complete in time."""
@@ -109,9 +117,11 @@
             return
         self.gave_up = True
         parts = self.parts
-        parts.callers.draining = True
-        parts.dispatcher.refuse_queued()
+        refusal = base.Refusal(base.Reason.DRAINING, STEP)
         parts.client.close()
+        parts.dispatcher.refuse_queued(refusal)
+        parts.keys.refuse_unresolved(refusal)
+        parts.callers.give_up(refusal)
 
     async def _leave(self) -> None:
         """Stores outcomes and deletes the row of the entry if there is time."""
--- a/tests/test_entry_stop_process.py
+++ b/tests/test_entry_stop_process.py
@@ -139,6 +139,7 @@
         unfinished.sendall(UNFINISHED)
         entry.process.send_signal(signal.SIGTERM)
         limit_s = time.monotonic() + drain_s
+        self._wait_until_announced(entry, port, request)
         answered = 0
         for client in clients:
             served = self._use(client, request)
@@ -154,6 +155,17 @@
         remaining_s = max(0.0, limit_s - time.monotonic())
         assert entry.process.wait(remaining_s) == 0
 
+    def _wait_until_announced(self, entry, port, request):
+        """Waits until replies say that the process stops."""
+        option = None
+        while option is None:
+            client = entry.connect(port)
+            client.sendall(request)
+            status, headers = read_answer(client)
+            assert status
+            option = headers["Connection"]
+        assert option == "close"
+
     def _use(self, client, request):
         """Returns whether a request was answered in whole."""
         try:
