Entry: send nothing more once the requests in progress are given up

Cause: closing the client broke off exchanges in use only. A request that was connecting was sent afterwards or waited up to 2 s for its connection, and an idempotent one was sent to another backend server; both were then cut off. Change: a closed client ends connection attempts and refuses to send, and the forwarder does not retry.

--- a/baobabdoor/entry/_backend_client.py
+++ b/baobabdoor/entry/_backend_client.py
@@ -30,6 +30,7 @@
 # A server announces its shutdown by this status with `Connection: close`.
 LEAVING_STATUS = 503
 BODILESS_STATUS = frozenset((204, 304))
+STOPPED = base.Refusal(base.Reason.DRAINING, "entry.stop")
 
 
 @attrs.frozen
@@ -301,8 +302,10 @@
         self.max_body_bytes = max_body_bytes
         self.pools_: dict[str, ConnectionPool] = {}
         self.memory_ = memory
-        # All connections in use, so that `expire` does not iterate over pools.
+        # Those of all pools, over which `expire` does not iterate.
         self.in_use_: set[BackendConnection] = set()
+        self.connect_timeouts_: set[asyncio.Timeout] = set()
+        self.closing = False
 
     async def send(
         self,
@@ -327,7 +330,7 @@
         connection = await self._acquire(vm_id, pool, request.deadline_s)
         if isinstance(connection, base.Refusal):
             return connection
-        refusal = permit()
+        refusal = STOPPED if self.closing else permit()
         if refusal is not None:
             self._release(pool, connection)
             return refusal
@@ -375,12 +378,15 @@
                 del self.pools_[vm_id]
 
     def close(self) -> None:
-        """Closes idle connections and aborts those in use."""
+        """Closes all connections; nothing is sent any more."""
+        self.closing = True
         for pool in self.pools_.values():
             self._close_idle(pool)
         for connection in list(self.in_use_):
-            reason = base.Reason.DRAINING
-            connection.abort(base.Refusal(reason, "entry.stop"))
+            connection.abort(STOPPED)
+        for timeout in self.connect_timeouts_:
+            if not timeout.expired():
+                timeout.reschedule(0)
 
     def _connection_pool(self, vm_id: str, address: str) -> ConnectionPool:
         pool = self.pools_.get(vm_id)
@@ -394,6 +400,8 @@
     async def _acquire(
         self, vm_id: str, pool: ConnectionPool, deadline_s: float
     ) -> BackendConnection | base.Refusal:
+        if self.closing:
+            return STOPPED
         connection = pool.pop_idle()
         if connection is not None:
             return connection
@@ -405,18 +413,22 @@
     async def _connect(
         self, vm_id: str, pool: ConnectionPool, deadline_s: float
     ) -> BackendConnection | base.Refusal:
-        remaining_s = deadline_s - self.timers.now_s()
-        timeout_s = max(0.0, min(CONNECT_TIMEOUT_S, remaining_s))
+        remaining_s = max(0.0, deadline_s - self.timers.now_s())
         pool.connecting += 1
+        timeout = asyncio.timeout(min(CONNECT_TIMEOUT_S, remaining_s))
+        self.connect_timeouts_.add(timeout)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with timeout:
                 stream = await connect(pool.address)
         except (OSError, iostream.StreamClosedError) as error:
+            if self.closing:
+                return STOPPED
             reason = base.Reason.CONNECTION_FAILED
             detail = str(error) or type(error).__name__
             return base.Refusal(reason, "entry.connect", vm_id, detail)
         finally:
             pool.connecting -= 1
+            self.connect_timeouts_.discard(timeout)
         connection = BackendConnection(
             stream, self.max_body_bytes, self.memory_
         )
--- a/baobabdoor/entry/_forwarder.py
+++ b/baobabdoor/entry/_forwarder.py
@@ -127,6 +127,8 @@
         leaving: bool,
     ) -> ownership.VmState | base.Refusal:
         step = "entry.retry"
+        if self.client.closing:
+            return base.Refusal(base.Reason.DRAINING, step)
         now_s = self.timers.now_s()
         if (
             exchange.attempts >= MAX_ATTEMPTS
