Entry: answer the calls of the control port before it ends

Cause: the control port was closed with its connections open, so that calls of operators and of peers that were in progress, or whose reply was not flushed, were cut off.

--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -117,6 +117,7 @@
             self._queue_peer_request, self.keys_.resolve
         )
         self.control_server_: transport.Server | None = None
+        self.control_handler_: _control_port.InterruptibleHandler | None = None
         self.subscriptions_: list[base.Subscription] = []
 
     async def start(self) -> None:
@@ -173,6 +174,7 @@
                 timers=self.components.timers,
                 callers=self.caller_server_,
                 control_server=self.control_server_,
+                control_handler=self.control_handler_,
                 dispatcher=self.dispatcher_,
                 keys=self.keys_,
                 client=self.client_,
@@ -328,9 +330,12 @@
             ),
         )
         address = entry_settings.control
+        self.control_handler_ = _control_port.InterruptibleHandler(
+            transport.ApplicationHandler(application).serve
+        )
         return transport.Server(
             f"{address.host}:{address.port}",
-            transport.ApplicationHandler(application).serve,
+            self.control_handler_.handle,
             name="control",
             bounds=self.bounds_.control,
             limits=transport.RequestLimits(
--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -12,6 +12,7 @@
 from baobabdoor import transport
 from baobabdoor.entry import _backend_client
 from baobabdoor.entry import _caller_server
+from baobabdoor.entry import _control_port
 from baobabdoor.entry import _idempotency_keys
 from baobabdoor.entry import _request_dispatcher
 
@@ -29,6 +30,7 @@
         timers: Timer service.
         callers: The callers' port.
         control_server: The control port.
+        control_handler: Handles the requests of the control port.
         dispatcher: Requests that are queued or in progress.
         keys: Requests whose key is being resolved.
         client: Sends requests to backend servers.
@@ -39,6 +41,7 @@
     timers: base.TimerService
     callers: _caller_server.CallerServer
     control_server: transport.Server
+    control_handler: _control_port.InterruptibleHandler
     dispatcher: _request_dispatcher.RequestDispatcher
     keys: _idempotency_keys.IdempotencyKeys
     client: _backend_client.BackendClient
@@ -78,6 +81,7 @@
         parts.callers.listener.close_all()
         await self._leave()
         parts.control_server.stop()
+        await self._wait_for(self._control_answered)
         parts.control_server.close_all()
         give_up.cancel()
         return not self.gave_up
@@ -111,13 +115,25 @@
             or parts.callers.open_requests_
         )
 
+    def _control_answered(self) -> bool:
+        server = self.parts.control_server
+        return not server.in_progress and self._is_flushed(server.listener)
+
+    def _is_flushed(self, listener: transport.Listener) -> bool:
+        """Returns whether no connection of a port has a reply to be written."""
+        phases = (transport.Phase.HANDLING, transport.Phase.WRITING)
+        return not listener.lingering_ and not any(
+            usage.phase in phases for usage in listener.budget.usages_.values()
+        )
+
     def _give_up(self) -> None:
         """Answers the requests that did not complete in time."""
+        parts = self.parts
+        refusal = base.Refusal(base.Reason.DRAINING, STEP)
+        parts.control_handler.interrupt(refusal)
         if self._callers_answered():
             return
         self.gave_up = True
-        parts = self.parts
-        refusal = base.Refusal(base.Reason.DRAINING, STEP)
         parts.client.close()
         parts.dispatcher.refuse_queued(refusal)
         parts.keys.refuse_unresolved(refusal)
