--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -11,6 +11,7 @@
 from tornado import netutil
 
 from baobabdoor.transport import _chunk_pacer
+from baobabdoor.transport import _lingering
 from baobabdoor.transport import _memory_budget
 from baobabdoor.transport import _types
 
@@ -28,11 +29,6 @@
 BUFFER_FACTOR = 1.125
 # Interval in which overdue connections are looked for.
 SWEEP_INTERVAL_S = 0.25
-# A connection that is closed while its client still sends is read for this time
-# so that the client gets the reply: a reset would discard it.
-LINGER_S = 0.5
-# Maximum number of such connections of a server; others are reset.
-MAX_LINGERING = 16
 # Tornado requires a maximum size of bodies; `_exchange` enforces the limit.
 UNLIMITED = 2**62
 
@@ -126,7 +122,7 @@
 
     def close_fd(self) -> None:
         """Closes the socket, at once or after its client has read a reply."""
-        if self.lingers and self.listener.linger(self.socket):
+        if self.lingers and self.listener.lingering.add(self.socket):
             self.socket = None
             return
         super().close_fd()
@@ -173,8 +169,7 @@
         self.loop_: asyncio.AbstractEventLoop | None = None
         self.sockets_: list[socket.socket] = []
         self.remove_handlers_: list[Callable[[], None]] = []
-        self.lingering_: set[socket.socket] = set()
-        self.discarded_ = bytearray(CHUNK_BYTES)
+        self.lingering = _lingering.Lingering()
         self.sweeps_ = False
 
     def start(self, host: str, port: int) -> None:
@@ -378,34 +373,3 @@
             self.close(stream, f"{phase.value}-timeout")
         if self.budget.usages_:
             self._schedule_sweep()
-
-    # Connections that are read until their client has got a reply.
-
-    def linger(self, sock: socket.socket) -> bool:
-        """Closes a socket later; returns whether that is possible."""
-        if len(self.lingering_) >= MAX_LINGERING:
-            return False
-        try:
-            sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            return False
-        self.lingering_.add(sock)
-        self.loop_.add_reader(sock, self._discard, sock)
-        self.loop_.call_later(LINGER_S, self._end_linger, sock)
-        return True
-
-    def _discard(self, sock: socket.socket) -> None:
-        try:
-            if sock.recv_into(self.discarded_):
-                return
-        except BlockingIOError:
-            return
-        except OSError:
-            pass
-        self._end_linger(sock)
-
-    def _end_linger(self, sock: socket.socket) -> None:
-        if sock in self.lingering_:
-            self.lingering_.remove(sock)
-            self.loop_.remove_reader(sock)
-            sock.close()
