Count a request as soon as it has been read in whole

`in_progress` rose once the task of a request ran. A request that had been read, and whose task had not begun, did not count, so that a process could end with it. It counts now from the call that follows its last byte.

--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -1,7 +1,9 @@
 """One request of a connection, from its header to its reply."""
 
 import asyncio
+from collections.abc import Coroutine
 import io
+from typing import Any
 
 from tornado import http1connection
 from tornado import httputil
@@ -103,15 +105,17 @@
             return
         # Without a copy, unlike the bytes of a `bytearray`.
         body, self.buffer_ = self.buffer_.getvalue(), io.BytesIO()
-        asyncio.ensure_future(self._answer(body))
+        answer = self.server.answer(self.stream, self.request_, body)
+        asyncio.ensure_future(self._write_when_known(answer))
 
     def on_connection_close(self) -> None:
         """Discards the body."""
         self.buffer_ = io.BytesIO()
 
-    async def _answer(self, body: bytes) -> None:
-        reply = await self.server.answer(self.stream, self.request_, body)
-        self.write(reply)
+    async def _write_when_known(
+        self, answer: Coroutine[Any, Any, _types.Reply]
+    ) -> None:
+        self.write(await answer)
 
     async def _answer_without_body(self) -> None:
         """Answers before the body is read, and closes the connection."""
--- a/baobabdoor/transport/_server.py
+++ b/baobabdoor/transport/_server.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
 
 from baobabdoor import observability
 from baobabdoor.transport import _closures
@@ -116,18 +118,24 @@
             or self.small_gate.refuse_longest_waiting()
         )
 
-    async def answer(
+    def answer(
         self,
         stream: _connections.Stream,
         request: _types.Request,
         body: bytes,
-    ) -> _types.Reply:
-        """Returns the reply to a complete request.
+    ) -> Coroutine[Any, Any, _types.Reply]:
+        """Returns a coroutine that returns the reply to a complete request.
 
-        Its memory counts until then, also if its connection is closed before.
+        The request counts from this call on. Its memory counts until the reply
+        is known, also if its connection is closed before.
         """
         self.in_progress += 1
         held_bytes = self.listener.start_handling(stream)
+        return self._answer(request, body, held_bytes)
+
+    async def _answer(
+        self, request: _types.Request, body: bytes, held_bytes: int
+    ) -> _types.Reply:
         small = len(body) <= SMALL_BODY_BYTES
         gate = self.small_gate if small else self.large_gate
         try:
