Flush a reply to a request that is not read before the close

The reply of a header check, or to a body that is not used, was written once and its connection closed: what the kernel did not take at once was lost. The connection is closed now once the reply is flushed; the body is discarded until then and not charged.

test_large_reply_to_a_request_with_an_unused_body_is_whole: TimeoutError before (with its request corrected: it had no Host), passes now.

--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -264,6 +264,9 @@
 
     def observe_received(self, stream: Stream, count: int) -> None:
         """Accounts for bytes that were received and are not read yet."""
+        if stream.lingers:
+            # They are discarded.
+            return
         phase = self.budget.phase(stream)
         if phase is _memory_budget.Phase.IDLE:
             phase = _memory_budget.Phase.HEADER
--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -137,14 +137,21 @@
 
     def refuse(self, reply: _types.Reply, reason: str) -> None:
         """Sends a reply and closes the connection, whose body is not read."""
-        if self.stream.closed():
+        if self.stream.closed() or self.stream.lingers:
             return
         self.server.closures.observe(reason)
         self.buffer_ = io.BytesIO()
         self.stream.lingers = True
-        self.stream.write(_types.encode_reply(reply, closing=True))
-        self.server.budget.close(self.stream)
-        self.stream.close()
+        self._enter(_memory_budget.Phase.WRITING)
+        self.server.listener.discard_body(self.stream)
+        # Closes the stream once the reply is flushed, since the request has
+        # not been read, and discards the rest of the body until then.
+        self.http.write(_types.encode_reply(reply, closing=True))
+        self.http.finish()
+        if self.stream.closed():
+            self.server.budget.close(self.stream)
+            # It may hold a further request.
+            self.stream.discard()
 
 
 def _announces_body(headers: httputil.HTTPHeaders) -> bool:
--- a/tests/test_transport_drain.py
+++ b/tests/test_transport_drain.py
@@ -263,11 +263,11 @@
     @pytest.mark.parametrize(
         ("data", "status"),
         [
-            (b"POST / HTTP/1.1\r\nContent-Length: 2000000\r\n\r\nab", 413),
+            (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\nab", 413),
             (b"GET / HTTP/1.1\r\nX: " + b"x" * 70_000 + b"\r\n\r\n", 431),
             (POST + b"Expect: 100-continue\r\n\r\n", 404),
             (POST + b"\r\n", 404),
-            (b"POST / HTTP/1.1\r\n\r\n", 404),
+            (b"POST / HTTP/1.1\r\nHost: h\r\n\r\n", 404),
         ],
         ids=["413", "431", "expect", "body", "no-body"],
     )
@@ -314,7 +314,7 @@
     def test_large_reply_to_a_request_with_an_unused_body_is_whole(self):
         async def scenario(server, connect, handler):
             connection = await connect(
-                b"GET /a HTTP/1.1\r\nContent-Length: 9000\r\n\r\nab",
+                b"GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\nab",
                 receive_buffer_bytes=4096,
             )
             await until_phase(server, "writing")
@@ -446,7 +446,7 @@
         [
             BODY_UNDER_WAY,
             POST + b"Expect: 100-continue\r\n\r\n",
-            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\na",
+            b"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\na",
         ],
         ids=["body", "expect", "chunked"],
     )
@@ -475,7 +475,7 @@
 
         async def scenario(server, connect, handler):
             connection = await connect(
-                b"POST / HTTP/1.1\r\nContent-Length: 900000\r\n\r\n"
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
             )
             await until_phase(server, "body")
             server.stop()
