Let all connections of a draining server linger

At most 16 connections of a server were read after their last reply; others were closed at once, which resets those whose client still sends, and a reset discards the reply. A server that drains closes dozens at once. Its lingering connections may now be as many as the open ones that they replace: both together stay within the bound of connections. The bound of 16 stays in force otherwise, so that a crowd cannot hold more connections than are allowed. Connections whose client still sends are told apart.

--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -29,6 +29,10 @@
 BUFFER_FACTOR = 1.125
 # Interval in which overdue connections are looked for.
 SWEEP_INTERVAL_S = 0.25
+# Maximum number of connections that linger unless the server drains; others are
+# closed at once, which resets those whose client still sends. A crowd could
+# otherwise hold twice as many connections as are allowed.
+MAX_LINGERING = 16
 # Tornado requires a maximum size of bodies; `_exchange` enforces the limit.
 UNLIMITED = 2**62
 
@@ -39,16 +43,25 @@
     Args:
         sock: Accepted socket.
         listener: Server side of the connection.
+        address: Address of the client. Default: unknown.
     """
 
-    def __init__(self, sock: socket.socket, listener: "Listener"):
+    def __init__(
+        self,
+        sock: socket.socket,
+        listener: "Listener",
+        address: tuple = ("", 0),
+    ):
         super().__init__(
             sock,
             max_buffer_size=2 * _types.MAX_HEADER_BYTES + 2 * CHUNK_BYTES,
             read_chunk_size=listener.chunk_bytes,
         )
         self.listener = listener
+        self.address = address
         self.lingers = False
+        # Whether it is closed before its request has been read in whole.
+        self.unfinished = False
         self.exchange_ = None
         self.chunks_ = 0
         # Memory of the decoded header of the request, and size of its body as
@@ -61,6 +74,11 @@
         """Number of bytes that were received and not yet read."""
         return self._read_buffer_size
 
+    @property
+    def peer(self) -> str:
+        """Address of the client as `ip:port`."""
+        return f"{self.address[0]}:{self.address[1]}"
+
     def discard(self) -> None:
         """Discards bytes that were received and not yet read.
 
@@ -115,6 +133,7 @@
         if too_large and not self.closed():
             self.listener.count_closed("header-size")
             self.lingers = True
+            self.unfinished = True
             reply = _types.encode_reply(_types.Reply(431), closing=True)
             with contextlib.suppress(OSError):
                 self.socket.send(reply)
@@ -122,7 +141,7 @@
 
     def close_fd(self) -> None:
         """Closes the socket, at once or after its client has read a reply."""
-        if self.lingers and self.listener.lingering.add(self.socket):
+        if self.lingers and self.listener.linger(self):
             self.socket = None
             return
         super().close_fd()
@@ -170,6 +189,8 @@
         self.sockets_: list[socket.socket] = []
         self.remove_handlers_: list[Callable[[], None]] = []
         self.lingering = _lingering.Lingering()
+        # Whether connections are closed since the process is about to end.
+        self.draining = False
         self.sweeps_ = False
 
     def start(self, host: str, port: int) -> None:
@@ -219,7 +240,7 @@
                 sock.close()
                 return
             self.close(stream, "connections")
-        stream = Stream(sock, self)
+        stream = Stream(sock, self, address)
         self.budget.open(stream, self.now_s())
         self._schedule_sweep()
         connection = http1connection.HTTP1ServerConnection(
@@ -376,3 +397,17 @@
             self.close(stream, f"{phase.value}-timeout")
         if self.budget.usages_:
             self._schedule_sweep()
+
+    def linger(self, stream: Stream) -> bool:
+        """Closes the socket of a stream later; returns whether it is.
+
+        A server that drains replaces open connections by lingering ones, which
+        hold less memory, so that both stay within the bound of connections.
+        """
+        max_count = MAX_LINGERING
+        if self.draining:
+            free_count = self.budget.bounds.connections - len(
+                self.budget.usages_
+            )
+            max_count = max(MAX_LINGERING, free_count)
+        return self.lingering.add(stream.socket, stream.unfinished, max_count)
