Add the drain of a server

Replies said `Connection: close` only after `stop`, the connection was not closed after them, so that its further requests were handled, idle connections took requests until the process was gone, and requests that were not read in whole, or whose reply was not flushed, did not count.

start_draining: each reply closes its connection once it is flushed. stop_accepting: also closes idle connections, unless bytes wait in the kernel. refuse_unfinished: 503 to requests that are not read in whole, and to new ones. pending_requests, open_requests: what is owed an answer. `stop` is the first two.

--- a/baobabdoor/transport/__init__.py
+++ b/baobabdoor/transport/__init__.py
@@ -9,6 +9,7 @@
 from baobabdoor.transport._connections import RECEIVE_BUFFER_BYTES
 from baobabdoor.transport._connections import Listener
 from baobabdoor.transport._connections import Stream
+from baobabdoor.transport._drain import OpenRequest
 from baobabdoor.transport._memory_budget import Bounds
 from baobabdoor.transport._memory_budget import MemoryBudget
 from baobabdoor.transport._memory_budget import MemoryPool
@@ -35,6 +36,7 @@
     "Listener",
     "MemoryBudget",
     "MemoryPool",
+    "OpenRequest",
     "Phase",
     "ProcessBounds",
     "Reply",
--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -14,8 +14,7 @@
 
 # Methods whose handlers use no body.
 BODILESS_METHODS = ("GET", "HEAD", "DELETE")
-RETRY_AFTER_HEADER = "Retry-After: 1\r\n"
-OVERLOADED = _types.Reply(503, headers=RETRY_AFTER_HEADER)
+OVERLOADED = _types.Reply(503, headers=_types.RETRY_AFTER_HEADER)
 
 
 class Exchange(httputil.HTTPMessageDelegate):
@@ -53,6 +52,9 @@
             b"",
         )
         self.server.listener.observe_header(self.stream)
+        if self.server.drain.refusal is not None:
+            self.refuse(self.server.drain.refusal, "stop")
+            return None
         refusal, reason = self._check(headers)
         if refusal is not None:
             self.refuse(refusal, reason)
@@ -132,9 +134,30 @@
         if self.http.stream is None or self.stream.closed():
             return
         self._enter(_memory_budget.Phase.WRITING)
-        self.http.write(_types.encode_reply(reply, self.server.closing))
+        if self.server.drain.started:
+            self._write_last(reply)
+            return
+        self.http.write(_types.encode_reply(reply, closing=False))
         self.http.finish()
 
+    def _write_last(self, reply: _types.Reply) -> None:
+        """Sends a reply and closes the connection once it is flushed."""
+        flushed = self.stream.write(_types.encode_reply(reply, closing=True))
+        if flushed.done():
+            self._close()
+        else:
+            flushed.add_done_callback(lambda _: self._close())
+
+    def _close(self) -> None:
+        """Closes the connection so that its client gets the reply."""
+        if self.stream.closed():
+            return
+        self.stream.lingers = True
+        self.server.budget.close(self.stream)
+        self.stream.close()
+        # It may hold a further request.
+        self.stream.discard()
+
     def refuse(self, reply: _types.Reply, reason: str) -> None:
         """Sends a reply and closes the connection, whose body is not read."""
         if self.stream.closed() or self.stream.lingers:
@@ -142,6 +165,7 @@
         self.server.closures.observe(reason)
         self.buffer_ = io.BytesIO()
         self.stream.lingers = True
+        self.stream.unfinished = True
         self._enter(_memory_budget.Phase.WRITING)
         self.server.listener.discard_body(self.stream)
         # Closes the stream once the reply is flushed, since the request has
--- a/baobabdoor/transport/_server.py
+++ b/baobabdoor/transport/_server.py
@@ -8,6 +8,7 @@
 from baobabdoor import observability
 from baobabdoor.transport import _closures
 from baobabdoor.transport import _connections
+from baobabdoor.transport import _drain
 from baobabdoor.transport import _exchange
 from baobabdoor.transport import _gate
 from baobabdoor.transport import _memory_budget
@@ -58,7 +59,6 @@
         self.handler = handler
         self.name = name
         self.header_check = check_header
-        self.closing = False
         self.in_progress = 0
         self.budget = _memory_budget.MemoryBudget(bounds, pool)
         self.closures = _closures.Closures(name, self.budget, metrics)
@@ -72,6 +72,7 @@
             self.closures.observe,
             self._refuse_waiting,
         )
+        self.drain = _drain.Drain(name, self.listener)
 
     @property
     def limits(self) -> _types.RequestLimits:
@@ -89,8 +90,50 @@
 
     def stop(self) -> None:
         """Stops accepting connections; requests on open ones still complete."""
-        self.closing = True
-        self.listener.stop()
+        self.start_draining()
+        self.stop_accepting()
+
+    def start_draining(self) -> None:
+        """Lets each further reply close its connection.
+
+        Connections are still accepted, and their first request is handled.
+        """
+        self.drain.start()
+
+    def stop_accepting(self) -> None:
+        """Stops accepting connections and closes those that are idle.
+
+        Connections that are established are accepted. One that has been idle
+        for less than `_drain.FRESH_S` is closed only after this time.
+        """
+        self.drain.stop_accepting()
+
+    def refuse_unfinished(self, reply: _types.Reply = _drain.STOPPING) -> None:
+        """Refuses requests that have not been read in whole, and new ones.
+
+        Those whose header is incomplete are closed without a reply. Requests
+        that have been read in whole are still handled.
+
+        Args:
+            reply: Reply to them. Default: 503 with `Retry-After`.
+        """
+        self.drain.refuse_unfinished(reply)
+
+    @property
+    def pending_requests(self) -> int:
+        """Number of connections that owe or may owe an answer.
+
+        A request counts from its first byte until its reply is flushed. After
+        `stop_accepting`, connections that may send one count, for up to
+        `_drain.FRESH_S`; so do refused ones whose client still sends, for up to
+        `_lingering.LINGER_S`, since the end of the process would reset them. At
+        0 the process may end without cutting an answer.
+        """
+        return self.drain.pending_requests
+
+    def open_requests(self) -> list[_drain.OpenRequest]:
+        """Returns the requests that have begun and are not answered."""
+        return self.drain.open_requests()
 
     def close_all(self) -> None:
         """Closes all connections, also those with requests in progress."""
--- a/baobabdoor/transport/_types.py
+++ b/baobabdoor/transport/_types.py
@@ -10,6 +10,8 @@
 # Connections that are idle for this time are closed.
 IDLE_TIMEOUT_S = 60.0
 PHRASES = httputil.responses
+# Of refusals that a later request may not get, in seconds.
+RETRY_AFTER_HEADER = "Retry-After: 1\r\n"
 
 
 @attrs.frozen
--- a/tests/test_transport_drain.py
+++ b/tests/test_transport_drain.py
@@ -263,7 +263,10 @@
     @pytest.mark.parametrize(
         ("data", "status"),
         [
-            (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\nab", 413),
+            (
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000\r\n\r\nab",
+                413,
+            ),
             (b"GET / HTTP/1.1\r\nX: " + b"x" * 70_000 + b"\r\n\r\n", 431),
             (POST + b"Expect: 100-continue\r\n\r\n", 404),
             (POST + b"\r\n", 404),
