Do not reuse the connection of a response that closes it

The client took the connection for reusable: a call that was sent on it before the peer's close arrived ended with an unknown result.

test_connection_of_a_closing_response_is_not_reused: fails before ('Refusal' object has no attribute 'status'), passes now.

--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -222,7 +222,9 @@
             return False
         finally:
             timer.cancel()
-        return keep_alive and collector.complete
+        return (
+            keep_alive and collector.complete and not _closes(collector.headers)
+        )
 
     def _find_peer(self, address: str) -> _Peer:
         """Returns the connections to an address.
@@ -339,6 +341,12 @@
     return head.encode("latin-1") + body
 
 
+def _closes(headers: httputil.HTTPHeaders) -> bool:
+    """Returns whether the peer closes the connection after its response."""
+    options = headers.get("Connection", "").lower().split(",")
+    return "close" in (option.strip() for option in options)
+
+
 def _result(
     address: str, collector: _Collector, deadline_s: float
 ) -> Response | base.Refusal:
