--- a/tests/test_transport_drain.py
+++ b/tests/test_transport_drain.py
@@ -14,6 +14,7 @@
 POST = b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
 BODY_UNDER_WAY = POST + b"\r\nab"
 BOUNDS = _memory_budget.Bounds(1_000_000, 64, 500_000)
+UNUSED_BODY = b"GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
 LARGE = 8_000_000
 
 
@@ -228,10 +229,7 @@
         async def scenario(server, connect, handler):
             # The body is not used, so the connection is closed before it is
             # read, and the client goes on to send.
-            request = (
-                b"GET /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900000\r\n\r\n"
-            )
-            connections = [await connect(request) for _ in range(60)]
+            connections = [await connect(UNUSED_BODY) for _ in range(60)]
             await until(lambda: len(handler.paths) == 60)
             server.start_draining()
             handler.released.set()
@@ -245,14 +243,39 @@
 
         run(scenario, released=False)
 
-    def test_lingering_connections_are_bounded_in_a_drain(self):
+    def test_refused_bodies_of_all_connections_are_not_reset(self):
+        """The last of them found no room among those that linger."""
+
+        async def scenario(server, connect, handler):
+            connections = [
+                await connect(UNUSED_BODY.replace(b"GET", b"POST"))
+                for _ in range(BOUNDS.connections)
+            ]
+            await until_phase(server, "body", BOUNDS.connections)
+            server.refuse_unfinished()
+            assert len(server.listener.lingering) == BOUNDS.connections
+            for connection in connections:
+                connection.send(b"x" * 1000)
+            for connection in connections:
+                assert await connection.last_status() == 503
+
+        run(scenario)
+
+    def test_lingering_connections_make_room_for_new_ones(self):
+        """Open and lingering connections were twice the bound together."""
+
         async def scenario(server, connect, handler):
             server.start_draining()
-            for _ in range(3 * BOUNDS.connections):
+            for _ in range(BOUNDS.connections):
                 await connect(GET)
-            await until(lambda: len(handler.paths) == 3 * BOUNDS.connections)
-            count = len(server.listener.lingering) + len(server.budget.usages_)
-            assert count <= BOUNDS.connections + 16
+            await until(lambda: len(handler.paths) == BOUNDS.connections)
+            assert len(server.listener.lingering) > 16
+            for _ in range(BOUNDS.connections):
+                await connect()
+            await until(
+                lambda: len(server.budget.usages_) == BOUNDS.connections
+            )
+            assert len(server.listener.lingering) <= 16
 
         run(scenario)
 
