Let the last of a draining server's connections linger

A connection that was refused counted as open and found no room for itself where as many are open as are allowed.

test_refused_bodies_of_all_connections_are_not_reset: 63 == 64 before, passes now.

--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -404,10 +404,13 @@
         A server that drains replaces open connections by lingering ones, which
         hold less memory, so that both stay within the bound of connections.
         """
-        max_count = MAX_LINGERING
-        if self.draining:
-            free_count = self.budget.bounds.connections - len(
-                self.budget.usages_
-            )
-            max_count = max(MAX_LINGERING, free_count)
+        # The stream may still count as open.
+        max_count = self._max_lingering() + (stream in self.budget.usages_)
         return self.lingering.add(stream.socket, stream.unfinished, max_count)
+
+    def _max_lingering(self) -> int:
+        """Returns the maximum number of lingering connections."""
+        if not self.draining:
+            return MAX_LINGERING
+        open_count = len(self.budget.usages_)
+        return max(MAX_LINGERING, self.budget.bounds.connections - open_count)
