Let new connections replace lingering ones in a drain

While a server drains it still accepts, so that open and lingering connections could be twice the bound together. The ones that linger for longest make room now.

test_lingering_connections_make_room_for_new_ones: 64 <= 16 before, passes now.

--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -242,6 +242,7 @@
             self.close(stream, "connections")
         stream = Stream(sock, self, address)
         self.budget.open(stream, self.now_s())
+        self.lingering.end_oldest(self._max_lingering())
         self._schedule_sweep()
         connection = http1connection.HTTP1ServerConnection(
             stream, self.parameters, address
--- a/baobabdoor/transport/_lingering.py
+++ b/baobabdoor/transport/_lingering.py
@@ -51,6 +51,15 @@
         loop.call_later(LINGER_S, self._end, sock)
         return True
 
+    def end_oldest(self, max_count: int) -> None:
+        """Closes the connections that linger for longest.
+
+        Args:
+            max_count: Number of connections that may remain.
+        """
+        while len(self.sockets_) > max_count:
+            self._end(next(iter(self.sockets_)))
+
     def _discard(self, sock: socket.socket) -> None:
         try:
             if sock.recv_into(self.discarded_):
