--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -1,7 +1,9 @@
 """One request of a connection, from its header to its reply."""
 
 import asyncio
+from collections.abc import Coroutine
 import io
+from typing import Any
 
 from tornado import http1connection
 from tornado import httputil
@@ -12,8 +14,7 @@
 
 # Methods whose handlers use no body.
 BODILESS_METHODS = ("GET", "HEAD", "DELETE")
-RETRY_AFTER_HEADER = "Retry-After: 1\r\n"
-OVERLOADED = _types.Reply(503, headers=RETRY_AFTER_HEADER)
+OVERLOADED = _types.Reply(503, headers=_types.RETRY_AFTER_HEADER)
 
 
 class Exchange(httputil.HTTPMessageDelegate):
@@ -51,6 +52,9 @@
             b"",
         )
         self.server.listener.observe_header(self.stream)
+        if self.server.drain.refusal is not None:
+            self.refuse(self.server.drain.refusal, "stop")
+            return None
         refusal, reason = self._check(headers)
         if refusal is not None:
             self.refuse(refusal, reason)
@@ -103,15 +107,17 @@
             return
         # Without a copy, unlike the bytes of a `bytearray`.
         body, self.buffer_ = self.buffer_.getvalue(), io.BytesIO()
-        asyncio.ensure_future(self._answer(body))
+        answer = self.server.answer(self.stream, self.request_, body)
+        asyncio.ensure_future(self._write_when_known(answer))
 
     def on_connection_close(self) -> None:
         """Discards the body."""
         self.buffer_ = io.BytesIO()
 
-    async def _answer(self, body: bytes) -> None:
-        reply = await self.server.answer(self.stream, self.request_, body)
-        self.write(reply)
+    async def _write_when_known(
+        self, answer: Coroutine[Any, Any, _types.Reply]
+    ) -> None:
+        self.write(await answer)
 
     async def _answer_without_body(self) -> None:
         """Answers before the body is read, and closes the connection."""
@@ -128,19 +134,48 @@
         if self.http.stream is None or self.stream.closed():
             return
         self._enter(_memory_budget.Phase.WRITING)
-        self.http.write(_types.encode_reply(reply, self.server.closing))
+        if self.server.drain.started:
+            self._write_last(reply)
+            return
+        self.http.write(_types.encode_reply(reply, closing=False))
         self.http.finish()
 
+    def _write_last(self, reply: _types.Reply) -> None:
+        """Sends a reply and closes the connection once it is flushed."""
+        flushed = self.stream.write(_types.encode_reply(reply, closing=True))
+        if flushed.done():
+            self._close()
+        else:
+            flushed.add_done_callback(lambda _: self._close())
+
+    def _close(self) -> None:
+        """Closes the connection so that its client gets the reply."""
+        if self.stream.closed():
+            return
+        self.stream.lingers = True
+        self.server.budget.close(self.stream)
+        self.stream.close()
+        # It may hold a further request.
+        self.stream.discard()
+
     def refuse(self, reply: _types.Reply, reason: str) -> None:
         """Sends a reply and closes the connection, whose body is not read."""
-        if self.stream.closed():
+        if self.stream.closed() or self.stream.lingers:
             return
         self.server.closures.observe(reason)
         self.buffer_ = io.BytesIO()
         self.stream.lingers = True
-        self.stream.write(_types.encode_reply(reply, closing=True))
-        self.server.budget.close(self.stream)
-        self.stream.close()
+        self.stream.unfinished = True
+        self._enter(_memory_budget.Phase.WRITING)
+        self.server.listener.discard_body(self.stream)
+        # Closes the stream once the reply is flushed, since the request has
+        # not been read, and discards the rest of the body until then.
+        self.http.write(_types.encode_reply(reply, closing=True))
+        self.http.finish()
+        if self.stream.closed():
+            self.server.budget.close(self.stream)
+            # It may hold a further request.
+            self.stream.discard()
 
 
 def _announces_body(headers: httputil.HTTPHeaders) -> bool:
