Entry: answer what has been received before the callers' connections close

Cause: the callers' connections were closed at the first moment without a counted request. A request whose bytes had arrived and were not read yet got a reset instead of an answer, and so did a reply whose caller still sent. Change: idle connections are closed only if nothing has arrived on them and they have been idle for 0.25 s; the stop waits for each other connection until its reply is flushed. The control port uses the drain of transport.Server.

--- a/baobabdoor/entry/_caller_request.py
+++ b/baobabdoor/entry/_caller_request.py
@@ -318,6 +318,7 @@
         if self.server.stopping:
             # The caller may still send, which must not discard the response.
             stream.lingers = True
+            stream.unfinished = not self.body_complete
         self.connection.finish()
         if self.server.stopping and not stream.closed():
             _close_after_flush(stream)
--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -1,6 +1,7 @@
 """The caller port: admits or refuses requests by their headers."""
 
 from collections.abc import Callable
+import socket
 
 from tornado import httputil
 
@@ -26,6 +27,9 @@
 # Time after which a connection is closed whose body is late and whose caller
 # does not read the response that says so.
 BODY_TIMEOUT_MARGIN_S = 1.0
+# A connection that is idle for less may have a request on its way. A round trip
+# between zones takes less.
+FRESH_S = 0.25
 STEP = "entry.read"
 
 
@@ -210,6 +214,34 @@
         largest.refuse(_out_of_memory())
         return True
 
+    def announce_stop(self) -> None:
+        """Lets each further reply close its connection."""
+        self.stopping = True
+        self.listener.draining = True
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request is on its way."""
+        now_s = self.listener.now_s()
+        for stream, usage in list(self.budget.usages_.items()):
+            if (
+                usage.phase is transport.Phase.IDLE
+                and now_s - usage.since_s >= FRESH_S
+                and not _has_received(stream)
+            ):
+                stream.lingers = True
+                self.listener.close(stream, "stop")
+
+    @property
+    def is_flushed(self) -> bool:
+        """Whether no connection may still get a reply.
+
+        After `give_up`, a request whose header is incomplete gets none.
+        """
+        return not self.listener.lingering.unfinished_count and all(
+            self.gave_up and usage.phase is transport.Phase.HEADER
+            for usage in self.budget.usages_.values()
+        )
+
     def give_up(self, refusal: base.Refusal) -> None:
         """Answers the requests that wait for a body or for the entry itself."""
         self.draining = True
@@ -255,6 +287,17 @@
         return None
 
 
+def _has_received(stream: transport.Stream) -> bool:
+    """Returns whether bytes have arrived on a connection that are not read."""
+    if stream.unread_bytes:
+        return True
+    try:
+        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+        return bool(stream.socket.recv(1, flags))
+    except OSError:
+        return False
+
+
 def _too_large(length: int | str, limit: int) -> base.Refusal:
     found = f"{length:.20}" if isinstance(length, str) else length
     detail = f"body: expected at most {limit} bytes, found {found}"
--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -78,10 +78,12 @@
         parts.callers.listener.stop()
         await self._wait_for(self._callers_answered)
         parts.client.close()
+        # Requests that have arrived meanwhile are refused.
+        await self._wait_for(self._callers_flushed)
         parts.callers.listener.close_all()
         await self._leave()
-        parts.control_server.stop()
-        await self._wait_for(self._control_answered)
+        parts.control_server.stop_accepting()
+        await self._wait_for(self._control_flushed)
         parts.control_server.close_all()
         give_up.cancel()
         return not self.gave_up
@@ -89,10 +91,8 @@
     def _announce(self) -> None:
         """Makes all further replies close their connection."""
         parts = self.parts
-        parts.callers.stopping = True
-        parts.control_server.closing = True
-        # Applies to requests whose header is read from now on.
-        parts.control_server.listener.parameters.no_keep_alive = True
+        parts.callers.announce_stop()
+        parts.control_server.start_draining()
 
     @property
     def remaining_s(self) -> float:
@@ -115,25 +115,21 @@
             or parts.callers.open_requests_
         )
 
-    def _control_answered(self) -> bool:
-        server = self.parts.control_server
-        return not server.in_progress and self._is_flushed(server.listener)
+    def _callers_flushed(self) -> bool:
+        self.parts.callers.close_idle()
+        return self._callers_answered() and self.parts.callers.is_flushed
 
-    def _is_flushed(self, listener: transport.Listener) -> bool:
-        """Returns whether no connection of a port has a reply to be written."""
-        phases = (transport.Phase.HANDLING, transport.Phase.WRITING)
-        return not listener.lingering_ and not any(
-            usage.phase in phases for usage in listener.budget.usages_.values()
-        )
+    def _control_flushed(self) -> bool:
+        server = self.parts.control_server
+        return not (server.in_progress or server.pending_requests)
 
     def _give_up(self) -> None:
         """Answers the requests that did not complete in time."""
         parts = self.parts
         refusal = base.Refusal(base.Reason.DRAINING, STEP)
         parts.control_handler.interrupt(refusal)
-        if self._callers_answered():
-            return
-        self.gave_up = True
+        parts.control_server.refuse_unfinished()
+        self.gave_up = not self._callers_answered()
         parts.client.close()
         parts.dispatcher.refuse_queued(refusal)
         parts.keys.refuse_unresolved(refusal)
