Entry: treat SIGHUP as a signal to stop

Cause: SIGHUP ended the process at once, also during a stop, with its requests open. Change: SIGHUP stops like SIGTERM and SIGINT; further signals change nothing.

--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -25,6 +25,8 @@
 
 EXIT_SUCCESS = 0
 EXIT_START_FAILED = 1
+# SIGHUP would otherwise end the process at once; it reads no settings again.
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 SECRET_BYTES = 32
 SEED_BITS = 32
 
@@ -98,7 +100,7 @@
 
 
 async def run(entry_settings: settings.EntrySettings) -> int:
-    """Serves until SIGTERM or SIGINT; returns the exit code."""
+    """Serves until a stop signal; returns the exit code."""
     # A reader of the log that stops reading must not stop the process.
     observability.configure_logs(
         entry_settings.entry_id,
@@ -119,7 +121,7 @@
     """Starts a server, waits for a signal, and shuts down gracefully."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop_requested.set)
     try:
         await server.start()
