Divide the time of a planned stop in one place

The time to hand over, to answer and to flush were constants of the daemon that did not follow grace-s: with 3 s and less nothing was left for the requests in progress. base.divide_shutdown derives all parts from the time until the kill; each part ends before the next for 0.5 to 60 s (test).

--- a/baobabdoor/base/__init__.py
+++ b/baobabdoor/base/__init__.py
@@ -5,6 +5,8 @@
 from baobabdoor.base._refusal import Reason
 from baobabdoor.base._refusal import Refusal
 from baobabdoor.base._refusal import RefusalError
+from baobabdoor.base._shutdown import ShutdownBudget
+from baobabdoor.base._shutdown import divide_shutdown
 from baobabdoor.base._timers import Callback
 from baobabdoor.base._timers import Subscription
 from baobabdoor.base._timers import TimerService
@@ -26,8 +28,10 @@
     "Reason",
     "Refusal",
     "RefusalError",
+    "ShutdownBudget",
     "Subscription",
     "TimerService",
     "VirtualTimerService",
+    "divide_shutdown",
     "validate",
 ]
--- a/tests/test_base.py
+++ b/tests/test_base.py
@@ -74,3 +74,17 @@
         assert "Buffer.size: expected an integer in [1, inf], found 0" in str(
             error.value
         )
+
+
+class TestShutdownBudget:
+
+    @pytest.mark.parametrize("total_s", [0.5, 1, 2, 3, 6, 60])
+    def test_each_part_ends_before_the_next_and_all_before_the_kill(
+        self, total_s
+    ):
+        budget = base.divide_shutdown(total_s, 2.6)
+        assert 0 < budget.release_s <= budget.serve_s < budget.answer_s
+        assert budget.answer_s < budget.flush_s < total_s
+
+    def test_the_balancer_is_waited_for_if_there_is_time(self):
+        assert base.divide_shutdown(6.0, 2.6).serve_s == 2.6
