End a daemon only when no request is owed an answer

Callers saw connections that ended without an answer at planned stops. The daemon ended 4.1 s after SIGTERM whatever was in progress, or at the first moment without a running handler: requests that were read and not yet handled and replies that were not flushed did not count, and open connections took requests until the end.

The stop now has phases from the budget: each reply closes its connection from the signal on; after the balancer's time, idle connections are closed; the process ends when no connection is owed an answer; what has not been read in whole by answer_s is refused. Signals are handled before the servers listen.

--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -26,11 +26,6 @@
 # The daemon reports that it is not ready if the store has not answered for this
 # time.
 READINESS_TIMEOUT_S = 2.5
-# A stopping daemon continues to serve for this time, because the platform's
-# load balancer removes it after two failed health checks, one per second.
-DRAIN_DELAY_S = 2.6
-# Time to finish requests in progress after that.
-DRAIN_TIMEOUT_S = 1.5
 # Maximum ignored fields, and pairs of customers with a key in common, that are
 # named in the log.
 MAX_LOGGED = 20
@@ -69,7 +64,7 @@
         self.rejected_row_version_ = -1
         self.waves: dict[int, scheduling.Wave] = {}
         self.controller: _controller.Controller | None = None
-        self.stopping = False
+        self.shutdown = _shutdown.Shutdown(settings.grace_s)
         address = f"{settings.ip}:{settings.internal_port}"
         self.election = _election.LeaderElection(
             self.store,
@@ -150,13 +145,13 @@
 
     async def run(self) -> None:
         """Serves until the process receives a stop signal."""
-        for server in self.servers:
-            server.start()
         loop = asyncio.get_running_loop()
         stopped = asyncio.Event()
         loop.add_signal_handler(signal.SIGTERM, stopped.set)
         loop.add_signal_handler(signal.SIGINT, stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self._observe_reload)
+        for server in self.servers:
+            server.start()
         LOG.info("started", zone=self.settings.zone)
         followers = [
             asyncio.ensure_future(self.configuration_follower.run()),
@@ -169,26 +164,12 @@
 
     async def _stop(self) -> None:
         LOG.info("stopping", holder=self.controller is not None)
-        self.stopping = True
-        drain_delay_s = min(
-            DRAIN_DELAY_S, self.settings.grace_s - 2 * DRAIN_TIMEOUT_S
-        )
-        drain_delay = asyncio.ensure_future(
-            asyncio.sleep(max(0.0, drain_delay_s))
-        )
+        await _shutdown.stop_servers(self.servers, self.shutdown, self._release)
+        LOG.info("stopped")
+
+    async def _release(self) -> None:
         if self.controller is not None:
             await self.controller.release()
-        await drain_delay
-        for server in self.servers:
-            server.stop()
-        for _ in range(int(DRAIN_TIMEOUT_S / 0.05)):
-            if not any(server.in_progress for server in self.servers):
-                break
-            await asyncio.sleep(0.05)
-        _shutdown.log_open_requests(
-            self.servers, asyncio.get_running_loop().time()
-        )
-        LOG.info("stopped")
 
     def _observe_reload(self) -> None:
         LOG.info("reload_requested", effect="addresses are not reloaded")
@@ -294,11 +275,11 @@
         return (
             self.configuration is not None
             and self.controller is None
-            and not self.stopping
+            and not self.shutdown.stopping
         )
 
     def _observe_elected(self, leader: _election.Leader, sent_s: float) -> None:
-        if self.stopping or self.controller is not None:
+        if self.shutdown.stopping or self.controller is not None:
             return
         self.controller = _controller.Controller(self, leader, sent_s)
         self.controller.start()
@@ -345,7 +326,7 @@
         since_last_answer_s = platform.boot_time_s() - self.store.last_answer_s_
         ready = (
             self.configuration is not None
-            and not self.stopping
+            and not self.shutdown.stopping
             and since_last_answer_s < READINESS_TIMEOUT_S
         )
         return transport.Reply(200 if ready else 503)
