Answer requests that wait for a leader before the process ends

Callers of a stopping daemon saw their connections cut. A request waits for the leader until its own deadline (3 s), which may lie behind the end of the process, and nothing shortened that wait.

Once answers are due, each wait of a caller's request ends: 504 if the request may have been sent to a leader, 503 if it certainly was not.

--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -85,7 +85,7 @@
         self.refresher = _refresh.Refresher(
             lambda: self.version, self._read_configuration
         )
-        gateway = _gateway.Gateway(self)
+        gateway = _gateway.Gateway(self, self.shutdown)
         callers = _callers.CallerHandler(self, gateway)
         self.caller_servers: list[transport.Server] = []
         self.servers = self._make_servers(address, gateway, callers)
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -1,6 +1,8 @@
 """Forwards callers' requests to the leader."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import json
 
 import attrs
@@ -14,6 +16,7 @@
 from baobabdoor.dispatch import _access
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _shutdown
 
 # How long a request waits for a leader before it is refused, in seconds: a
 # quarter of a typical latency objective.
@@ -59,6 +62,34 @@
 
 FORBIDDEN = Outcome("forbidden", detail="the job of another customer")
 UNAVAILABLE = Outcome("unavailable", 1, detail="no holder reached")
+# The process stops before the request had a result.
+NOT_RUN_AT_STOP = Outcome("unavailable", 1, detail="the process stops")
+UNKNOWN_AT_STOP = Outcome("unknown", detail="the process stops")
+
+
+@attrs.define
+class Progress:
+    """How far a caller's request has come.
+
+    Attributes:
+        unanswered: Whether an attempt ended without a result.
+        in_flight: Whether the current attempt may have been sent.
+    """
+
+    unanswered: bool = False
+    in_flight: bool = False
+
+    def permit(self) -> bool:
+        """Observes that an attempt is about to be sent, and permits it."""
+        self.in_flight = True
+        return True
+
+    @property
+    def outcome_at_stop(self) -> Outcome:
+        """What is known of the request when the process has to answer it."""
+        if self.unanswered or self.in_flight:
+            return UNKNOWN_AT_STOP
+        return NOT_RUN_AT_STOP
 
 
 class Gateway:
@@ -66,10 +97,12 @@
 
     Args:
         daemon: Provides the controller, the election and the clients.
+        shutdown: Time limits of a planned stop. Default: none.
     """
 
-    def __init__(self, daemon):
+    def __init__(self, daemon, shutdown: _shutdown.Shutdown | None = None):
         self.daemon = daemon
+        self.shutdown = shutdown or _shutdown.Shutdown()
         self.access = _access.AccessCheck(daemon)
 
     def refuse_access(
@@ -113,13 +146,22 @@
         message = _message(queue, caller, job_id) | {
             "body": body.decode("utf-8", "replace")
         }
-        started_s = platform.boot_time_s()
-        outcome = await self._call_with_retry("submit", message, timeout_s)
-        left_s = timeout_s - (platform.boot_time_s() - started_s)
-        if outcome is not UNAVAILABLE:
-            return outcome
-        stored = await self._stored_submission(job_id, queue, left_s, caller)
-        return stored or outcome
+        progress = Progress()
+
+        async def submit() -> Outcome:
+            started_s = platform.boot_time_s()
+            outcome = await self._call_with_retry(
+                "submit", message, timeout_s, progress
+            )
+            if outcome is not UNAVAILABLE:
+                return outcome
+            left_s = timeout_s - (platform.boot_time_s() - started_s)
+            stored = await self._stored_submission(
+                job_id, queue, left_s, caller
+            )
+            return stored or outcome
+
+        return await self._answer_in_time(submit, progress)
 
     async def _stored_submission(
         self,
@@ -147,7 +189,13 @@
     ) -> Outcome:
         """Cancels a job."""
         message = _message(queue, caller, job_id)
-        return await self._call_with_retry("cancel", message, timeout_s)
+        progress = Progress()
+        return await self._answer_in_time(
+            lambda: self._call_with_retry(
+                "cancel", message, timeout_s, progress
+            ),
+            progress,
+        )
 
     async def state(
         self,
@@ -158,12 +206,16 @@
     ) -> Outcome:
         """Returns a job's state, from the store if the leader fails."""
         message = _message(queue, caller, job_id)
-        outcome = await self._call_leader(
-            "state", message, min(timeout_s, PEER_READ_TIMEOUT_S)
-        )
-        if outcome.kind in ("unavailable", "unknown", "not-holder"):
-            return await self._stored_state(job_id, queue, caller)
-        return outcome
+
+        async def read() -> Outcome:
+            outcome = await self._call_leader(
+                "state", message, min(timeout_s, PEER_READ_TIMEOUT_S)
+            )
+            if outcome.kind in ("unavailable", "unknown", "not-holder"):
+                return await self._stored_state(job_id, queue, caller)
+            return outcome
+
+        return await self._answer_in_time(read)
 
     async def pending(
         self,
@@ -172,28 +224,54 @@
         caller: _access.Caller = _access.ANYBODY,
     ) -> Outcome:
         """Returns the number of jobs of a queue that have not started."""
-        return await self._call_with_retry(
-            "pending", _message(queue, caller), timeout_s
+        message = _message(queue, caller)
+        return await self._answer_in_time(
+            lambda: self._call_with_retry("pending", message, timeout_s)
         )
 
+    async def _answer_in_time(
+        self,
+        call: Callable[[], Awaitable[Outcome]],
+        progress: Progress | None = None,
+    ) -> Outcome:
+        """Returns a call's outcome, or what is known when answers are due.
+
+        Args:
+            call: The call.
+            progress: How far the call has come. Default: it has no effect.
+        """
+        progress = progress or Progress()
+        if self.shutdown.answers_due:
+            return NOT_RUN_AT_STOP
+        try:
+            async with self.shutdown.limit():
+                return await call()
+        except TimeoutError:
+            return progress.outcome_at_stop
+
     async def _call_with_retry(
-        self, method: str, message: dict, timeout_s: float
+        self,
+        method: str,
+        message: dict,
+        timeout_s: float,
+        progress: Progress | None = None,
     ) -> Outcome:
+        progress = progress or Progress()
         loop = asyncio.get_running_loop()
         started_s = loop.time()
-        maybe_sent = False
         while True:
             remaining_s = timeout_s - (loop.time() - started_s)
             if remaining_s <= LEADER_POLL_S:
                 break
             outcome = await self._call_leader(
-                method, message, min(remaining_s, PEER_TIMEOUT_S)
+                method, message, min(remaining_s, PEER_TIMEOUT_S), progress
             )
+            progress.in_flight = False
             if outcome.kind == "unknown":
-                maybe_sent = True
+                progress.unanswered = True
             elif outcome.kind not in ("unavailable", "not-holder"):
                 # An earlier attempt may still succeed.
-                ambiguous = maybe_sent and outcome.kind in (
+                ambiguous = progress.unanswered and outcome.kind in (
                     "rejected",
                     "refused",
                     "unauthenticated",
@@ -201,16 +279,22 @@
                 )
                 return Outcome("unknown") if ambiguous else outcome
             waited_s = loop.time() - started_s
-            if not maybe_sent and waited_s > LEADER_WAIT_S:
+            if not progress.unanswered and waited_s > LEADER_WAIT_S:
                 return UNAVAILABLE
             await asyncio.sleep(LEADER_POLL_S)
-        return Outcome("unknown") if maybe_sent else UNAVAILABLE
+        return Outcome("unknown") if progress.unanswered else UNAVAILABLE
 
     async def _call_leader(
-        self, method: str, message: dict, timeout_s: float
+        self,
+        method: str,
+        message: dict,
+        timeout_s: float,
+        progress: Progress | None = None,
     ) -> Outcome:
+        progress = progress or Progress()
         daemon = self.daemon
         if daemon.controller is not None:
+            progress.in_flight = True
             return await self.answer(method, message, timeout_s)
         leader = daemon.election.current
         if leader is None or daemon.election.is_self(leader):
@@ -225,6 +309,7 @@
             f"/v1/{method}",
             json.dumps(message).encode(),
             timeout_s=timeout_s,
+            permit=progress.permit,
         )
         if isinstance(answer, transport.Response):
             return _decode_outcome(answer)
--- a/tests/test_dispatch_access.py
+++ b/tests/test_dispatch_access.py
@@ -96,7 +96,9 @@
             self.entry, _gateway.Gateway(self.entry)
         )
 
-    async def fetch(self, address, method, target, body, timeout_s):
+    async def fetch(
+        self, address, method, target, body, timeout_s, permit=None
+    ):
         self.sent.append(body)
         if self.leader.controller is None:
             return base.Refusal(base.Reason.CONNECTION_FAILED, "test")
