Pass the time limit of a release to it

The limit of 2 s was fixed in the controller, so a daemon with a short grace-s could not shorten it. The daemon passes the same 2 s; no behaviour changes.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -126,12 +126,17 @@
             task.cancel()
         self.daemon.observe_term_end(self)
 
-    async def release(self) -> None:
-        """Stores pending changes and releases leadership."""
+    async def release(self, timeout_s: float) -> None:
+        """Stores pending changes and releases leadership.
+
+        Args:
+            timeout_s: Time in seconds after which the term ends in this
+                process, whether or not the store has answered.
+        """
         self.committer.releasing = True
         self.committer.write_requested.set()
         try:
-            await asyncio.wait_for(self.committer.released.wait(), 2.0)
+            await asyncio.wait_for(self.committer.released.wait(), timeout_s)
         except TimeoutError:
             LOG.warning("release_late", token=self.leader.token)
         self.end("released")
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -176,7 +176,7 @@
             asyncio.sleep(max(0.0, drain_delay_s))
         )
         if self.controller is not None:
-            await self.controller.release()
+            await self.controller.release(2.0)
         await drain_delay
         for server in self.servers:
             server.stop()
--- a/tests/test_dispatch_controller.py
+++ b/tests/test_dispatch_controller.py
@@ -1068,7 +1068,7 @@
             controller = bench.controller()
             controller.start()
             await asyncio.wait_for(controller.loaded.wait(), 1)
-            await controller.release()
+            await controller.release(2.0)
             row = bench.store.get(
                 _election.TABLE, _election.LEADER_KEY, _election.PART
             )
@@ -1114,7 +1114,7 @@
                 )
                 worker = controller.scheduler.workers["w1"]
                 ages_s.append(platform.boot_time_s() - worker.entry_s)
-            await controller.release()
+            await controller.release(2.0)
             return ages_s
 
         return asyncio.run(scenario())
--- a/tests/test_dispatch_release.py
+++ b/tests/test_dispatch_release.py
@@ -103,7 +103,7 @@
 
     async def release(self, observed_s):
         """Releases the term, ends it and returns after a while."""
-        releasing = asyncio.ensure_future(self.controller.release())
+        releasing = asyncio.ensure_future(self.controller.release(2.0))
         await asyncio.sleep(observed_s)
         self.controller.end("the test is over")
         releasing.cancel()
@@ -185,7 +185,7 @@
             term = Term(LOST, APPLIED)
             await term.start()
             started_s = platform.boot_time_s()
-            await asyncio.wait_for(term.controller.release(), 3.0)
+            await asyncio.wait_for(term.controller.release(2.0), 3.0)
             return platform.boot_time_s() - started_s
 
         assert asyncio.run(scenario()) < 0.5
@@ -215,7 +215,7 @@
             term = Term(LATE, LATE, APPLIED)
             await term.start()
             started_s = platform.boot_time_s()
-            await asyncio.wait_for(term.controller.release(), 3.0)
+            await asyncio.wait_for(term.controller.release(2.0), 3.0)
             return platform.boot_time_s() - started_s
 
         assert asyncio.run(scenario()) < 1.0
