Answer requests that wait for the state of a term that has ended

A term that ended before its state was loaded left the requests of callers and followers to their own time limit, which may be seconds away. Its end now sets the event that they wait for, and they get not-holder: nothing was written.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -85,6 +85,7 @@
         self.wave_runner = _waves.WaveRunner(daemon, self)
         # Accepted jobs whose row cannot be read.
         self.unreadable_jobs: set[str] = set()
+        # Set once the state is loaded, or once the term has ended without it.
         self.loaded = asyncio.Event()
         self.ended = False
         self.plan_requested = asyncio.Event()
@@ -124,6 +125,7 @@
         )
         for task in [*self.tasks, *self.poller.tasks.values()]:
             task.cancel()
+        self.loaded.set()
         self.daemon.observe_term_end(self)
 
     async def release(self, timeout_s: float) -> None:
