Answer requests that wait for a transaction when the term ends

They noticed the end of the term at the next look, up to 0.25 s later. The end now wakes them like a confirmed transaction: a submission that no write contained is refused with not-holder, any other result is unknown.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -128,14 +128,14 @@
                 await asyncio.sleep(RETRY_DELAY_S)
 
     async def wait_committed(self, timeout_s: float) -> None:
-        """Waits for the next confirmed transaction."""
+        """Waits for the next confirmed transaction or the end of the term."""
         try:
             await asyncio.wait_for(self.committed.wait(), timeout_s)
         except TimeoutError:
             return
 
-    def _notify_committed(self) -> None:
-        """Wakes those who wait for a transaction; they check its effect."""
+    def notify_committed(self) -> None:
+        """Wakes those who wait for a change; they check what it means."""
         self.committed.set()
         self.committed = asyncio.Event()
 
@@ -437,7 +437,7 @@
         self._confirm_documents(transaction.documents)
         if transaction.snapshot is not None:
             self.scheduler.finish_commit(transaction.snapshot, version)
-        self._notify_committed()
+        self.notify_committed()
 
     def _confirm_documents(
         self, written: list[tuple[_transactions.Document, bytes]]
@@ -531,7 +531,7 @@
                 _is_unknown(refusal)
                 and self.scheduler.withdraw_unwritten_jobs()
             ):
-                self._notify_committed()
+                self.notify_committed()
 
     async def _release(self) -> bool:
         """Releases the term; returns whether it has ended.
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -126,6 +126,7 @@
         for task in [*self.tasks, *self.poller.tasks.values()]:
             task.cancel()
         self.loaded.set()
+        self.committer.notify_committed()
         self.daemon.observe_term_end(self)
 
     async def release(self, timeout_s: float) -> None:
