Count the wait for the leader's state against the time limit

A request that waited for the state of a new leader got its whole time limit again for the transaction, so the leader could answer after its caller or follower had given up. Shown by test_the_wait_for_the_state_counts_against_the_time_limit.

--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -287,10 +287,12 @@
     ) -> Outcome:
         """Handles a request as the leader."""
         controller = self.daemon.controller
+        started_s = platform.boot_time_s()
         try:
             await asyncio.wait_for(controller.loaded.wait(), timeout_s)
         except TimeoutError:
             return UNAVAILABLE
+        timeout_s -= platform.boot_time_s() - started_s
         if self.daemon.controller is not controller or controller.ended:
             return Outcome("not-holder")
         queue = self.daemon.configuration.queues.get(message["queue"])
