Release a term whose state is not loaded yet when its leader stops

The release was only sent by the loop that writes transactions, which starts after the state is loaded. It now ends the term and sends the release itself: nothing was written or ordered in this term. The release moves from _commits.py to a module of its own.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -6,8 +6,6 @@
 import json
 import zlib
 
-import attrs
-
 from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
@@ -15,6 +13,7 @@
 from baobabdoor import transport
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _learned_turns
+from baobabdoor.dispatch import _release
 from baobabdoor.dispatch import _transactions
 
 JOBS_TABLE = "jobs"
@@ -105,6 +104,7 @@
         # Another leader may then take over at any moment.
         self.release_possible = False
         self.released = asyncio.Event()
+        self.release_writer = _release.ReleaseWriter(self)
 
     async def run(self) -> None:
         """Writes changes and heartbeats until it is cancelled."""
@@ -122,10 +122,10 @@
                 self.write_requested.set()
                 if not self.backlog:
                     await asyncio.sleep(RETRY_DELAY_S)
-            unsaved = self.scheduler.dirty or self.sequence.unresolved
-            if self.releasing and not unsaved and not await self._release():
+            writer = self.release_writer
+            if writer.due() and not await writer.write():
                 self.write_requested.set()
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(_release.RETRY_DELAY_S)
 
     async def wait_committed(self, timeout_s: float) -> None:
         """Waits for the next confirmed transaction or the end of the term."""
@@ -533,40 +533,6 @@
             ):
                 self.notify_committed()
 
-    async def _release(self) -> bool:
-        """Releases the term; returns whether it has ended.
-
-        A release without an answer may be applied seconds later, so it counts
-        until the end of the term. Its repetition shows whether it was applied:
-        the leader's row has changed then.
-        """
-        released = attrs.evolve(self.leader, released=True)
-        row = platform.StoredRow(
-            _election.TABLE,
-            _election.PART,
-            _election.LEADER_KEY,
-            released.encode(),
-        )
-        earlier_possible = self.release_possible
-        self.release_possible = True
-        answer = await self.store.transact(
-            [row], (), [self.leader_row()], timeout_s=self.timeout_s
-        )
-        if isinstance(answer, base.Refusal):
-            self.release_possible = earlier_possible or _is_unknown(answer)
-            LOG.warning(
-                "release_unanswered"
-                if _is_unknown(answer)
-                else "release_refused",
-                token=self.leader.token,
-                reason=str(answer),
-            )
-            return False
-        LOG.info("tenure_released", token=self.leader.token)
-        self.released.set()
-        self.on_lost("released")
-        return True
-
 
 def _document_limit(jobs: Sequence) -> int:
     """Returns how many documents a transaction may contain besides jobs."""
--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -14,6 +14,7 @@
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _holds
 from baobabdoor.dispatch import _job_requests
+from baobabdoor.dispatch import _release
 from baobabdoor.dispatch import _start_limiter
 from baobabdoor.dispatch import _table_follower
 from baobabdoor.dispatch import _transactions
@@ -92,6 +93,7 @@
         self.tasks: list[asyncio.Task] = []
         self.poller = _holds.WorkerPoller(self)
         self.requests = _job_requests.JobRequests(self)
+        self.term_release = _release.TermRelease(self)
         self.background_tasks: set[asyncio.Task] = set()
 
     def start(self) -> None:
@@ -136,13 +138,7 @@
             timeout_s: Time in seconds after which the term ends in this
                 process, whether or not the store has answered.
         """
-        self.committer.releasing = True
-        self.committer.write_requested.set()
-        try:
-            await asyncio.wait_for(self.committer.released.wait(), timeout_s)
-        except TimeoutError:
-            LOG.warning("release_late", token=self.leader.token)
-        self.end("released")
+        await self.term_release.run(timeout_s)
 
     # Loading the state of earlier terms.
 
--- /dev/null
+++ b/baobabdoor/dispatch/_release.py
@@ -0,0 +1,105 @@
+"""Releases leadership at a planned stop."""
+
+import asyncio
+
+import attrs
+
+from baobabdoor import base
+from baobabdoor import observability
+from baobabdoor import platform
+from baobabdoor.dispatch import _election
+
+# Pause before a release that the store did not answer or refused is repeated.
+RETRY_DELAY_S = 0.1
+LOG = observability.get_logger("commits")
+
+
+class ReleaseWriter:
+    """Writes the leader's row that shows the end of its term.
+
+    Args:
+        committer: Committer of the term.
+    """
+
+    def __init__(self, committer):
+        self.committer = committer
+
+    def due(self) -> bool:
+        """Returns whether a release was requested and all changes are stored.
+
+        The results of all transactions are known then, too.
+        """
+        committer = self.committer
+        unsaved = committer.scheduler.dirty or committer.sequence.unresolved
+        return committer.releasing and not unsaved
+
+    async def write(self) -> bool:
+        """Releases the term; returns whether it has ended.
+
+        A release without an answer may be applied seconds later, so it counts
+        until the end of the term. Its repetition shows whether it was applied:
+        the leader's row has changed then.
+        """
+        committer = self.committer
+        released = attrs.evolve(committer.leader, released=True)
+        row = platform.StoredRow(
+            _election.TABLE,
+            _election.PART,
+            _election.LEADER_KEY,
+            released.encode(),
+        )
+        earlier_possible = committer.release_possible
+        committer.release_possible = True
+        answer = await committer.store.transact(
+            [row], (), [committer.leader_row()], timeout_s=committer.timeout_s
+        )
+        if isinstance(answer, base.Refusal):
+            unknown = answer.reason is base.Reason.UNKNOWN_RESULT
+            committer.release_possible = earlier_possible or unknown
+            LOG.warning(
+                "release_unanswered" if unknown else "release_refused",
+                token=committer.leader.token,
+                reason=str(answer),
+            )
+            return False
+        LOG.info("tenure_released", token=committer.leader.token)
+        committer.released.set()
+        committer.on_lost("released")
+        return True
+
+
+class TermRelease:
+    """Ends a term by plan, so that another leader can follow at once.
+
+    Args:
+        controller: Controller of the term.
+    """
+
+    def __init__(self, controller):
+        self.controller = controller
+        # Keeps a reference to the task until the process ends.
+        self.writing: asyncio.Task | None = None
+
+    async def run(self, timeout_s: float) -> None:
+        """Releases the term; see `Controller.release`."""
+        controller = self.controller
+        committer = controller.committer
+        loaded = controller.loaded.is_set()
+        committer.releasing = True
+        committer.write_requested.set()
+        if not loaded:
+            # Nothing was written or sent, so nothing has to be saved.
+            controller.end("stopped before its state was loaded")
+            self.writing = asyncio.ensure_future(self._write())
+            await asyncio.wait({self.writing}, timeout=timeout_s)
+            return
+        try:
+            await asyncio.wait_for(committer.released.wait(), timeout_s)
+        except TimeoutError:
+            LOG.warning("release_late", token=controller.leader.token)
+        controller.end("released")
+
+    async def _write(self) -> None:
+        """Repeats the release until the store has answered it."""
+        while not await self.controller.committer.release_writer.write():
+            await asyncio.sleep(RETRY_DELAY_S)
