Release a term while runs end, also on a busy fleet

The release waited until no job had unsaved changes. Runs that end while a transaction is under way change their jobs, so with enough of them the release never came, and followers waited for the election timeout after the time limit of 2 s. It now waits for the changes made before it was requested. Ends of runs after that are not acknowledged to their workers, which report them to the next leader, as after a crash of the leader. Shown by test_changes_during_the_release_do_not_delay_it.

--- a/baobabdoor/dispatch/_release.py
+++ b/baobabdoor/dispatch/_release.py
@@ -1,6 +1,7 @@
 """Releases leadership at a planned stop."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -23,15 +24,36 @@
 
     def __init__(self, committer):
         self.committer = committer
+        # Newest change of a job that is to be stored before the release.
+        self.last_revision = math.inf
+
+    def request(self) -> None:
+        """Requests the release of the term after the changes made so far.
+
+        Later changes are left to the next leader, which learns of ended runs
+        from the workers: their ends are not acknowledged before the changes
+        are stored. A busy fleet changes jobs during each transaction, so a
+        release that waited for all changes would never come.
+        """
+        self.committer.releasing = True
+        self.last_revision = self.committer.scheduler.revision
+        self.committer.write_requested.set()
 
     def due(self) -> bool:
-        """Returns whether a release was requested and all changes are stored.
+        """Returns whether a release was requested and may be written.
 
-        The results of all transactions are known then, too.
+        The results of all transactions are known then.
         """
         committer = self.committer
-        unsaved = committer.scheduler.dirty or committer.sequence.unresolved
-        return committer.releasing and not unsaved
+        unsaved = any(
+            job.first_unsaved_revision <= self.last_revision
+            for job in committer.scheduler.dirty.values()
+        )
+        return (
+            committer.releasing
+            and not unsaved
+            and not committer.sequence.unresolved
+        )
 
     async def write(self) -> bool:
         """Releases the term; returns whether it has ended.
@@ -85,8 +107,7 @@
         controller = self.controller
         committer = controller.committer
         loaded = controller.loaded.is_set()
-        committer.releasing = True
-        committer.write_requested.set()
+        committer.release_writer.request()
         if not loaded:
             # Nothing was written or sent, so nothing has to be saved.
             controller.end("stopped before its state was loaded")
