Refuse cancels from the beginning of a release

A cancel of a known job during a release waited for a transaction that may not be written before the end of the term. Nothing is done for it now, so that the follower repeats it with the next leader at once.

--- a/baobabdoor/dispatch/_job_requests.py
+++ b/baobabdoor/dispatch/_job_requests.py
@@ -82,8 +82,8 @@
 
         Returns:
             `None` once stored, or a refusal: `NOT_FOUND` once stored without a
-            submission, `NOT_HOLDER` if a later leader may have accepted the
-            job, `PLATFORM_UNAVAILABLE` or `QUEUE_FULL` if nothing was done, or
+            submission, `NOT_HOLDER` if this leader is stepping down or a later
+            leader may have accepted the job, `PLATFORM_UNAVAILABLE` or `QUEUE_FULL` if nothing was done, or
             `UNKNOWN_RESULT`.
         """
         self.controller.update_clocks()
@@ -108,7 +108,9 @@
     def _refuse_cancel(self, job_id: str) -> base.Refusal | None:
         """Returns why a cancel cannot be stored now; `None` if it can."""
         job = self.controller.scheduler.jobs.get(job_id)
-        if job is None and not self.controller.knows_all_jobs():
+        # A change made during a release is not stored before it.
+        stopping = self.controller.committer.releasing or self.controller.ended
+        if stopping or (job is None and not self.controller.knows_all_jobs()):
             return base.Refusal(base.Reason.NOT_HOLDER, "controller.cancel")
         unreachable = job is None and not self.controller.committer.reachable
         # A row that is being removed does not keep a cancel.
