Send withdrawn submissions to the next leader during a release

A submission that a silent store kept out of all transactions was refused, which ends it at its follower. While the leader steps down it gets not-holder instead: it certainly never runs there, and the next leader may reach the store. Shown by test_a_submission_that_a_silent_store_keeps_out_goes_elsewhere.

--- a/baobabdoor/dispatch/_job_requests.py
+++ b/baobabdoor/dispatch/_job_requests.py
@@ -28,7 +28,7 @@
         """
         self.controller.update_clocks()
         now_s = platform.boot_time_s()
-        if self.controller.committer.releasing or self.controller.ended:
+        if self._stopping():
             return base.Refusal(base.Reason.NOT_HOLDER, "controller.submit")
         if not self._may_submit(spec.job_id):
             # Nothing was written, so this submission never runs.
@@ -57,15 +57,20 @@
             refusal is not None and self.controller.scheduler.withdraw(result)
         )
         if withdrawn:
-            # No write contained the job, so it certainly never runs.
+            # No write contained the job, so it certainly never runs here. The
+            # next leader may reach the store.
             return base.Refusal(
                 base.Reason.NOT_HOLDER
-                if self.controller.ended
+                if self._stopping()
                 else base.Reason.PLATFORM_UNAVAILABLE,
                 "controller.submit",
             )
         return refusal
 
+    def _stopping(self) -> bool:
+        """Returns whether the term has ended or is being released."""
+        return self.controller.ended or self.controller.committer.releasing
+
     def _may_submit(self, job_id: str) -> bool:
         """Returns whether a submission can be stored now."""
         job = self.controller.scheduler.jobs.get(job_id)
@@ -83,7 +88,8 @@
         Returns:
             `None` once stored, or a refusal: `NOT_FOUND` once stored without a
             submission, `NOT_HOLDER` if this leader is stepping down or a later
-            leader may have accepted the job, `PLATFORM_UNAVAILABLE` or `QUEUE_FULL` if nothing was done, or
+            leader may have accepted the job, `PLATFORM_UNAVAILABLE` or
+            `QUEUE_FULL` if nothing was done, or
             `UNKNOWN_RESULT`.
         """
         self.controller.update_clocks()
@@ -109,8 +115,8 @@
         """Returns why a cancel cannot be stored now; `None` if it can."""
         job = self.controller.scheduler.jobs.get(job_id)
         # A change made during a release is not stored before it.
-        stopping = self.controller.committer.releasing or self.controller.ended
-        if stopping or (job is None and not self.controller.knows_all_jobs()):
+        unsure = job is None and not self.controller.knows_all_jobs()
+        if unsure or self._stopping():
             return base.Refusal(base.Reason.NOT_HOLDER, "controller.cancel")
         unreachable = job is None and not self.controller.committer.reachable
         # A row that is being removed does not keep a cancel.
--- a/tests/test_dispatch_handover.py
+++ b/tests/test_dispatch_handover.py
@@ -12,6 +12,7 @@
 import pytest
 import scheduling_fixtures
 
+from baobabdoor import base
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _gateway
@@ -53,21 +54,24 @@
         tables = {row.table for row in puts}
         self.transacting.set()
         if tables & self.silent:
-            await asyncio.sleep(REQUEST_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
         self.written(tables)
         return await super().transact(puts, removes, expected, timeout_s)
 
-    async def read(self, *arguments, **options):
+    async def read(self, table, part="", start="", timeout_s=1.0, limit=500):
         """Returns rows, or gives no answer."""
         if self.silent_reads:
-            await asyncio.sleep(REQUEST_TIMEOUT_S)
-        return await super().read(*arguments, **options)
+            await asyncio.sleep(timeout_s)
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
+        return await super().read(table, part, start, timeout_s, limit)
 
-    async def read_all(self, *arguments, **options):
+    async def read_all(self, table, part="", timeout_s=1.0):
         """Returns rows, or gives no answer."""
         if self.silent_reads:
-            await asyncio.sleep(REQUEST_TIMEOUT_S)
-        return await super().read_all(*arguments, **options)
+            await asyncio.sleep(timeout_s)
+            return self._refusal(base.Reason.UNKNOWN_RESULT)
+        return await super().read_all(table, part, timeout_s)
 
     @property
     def released(self):
@@ -278,8 +282,10 @@
             )
             await run_ready_tasks()
             request = await term.submit()
+            kind = await kind_of(request)
             releasing.cancel()
-            return await kind_of(request)
+            term.controller.end("the test is over")
+            return kind
 
         assert asyncio.run(scenario()) == "not-holder"
 
@@ -322,7 +328,8 @@
             term.store.silent_reads = True
             async with asyncio.timeout(HANG_TIMEOUT_S):
                 outcome = await waiting
-            releasing.cancel()
+            term.controller.end("the test is over")
+            await releasing
             return outcome.kind
 
         assert asyncio.run(scenario()) == "not-holder"
