End the planning of a term with the term

wait_for of Python 3.11 returns the result if the event was set just before the cancellation, so the loop went on after the end of the term. The test of a withdrawn submission did not end for this reason (timeout of 180 s).

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -135,8 +135,7 @@
         """Stores pending changes and releases leadership.
 
         Args:
-            timeout_s: Time in seconds after which the term ends in this
-                process, whether or not the store has answered.
+            timeout_s: Time in seconds after which the term ends here anyway.
         """
         await self.term_release.run(timeout_s)
 
@@ -331,7 +330,8 @@
         self.scheduler.wall_ms = time.time() * 1000
 
     async def _plan_loop(self) -> None:
-        while True:
+        # `wait_for` may return instead of being cancelled at the end.
+        while not self.ended:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
                     self.plan_requested.wait(), PLAN_INTERVAL_S
