Release a term although a transaction gets no answer

The release waited for the result of all transactions, up to 1.5 s each, and was given up after the time limit. After half of the time limit, submissions that no write contained are withdrawn and the release is sent beside the transaction: it is applied before the release or never. After the time limit the term ends in this process and all requests are answered, and the release is repeated until the process ends. Shown by test_a_transaction_without_an_answer_does_not_prevent_it and test_the_release_is_repeated_after_the_time_limit.

--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -107,8 +107,8 @@
         self.release_writer = _release.ReleaseWriter(self)
 
     async def run(self) -> None:
-        """Writes changes and heartbeats until it is cancelled."""
-        while True:
+        """Writes changes and heartbeats until it is cancelled or stopped."""
+        while self.release_writer.saving:
             due_s = self.confirmed_s + _election.HEARTBEAT_INTERVAL_S
             wait_s = due_s - platform.boot_time_s()
             if not self.write_requested.is_set() and wait_s > 0:
@@ -123,7 +123,7 @@
                 if not self.backlog:
                     await asyncio.sleep(RETRY_DELAY_S)
             writer = self.release_writer
-            if writer.due() and not await writer.write():
+            if writer.saving and writer.due() and not await writer.write():
                 self.write_requested.set()
                 await asyncio.sleep(_release.RETRY_DELAY_S)
 
--- a/baobabdoor/dispatch/_release.py
+++ b/baobabdoor/dispatch/_release.py
@@ -12,6 +12,9 @@
 
 # Pause before a release that the store did not answer or refused is repeated.
 RETRY_DELAY_S = 0.1
+# Share of the time limit of a release for storing pending changes. The rest is
+# for the release itself, which a slow store may take as long to answer.
+SAVE_SHARE = 0.5
 LOG = observability.get_logger("commits")
 
 
@@ -26,6 +29,8 @@
         self.committer = committer
         # Newest change of a job that is to be stored before the release.
         self.last_revision = math.inf
+        # Whether changes are still to be written.
+        self.saving = True
 
     def request(self) -> None:
         """Requests the release of the term after the changes made so far.
@@ -39,6 +44,18 @@
         self.last_revision = self.committer.scheduler.revision
         self.committer.write_requested.set()
 
+    def stop_saving(self) -> None:
+        """Leaves all unsaved changes to the next leader.
+
+        Submissions that no write contained are withdrawn. A transaction without
+        an answer is applied before the release or never, since it requires the
+        leader's row to be unchanged.
+        """
+        committer = self.committer
+        self.saving = False
+        if committer.scheduler.withdraw_unwritten_jobs():
+            committer.notify_committed()
+
     def due(self) -> bool:
         """Returns whether a release was requested and may be written.
 
@@ -114,13 +131,27 @@
             self.writing = asyncio.ensure_future(self._write())
             await asyncio.wait({self.writing}, timeout=timeout_s)
             return
-        try:
-            await asyncio.wait_for(committer.released.wait(), timeout_s)
-        except TimeoutError:
+        if await _wait(committer.released, timeout_s * SAVE_SHARE):
+            controller.end("released")
+            return
+        committer.release_writer.stop_saving()
+        self.writing = asyncio.ensure_future(self._write())
+        if not await _wait(committer.released, timeout_s * (1 - SAVE_SHARE)):
             LOG.warning("release_late", token=controller.leader.token)
-        controller.end("released")
+        # The release is repeated until the process ends, so that the next
+        # leader does not wait for the election timeout after a short outage.
+        controller.end("stopped")
 
     async def _write(self) -> None:
         """Repeats the release until the store has answered it."""
         while not await self.controller.committer.release_writer.write():
             await asyncio.sleep(RETRY_DELAY_S)
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> bool:
+    """Waits for an event; returns whether it is set."""
+    try:
+        await asyncio.wait_for(event.wait(), timeout_s)
+    except TimeoutError:
+        return event.is_set()
+    return True
