Release a term that is won while the daemon stops

A daemon that was stopped between its write to win an election and the answer did not start the term and left its record in the store, so that followers waited for the election timeout of 1.8 s. The record is released, at once or, without an answer to the write, when it is seen. Shown by TestStopDuringAnElection (2 failed, now pass).

--- a/baobabdoor/dispatch/_election.py
+++ b/baobabdoor/dispatch/_election.py
@@ -176,6 +176,10 @@
         # End of the store's last known outage, on the store's clock.
         self.outage_ended_ms = -math.inf
         self.campaigning = False
+        # Token of the last term that was started.
+        self.started_token = 0
+        # Keeps a reference to the task that campaigns or releases a term.
+        self.writing: asyncio.Task | None = None
         self.follower = _table_follower.TableFollower(
             store, TABLE, PART, self._observe, FEED_WAIT_S, FEED_PAUSE_S
         )
@@ -236,13 +240,20 @@
             )
 
     def _campaign_if_due(self, store_ms: float) -> None:
-        if self.campaigning or not self.eligible():
+        if self.campaigning:
+            return
+        if not self.eligible():
+            if self._is_unstarted(self.current):
+                self.campaigning = True
+                self.writing = asyncio.ensure_future(
+                    self._release_unstarted(self.current)
+                )
             return
         vacant = self.current is None or self._is_own_record(self.current)
         age_ms = store_ms - self.unchanged_since_ms
         if vacant or age_ms > ELECTION_TIMEOUT_MS:
             self.campaigning = True
-            asyncio.ensure_future(self._campaign(age_ms))
+            self.writing = asyncio.ensure_future(self._campaign(age_ms))
 
     def _is_own_record(self, leader: Leader) -> bool:
         """Returns whether a record belongs to this machine or process.
@@ -306,7 +317,11 @@
                 number=number,
                 heartbeat_age_ms=round(age_ms),
             )
-            self.on_elected(leader, sent_s)
+            if self.eligible():
+                self.started_token = leader.token
+                self.on_elected(leader, sent_s)
+            else:
+                await self._release(leader)
         elif isinstance(answer, platform.Conflict):
             for row in answer.rows:
                 self._observe_row(row)
@@ -318,3 +333,31 @@
             self.follower.version = -1
             if answer.reason is base.Reason.UNKNOWN_RESULT:
                 await asyncio.sleep(_table_follower.RETRY_DELAY_S)
+
+    def _is_unstarted(self, leader: Leader | None) -> bool:
+        """Returns whether this process won a term and did not start it."""
+        return self.is_self(leader) and leader.token != self.started_token
+
+    async def _release_unstarted(self, leader: Leader) -> None:
+        try:
+            await self._release(leader)
+        finally:
+            self.campaigning = False
+
+    async def _release(self, leader: Leader) -> None:
+        """Releases a term that this process won while it was stopping.
+
+        Followers would wait for the election timeout otherwise. Without an
+        answer, the next look at the leader's row repeats it.
+        """
+        released = attrs.evolve(leader, released=True)
+        answer = await self.store.transact(
+            [platform.StoredRow(TABLE, PART, LEADER_KEY, released.encode())],
+            (),
+            [platform.StoredRow(TABLE, PART, LEADER_KEY, version=leader.token)],
+        )
+        LOG.info(
+            "tenure_not_started",
+            token=leader.token,
+            released=isinstance(answer, platform.Commit),
+        )
