Merge the leader's side of a planned stop

A leader that stops answers what followers have forwarded and hands over its term within its share of the stop, also on a busy fleet, while it takes over, and with a store that does not answer.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -14,6 +14,7 @@
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _holds
 from baobabdoor.dispatch import _job_requests
+from baobabdoor.dispatch import _release
 from baobabdoor.dispatch import _start_limiter
 from baobabdoor.dispatch import _table_follower
 from baobabdoor.dispatch import _transactions
@@ -85,12 +86,14 @@
         self.wave_runner = _waves.WaveRunner(daemon, self)
         # Accepted jobs whose row cannot be read.
         self.unreadable_jobs: set[str] = set()
+        # Set once the state is loaded, or once the term has ended without it.
         self.loaded = asyncio.Event()
         self.ended = False
         self.plan_requested = asyncio.Event()
         self.tasks: list[asyncio.Task] = []
         self.poller = _holds.WorkerPoller(self)
         self.requests = _job_requests.JobRequests(self)
+        self.term_release = _release.TermRelease(self)
         self.background_tasks: set[asyncio.Task] = set()
 
     def start(self) -> None:
@@ -124,17 +127,17 @@
         )
         for task in [*self.tasks, *self.poller.tasks.values()]:
             task.cancel()
+        self.loaded.set()
+        self.committer.notify_committed()
         self.daemon.observe_term_end(self)
 
-    async def release(self) -> None:
-        """Stores pending changes and releases leadership."""
-        self.committer.releasing = True
-        self.committer.write_requested.set()
-        try:
-            await asyncio.wait_for(self.committer.released.wait(), 2.0)
-        except TimeoutError:
-            LOG.warning("release_late", token=self.leader.token)
-        self.end("released")
+    async def release(self, timeout_s: float) -> None:
+        """Stores pending changes and releases leadership.
+
+        Args:
+            timeout_s: Time in seconds after which the term ends here anyway.
+        """
+        await self.term_release.run(timeout_s)
 
     # Loading the state of earlier terms.
 
@@ -327,7 +330,8 @@
         self.scheduler.wall_ms = time.time() * 1000
 
     async def _plan_loop(self) -> None:
-        while True:
+        # `wait_for` may return instead of being cancelled at the end.
+        while not self.ended:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
                     self.plan_requested.wait(), PLAN_INTERVAL_S
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -169,7 +169,8 @@
 
     async def _release(self) -> None:
         if self.controller is not None:
-            await self.controller.release()
+            left_s = self.shutdown.left_s(self.shutdown.budget.release_s)
+            await self.controller.release(left_s)
 
     def _observe_reload(self) -> None:
         LOG.info("reload_requested", effect="addresses are not reloaded")
