--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -9,6 +9,7 @@
 from baobabdoor import transport
 from baobabdoor.dispatch import _access
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _outcomes
 
 JOB_ID = re.compile(r"[0-9a-f]{16}")
 METHODS = frozenset(("POST", "GET", "DELETE"))
@@ -124,7 +125,7 @@
     def _unknown_queue(self, request: transport.Request) -> transport.Reply:
         if self.daemon.configuration_silence_s() <= CONFIGURATION_STALE_S:
             return transport.Reply(404)
-        outcome = _gateway.Outcome(
+        outcome = _outcomes.Outcome(
             "unavailable", 1, detail="the configuration may be outdated"
         )
         return self._reply(request, "", outcome)
@@ -143,7 +144,7 @@
         self,
         request: transport.Request,
         job_id: str,
-        outcome: _gateway.Outcome,
+        outcome: _outcomes.Outcome,
         customer: str = "",
     ) -> transport.Reply:
         self.daemon.metrics.count(
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -16,6 +16,7 @@
 from baobabdoor.dispatch import _access
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _outcomes
 from baobabdoor.dispatch import _shutdown
 
 # How long a request waits for a leader before it is refused, in seconds: a
@@ -33,65 +34,9 @@
 # to wait for a store that is down.
 REPEAT_READ_TIMEOUT_S = 0.25
 MAX_STORE_SILENCE_S = 1.0
-# Statuses with which the server of a leader refuses a request that has not run
-# and never runs.
-REFUSED_STATUSES = frozenset([503])
-TOO_LARGE_STATUSES = frozenset([413, 431])
 LOG = observability.get_logger("gateway")
 
 
-@attrs.frozen
-class Outcome:
-    """Result of a caller's request.
-
-    Attributes:
-        kind: `accepted`, `rejected`, `refused`, `unknown`, `invalid`,
-            `no-queue`, `no-job`, `state`, `pending`, `unavailable`,
-            `not-holder`, `unauthenticated`, `uncertain` (the key could not be
-            checked) or `forbidden`.
-        retry_after_s: Delay before a retry; 0 for no hint.
-        value: State of the job or number of jobs.
-        detail: Explanation for logs.
-    """
-
-    kind: str
-    retry_after_s: int = 0
-    value: str | int = ""
-    detail: str = ""
-
-
-FORBIDDEN = Outcome("forbidden", detail="the job of another customer")
-UNAVAILABLE = Outcome("unavailable", 1, detail="no holder reached")
-# The process stops before the request had a result.
-NOT_RUN_AT_STOP = Outcome("unavailable", 1, detail="the process stops")
-UNKNOWN_AT_STOP = Outcome("unknown", detail="the process stops")
-
-
-@attrs.define
-class Progress:
-    """How far a caller's request has come.
-
-    Attributes:
-        unanswered: Whether an attempt ended without a result.
-        in_flight: Whether the current attempt may have been sent.
-    """
-
-    unanswered: bool = False
-    in_flight: bool = False
-
-    def permit(self) -> bool:
-        """Observes that an attempt is about to be sent, and permits it."""
-        self.in_flight = True
-        return True
-
-    @property
-    def outcome_at_stop(self) -> Outcome:
-        """What is known of the request when the process has to answer it."""
-        if self.unanswered or self.in_flight:
-            return UNKNOWN_AT_STOP
-        return NOT_RUN_AT_STOP
-
-
 class Gateway:
     """Answers requests locally on the leader, otherwise forwards them.
 
@@ -107,7 +52,7 @@
 
     def refuse_access(
         self, decision: customers.Decision, place: str
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         """Counts a call that is not accepted and returns its outcome.
 
         Args:
@@ -120,15 +65,15 @@
         )
         detail = self.access.describe(decision, place)
         if decision.kind is customers.Kind.UNAUTHENTICATED:
-            return Outcome("unauthenticated", detail=detail)
-        return Outcome("uncertain", 1, detail=detail)
+            return _outcomes.Outcome("unauthenticated", detail=detail)
+        return _outcomes.Outcome("uncertain", 1, detail=detail)
 
-    def _forbid(self, place: str) -> Outcome:
+    def _forbid(self, place: str) -> _outcomes.Outcome:
         self.daemon.metrics.count(
             "access_refusals_total",
             {"reason": "job-of-another-customer", "at": place},
         )
-        return FORBIDDEN
+        return _outcomes.FORBIDDEN
 
     async def submit(
         self,
@@ -137,7 +82,7 @@
         body: bytes,
         timeout_s: float,
         caller: _access.Caller = _access.ANYBODY,
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         """Submits a job; retries while the result is unknown.
 
         Without a leader, a job whose earlier submission is stored is accepted:
@@ -146,14 +91,14 @@
         message = _message(queue, caller, job_id) | {
             "body": body.decode("utf-8", "replace")
         }
-        progress = Progress()
+        progress = _outcomes.Progress()
 
-        async def submit() -> Outcome:
+        async def submit() -> _outcomes.Outcome:
             started_s = platform.boot_time_s()
             outcome = await self._call_with_retry(
                 "submit", message, timeout_s, progress
             )
-            if outcome is not UNAVAILABLE:
+            if outcome is not _outcomes.UNAVAILABLE:
                 return outcome
             left_s = timeout_s - (platform.boot_time_s() - started_s)
             stored = await self._stored_submission(
@@ -169,7 +114,7 @@
         queue: scheduling.Queue,
         timeout_s: float,
         caller: _access.Caller,
-    ) -> Outcome | None:
+    ) -> _outcomes.Outcome | None:
         """Returns the outcome of a submission that the store shows."""
         silence_s = platform.boot_time_s() - self.daemon.store.last_answer_s_
         timeout_s = min(timeout_s, REPEAT_READ_TIMEOUT_S)
@@ -177,8 +122,8 @@
             return None
         outcome = await self._stored_state(job_id, queue, caller, timeout_s)
         if outcome.kind == "state":
-            return Outcome("accepted", detail="found in the store")
-        return outcome if outcome is FORBIDDEN else None
+            return _outcomes.Outcome("accepted", detail="found in the store")
+        return outcome if outcome is _outcomes.FORBIDDEN else None
 
     async def cancel(
         self,
@@ -186,10 +131,10 @@
         queue: scheduling.Queue,
         timeout_s: float,
         caller: _access.Caller = _access.ANYBODY,
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         """Cancels a job."""
         message = _message(queue, caller, job_id)
-        progress = Progress()
+        progress = _outcomes.Progress()
         return await self._answer_in_time(
             lambda: self._call_with_retry(
                 "cancel", message, timeout_s, progress
@@ -203,11 +148,11 @@
         queue: scheduling.Queue,
         timeout_s: float,
         caller: _access.Caller = _access.ANYBODY,
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         """Returns a job's state, from the store if the leader fails."""
         message = _message(queue, caller, job_id)
 
-        async def read() -> Outcome:
+        async def read() -> _outcomes.Outcome:
             outcome = await self._call_leader(
                 "state", message, min(timeout_s, PEER_READ_TIMEOUT_S)
             )
@@ -222,7 +167,7 @@
         queue: scheduling.Queue,
         timeout_s: float,
         caller: _access.Caller = _access.ANYBODY,
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         """Returns the number of jobs of a queue that have not started."""
         message = _message(queue, caller)
         return await self._answer_in_time(
@@ -231,18 +176,18 @@
 
     async def _answer_in_time(
         self,
-        call: Callable[[], Awaitable[Outcome]],
-        progress: Progress | None = None,
-    ) -> Outcome:
+        call: Callable[[], Awaitable[_outcomes.Outcome]],
+        progress: _outcomes.Progress | None = None,
+    ) -> _outcomes.Outcome:
         """Returns a call's outcome, or what is known when answers are due.
 
         Args:
             call: The call.
             progress: How far the call has come. Default: it has no effect.
         """
-        progress = progress or Progress()
+        progress = progress or _outcomes.Progress()
         if self.shutdown.answers_due:
-            return NOT_RUN_AT_STOP
+            return _outcomes.NOT_RUN_AT_STOP
         try:
             async with self.shutdown.limit():
                 return await call()
@@ -254,9 +199,9 @@
         method: str,
         message: dict,
         timeout_s: float,
-        progress: Progress | None = None,
-    ) -> Outcome:
-        progress = progress or Progress()
+        progress: _outcomes.Progress | None = None,
+    ) -> _outcomes.Outcome:
+        progress = progress or _outcomes.Progress()
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         while True:
@@ -277,28 +222,32 @@
                     "unauthenticated",
                     "uncertain",
                 )
-                return Outcome("unknown") if ambiguous else outcome
+                return _outcomes.Outcome("unknown") if ambiguous else outcome
             waited_s = loop.time() - started_s
             if not progress.unanswered and waited_s > LEADER_WAIT_S:
-                return UNAVAILABLE
+                return _outcomes.UNAVAILABLE
             await asyncio.sleep(LEADER_POLL_S)
-        return Outcome("unknown") if progress.unanswered else UNAVAILABLE
+        return (
+            _outcomes.Outcome("unknown")
+            if progress.unanswered
+            else _outcomes.UNAVAILABLE
+        )
 
     async def _call_leader(
         self,
         method: str,
         message: dict,
         timeout_s: float,
-        progress: Progress | None = None,
-    ) -> Outcome:
-        progress = progress or Progress()
+        progress: _outcomes.Progress | None = None,
+    ) -> _outcomes.Outcome:
+        progress = progress or _outcomes.Progress()
         daemon = self.daemon
         if daemon.controller is not None:
             progress.in_flight = True
             return await self.answer(method, message, timeout_s)
         leader = daemon.election.current
         if leader is None or daemon.election.is_self(leader):
-            return UNAVAILABLE
+            return _outcomes.UNAVAILABLE
         message = message | {
             "timeout_s": timeout_s * 0.9,
             "version": daemon.configuration.version,
@@ -312,10 +261,10 @@
             permit=progress.permit,
         )
         if isinstance(answer, transport.Response):
-            return _decode_outcome(answer)
+            return _outcomes.decode_outcome(answer)
         if answer.reason is base.Reason.CONNECTION_FAILED:
-            return UNAVAILABLE
-        return Outcome("unknown", detail=str(answer))
+            return _outcomes.UNAVAILABLE
+        return _outcomes.Outcome("unknown", detail=str(answer))
 
     async def _stored_state(
         self,
@@ -323,7 +272,7 @@
         queue: scheduling.Queue,
         caller: _access.Caller,
         timeout_s: float = STATE_READ_TIMEOUT_S,
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         answer = await self.daemon.store.read(
             _commits.JOBS_TABLE,
             _election.PART,
@@ -332,28 +281,30 @@
             limit=1,
         )
         if isinstance(answer, base.Refusal):
-            return Outcome("unavailable", 1, detail=str(answer))
+            return _outcomes.Outcome("unavailable", 1, detail=str(answer))
         for row in answer.rows:
             if row.key == job_id:
                 return self._decode_state(row, queue, caller)
-        return Outcome("no-job")
+        return _outcomes.Outcome("no-job")
 
     def _decode_state(
         self,
         row: platform.StoredRow,
         queue: scheduling.Queue,
         caller: _access.Caller,
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         try:
             job = scheduling.decode_job(row.key, row.value, row.version)
         except Exception as error:
             self.daemon.faults.observe_row("job_row_ignored", row, error, "job")
-            return Outcome("unavailable", 1, detail="the row is unreadable")
+            return _outcomes.Outcome(
+                "unavailable", 1, detail="the row is unreadable"
+            )
         if not job.submitted:
-            return Outcome("no-job")
+            return _outcomes.Outcome("no-job")
         if not _may_access(caller.decision, job, queue.name):
             return self._forbid("entry")
-        return Outcome("state", value=job.state.value)
+        return _outcomes.Outcome("state", value=job.state.value)
 
     async def serve(self, request: transport.Request) -> transport.Reply:
         """Handles a request from another daemon."""
@@ -362,24 +313,24 @@
         timeout_s = message.get("timeout_s", PEER_TIMEOUT_S)
         await self.daemon.refresher.refresh(message.get("version", 0))
         if self.daemon.controller is None:
-            outcome = Outcome("not-holder")
+            outcome = _outcomes.Outcome("not-holder")
         else:
             outcome = await self.answer(method, message, timeout_s)
         return transport.Reply(200, json.dumps(attrs.asdict(outcome)).encode())
 
     async def answer(
         self, method: str, message: dict, timeout_s: float
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         """Handles a request as the leader."""
         controller = self.daemon.controller
         started_s = platform.boot_time_s()
         try:
             await asyncio.wait_for(controller.loaded.wait(), timeout_s)
         except TimeoutError:
-            return UNAVAILABLE
+            return _outcomes.UNAVAILABLE
         timeout_s -= platform.boot_time_s() - started_s
         if self.daemon.controller is not controller or controller.ended:
-            return Outcome("not-holder")
+            return _outcomes.Outcome("not-holder")
         queue = self.daemon.configuration.queues.get(message["queue"])
         if queue is not None:
             refusal, customer = self._authorize(controller, queue, message)
@@ -388,14 +339,16 @@
             message = message | {"customer": customer}
         if message.get("job") in controller.unreadable_jobs:
             # The job was accepted, and some of its tasks may have run.
-            return Outcome("unknown", detail="the row of the job is unreadable")
+            return _outcomes.Outcome(
+                "unknown", detail="the row of the job is unreadable"
+            )
         if queue is None:
             return self._unknown_queue(message)
         return await self._carry_out(controller, method, message, timeout_s)
 
     def _authorize(
         self, controller, queue: scheduling.Queue, message: dict
-    ) -> tuple[Outcome | None, str]:
+    ) -> tuple[_outcomes.Outcome | None, str]:
         """Returns why a call is refused, if it is, and its customer."""
         decision = self.access.check_message(queue, message)
         if not decision.allowed:
@@ -407,7 +360,7 @@
 
     async def _carry_out(
         self, controller, method: str, message: dict, timeout_s: float
-    ) -> Outcome:
+    ) -> _outcomes.Outcome:
         if method == "submit":
             return await self._submit(controller, message, timeout_s)
         if method == "cancel":
@@ -416,18 +369,20 @@
             return self._state(controller, message)
         if method == "pending":
             if not controller.knows_all_jobs():
-                return UNAVAILABLE
+                return _outcomes.UNAVAILABLE
             count = controller.scheduler.pending(message["queue"])
-            return Outcome("pending", value=count)
-        return Outcome("invalid", detail=f"unknown verb {method}")
+            return _outcomes.Outcome("pending", value=count)
+        return _outcomes.Outcome("invalid", detail=f"unknown verb {method}")
 
-    def _unknown_queue(self, message: dict) -> Outcome:
+    def _unknown_queue(self, message: dict) -> _outcomes.Outcome:
         if message.get("version", 0) > self.daemon.version:
             detail = "the holder's configuration is older"
-            return Outcome("unavailable", 1, detail=detail)
-        return Outcome("no-queue")
+            return _outcomes.Outcome("unavailable", 1, detail=detail)
+        return _outcomes.Outcome("no-queue")
 
-    async def _submit(self, controller, message, timeout_s) -> Outcome:
+    async def _submit(
+        self, controller, message, timeout_s
+    ) -> _outcomes.Outcome:
         job = controller.scheduler.jobs.get(message["job"])
         if job is not None and job.submitted:
             spec = job.spec
@@ -437,44 +392,52 @@
                     message["job"], message["queue"], message["body"].encode()
                 )
             except platform.MessageError as error:
-                return Outcome("invalid", detail=str(error))
+                return _outcomes.Outcome("invalid", detail=str(error))
             spec = attrs.evolve(spec, customer=message.get("customer", ""))
         result = await controller.submit(spec, timeout_s)
         if result is None:
-            return Outcome("accepted")
+            return _outcomes.Outcome("accepted")
         if isinstance(result, scheduling.Rejection):
             # Above its customer's maximum or too late, but well formed.
             rejected = (
                 result.retry_after_s or result.over_quota or result.hopeless
             )
             kind = "rejected" if rejected else "invalid"
-            return Outcome(kind, result.retry_after_s, detail=result.reason)
-        return _refusal_outcome(result)
+            return _outcomes.Outcome(
+                kind, result.retry_after_s, detail=result.reason
+            )
+        return _outcomes.outcome_of_refusal(result)
 
-    async def _cancel(self, controller, message, timeout_s) -> Outcome:
+    async def _cancel(
+        self, controller, message, timeout_s
+    ) -> _outcomes.Outcome:
         job = controller.scheduler.jobs.get(message["job"])
         ended = f"already {job.state.value}" if job and job.final else ""
         result = await controller.cancel(
             message["job"], message["queue"], timeout_s
         )
         if result is None:
-            return Outcome("accepted", detail=ended)
+            return _outcomes.Outcome("accepted", detail=ended)
         if result.reason is base.Reason.NOT_FOUND:
-            return Outcome("no-job", detail=controller.describe_term())
-        return _refusal_outcome(result)
+            return _outcomes.Outcome(
+                "no-job", detail=controller.describe_term()
+            )
+        return _outcomes.outcome_of_refusal(result)
 
-    def _state(self, controller, message) -> Outcome:
+    def _state(self, controller, message) -> _outcomes.Outcome:
         job = controller.find_job(message["job"])
         if job is None:
             # Another leader may have accepted it.
             if not controller.knows_all_jobs():
-                return UNAVAILABLE
-            return Outcome("no-job", detail=controller.describe_term())
+                return _outcomes.UNAVAILABLE
+            return _outcomes.Outcome(
+                "no-job", detail=controller.describe_term()
+            )
         state = controller.scheduler.visible_state(job)
         is_final = state in scheduling.FINAL_STATES
         if not is_final and not controller.knows_state(job):
-            return UNAVAILABLE
-        return Outcome("state", value=state.value)
+            return _outcomes.UNAVAILABLE
+        return _outcomes.Outcome("state", value=state.value)
 
 
 def _message(
@@ -494,33 +457,3 @@
 ) -> bool:
     same_queue = job.spec.queue == queue
     return customers.may_access(decision, job.spec.customer, same_queue)
-
-
-def _decode_outcome(response: transport.Response) -> Outcome:
-    """Returns the outcome in a leader's response.
-
-    A leader that fails while it handles a request may have carried it out, so
-    any other response means that the result is unknown.
-    """
-    if response.status in REFUSED_STATUSES:
-        return UNAVAILABLE
-    if response.status in TOO_LARGE_STATUSES:
-        return Outcome("invalid", detail="too large for the holder")
-    if response.status != 200:
-        return Outcome("unknown", detail=f"status {response.status}")
-    try:
-        return Outcome(**json.loads(response.body))
-    except (RecursionError, TypeError, ValueError) as error:
-        LOG.warning("peer_answer_unreadable", error=str(error))
-        return Outcome("unknown", detail=str(error))
-
-
-def _refusal_outcome(refusal: base.Refusal) -> Outcome:
-    if refusal.reason is base.Reason.NOT_HOLDER:
-        return Outcome("not-holder")
-    if refusal.reason in (
-        base.Reason.PLATFORM_UNAVAILABLE,
-        base.Reason.QUEUE_FULL,
-    ):
-        return Outcome("refused", 1, detail=str(refusal))
-    return Outcome("unknown", detail=str(refusal))
--- a/tests/test_dispatch_access.py
+++ b/tests/test_dispatch_access.py
@@ -21,6 +21,7 @@
 from baobabdoor.dispatch import _daemon
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _outcomes
 from baobabdoor.platform import _settings
 
 JOB = "00000000000000e1"
@@ -271,7 +272,7 @@
             answers = ["unknown", "unauthenticated"]
 
             async def call_leader(*_):
-                return _gateway.Outcome(answers.pop(0))
+                return _outcomes.Outcome(answers.pop(0))
 
             service.handler.gateway._call_leader = call_leader
             assert await service.call("POST", CLUB) == 504
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -26,6 +26,7 @@
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _outcomes
 from baobabdoor.scheduling import _job
 from baobabdoor.standin import _row_store
 
@@ -88,16 +89,16 @@
 class TestSubmit:
 
     def test_answer_of_the_leader_is_passed_on(self):
-        follower = Follower(_gateway.Outcome("accepted"))
+        follower = Follower(_outcomes.Outcome("accepted"))
         assert follower.submit().kind == "accepted"
         assert follower.client.sent[0][:2] == ("b:1", "/v1/submit")
 
     def test_unanswered_request_is_retried(self):
-        follower = Follower(unanswered(), _gateway.Outcome("accepted"))
+        follower = Follower(unanswered(), _outcomes.Outcome("accepted"))
         assert follower.submit().kind == "accepted"
 
     def test_no_refusal_after_a_request_that_may_have_arrived(self):
-        follower = Follower(unanswered(), _gateway.Outcome("rejected", 1))
+        follower = Follower(unanswered(), _outcomes.Outcome("rejected", 1))
         assert follower.submit().kind == "unknown"
 
     @pytest.mark.parametrize(
--- a/tests/test_dispatch_shutdown.py
+++ b/tests/test_dispatch_shutdown.py
@@ -7,6 +7,7 @@
 
 from baobabdoor import base
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _outcomes
 from baobabdoor.dispatch import _shutdown
 
 
@@ -32,7 +33,7 @@
         self.gateway = _gateway.Gateway(self.gateway.daemon, self.shutdown)
         self.gateway.daemon.client = HangingClient(sends)
 
-    def call(self, method: str, *arguments) -> _gateway.Outcome:
+    def call(self, method: str, *arguments) -> _outcomes.Outcome:
         """Returns the outcome of a call once answers are due."""
         queue = test_dispatch_gateway.QUEUE
 
