Reset requests that cross the close of an idle connection

Idle connections were half-closed and read for 0.5 s more, so that a request that crossed the close was read and discarded; its client could not tell it from one that was cut off. They are now closed at once: the kernel resets what arrives later.

test_request_that_crosses_the_close_is_reset fails before (DID NOT RAISE) and passes now; 116 tests of transport and planned stops pass.

--- a/baobabdoor/transport/_drain.py
+++ b/baobabdoor/transport/_drain.py
@@ -160,7 +160,9 @@
                 and self._open_phase(stream) is None
                 and self._age_s(stream) >= FRESH_S
             ):
-                self._close(stream)
+                # Not half-closed: a request that crosses the close is to be
+                # reset, which tells its client that it was not read.
+                self.listener.close(stream, "stop")
 
     def _close_headers(self) -> None:
         """Closes connections whose header has been incomplete for long."""
@@ -170,12 +172,7 @@
                 and self._age_s(stream) >= FRESH_S
                 and not _received_bytes(stream)
             ):
-                stream.unfinished = True
-                self._close(stream)
-
-    def _close(self, stream: _connections.Stream) -> None:
-        stream.lingers = True
-        self.listener.close(stream, "stop")
+                self.listener.close(stream, "stop")
 
 
 def _received_bytes(stream: _connections.Stream) -> bool:
--- a/tests/test_transport_drain.py
+++ b/tests/test_transport_drain.py
@@ -255,6 +255,25 @@
 
         drains.run(scenario)
 
+    def test_request_that_crosses_the_close_is_reset(self):
+        """It was read and discarded, which looks like a request cut off."""
+
+        async def scenario(server, connect, handler):
+            loop = asyncio.get_running_loop()
+            sock = connect.socket()
+            sock.setblocking(False)
+            await loop.sock_sendall(sock, drains.GET)
+            assert await loop.sock_recv(sock, 4096)
+            server.stop()
+            assert await loop.sock_recv(sock, 4096) == b""
+            await loop.sock_sendall(sock, drains.GET)
+            with pytest.raises(BrokenPipeError):
+                await loop.sock_sendall(sock, drains.GET)
+            sock.close()
+            assert handler.paths == ["/a"]
+
+        drains.run(scenario)
+
     def test_connections_in_the_backlog_are_answered(self):
         async def scenario(server, connect, handler):
             connections = []
