--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -228,7 +228,8 @@
                 and now_s - usage.since_s >= FRESH_S
                 and not _has_received(stream)
             ):
-                stream.lingers = True
+                # Not half-closed: a request that crosses the close is to be
+                # reset, which tells its client that it was not read.
                 self.listener.close(stream, "stop")
 
     @property
