--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -44,8 +44,8 @@
 # Time that the platform's store takes for each call.
 STORE_LATENCY_S = 0.004
 # Ended jobs in the store, which each new leader reads: those that a queue with
-# 33 submissions a second keeps for `status_s` of 120 s.
-KEPT_JOBS = 4000
+# 160 submissions a second keeps for `status_s` of 120 s.
+KEPT_JOBS = 19_200
 # Connections to each stopping daemon that are opened before SIGTERM and carry
 # one request each, and the share of submissions among these. Requests are sent
 # one after the other until the process is gone.
--- a/tests/soak_store.py
+++ b/tests/soak_store.py
@@ -1,5 +1,6 @@
 """Row store of the simulated platform of soak tests."""
 
+import bisect
 import json
 
 from baobabdoor import platform
@@ -13,6 +14,8 @@
         super().__init__()
         self.removed_versions: dict[tuple[str, str, str], int] = {}
         self.history_start = 0
+        # Sorted keys of each part of a table: queues may keep many jobs.
+        self.keys: dict[tuple[str, str], list[str]] = {}
         # Version of the last change of each table.
         self.table_versions: dict[str, int] = {}
 
@@ -23,12 +26,23 @@
                 self.table_versions[row.table] = self.version
             for row in puts:
                 self.removed_versions.pop((row.table, row.part, row.key), None)
+                self._index(row, exists=True)
             for row in removes:
+                self._index(row, exists=False)
                 self.removed_versions[row.table, row.part, row.key] = (
                     self.version
                 )
         return result
 
+    def _index(self, row: platform.StoredRow, exists: bool) -> None:
+        keys = self.keys.setdefault((row.table, row.part), [])
+        place = bisect.bisect_left(keys, row.key)
+        found = keys[place : place + 1] == [row.key]
+        if exists and not found:
+            keys.insert(place, row.key)
+        elif found and not exists:
+            del keys[place]
+
     def write(self, table: str, key: str, content: dict) -> None:
         """Writes a row on behalf of the operator or a worker."""
         self.write_bytes(table, key, json.dumps(content).encode())
@@ -44,24 +58,29 @@
     async def read(self, table, part="", start="", timeout_s=1.0, limit=500):
         """Returns a page of the rows of a part, starting at a key."""
         del timeout_s
-        keys = sorted(
-            key
-            for key in self.rows
-            if key[:2] == (table, part) and key[2] >= start
+        keys = self.keys.get((table, part), [])
+        first = bisect.bisect_left(keys, start)
+        # Tests may have removed rows.
+        rows = tuple(
+            row
+            for key in keys[first : first + limit]
+            if (row := self.rows.get((table, part, key)))
         )
-        rows = tuple(self.rows[key] for key in keys[:limit])
-        more = len(keys) > limit
+        more = len(keys) > first + limit
         return platform.RowSet(rows, self.version, self.time_ms, more)
 
     def changes(self, table: str, after: int) -> list[platform.StoredRow]:
         """Returns the rows of a table changed after a version, in order."""
-        # Waiting feeds ask often, and a table may have thousands of rows.
+        # Waiting feeds ask often.
         if self.table_versions.get(table, 0) <= after:
             return []
         rows = [
             row
-            for key, row in self.rows.items()
-            if key[0] == table and row.version > after
+            for (name, part), keys in self.keys.items()
+            if name == table
+            for key in keys
+            if (row := self.rows.get((table, part, key)))
+            and row.version > after
         ]
         rows += [
             platform.StoredRow(*key, version=version, removed=True)
