--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: run test format check fuzz soak properties
+.PHONY: run test format check fuzz soak soak-stops properties
 
 $(VENV)/.installed: pyproject.toml
 	python3 -m venv $(VENV)
@@ -32,6 +32,10 @@
 soak: $(VENV)/.installed
 	$(BIN)/python tests/soak.py --seeds 50 --parallel 2
 
+# Stops daemon processes in series while callers use open connections.
+soak-stops: $(VENV)/.installed
+	$(BIN)/python tests/soak.py --stops --seeds 50 --parallel 2
+
 # Lists each property with the injected faults that it detects.
 properties: $(VENV)/.installed
 	$(BIN)/python -m pytest -n 4 -v -k "planted or variant or property_rejects" tests
--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -152,12 +152,16 @@
     def __init__(self):
         now_s = time.monotonic()
         self.ticks_s = collections.deque([now_s, now_s], maxlen=2)
+        # Longest time between two iterations.
+        self.longest_s = 0.0
 
     async def run(self) -> None:
         """Records the iterations of the event loop until it is cancelled."""
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
-            self.ticks_s.append(time.monotonic())
+            now_s = time.monotonic()
+            self.longest_s = max(self.longest_s, now_s - self.ticks_s[-1])
+            self.ticks_s.append(now_s)
 
     def earliest_s(self) -> float:
         """Returns a time before which no event noticed now has happened.
@@ -529,6 +533,7 @@
             lines.append(
                 f"time from SIGTERM to the end of a process: "
                 f"{min(self.stop_times_s):.2f} to "
-                f"{max(self.stop_times_s):.2f} s"
+                f"{max(self.stop_times_s):.2f} s, longest iteration of the "
+                f"callers {self.loop_watch.longest_s:.2f} s"
             )
         return "\n".join(lines)
