--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -12,10 +12,9 @@
 import signal
 import time
 
-import attrs
 import soak_callers
-import soak_oracle
 import soak_platform
+import soak_stop_records
 
 from baobabdoor import platform
 from baobabdoor import scheduling
@@ -67,111 +66,9 @@
 SUBMIT_SHARE = 0.25
 CANCEL_SHARE = 0.07
 PENDING_SHARE = 0.1
-TICK_INTERVAL_S = 0.01
 POLL_INTERVAL_S = 0.02
 
 
-@attrs.frozen
-class CutRequest:
-    """A request whose connection ended without a complete response.
-
-    Attributes:
-        method: Its method.
-        path: Its path.
-        daemon: Daemon to which it was sent.
-        sent_s: Time at which its last byte was sent.
-        ended_s: Earliest time at which the connection may have ended.
-        deadline_s: Time for its response, from `sent_s`.
-        stopped_s: Time of the last SIGTERM of the daemon; minus infinity if
-            there was none.
-    """
-
-    method: str
-    path: str
-    daemon: int
-    sent_s: float
-    ended_s: float
-    deadline_s: float
-    stopped_s: float = -math.inf
-
-    def is_lost(self) -> bool:
-        """Returns whether the rule LOST is violated.
-
-        It is not if the request may have been sent when the process exited, or
-        if its deadline was reached.
-        """
-        age_s = self.ended_s - self.sent_s
-        return soak_oracle.LOSS_SLACK_S < age_s < self.deadline_s
-
-    def describe(self) -> str:
-        """Returns what happened."""
-        return (
-            f"{self.method} {self.path} at daemon {self.daemon}, sent "
-            f"{self.sent_s - self.stopped_s:.2f} s after SIGTERM, was cut "
-            f"{self.ended_s - self.sent_s:.2f} s later"
-        )
-
-
-@attrs.define
-class Series:
-    """What callers saw from the start of a series of stops to its end.
-
-    Attributes:
-        stops: Number of stops.
-        outcomes: Requests by status, or by error without a response. Failed
-            connections are no requests.
-        lost: Number of requests that violate the rule LOST.
-        most_pending: Most requests without a response at one stopping daemon.
-        longest_wait_s: Longest time to a response.
-    """
-
-    stops: int = 0
-    outcomes: collections.Counter = attrs.field(factory=collections.Counter)
-    lost: int = 0
-    most_pending: int = 0
-    longest_wait_s: float = 0.0
-
-    @property
-    def failed(self) -> int:
-        """Requests whose caller does not know the result."""
-        return sum(self.outcomes[kind] for kind in (504, "cut", "timeout"))
-
-    @property
-    def refused(self) -> int:
-        """Requests that were refused as not run."""
-        return self.outcomes[503] + self.outcomes[429]
-
-
-class LoopWatch:
-    """Bounds the delay with which the event loop has noticed an event.
-
-    The process also runs the simulated platform, so that callers may notice the
-    end of a connection late.
-    """
-
-    def __init__(self):
-        now_s = time.monotonic()
-        self.ticks_s = collections.deque([now_s, now_s], maxlen=2)
-        # Longest time between two iterations.
-        self.longest_s = 0.0
-
-    async def run(self) -> None:
-        """Records the iterations of the event loop until it is cancelled."""
-        while True:
-            await asyncio.sleep(TICK_INTERVAL_S)
-            now_s = time.monotonic()
-            self.longest_s = max(self.longest_s, now_s - self.ticks_s[-1])
-            self.ticks_s.append(now_s)
-
-    def earliest_s(self) -> float:
-        """Returns a time before which no event noticed now has happened.
-
-        The loop has looked for events since then, and after the last tick
-        another event may have delayed it.
-        """
-        return self.ticks_s[0]
-
-
 class StopSeries:
     """Part of `soak.StopSoak`: planned stops instead of faults."""
 
@@ -183,9 +80,11 @@
         self.simulator.store_latency_s = STORE_LATENCY_S
         self.deadline_random = random.Random(f"{seed}-deadlines")
         self.held_random = random.Random(f"{seed}-held")
-        self.loop_watch = LoopWatch()
-        self.series: list[Series] = [Series()]
-        self.cut_requests: list[CutRequest] = []
+        self.loop_watch = soak_stop_records.LoopWatch()
+        self.series: list[soak_stop_records.Series] = [
+            soak_stop_records.Series()
+        ]
+        self.cut_requests: list[soak_stop_records.CutRequest] = []
         # Requests without a response by daemon.
         self.pending: collections.Counter = collections.Counter()
         # Times until which callers avoid daemons.
@@ -263,7 +162,7 @@
 
     async def _run_series(self) -> None:
         await self._open_connections()
-        self.series.append(Series())
+        self.series.append(soak_stop_records.Series())
         self._log(f"series of {STOPS} stops, leader {self._leader()}")
         order = list(range(self.daemon_count))
         self.random.shuffle(order)
@@ -494,7 +393,7 @@
             series.longest_wait_s = max(series.longest_wait_s, wait_s)
         if outcome == "cut":
             self._observe_cut(
-                CutRequest(
+                soak_stop_records.CutRequest(
                     method,
                     soak_platform.PREFIX + job_id,
                     number,
@@ -507,7 +406,11 @@
             )
         return status, content | {"daemon": number}
 
-    def _observe_cut(self, request: CutRequest, series: Series) -> None:
+    def _observe_cut(
+        self,
+        request: soak_stop_records.CutRequest,
+        series: soak_stop_records.Series,
+    ) -> None:
         self.cut_requests.append(request)
         series.lost += request.is_lost()
 
--- a/tests/test_soak_stops.py
+++ b/tests/test_soak_stops.py
@@ -15,6 +15,7 @@
 import soak_callers
 import soak_oracle
 import soak_platform
+import soak_stop_records
 import soak_stops
 
 SEED = 1002
@@ -55,7 +56,7 @@
     """A request that is cut is lost, unless the rule LOST excuses it."""
 
     def make(self, cut_after_s, **changes):
-        request = soak_stops.CutRequest(
+        request = soak_stop_records.CutRequest(
             "POST", "/race/", 0, SENT_S, SENT_S + cut_after_s, 3.0
         )
         return attrs.evolve(request, **changes)
@@ -251,9 +252,9 @@
 
     def test_a_delay_of_the_loop_is_not_taken_for_a_wait(self):
         async def scenario():
-            loop_watch = soak_stops.LoopWatch()
+            loop_watch = soak_stop_records.LoopWatch()
             watch = asyncio.ensure_future(loop_watch.run())
-            await asyncio.sleep(5 * soak_stops.TICK_INTERVAL_S)
+            await asyncio.sleep(5 * soak_stop_records.TICK_INTERVAL_S)
             before_s = time.monotonic()
             time.sleep(2 * soak_oracle.LOSS_SLACK_S)
             earliest_s = loop_watch.earliest_s()
