--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -11,6 +11,7 @@
 from tornado import netutil
 
 from baobabdoor.transport import _chunk_pacer
+from baobabdoor.transport import _lingering
 from baobabdoor.transport import _memory_budget
 from baobabdoor.transport import _types
 
@@ -28,10 +29,9 @@
 BUFFER_FACTOR = 1.125
 # Interval in which overdue connections are looked for.
 SWEEP_INTERVAL_S = 0.25
-# A connection that is closed while its client still sends is read for this time
-# so that the client gets the reply: a reset would discard it.
-LINGER_S = 0.5
-# Maximum number of such connections of a server; others are reset.
+# Maximum number of connections that linger unless the server drains; others are
+# closed at once, which resets those whose client still sends. A crowd could
+# otherwise hold twice as many connections as are allowed.
 MAX_LINGERING = 16
 # Tornado requires a maximum size of bodies; `_exchange` enforces the limit.
 UNLIMITED = 2**62
@@ -43,16 +43,25 @@
     Args:
         sock: Accepted socket.
         listener: Server side of the connection.
+        address: Address of the client. Default: unknown.
     """
 
-    def __init__(self, sock: socket.socket, listener: "Listener"):
+    def __init__(
+        self,
+        sock: socket.socket,
+        listener: "Listener",
+        address: tuple = ("", 0),
+    ):
         super().__init__(
             sock,
             max_buffer_size=2 * _types.MAX_HEADER_BYTES + 2 * CHUNK_BYTES,
             read_chunk_size=listener.chunk_bytes,
         )
         self.listener = listener
+        self.address = address
         self.lingers = False
+        # Whether it is closed before its request has been read in whole.
+        self.unfinished = False
         self.exchange_ = None
         self.chunks_ = 0
         # Memory of the decoded header of the request, and size of its body as
@@ -65,6 +74,11 @@
         """Number of bytes that were received and not yet read."""
         return self._read_buffer_size
 
+    @property
+    def peer(self) -> str:
+        """Address of the client as `ip:port`."""
+        return f"{self.address[0]}:{self.address[1]}"
+
     def discard(self) -> None:
         """Discards bytes that were received and not yet read.
 
@@ -119,6 +133,7 @@
         if too_large and not self.closed():
             self.listener.count_closed("header-size")
             self.lingers = True
+            self.unfinished = True
             reply = _types.encode_reply(_types.Reply(431), closing=True)
             with contextlib.suppress(OSError):
                 self.socket.send(reply)
@@ -126,7 +141,7 @@
 
     def close_fd(self) -> None:
         """Closes the socket, at once or after its client has read a reply."""
-        if self.lingers and self.listener.linger(self.socket):
+        if self.lingers and self.listener.linger(self):
             self.socket = None
             return
         super().close_fd()
@@ -173,8 +188,9 @@
         self.loop_: asyncio.AbstractEventLoop | None = None
         self.sockets_: list[socket.socket] = []
         self.remove_handlers_: list[Callable[[], None]] = []
-        self.lingering_: set[socket.socket] = set()
-        self.discarded_ = bytearray(CHUNK_BYTES)
+        self.lingering = _lingering.Lingering()
+        # Whether connections are closed since the process is about to end.
+        self.draining = False
         self.sweeps_ = False
 
     def start(self, host: str, port: int) -> None:
@@ -224,8 +240,9 @@
                 sock.close()
                 return
             self.close(stream, "connections")
-        stream = Stream(sock, self)
+        stream = Stream(sock, self, address)
         self.budget.open(stream, self.now_s())
+        self.lingering.end_oldest(self._max_lingering())
         self._schedule_sweep()
         connection = http1connection.HTTP1ServerConnection(
             stream, self.parameters, address
@@ -269,6 +286,9 @@
 
     def observe_received(self, stream: Stream, count: int) -> None:
         """Accounts for bytes that were received and are not read yet."""
+        if stream.lingers:
+            # They are discarded.
+            return
         phase = self.budget.phase(stream)
         if phase is _memory_budget.Phase.IDLE:
             phase = _memory_budget.Phase.HEADER
@@ -379,33 +399,19 @@
         if self.budget.usages_:
             self._schedule_sweep()
 
-    # Connections that are read until their client has got a reply.
+    def linger(self, stream: Stream) -> bool:
+        """Closes the socket of a stream later; returns whether it is.
 
-    def linger(self, sock: socket.socket) -> bool:
-        """Closes a socket later; returns whether that is possible."""
-        if len(self.lingering_) >= MAX_LINGERING:
-            return False
-        try:
-            sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            return False
-        self.lingering_.add(sock)
-        self.loop_.add_reader(sock, self._discard, sock)
-        self.loop_.call_later(LINGER_S, self._end_linger, sock)
-        return True
-
-    def _discard(self, sock: socket.socket) -> None:
-        try:
-            if sock.recv_into(self.discarded_):
-                return
-        except BlockingIOError:
-            return
-        except OSError:
-            pass
-        self._end_linger(sock)
-
-    def _end_linger(self, sock: socket.socket) -> None:
-        if sock in self.lingering_:
-            self.lingering_.remove(sock)
-            self.loop_.remove_reader(sock)
-            sock.close()
+        A server that drains replaces open connections by lingering ones, which
+        hold less memory, so that both stay within the bound of connections.
+        """
+        # The stream may still count as open.
+        max_count = self._max_lingering() + (stream in self.budget.usages_)
+        return self.lingering.add(stream.socket, stream.unfinished, max_count)
+
+    def _max_lingering(self) -> int:
+        """Returns the maximum number of lingering connections."""
+        if not self.draining:
+            return MAX_LINGERING
+        open_count = len(self.budget.usages_)
+        return max(MAX_LINGERING, self.budget.bounds.connections - open_count)
