--- /dev/null
+++ b/tests/test_dispatch_stop_faults.py
@@ -0,0 +1,160 @@
+"""Tests of requests that a planned stop may still cut off."""
+
+import asyncio
+import types
+
+import drains
+import pytest
+import test_dispatch_election
+import test_dispatch_gateway
+
+from baobabdoor import base
+from baobabdoor import transport
+from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _refresh
+from baobabdoor.dispatch import _shutdown
+from baobabdoor.standin import _row_store
+from baobabdoor.transport import _client
+from baobabdoor.transport import _drain
+from baobabdoor.transport import _memory_budget
+
+
+async def _hang():
+    await asyncio.Event().wait()
+
+
+class TestPeerRequests:
+
+    def test_forwarded_request_does_not_wait_behind_the_end(self):
+        """A read of the configuration outlasted the process."""
+        follower = test_dispatch_gateway.Follower()
+        gateway = follower.gateway
+        gateway.daemon.refresher = _refresh.Refresher(lambda: 1, _hang)
+        gateway.shutdown.answers_due = True
+        request = transport.Request(
+            "POST", "/v1/submit", "h", {}, b'{"version": 2, "queue": "q"}'
+        )
+
+        async def scenario():
+            reply = await asyncio.wait_for(gateway.serve(request), 2.0)
+            assert b"not-holder" in reply.body
+
+        asyncio.run(scenario())
+
+
+class TestIdleConnections:
+
+    def test_request_that_crosses_the_close_is_reset(self):
+        """A request was read, discarded and ended like a cut answer."""
+
+        async def scenario(server, connect, handler):
+            connection = await connect(used=True)
+            await asyncio.sleep(_drain.FRESH_S + 0.1)
+            server.start_draining()
+            server.stop_accepting()
+            # Sent before its client has got the close.
+            sock = connection.writer.get_extra_info("socket").dup()
+            sock.setblocking(False)
+            sock.send(drains.GET)
+            with pytest.raises(ConnectionError):
+                async with asyncio.timeout(3):
+                    while True:
+                        await asyncio.sleep(0.05)
+                        sock.send(b"")
+                        error = sock.getsockopt(1, 4)
+                        if error:
+                            raise ConnectionResetError(error)
+
+        drains.run(scenario)
+
+
+class TestFullServer:
+
+    def test_new_connection_does_not_cut_a_reply_of_a_draining_server(self):
+        """A reply under way was evicted in favour of a new connection."""
+
+        async def scenario(server, connect, handler):
+            reader = await connect(drains.GET, receive_buffer_bytes=4096)
+            reader.reader._transport.pause_reading()
+            await drains.until_phase(server, "writing")
+            server.start_draining()
+            others = [await connect(drains.CHUNKED) for _ in range(7)]
+            del others
+            await drains.until_phase(server, "body", 7)
+            await connect()
+            await asyncio.sleep(0.2)
+            server.stop_accepting()
+            reader.reader._transport.resume_reading()
+            status, _, body = await reader.reply()
+            assert status == 200
+            assert len(body) == drains.LARGE
+
+        drains.run(
+            scenario,
+            b"x" * drains.LARGE,
+            bounds=_memory_budget.Bounds(100_000_000, 8, 50_000_000),
+        )
+
+
+class TestManyForwardedRequests:
+
+    def test_requests_that_wait_for_a_connection_to_the_leader_end(self):
+        """`wait_for` lost cancels while others gave back their connections."""
+
+        async def scenario():
+            async def hang(reader, writer):
+                await reader.read()
+                writer.close()
+
+            silent = await asyncio.start_server(hang, "127.0.0.1", 0)
+            host, port = silent.sockets[0].getsockname()
+            follower = test_dispatch_gateway.Follower()
+            daemon = follower.gateway.daemon
+            daemon.client = transport.Client()
+            daemon.election = types.SimpleNamespace(
+                current=types.SimpleNamespace(address=f"{host}:{port}"),
+                is_self=lambda leader: False,
+            )
+            timers = base.VirtualTimerService()
+            shutdown = _shutdown.Shutdown(6.0, timers)
+            gateway = _gateway.Gateway(daemon, shutdown)
+            calls = [
+                asyncio.ensure_future(
+                    gateway.submit(
+                        f"{number:016x}",
+                        test_dispatch_gateway.QUEUE,
+                        b"{}",
+                        3600.0,
+                    )
+                )
+                for number in range(3 * _client.MAX_CONNECTIONS)
+            ]
+            await asyncio.sleep(0.3)
+            shutdown.begin()
+            timers.advance(shutdown.budget.answer_s)
+            _, late = await asyncio.wait(calls, timeout=0.3)
+            for call in late:
+                call.cancel()
+            silent.close()
+            assert not late, f"{len(late)} of {len(calls)} are not answered"
+
+        asyncio.run(scenario())
+
+
+class TestCampaign:
+
+    def test_a_stopping_process_does_not_become_the_leader(self):
+        """A campaign under way took a term that could not be started."""
+
+        async def scenario():
+            store = _row_store.MemoryRowStore()
+            candidate = test_dispatch_election.Candidate(store, "a")
+            answer = await store.read_all(_election.TABLE, _election.PART)
+            candidate.election._observe((), answer, True)
+            await asyncio.sleep(0)
+            candidate.eligible = False
+            await candidate.election.writing
+            assert not store.rows
+
+        asyncio.run(scenario())
