--- a/baobabdoor/dispatch/_commits.py
+++ b/baobabdoor/dispatch/_commits.py
@@ -130,7 +130,9 @@
     async def wait_committed(self, timeout_s: float) -> None:
         """Waits for the next confirmed transaction or the end of the term."""
         try:
-            await asyncio.wait_for(self.committed.wait(), timeout_s)
+            # `wait_for` of Python 3.11 may lose a cancel.
+            async with asyncio.timeout(timeout_s):
+                await self.committed.wait()
         except TimeoutError:
             return
 
--- a/baobabdoor/dispatch/_election.py
+++ b/baobabdoor/dispatch/_election.py
@@ -280,7 +280,8 @@
                 self.campaign_delay_s
                 + CAMPAIGN_JITTER_S * (rank + random.random()) / 2
             )
-            if self._versions() == versions:
+            # The process may have been told to stop during the pause.
+            if self._versions() == versions and self.eligible():
                 await self._acquire(age_ms)
         finally:
             self.campaigning = False
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -360,11 +360,15 @@
         method = request.path.removeprefix("/v1/")
         message = json.loads(request.body)
         timeout_s = message.get("timeout_s", PEER_TIMEOUT_S)
-        await self.daemon.refresher.refresh(message.get("version", 0))
-        if self.daemon.controller is None:
-            outcome = Outcome("not-holder")
+        try:
+            async with self.shutdown.limit():
+                await self.daemon.refresher.refresh(message.get("version", 0))
+        except TimeoutError:
+            outcome = Outcome("not-holder", detail="the process stops")
         else:
-            outcome = await self.answer(method, message, timeout_s)
+            outcome = Outcome("not-holder")
+            if self.daemon.controller is not None:
+                outcome = await self.answer(method, message, timeout_s)
         return transport.Reply(200, json.dumps(attrs.asdict(outcome)).encode())
 
     async def answer(
@@ -374,7 +378,9 @@
         controller = self.daemon.controller
         started_s = platform.boot_time_s()
         try:
-            await asyncio.wait_for(controller.loaded.wait(), timeout_s)
+            # `wait_for` of Python 3.11 may lose a cancel.
+            async with asyncio.timeout(timeout_s):
+                await controller.loaded.wait()
         except TimeoutError:
             return UNAVAILABLE
         timeout_s -= platform.boot_time_s() - started_s
--- a/baobabdoor/transport/_client.py
+++ b/baobabdoor/transport/_client.py
@@ -262,9 +262,16 @@
             waiter = loop.create_future()
             peer.waiters.append(waiter)
             try:
-                await asyncio.wait_for(waiter, deadline_s - loop.time())
+                # `wait_for` of Python 3.11 may lose a cancel.
+                async with asyncio.timeout_at(deadline_s):
+                    await waiter
             except TimeoutError:
                 return _not_sent(address, "connection limit reached")
+            except asyncio.CancelledError:
+                if not waiter.cancelled():
+                    # The connection is free for the next call.
+                    _wake_waiter(peer)
+                raise
         return await self._connect(peer, address, deadline_s)
 
     async def _connect(
@@ -315,11 +322,16 @@
                 oldest.close()
         else:
             stream.close()
-        while peer.waiters:
-            waiter = peer.waiters.pop(0)
-            if not waiter.done():
-                waiter.set_result(None)
-                break
+        _wake_waiter(peer)
+
+
+def _wake_waiter(peer: _Peer) -> None:
+    """Lets the call that waits for longest open a connection."""
+    while peer.waiters:
+        waiter = peer.waiters.pop(0)
+        if not waiter.done():
+            waiter.set_result(None)
+            break
 
 
 def _encode_request(
