--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -206,7 +206,7 @@
         started_s = loop.time()
         while True:
             remaining_s = timeout_s - (loop.time() - started_s)
-            if remaining_s <= LEADER_POLL_S:
+            if remaining_s <= LEADER_POLL_S or self.shutdown.answers_due:
                 break
             outcome = await self._call_leader(
                 method, message, min(remaining_s, PEER_TIMEOUT_S), progress
@@ -258,7 +258,7 @@
             f"/v1/{method}",
             json.dumps(message).encode(),
             timeout_s=timeout_s,
-            permit=progress.permit,
+            permit=lambda: not self.shutdown.answers_due and progress.permit(),
         )
         if isinstance(answer, transport.Response):
             return _outcomes.decode_outcome(answer)
@@ -311,11 +311,17 @@
         method = request.path.removeprefix("/v1/")
         message = json.loads(request.body)
         timeout_s = message.get("timeout_s", PEER_TIMEOUT_S)
-        await self.daemon.refresher.refresh(message.get("version", 0))
-        if self.daemon.controller is None:
-            outcome = _outcomes.Outcome("not-holder")
+        try:
+            async with self.shutdown.limit():
+                await self.daemon.refresher.refresh(message.get("version", 0))
+        except TimeoutError:
+            outcome = _outcomes.Outcome(
+                "not-holder", detail="the process stops"
+            )
         else:
-            outcome = await self.answer(method, message, timeout_s)
+            outcome = _outcomes.Outcome("not-holder")
+            if self.daemon.controller is not None:
+                outcome = await self.answer(method, message, timeout_s)
         return transport.Reply(200, json.dumps(attrs.asdict(outcome)).encode())
 
     async def answer(
@@ -325,7 +331,9 @@
         controller = self.daemon.controller
         started_s = platform.boot_time_s()
         try:
-            await asyncio.wait_for(controller.loaded.wait(), timeout_s)
+            # `wait_for` of Python 3.11 may lose a cancel.
+            async with asyncio.timeout(timeout_s):
+                await controller.loaded.wait()
         except TimeoutError:
             return _outcomes.UNAVAILABLE
         timeout_s -= platform.boot_time_s() - started_s
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -10,7 +10,7 @@
 from baobabdoor import transport
 from baobabdoor.dispatch import _callers
 from baobabdoor.dispatch import _daemon
-from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _outcomes
 from baobabdoor.platform import _settings
 
 ROUTE = {"name": "q", "host": "h", "path-prefix": "/q/", "service": "p"}
@@ -139,4 +139,4 @@
     def test_request_that_never_ran_has_a_known_result(self, status, kind):
         """A refused request was tried until its timeout and gave 504."""
         response = transport.Response(status, b"", httputil.HTTPHeaders())
-        assert _gateway._decode_outcome(response).kind == kind
+        assert _outcomes.decode_outcome(response).kind == kind
