--- a/tests/test_dispatch_stop_faults.py
+++ b/tests/test_dispatch_stop_faults.py
@@ -1,11 +1,13 @@
 """Tests of requests that a planned stop may still cut off."""
 
 import asyncio
+import signal
 import types
 
 import drains
 import test_dispatch_election
 import test_dispatch_gateway
+import test_dispatch_stops
 
 from baobabdoor import base
 from baobabdoor import transport
@@ -130,3 +132,32 @@
             assert not store.rows
 
         asyncio.run(scenario())
+
+
+class StopBesideFrozenLeader(test_dispatch_stops.PlannedStop):
+    """Stops a follower, which the callers use, while its leader is frozen."""
+
+    async def _run_callers(self, stop):
+        leaders = [
+            daemon
+            for daemon in self.daemons
+            if "tenure_won" in daemon.log.read_text()
+        ]
+        self.daemons.sort(key=lambda daemon: daemon is leaders[-1])
+        await super()._run_callers(stop)
+
+    async def stop_follower(self, daemons):
+        """Freezes the leader and stops the first daemon."""
+        daemons[-1].send(signal.SIGSTOP)
+        daemons[0].send(signal.SIGTERM)
+
+
+class TestFrozenLeader:
+
+    def test_more_requests_than_connections_to_the_leader_are_answered(
+        self, tmp_path
+    ):
+        """Calls that waited for a connection were sent as the process ended."""
+        planned_stop = StopBesideFrozenLeader(tmp_path, 2)
+        asyncio.run(planned_stop.run(planned_stop.stop_follower))
+        planned_stop.check()
