--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -10,6 +10,7 @@
 from baobabdoor import transport
 from baobabdoor.dispatch import _callers
 from baobabdoor.dispatch import _daemon
+from baobabdoor.dispatch import _gateway
 from baobabdoor.dispatch import _outcomes
 from baobabdoor.platform import _settings
 
