Answer requests although a release of leadership fails

An exception in the release ended the process at once, with its requests in progress. It is logged, and the stop goes on.

test_requests_are_answered_although_the_release_fails: RuntimeError before, passes now.

--- a/baobabdoor/dispatch/_shutdown.py
+++ b/baobabdoor/dispatch/_shutdown.py
@@ -94,7 +94,11 @@
     budget = shutdown.budget
     for server in servers:
         server.start_draining()
-    await release()
+    try:
+        await release()
+    except Exception as error:
+        # Requests are answered all the same.
+        LOG.exception("release_failed", error=str(error))
     await asyncio.sleep(shutdown.left_s(budget.serve_s))
     for server in servers:
         server.stop_accepting()
--- a/tests/test_dispatch_shutdown.py
+++ b/tests/test_dispatch_shutdown.py
@@ -6,6 +6,7 @@
 import test_dispatch_gateway
 
 from baobabdoor import base
+from baobabdoor import transport
 from baobabdoor.dispatch import _gateway
 from baobabdoor.dispatch import _outcomes
 from baobabdoor.dispatch import _shutdown
@@ -91,3 +92,21 @@
         timers.advance(4.0)
         assert shutdown.left_s(5.0) == 0.0
         assert shutdown.answers_due
+
+
+class TestStopServers:
+
+    def test_requests_are_answered_although_the_release_fails(self):
+        async def fail():
+            raise RuntimeError
+
+        async def scenario():
+            server = transport.Server("127.0.0.1:0", None)
+            server.start()
+            shutdown = _shutdown.Shutdown(0.1)
+            await _shutdown.stop_servers([server], shutdown, fail)
+            assert shutdown.stopping
+            assert not server.drain.accepts
+            assert server.drain.refusal
+
+        asyncio.run(scenario())
