Load the jobs of earlier terms in batches

A new leader loaded all jobs in one iteration of the event loop, 0.5 to 0.9 s for 19,400 jobs on a busy machine.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -14,6 +14,7 @@
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _holds
 from baobabdoor.dispatch import _job_requests
+from baobabdoor.dispatch import _loading
 from baobabdoor.dispatch import _release
 from baobabdoor.dispatch import _start_limiter
 from baobabdoor.dispatch import _table_follower
@@ -151,13 +152,7 @@
             self.committer.learned_turns.read(),
         )
         self.update_clocks()
-        for row in jobs:
-            try:
-                self.scheduler.load_job(row.key, row.value, row.version)
-            except Exception as error:
-                self.unreadable_jobs.add(row.key)
-                self.faults.observe_row("job_row_ignored", row, error, "job")
-        self.scheduler.finish_loading()
+        await _loading.load_jobs(self, jobs)
         for row in roster:
             try:
                 self._load_roster(row)
--- a/tests/test_dispatch_handover.py
+++ b/tests/test_dispatch_handover.py
@@ -13,9 +13,11 @@
 import scheduling_fixtures
 
 from baobabdoor import base
+from baobabdoor import platform
 from baobabdoor.dispatch import _commits
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _loading
 from baobabdoor.standin import _row_store
 
 BODY = '{"steps": [{"count": 1}]}'
@@ -203,6 +205,30 @@
         assert self.stop(observe) == "not-holder"
 
 
+class TestLoading:
+
+    def test_a_signal_is_noticed_while_many_jobs_are_loaded(self):
+        """The event loop was blocked until all rows had been loaded."""
+        term = Term()
+        row = platform.StoredRow(_commits.JOBS_TABLE, _election.PART, "a", b"")
+        rows = (row,) * (3 * _loading.BATCH_ROWS)
+        loaded = []
+        term.controller.scheduler.load_job = lambda *_: loaded.append(1)
+
+        async def scenario():
+            loading = asyncio.ensure_future(
+                _loading.load_jobs(term.controller, rows)
+            )
+            noticed = asyncio.Event()
+            asyncio.get_running_loop().call_later(0.0, noticed.set)
+            await noticed.wait()
+            assert len(loaded) < len(rows)
+            await loading
+            assert len(loaded) == len(rows)
+
+        asyncio.run(scenario())
+
+
 class TestRequestsAtTheEndOfATerm:
 
     def test_a_submission_that_may_be_stored_is_unknown_at_once(self):
