--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -1,6 +1,7 @@
 """Daemon process of an entry VM on the users' platform."""
 
 import asyncio
+import gc
 import os
 import secrets
 import signal
@@ -65,6 +66,8 @@
         self.rejected_row_version_ = -1
         self.waves: dict[int, scheduling.Wave] = {}
         self.controller: _controller.Controller | None = None
+        # Controller whose term ends by the stop.
+        self.stopped_controller: _controller.Controller | None = None
         self.shutdown = _shutdown.Shutdown(settings.grace_s)
         address = f"{settings.ip}:{settings.internal_port}"
         self.election = _election.LeaderElection(
@@ -176,6 +179,10 @@
 
     async def _stop(self) -> None:
         LOG.info("stopping", holder=self.controller is not None)
+        # Freeing the state of thousands of jobs would delay callers for most
+        # of a second, and is not needed any more.
+        gc.freeze()
+        self.stopped_controller = self.controller
         await _shutdown.stop_servers(self.servers, self.shutdown, self._release)
         LOG.info("stopped")
 
--- a/tests/test_dispatch_daemon.py
+++ b/tests/test_dispatch_daemon.py
@@ -1,6 +1,9 @@
 """Tests of a daemon that reads rows of the operator's table."""
 
+import asyncio
+import gc
 import json
+import weakref
 
 import pytest
 
@@ -57,3 +60,29 @@
         counts = observability.render_text(daemon.metrics).decode()
         ignored = 'rows_ignored_total{table="op"} 1'
         assert (ignored in counts) == (key != "a")
+
+
+class Controller:
+    """Ends its term at once, as that of a leader that stops."""
+
+    def __init__(self, daemon):
+        self.daemon = daemon
+
+    async def release(self, timeout_s):
+        self.daemon.observe_term_end(self)
+
+
+class TestStop:
+
+    def test_state_of_the_term_is_not_freed_before_the_end(self):
+        """Freeing 19,400 jobs blocked the event loop for 0.9 s."""
+        settings = SETTINGS | {"bounds": {"grace-s": 1}}
+        daemon = _daemon.Daemon(_settings.decode_settings("test", settings))
+        daemon.controller = Controller(daemon)
+        state = weakref.ref(daemon.controller)
+        try:
+            asyncio.run(daemon._stop())
+        finally:
+            gc.unfreeze()
+        assert daemon.controller is None
+        assert state() is not None
