Log and count requests that are refused at the header

Callers of a daemon without a configuration got 503 without a log line or a count, and a state request that failed at the leader and at the store logged the second failure only, so logs could not tell why a job's state had no answer. 404, 405, 400 and 410 that the header alone decides were not counted.

Such a 503 now has its request_answered line, with the job that ends the path; a state request names both failures; the other refusals are counted, but not logged, because anybody can send them. Methods other than the supported ones share one label.

TestRefusalAtTheHeader: 5 tests, which fail on (no line, no count).

--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -22,6 +22,9 @@
 MAX_DIGITS = 11
 LOG = observability.get_logger("callers")
 RETRY_AFTER_HEADER = "Retry-After: {}\r\n"
+NO_CONFIGURATION = _outcomes.Outcome(
+    "unavailable", 1, detail="no configuration yet"
+)
 
 
 class CallerHandler:
@@ -83,7 +86,7 @@
         """
         configuration = self.daemon.configuration
         if configuration is None:
-            return transport.Reply(503, headers=RETRY_AFTER_HEADER.format(1))
+            return self._reply(request, "", NO_CONFIGURATION)
         queue = configuration.find_queue(request.host, request.path)
         if queue is None:
             return self._unknown_queue(request)
@@ -93,13 +96,14 @@
             # does not know.
             return self._unknown_queue(request)
         if request.method not in METHODS:
-            return transport.Reply(405)
+            return self._reject(request, "bad-method", 405)
         caller = self.identify(queue, request.headers)
         if not caller.decision.allowed:
             return self._refuse(request, job_id, caller)
         if JOB_ID.fullmatch(job_id) or (not job_id and request.method == "GET"):
             return None
-        return transport.Reply(400 if request.method == "POST" else 410)
+        status = 400 if request.method == "POST" else 410
+        return self._reject(request, "bad-identifier", status)
 
     def identify(
         self, queue: scheduling.Queue, headers: Mapping[str, str]
@@ -124,12 +128,22 @@
 
     def _unknown_queue(self, request: transport.Request) -> transport.Reply:
         if self.daemon.configuration_silence_s() <= CONFIGURATION_STALE_S:
-            return transport.Reply(404)
+            return self._reject(request, "no-queue", 404)
         outcome = _outcomes.Outcome(
             "unavailable", 1, detail="the configuration may be outdated"
         )
         return self._reply(request, "", outcome)
 
+    def _reject(
+        self, request: transport.Request, outcome: str, status: int
+    ) -> transport.Reply:
+        """Counts a request that names nothing here; anybody can send many."""
+        self.daemon.metrics.count(
+            "caller_requests_total",
+            {"method": _method_label(request.method), "outcome": outcome},
+        )
+        return transport.Reply(status)
+
     def _timeout_s(
         self, request: transport.Request, queue: scheduling.Queue
     ) -> float:
@@ -149,7 +163,10 @@
     ) -> transport.Reply:
         self.daemon.metrics.count(
             "caller_requests_total",
-            {"method": request.method, "outcome": outcome.kind},
+            {
+                "method": _method_label(request.method),
+                "outcome": outcome.kind,
+            },
         )
         if outcome.kind == "state":
             state = scheduling.JobState(outcome.value)
@@ -172,9 +189,9 @@
         LOG.info(
             "request_answered",
             request=request.headers.get(platform.REQUEST_ID_HEADER, ""),
-            job=job_id,
+            job=job_id or _job_in_path(request.path),
             customer=customer,
-            method=request.method,
+            method=_method_label(request.method),
             status=status,
             outcome=outcome.kind,
             detail=outcome.detail,
@@ -186,3 +203,14 @@
         if status == 401:
             headers += platform.CHALLENGE_HEADER
         return transport.Reply(status, b"{}", headers)
+
+
+def _method_label(method: str) -> str:
+    """Returns a method for metrics; a caller can send any other text."""
+    return method if method in METHODS else "other"
+
+
+def _job_in_path(path: str) -> str:
+    """Returns the identifier that ends a path, where its queue is unknown."""
+    last = path.rpartition("/")[2]
+    return last if JOB_ID.fullmatch(last) else ""
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -156,9 +156,14 @@
             outcome = await self._call_leader(
                 "state", message, min(timeout_s, PEER_READ_TIMEOUT_S)
             )
-            if outcome.kind in ("unavailable", "unknown", "not-holder"):
-                return await self._stored_state(job_id, queue, caller)
-            return outcome
+            if outcome.kind not in ("unavailable", "unknown", "not-holder"):
+                return outcome
+            stored = await self._stored_state(job_id, queue, caller)
+            if stored.kind != "unavailable":
+                return stored
+            failure = outcome.detail or outcome.kind
+            detail = f"holder: {failure}; store: {stored.detail}"
+            return attrs.evolve(stored, detail=detail)
 
         return await self._answer_in_time(read)
 
--- a/tests/test_dispatch_gateway.py
+++ b/tests/test_dispatch_gateway.py
@@ -14,6 +14,7 @@
 import attrs
 import pytest
 import scheduling_fixtures
+from structlog import testing
 from tornado import httputil
 
 from baobabdoor import base
@@ -262,6 +263,49 @@
         assert self.ask_follower(1.0) == 404
 
 
+class TestRefusalAtTheHeader:
+    """Requests that were refused at the header left no log line or count."""
+
+    def send(self, method, path, **changes):
+        daemon = Follower().gateway.daemon
+        daemon.version = 0
+        daemon.metrics = observability.Metrics()
+        daemon.configuration_silence_s = lambda: 0.0
+        for name, value in changes.items():
+            setattr(daemon, name, value)
+        handler = _callers.CallerHandler(daemon, _gateway.Gateway(daemon))
+        headers = httputil.HTTPHeaders({platform.REQUEST_ID_HEADER: "r1"})
+        request = transport.Request(method, path, "example", headers, b"")
+        with testing.capture_logs() as logs:
+            reply = handler.check_header(request)
+        return reply, logs, observability.render_text(daemon.metrics).decode()
+
+    def test_without_a_configuration(self):
+        reply, logs, metrics = self.send("GET", f"/q/{JOB}", configuration=None)
+        assert reply.status == 503
+        assert "Retry-After: 1" in reply.headers
+        assert [(line["request"], line["job"]) for line in logs] == [
+            ("r1", JOB)
+        ]
+        assert 'outcome="unavailable"' in metrics
+
+    @pytest.mark.parametrize(
+        ("method", "path", "status", "outcome"),
+        [
+            ("GET", "/unknown/", 404, "no-queue"),
+            ("PUT", f"/results/{JOB}", 405, "bad-method"),
+            ("GET", "/results/x", 410, "bad-identifier"),
+            ("POST", "/results/x", 400, "bad-identifier"),
+        ],
+    )
+    def test_of_a_request_that_names_nothing(
+        self, method, path, status, outcome
+    ):
+        reply, _, metrics = self.send(method, path)
+        assert reply.status == status
+        assert f'outcome="{outcome}"' in metrics
+
+
 class TestDeadline:
 
     @pytest.mark.parametrize(
