--- a/baobabdoor/dispatch/_access.py
+++ b/baobabdoor/dispatch/_access.py
@@ -3,8 +3,10 @@
 import attrs
 
 from baobabdoor import customers
+from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import scheduling
+from baobabdoor.dispatch import _outcomes
 
 # How long a long poll of the configuration waits, in seconds.
 FEED_WAIT_S = 1.2
@@ -103,3 +105,31 @@
             f"{decision.reason.value} at={place} age_ms={age_ms}"
             f" version={version}"
         )
+
+
+def may_access(
+    decision: customers.Decision, job: scheduling.Job, queue: str
+) -> bool:
+    """Returns whether an accepted caller may see and cancel a job.
+
+    Args:
+        decision: Decision about the caller.
+        job: The job.
+        queue: Name of the queue that the caller names.
+    """
+    same_queue = job.spec.queue == queue
+    return customers.may_access(decision, job.spec.customer, same_queue)
+
+
+def forbid(metrics: observability.Metrics, place: str) -> _outcomes.Outcome:
+    """Counts a call for the job of another customer; returns its outcome.
+
+    Args:
+        metrics: Metrics of the process.
+        place: Which process decided: `entry` or `leader`.
+    """
+    metrics.count(
+        "access_refusals_total",
+        {"reason": "job-of-another-customer", "at": place},
+    )
+    return _outcomes.FORBIDDEN
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -14,8 +14,7 @@
 from baobabdoor import scheduling
 from baobabdoor import transport
 from baobabdoor.dispatch import _access
-from baobabdoor.dispatch import _commits
-from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _job_states
 from baobabdoor.dispatch import _outcomes
 from baobabdoor.dispatch import _shutdown
 
@@ -25,10 +24,6 @@
 LEADER_POLL_S = 0.02
 # Timeout of one call between daemons.
 PEER_TIMEOUT_S = 1.2
-# Timeout of a read that the leader answers from memory.
-PEER_READ_TIMEOUT_S = 0.5
-# Timeout of a read of a job's state from the store.
-STATE_READ_TIMEOUT_S = 1.0
 # Timeout of the read that looks for an earlier submission of a job, and the age
 # of the store's last answer from which it is not tried, since a refusal is not
 # to wait for a store that is down.
@@ -49,6 +44,7 @@
         self.daemon = daemon
         self.shutdown = shutdown or _shutdown.Shutdown()
         self.access = _access.AccessCheck(daemon)
+        self.states = _job_states.JobStates(daemon, self._call_leader)
 
     def refuse_access(
         self, decision: customers.Decision, place: str
@@ -68,13 +64,6 @@
             return _outcomes.Outcome("unauthenticated", detail=detail)
         return _outcomes.Outcome("uncertain", 1, detail=detail)
 
-    def _forbid(self, place: str) -> _outcomes.Outcome:
-        self.daemon.metrics.count(
-            "access_refusals_total",
-            {"reason": "job-of-another-customer", "at": place},
-        )
-        return _outcomes.FORBIDDEN
-
     async def submit(
         self,
         job_id: str,
@@ -120,7 +109,9 @@
         timeout_s = min(timeout_s, REPEAT_READ_TIMEOUT_S)
         if silence_s > MAX_STORE_SILENCE_S or timeout_s < LEADER_POLL_S:
             return None
-        outcome = await self._stored_state(job_id, queue, caller, timeout_s)
+        outcome = await self.states.read_stored(
+            job_id, queue, caller, timeout_s
+        )
         if outcome.kind == "state":
             return _outcomes.Outcome("accepted", detail="found in the store")
         return outcome if outcome is _outcomes.FORBIDDEN else None
@@ -151,21 +142,9 @@
     ) -> _outcomes.Outcome:
         """Returns a job's state, from the store if the leader fails."""
         message = _message(queue, caller, job_id)
-
-        async def read() -> _outcomes.Outcome:
-            outcome = await self._call_leader(
-                "state", message, min(timeout_s, PEER_READ_TIMEOUT_S)
-            )
-            if outcome.kind not in ("unavailable", "unknown", "not-holder"):
-                return outcome
-            stored = await self._stored_state(job_id, queue, caller)
-            if stored.kind != "unavailable":
-                return stored
-            failure = outcome.detail or outcome.kind
-            detail = f"holder: {failure}; store: {stored.detail}"
-            return attrs.evolve(stored, detail=detail)
-
-        return await self._answer_in_time(read)
+        return await self._answer_in_time(
+            lambda: self.states.read(message, queue, timeout_s, caller)
+        )
 
     async def pending(
         self,
@@ -271,46 +250,6 @@
             return _outcomes.UNAVAILABLE
         return _outcomes.Outcome("unknown", detail=str(answer))
 
-    async def _stored_state(
-        self,
-        job_id: str,
-        queue: scheduling.Queue,
-        caller: _access.Caller,
-        timeout_s: float = STATE_READ_TIMEOUT_S,
-    ) -> _outcomes.Outcome:
-        answer = await self.daemon.store.read(
-            _commits.JOBS_TABLE,
-            _election.PART,
-            job_id,
-            timeout_s=timeout_s,
-            limit=1,
-        )
-        if isinstance(answer, base.Refusal):
-            return _outcomes.Outcome("unavailable", 1, detail=str(answer))
-        for row in answer.rows:
-            if row.key == job_id:
-                return self._decode_state(row, queue, caller)
-        return _outcomes.Outcome("no-job")
-
-    def _decode_state(
-        self,
-        row: platform.StoredRow,
-        queue: scheduling.Queue,
-        caller: _access.Caller,
-    ) -> _outcomes.Outcome:
-        try:
-            job = scheduling.decode_job(row.key, row.value, row.version)
-        except Exception as error:
-            self.daemon.faults.observe_row("job_row_ignored", row, error, "job")
-            return _outcomes.Outcome(
-                "unavailable", 1, detail="the row is unreadable"
-            )
-        if not job.submitted:
-            return _outcomes.Outcome("no-job")
-        if not _may_access(caller.decision, job, queue.name):
-            return self._forbid("entry")
-        return _outcomes.Outcome("state", value=job.state.value)
-
     async def serve(self, request: transport.Request) -> transport.Reply:
         """Handles a request from another daemon."""
         method = request.path.removeprefix("/v1/")
@@ -367,8 +306,10 @@
         if not decision.allowed:
             return self.refuse_access(decision, "leader"), ""
         job = controller.scheduler.jobs.get(message.get("job"))
-        if job is not None and not _may_access(decision, job, queue.name):
-            return self._forbid("leader"), ""
+        if job is not None and not _access.may_access(
+            decision, job, queue.name
+        ):
+            return _access.forbid(self.daemon.metrics, "leader"), ""
         return None, decision.customer
 
     async def _carry_out(
@@ -463,10 +404,3 @@
         "customer": caller.decision.customer,
     }
     return message | {"job": job_id} if job_id else message
-
-
-def _may_access(
-    decision: customers.Decision, job: scheduling.Job, queue: str
-) -> bool:
-    same_queue = job.spec.queue == queue
-    return customers.may_access(decision, job.spec.customer, same_queue)
--- a/tests/test_dispatch_cancels.py
+++ b/tests/test_dispatch_cancels.py
@@ -119,10 +119,10 @@
         async def scenario(service):
             arguments = (JOB, service.queue, _access.ANYBODY)
             await service.cancel()
-            stored = await service.gateway._stored_state(*arguments)
+            stored = await service.gateway.states.read_stored(*arguments, 1.0)
             assert stored.kind == "no-job"
             await service.submit()
-            stored = await service.gateway._stored_state(*arguments)
+            stored = await service.gateway.states.read_stored(*arguments, 1.0)
             assert stored.value == "cancelled"
 
         run(scenario)
