--- a/baobabdoor/platform/__init__.py
+++ b/baobabdoor/platform/__init__.py
@@ -22,6 +22,7 @@
 from baobabdoor.platform._settings import SettingsError
 from baobabdoor.platform._settings import is_settings
 from baobabdoor.platform._settings import load_settings
+from baobabdoor.platform._store import PAGE_ROWS
 from baobabdoor.platform._store import Commit
 from baobabdoor.platform._store import Conflict
 from baobabdoor.platform._store import RowSet
@@ -50,6 +51,7 @@
     "MachineClient",
     "MachineOutcome",
     "MessageError",
+    "PAGE_ROWS",
     "ProcessSettings",
     "READY_PATH",
     "REQUEST_ID_HEADER",
--- a/baobabdoor/standin/_row_store.py
+++ b/baobabdoor/standin/_row_store.py
@@ -123,11 +123,12 @@
             for key, row in sorted(self.rows.items())
             if key[:2] == (table, part) and key[2] >= start
         )
-        return platform.RowSet(rows[:limit], self.version, self.time_ms)
+        more = len(rows) > limit
+        return platform.RowSet(rows[:limit], self.version, self.time_ms, more)
 
     async def read_all(self, table, part="", timeout_s=1.0):
         """Returns the rows of a part."""
-        return await self.read(table, part, "", timeout_s)
+        return await self.read(table, part, "", timeout_s, len(self.rows))
 
     async def feed(self, table, after, wait_s):
         """Returns rows of a table changed after a version; waits if none."""
