--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -15,6 +15,7 @@
 from baobabdoor import transport
 from baobabdoor.dispatch import _access
 from baobabdoor.dispatch import _job_states
+from baobabdoor.dispatch import _leader_states
 from baobabdoor.dispatch import _outcomes
 from baobabdoor.dispatch import _shutdown
 
@@ -272,7 +273,12 @@
         self, method: str, message: dict, timeout_s: float
     ) -> _outcomes.Outcome:
         """Handles a request as the leader."""
+        if method == "states":
+            return await self._answer_states(message, timeout_s)
         controller = self.daemon.controller
+        if method == "state" and not controller.loaded.is_set():
+            # The caller's entry reads the store meanwhile.
+            return _outcomes.LOADING
         started_s = platform.boot_time_s()
         try:
             # `wait_for` of Python 3.11 may lose a cancel.
@@ -298,6 +304,19 @@
             return self._unknown_queue(message)
         return await self._carry_out(controller, method, message, timeout_s)
 
+    async def _answer_states(
+        self, message: dict, timeout_s: float
+    ) -> _outcomes.Outcome:
+        """Answers several requests for states of jobs in one iteration."""
+        version = message.get("version", 0)
+        outcomes = [
+            await self.answer(
+                "state", request | {"version": version}, timeout_s
+            )
+            for request in message["requests"]
+        ]
+        return _leader_states.encode_outcomes(outcomes)
+
     def _authorize(
         self, controller, queue: scheduling.Queue, message: dict
     ) -> tuple[_outcomes.Outcome | None, str]:
--- a/baobabdoor/dispatch/_outcomes.py
+++ b/baobabdoor/dispatch/_outcomes.py
@@ -21,22 +21,24 @@
 
     Attributes:
         kind: `accepted`, `rejected`, `refused`, `unknown`, `invalid`,
-            `no-queue`, `no-job`, `state`, `pending`, `unavailable`,
+            `no-queue`, `no-job`, `state`, `states`, `pending`, `unavailable`,
             `not-holder`, `unauthenticated`, `uncertain` (the key could not be
             checked) or `forbidden`.
         retry_after_s: Delay before a retry; 0 for no hint.
-        value: State of the job or number of jobs.
+        value: State of the job, number of jobs, or the outcomes of several
+            requests.
         detail: Explanation for logs.
     """
 
     kind: str
     retry_after_s: int = 0
-    value: str | int = ""
+    value: str | int | list = ""
     detail: str = ""
 
 
 FORBIDDEN = Outcome("forbidden", detail="the job of another customer")
 UNAVAILABLE = Outcome("unavailable", 1, detail="no holder reached")
+LOADING = Outcome("unavailable", 1, detail="the holder loads its state")
 # The process stops before the request had a result.
 NOT_RUN_AT_STOP = Outcome("unavailable", 1, detail="the process stops")
 UNKNOWN_AT_STOP = Outcome("unknown", detail="the process stops")
