Let requests without a body pass, and count those that get no turn

What callers saw: 503 for the state of a job beside a burst of submissions, without a log line or a count. Cause: a request that a server has read waits for the memory of those that are being handled, in order, also if it has no body and so needs none of that memory; after 1 s it is refused. A request without a body now passes at once; others that get no turn are counted and logged.

--- a/baobabdoor/transport/_closures.py
+++ b/baobabdoor/transport/_closures.py
@@ -1,7 +1,8 @@
-"""Counts and logs the connections that a server closes."""
+"""Counts and logs what a server closes and refuses."""
 
 from baobabdoor import observability
 from baobabdoor.transport import _memory_budget
+from baobabdoor.transport import _types
 
 # Reasons for closing a connection that are part of normal operation.
 QUIET_REASONS = frozenset(["idle-timeout", "stop"])
@@ -9,7 +10,7 @@
 
 
 class Closures:
-    """Counts connections that a server closes and logs the reasons.
+    """Counts what a server closes and refuses, and logs the reasons.
 
     Args:
         server: Name of the server in metrics and logs.
@@ -48,3 +49,24 @@
                 open=len(self.budget.usages_),
                 held_bytes=self.budget.held_bytes,
             )
+
+    def observe_refusal(self, reason: str, request: _types.Request) -> None:
+        """Observes that a request is refused and its connection stays open.
+
+        Args:
+            reason: Why; a reason has one line in the log per interval.
+            request: The request.
+        """
+        if self.metrics is not None:
+            self.metrics.count(
+                "requests_refused_total",
+                {"server": self.server, "reason": reason},
+            )
+        self.log.warning(
+            "request_refused",
+            reason,
+            server=self.server,
+            reason=reason,
+            path=request.path,
+            held_bytes=self.budget.held_bytes,
+        )
--- a/baobabdoor/transport/_gate.py
+++ b/baobabdoor/transport/_gate.py
@@ -24,11 +24,13 @@
         self.waiters_: collections.deque = collections.deque()
 
     async def enter(self, size: int) -> bool:
-        """Waits for the turn of a request.
+        """Waits for the turn of a request; one without a body has none.
 
         Returns:
             Whether the request may be handled; if so, `leave` must follow.
         """
+        if not size:
+            return True
         if not self.waiters_ and self._fits(size):
             self.used_bytes_ += size
             return True
--- a/baobabdoor/transport/_server.py
+++ b/baobabdoor/transport/_server.py
@@ -183,6 +183,7 @@
         gate = self.small_gate if small else self.large_gate
         try:
             if not await gate.enter(len(body)):
+                self.closures.observe_refusal("no-turn", request)
                 return _exchange.OVERLOADED
             try:
                 return await self._handle(request, body)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -204,6 +204,20 @@
 
         asyncio.run(scenario())
 
+    def test_request_without_a_body_does_not_wait_behind_others(self):
+        """State requests were refused beside a burst of submissions."""
+
+        async def scenario():
+            gate = _gate.Gate(10, max_wait_s=0.01)
+            assert await gate.enter(10)
+            submission = asyncio.ensure_future(gate.enter(1))
+            await asyncio.sleep(0)
+            assert await gate.enter(0)
+            gate.leave(0)
+            assert not await submission
+
+        asyncio.run(scenario())
+
     def test_request_without_a_turn_is_refused(self):
         async def scenario():
             gate = _gate.Gate(10, max_wait_s=0.01)
--- a/tests/test_transport_limits.py
+++ b/tests/test_transport_limits.py
@@ -7,6 +7,7 @@
 import pytest
 
 from baobabdoor import base
+from baobabdoor import observability
 from baobabdoor import transport
 from baobabdoor.transport import _memory_budget
 from baobabdoor.transport import _response_budget
@@ -276,6 +277,30 @@
         limits = attrs.evolve(LIMITS, body_bytes=20_000, idle_timeout_s=9.0)
         run(scenario, handle, limits=limits)
 
+    def test_a_request_that_got_no_turn_is_counted(self):
+        metrics = observability.Metrics()
+        release = asyncio.Event()
+
+        async def hold(request):
+            await release.wait()
+            return transport.Reply(200)
+
+        async def scenario(server, connect):
+            server.small_gate.max_wait_s = 0.01
+            server.small_gate.max_bytes = 1
+            first, second = await connect(), await connect()
+            first.send(SMALL)
+            while not server.small_gate.used_bytes_:
+                await asyncio.sleep(0)
+            second.send(SMALL)
+            assert await second.status() == 503
+            release.set()
+            assert await first.status() == 200
+
+        run(scenario, hold, metrics=metrics, name="callers")
+        text = observability.render_text(metrics).decode()
+        assert 'refused_total{reason="no-turn",server="callers"} 1' in text
+
     def test_crowd_on_one_address_leaves_another(self):
         async def scenario(server, connect):
             async def echo(request):
