Let queries wait for the first configuration of a process

What callers saw: a daemon that had just started refused each query with 503, at the header, until the store had answered its first read. With 0.3 s on each chunk of the store's answers, 240 of 240 queries sent at once to such a daemon were refused within 0.7 s, although their deadlines had seconds left.

Cause: without a configuration, `check_header` refused all requests alike.

Change: a GET is handled, and waits for the configuration until its deadline or a planned stop. It waits only within 2.5 s after the start of the process: later the store is taken to be down, as for readiness, and the refusal comes at once. Submissions and cancels are refused as before.

--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -1,6 +1,8 @@
 """HTTP API for callers: submit, cancel and query jobs."""
 
+import asyncio
 from collections.abc import Mapping
+import contextlib
 import re
 
 from baobabdoor import observability
@@ -18,6 +20,12 @@
 # Above this age in seconds, a configuration may lack a queue that was added
 # since: longer than one long poll for changes including its grace period.
 CONFIGURATION_STALE_S = 2.0
+# Time after the start of the process within which queries wait for its first
+# configuration. Later, the store is taken to be down, as for readiness.
+FIRST_CONFIGURATION_WAIT_S = 2.5
+# Timeout of a request whose queue is not known yet: that of a queue for which
+# the configuration names none.
+DEFAULT_TIMEOUT_MS = 3000.0
 # Maximum digits of a caller's timeout in milliseconds: three years.
 MAX_DIGITS = 11
 LOG = observability.get_logger("callers")
@@ -51,14 +59,18 @@
         return reply
 
     async def _serve(self, request: transport.Request) -> transport.Reply:
-        reply = self.check_header(request)
+        started_s = platform.boot_time_s()
+        if self.daemon.configuration is None:
+            await self._wait_for_configuration(request)
+        reply = self.check_header(request, may_wait=False)
         if reply is not None:
             return reply
         configuration = self.daemon.configuration
         queue = configuration.find_queue(request.host, request.path)
         job_id = request.path[len(queue.path_prefix) :]
         caller = self.identify(queue, request.headers)
-        timeout_s = self._timeout_s(request, queue)
+        waited_s = platform.boot_time_s() - started_s
+        timeout_s = self._timeout_s(request, queue) - waited_s
         if not job_id:
             outcome = await self.gateway.pending(queue, timeout_s, caller)
         elif request.method == "POST":
@@ -73,19 +85,41 @@
             )
         return self._reply(request, job_id, outcome, caller.decision.customer)
 
+    async def _wait_for_configuration(self, request: transport.Request) -> None:
+        """Waits for the first configuration, until the answer is due."""
+        timeout_s = min(
+            self._timeout_s(request, None),
+            self._configuration_wait_s(),
+        )
+        with contextlib.suppress(TimeoutError):
+            async with self.gateway.shutdown.limit():
+                async with asyncio.timeout(timeout_s):
+                    await self.daemon.configured.wait()
+
+    def _configuration_wait_s(self) -> float:
+        """Returns how long queries still wait for the first configuration."""
+        running_s = platform.boot_time_s() - self.daemon.created_s
+        return max(0.0, FIRST_CONFIGURATION_WAIT_S - running_s)
+
     def check_header(
-        self, request: transport.Request
+        self, request: transport.Request, may_wait: bool = True
     ) -> transport.Reply | None:
         """Returns the reply to a request that its header already decides.
 
         Args:
             request: The request, of which the body may not be known yet.
+            may_wait: Whether a query may be handled before there is a
+                configuration.
 
         Returns:
             The reply; `None` if the request is to be handled.
         """
         configuration = self.daemon.configuration
         if configuration is None:
+            # A query has no effect and no body that would be held meanwhile.
+            is_query = request.method == "GET"
+            if may_wait and is_query and self._configuration_wait_s():
+                return None
             return self._reply(request, "", NO_CONFIGURATION)
         queue = configuration.find_queue(request.host, request.path)
         if queue is None:
@@ -145,9 +179,9 @@
         return transport.Reply(status)
 
     def _timeout_s(
-        self, request: transport.Request, queue: scheduling.Queue
+        self, request: transport.Request, queue: scheduling.Queue | None
     ) -> float:
-        timeout_ms = queue.timeout_ms
+        timeout_ms = queue.timeout_ms if queue else DEFAULT_TIMEOUT_MS
         text = request.headers.get(platform.DEADLINE_HEADER, "")
         # Digits of other scripts and very long numbers are not usable.
         if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -59,7 +59,10 @@
         self.machine_client = platform.MachineClient(
             self.client, settings.machines_address, settings.node
         )
+        self.created_s = platform.boot_time_s()
         self.configuration: scheduling.Configuration | None = None
+        # Set once there is a configuration.
+        self.configured = asyncio.Event()
         # Time as of which the configuration was read on demand.
         self.read_as_of_s_ = -1e9
         # Version of the last row whose configuration was rejected.
@@ -229,6 +232,7 @@
             configuration = platform.decode_configuration(row.value)
             if configuration.version > self.version:
                 self.configuration = configuration
+                self.configured.set()
                 limits = transport.RequestLimits(
                     **attrs.asdict(configuration.limits)
                 )
