Ask the leader for a state when the entry cannot check the key

Cause: `check_header` refused whatever was not allowed, also if the decision only said that this process could not tell.

Change: a query of a job whose decision is uncertain is handled. Only the leader is asked, which checks the digest by its own configuration and its age, never the store. The message names no customer, so that a leader with an older configuration, in which the queue may be public, does not tell. The process itself answers as before once it can check the key again. While the store is silent there is one attempt; otherwise attempts go on until the deadline. Submissions, cancels and the number of pending jobs are refused as before.

--- a/baobabdoor/dispatch/_callers.py
+++ b/baobabdoor/dispatch/_callers.py
@@ -5,6 +5,7 @@
 import contextlib
 import re
 
+from baobabdoor import customers
 from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import scheduling
@@ -132,9 +133,16 @@
         if request.method not in METHODS:
             return self._reject(request, "bad-method", 405)
         caller = self.identify(queue, request.headers)
-        if not caller.decision.allowed:
+        names_job = JOB_ID.fullmatch(job_id)
+        # Another process may be able to check the key of a query.
+        is_open = (
+            names_job
+            and request.method == "GET"
+            and caller.decision.kind is customers.Kind.UNCERTAIN
+        )
+        if not caller.decision.allowed and not is_open:
             return self._refuse(request, job_id, caller)
-        if JOB_ID.fullmatch(job_id) or (not job_id and request.method == "GET"):
+        if names_job or (not job_id and request.method == "GET"):
             return None
         status = 400 if request.method == "POST" else 410
         return self._reject(request, "bad-identifier", status)
--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -141,11 +141,49 @@
         timeout_s: float,
         caller: _access.Caller = _access.ANYBODY,
     ) -> _outcomes.Outcome:
-        """Returns a job's state, from the store if the leader fails."""
-        message = _message(queue, caller, job_id)
-        return await self._answer_in_time(
-            lambda: self.states.read(message, queue, timeout_s, caller)
-        )
+        """Returns a job's state, from the store if the leader fails.
+
+        If this process cannot check the caller's key, only the leader, which
+        checks it itself, is asked.
+        """
+
+        async def read() -> _outcomes.Outcome:
+            if caller.decision.allowed:
+                message = _message(queue, caller, job_id)
+                return await self.states.read(message, queue, timeout_s, caller)
+            return await self._state_at_leader(job_id, queue, timeout_s, caller)
+
+        return await self._answer_in_time(read)
+
+    async def _state_at_leader(
+        self,
+        job_id: str,
+        queue: scheduling.Queue,
+        timeout_s: float,
+        caller: _access.Caller,
+    ) -> _outcomes.Outcome:
+        """Asks the leader, until this process can check the key itself."""
+        # No customer, so that a leader with an older configuration, in which
+        # the queue may be public, does not tell.
+        message = _message(queue, caller, job_id) | {"customer": None}
+        end_s = platform.boot_time_s() + timeout_s
+        while True:
+            outcome = await self.states.leader.read(message)
+            if outcome.kind not in _job_states.UNDECIDED:
+                return outcome
+            decision = self.access.check_caller(queue, caller.digest)
+            left_s = end_s - platform.boot_time_s()
+            if decision.allowed:
+                caller = _access.Caller(caller.digest, decision)
+                message = _message(queue, caller, job_id)
+                return await self.states.read(message, queue, left_s, caller)
+            if (
+                decision.kind is customers.Kind.UNAUTHENTICATED
+                or self.states.store_is_silent()
+                or left_s < _job_states.RETRY_PAUSE_S
+            ):
+                return self.refuse_access(decision, "entry")
+            await asyncio.sleep(_job_states.RETRY_PAUSE_S)
 
     async def pending(
         self,
--- a/baobabdoor/dispatch/_job_states.py
+++ b/baobabdoor/dispatch/_job_states.py
@@ -72,7 +72,7 @@
         search = _Search(
             lambda: self.leader.read(message),
             lambda: self.read_stored(message["job"], queue, caller, timeout_s),
-            self._store_is_silent,
+            self.store_is_silent,
         )
         try:
             async with asyncio.timeout(timeout_s):
@@ -80,7 +80,8 @@
         except TimeoutError:
             return search.refusal()
 
-    def _store_is_silent(self) -> bool:
+    def store_is_silent(self) -> bool:
+        """Returns whether the store has not answered for long."""
         last_answer_s = self.daemon.store.last_answer_s_
         return platform.boot_time_s() - last_answer_s > MAX_STORE_SILENCE_S
 
