Ask for all accepted jobs at once at the end of soak runs

Cause: the soak did not see state requests without an answer. It asked for one job after the other, repeated each request until a state came, and only when no fault was left, so that a refusal or a timeout never counted.

Change: after the traffic a closing is drawn from a generator of its own: all daemons, half of them, the leader or none are killed at once and return after 0.7 s, some at new addresses, with the store slow by 0.3 s for each call or not, and with 19,200 ended jobs that the next leader reads or not. Once daemons have been in touch for 3 s, all accepted jobs, and ended ones up to 1,000, are asked for at once, with the deadline of callers and one repeat at another daemon. A job that is unknown or has no state in time is LOST, one whose state contradicts an earlier one is MIXED. The same question ends the run, and it is asked in runs of planned stops.

Stand-ins that leave one request unanswered, refuse it twice, answer 410 or contradict themselves are each detected, as is a row that the store loses while all daemons are down.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,6 +21,7 @@
 import foreign_entries
 import ports
 import soak_callers
+import soak_closing
 import soak_faults
 import soak_injection
 import soak_oracle
@@ -44,7 +45,10 @@
 
 
 class Soak(
-    soak_callers.Callers, soak_injection.FaultInjection, soak_oracle.Checks
+    soak_callers.Callers,
+    soak_closing.JobRequests,
+    soak_injection.FaultInjection,
+    soak_oracle.Checks,
 ):
     """One run of the soak test.
 
@@ -58,6 +62,7 @@
     caller_count = CALLERS
 
     def __init__(self, seed: int, seconds: float, folder: pathlib.Path):
+        super().__init__()
         self.random = random.Random(seed)
         self.seconds = seconds
         self.subnet, self.subnet_lock = ports.reserve_subnet(seed)
@@ -90,6 +95,8 @@
         ]
         self.specs: dict[str, scheduling.JobSpec] = {}
         self.accepted: set[str] = set()
+        # Times at which submissions were acknowledged.
+        self.accepted_s: dict[str, float] = {}
         self.unconfirmed: set[str] = set()
         # Jobs that were cancelled before their submission was answered.
         self.overtaken: set[str] = set()
@@ -162,6 +169,7 @@
             await self._inject_faults()
             await asyncio.gather(*callers)
             await self._wait_for_cancels()
+            await self._close_day()
             await asyncio.gather(
                 self._wait_for_jobs(), asyncio.sleep(soak_oracle.QUIET_S)
             )
@@ -170,12 +178,16 @@
             await asyncio.wait([watch])
             if not watch.cancelled():
                 watch.result()
+            await self._ask_for_all_jobs()
         finally:
             self._stop()
             await asyncio.sleep(soak_oracle.EXIT_MARGIN_S)
         self._check_results()
         return self.oracle.violations
 
+    async def _close_day(self) -> None:
+        """Called after the traffic, while jobs may run."""
+
     async def _wait_until_listening(self) -> None:
         """Waits until all daemons accept connections."""
         end_s = time.monotonic() + LISTEN_TIMEOUT_S
@@ -200,15 +212,23 @@
         self.subnet_lock.close()
 
 
+class ClosingSoak(soak_closing.ClosingFaults, Soak):
+    """One run with a closing after the traffic."""
+
+
 class StopSoak(soak_stops.StopSeries, Soak):
     """One run with planned stops only."""
 
+    async def _close_day(self) -> None:
+        await self._wait_until_in_touch()
+        await self._ask_for_all_jobs()
+
 
 def run_seed(
     seed: int,
     seconds: float,
     folder: pathlib.Path,
-    kind: type[Soak] = Soak,
+    kind: type[Soak] = ClosingSoak,
 ) -> Soak:
     """Executes the run of a seed."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -233,8 +253,13 @@
         f"unanswered={len(soak.unanswered_cancels)} "
         f"carried_over={soak.simulator.carried_over.total()} "
         f"misdirected={soak.simulator.misdirected} "
-        f"faults={len(soak.fault_log)} broken={len(violations)}"
+        f"faults={len(soak.fault_log)} "
+        f"asked={soak.end_responses.total()} "
+        f"without_state={soak.end_responses.total() - soak.end_responses[200]} "
+        f"broken={len(violations)}"
     )
+    if isinstance(soak, ClosingSoak):
+        line += f" closing={soak.closing.describe()}"
     rules = collections.Counter(violation.rule for violation in violations)
     shown = collections.Counter()
     for violation in violations:
@@ -301,7 +326,7 @@
         print(f"{options.seeds} seeds, {failed_count} with a broken rule")
         sys.exit(bool(failed_count))
     seed_folder = folder / f"seed-{options.one}"
-    kind = StopSoak if options.stops else Soak
+    kind = StopSoak if options.stops else ClosingSoak
     soak = run_seed(options.one, options.seconds, seed_folder, kind)
     print(report(options.one, soak), flush=True)
     if not soak.oracle.violations:
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -286,6 +286,7 @@
     ) -> None:
         if status == 200:
             self.accepted.add(job_id)
+            self.accepted_s.setdefault(job_id, time.monotonic())
         elif status not in (429, 503) and content.get("error") != "connect":
             self.unconfirmed.add(job_id)
 
--- a/tests/soak_faults.py
+++ b/tests/soak_faults.py
@@ -18,6 +18,8 @@
 CHUNK_DELAY_S = 0.3
 POLL_INTERVAL_S = 0.02
 STORE_PORT = 8650
+# Distance between the addresses of a daemon that moves.
+ADDRESS_STEP = 32
 # Time from SIGTERM to SIGKILL.
 GRACE_S = 6.0
 
@@ -171,24 +173,36 @@
     ):
         self.number = number
         self.grace_s = grace_s
-        self.ip = f"127.{subnet}.1.{number + 1}"
-        self.front = f"{self.ip}:8624"
+        self.subnet = subnet
+        self.address_number = number + 1
         self.settings = folder / f"daemon-{number}.yaml"
         self.log = folder / f"daemon-{number}.log"
         self.process: subprocess.Popen | None = None
         self.stopping = False
         # Time of the last SIGTERM.
         self.stopped_s = -math.inf
+        self._write_settings()
+
+    def move(self) -> None:
+        """Lets the next process listen at a new address."""
+        self.address_number += ADDRESS_STEP
+        self._write_settings()
+
+    def _write_settings(self) -> None:
+        self.ip = f"127.{self.subnet}.1.{self.address_number}"
+        self.front = f"{self.ip}:8624"
         content = {
-            "node-name": f"entry-{number}",
+            "node-name": f"entry-{self.number}",
             "zone": "z",
             "ip": self.ip,
             "listen": {"front": self.front, "ready": f"{self.ip}:8622"},
             "internal-port-range": [7060, 7075],
-            "platform": {"address": f"127.{subnet}.9.{number + 1}:8650"},
-            "cloud-api": {"address": f"127.{subnet}.7.1:8700"},
+            "platform": {
+                "address": f"127.{self.subnet}.9.{self.number + 1}:8650"
+            },
+            "cloud-api": {"address": f"127.{self.subnet}.7.1:8700"},
             "heartbeat-ms": 500,
-            "bounds": {"grace-s": grace_s, "contact-ms": 3000},
+            "bounds": {"grace-s": self.grace_s, "contact-ms": 3000},
         }
         self.settings.write_text(yaml.safe_dump(content))
 
