Refuse connections to the entry's control port before idle ones are closed

Cause: Drain.stop_accepting closes all idle connections and then the listening socket, so that a client may lose its connection to a port that still accepts. The caller port is closed in the other order.

The entry now closes the listening socket of its control port first. As on the caller port, a client whose idle connection is closed finds that the entry refuses connections. HTTP/1.1 has no way to answer a request that crosses the close of its connection.

test_port_refuses_connections_before_it_closes_idle_ones: the port accepted at each of 3 closes before, at none now.

--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -82,12 +82,22 @@
         await self._wait_for(self._callers_flushed)
         parts.callers.listener.close_all()
         await self._leave()
-        parts.control_server.stop_accepting()
+        self._close_control_port()
         await self._wait_for(self._control_flushed)
         parts.control_server.close_all()
         give_up.cancel()
         return not self.gave_up
 
+    def _close_control_port(self) -> None:
+        """Refuses connections to the control port, then closes idle ones.
+
+        A client whose connection is closed can tell that the entry has stopped,
+        because a new one is refused.
+        """
+        server = self.parts.control_server
+        server.listener.stop()
+        server.stop_accepting()
+
     def _announce(self) -> None:
         """Makes all further replies close their connection."""
         parts = self.parts
--- a/tests/entry_stop_harness.py
+++ b/tests/entry_stop_harness.py
@@ -1,6 +1,7 @@
 """Harness of tests that stop an entry while it has open requests."""
 
 import asyncio
+import socket
 
 import entry_harness
 from tornado import web
@@ -53,6 +54,13 @@
 
         return asyncio.run(run_scenario())
 
+    def accepts(self, port):
+        try:
+            socket.create_connection(("127.0.0.1", port)).close()
+        except ConnectionRefusedError:
+            return False
+        return True
+
     def use_job_routes(self, routes):
         self.server.caller_server_.local_paths.jobs_handler_ = (
             transport.ApplicationHandler(web.Application(routes))
--- a/tests/test_entry_stop_control.py
+++ b/tests/test_entry_stop_control.py
@@ -12,6 +12,7 @@
 
 OPERATOR = {"Authorization": "Bearer " + "t" * 16}
 SLOW_PATH = "/v1/slow"
+METRICS = entry_harness.request_head(method="GET", path="/metrics")
 
 
 class TestPeerRequests:
@@ -114,6 +115,35 @@
         assert rest == b""
 
 
+class TestEndOfTheControlPort:
+
+    def test_port_refuses_connections_before_it_closes_idle_ones(self):
+        # Guards against a client that loses its connection to a port that
+        # still accepts others.
+        harness = entry_stop_harness.StoppedHarness(balancer_wait_s=0.5)
+        accepted = []
+
+        async def scenario():
+            clients = [
+                await harness.send(METRICS, harness.control_port)
+                for _ in range(3)
+            ]
+            for reader, _ in clients:
+                await entry_harness.read_response(reader)
+            listener = harness.server.control_server_.listener
+            close = listener.close
+
+            def observe_close(stream, reason):
+                accepted.append(harness.accepts(harness.control_port))
+                close(stream, reason)
+
+            listener.close = observe_close
+            await harness.server.stop()
+
+        harness.run(scenario)
+        assert accepted == [False] * 3
+
+
 class TestTimeBudget:
 
     @pytest.mark.parametrize("drain_s", [2.0, 3.0])
