Close the entry's control port when answers are due

What clients saw: a whole request on the control port that got no answer at the end of a stop whose platform was silent.

Cause: the control port was closed after the entry had left the deployment, which lasts until flush_s when the platform does not answer. No time was left then, so that all connections were closed at once, also those whose request was in the kernel or had just been read.

The port is now closed at answer_s at the latest. From then on its requests were refused anyway; until flush_s those that have arrived are answered.

test_request_is_answered_while_the_port_accepts_connections: the request got no answer although the port accepted before; now the port refuses connections by then.

--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -138,6 +138,9 @@
         parts = self.parts
         refusal = base.Refusal(base.Reason.DRAINING, STEP)
         parts.control_handler.interrupt(refusal)
+        # New requests would be refused, and could not be once the time to
+        # flush replies is over.
+        self._close_control_port()
         parts.control_server.refuse_unfinished()
         self.gave_up = not self._callers_answered()
         parts.client.close()
--- a/tests/test_entry_stop_control.py
+++ b/tests/test_entry_stop_control.py
@@ -143,6 +143,36 @@
         harness.run(scenario)
         assert accepted == [False] * 3
 
+    def test_request_is_answered_while_the_port_accepts_connections(self):
+        # Guards against a stop whose last step is late, so that no time is
+        # left for the requests of the control port.
+        harness = entry_stop_harness.StoppedHarness(drain_s=1.0)
+
+        async def scenario():
+            sent = {}
+
+            async def leave():
+                try:
+                    await entry_stop_harness.hang()
+                except asyncio.CancelledError:
+                    sent["accepted"] = harness.accepts(harness.control_port)
+                    writer.write(METRICS)
+                    raise
+
+            harness.control.stop = leave
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", harness.control_port
+            )
+            await harness.server.stop()
+            try:
+                sent["answered"] = bool(await reader.read())
+            except ConnectionError:
+                sent["answered"] = False
+            return sent
+
+        sent = harness.run(scenario)
+        assert sent["answered"] or not sent["accepted"]
+
 
 class TestTimeBudget:
 
