Count the stop of baobabdoor-entry from the arrival of the signal

What callers saw: requests that are cut by the kill. An entry whose event loop is busy for longer than the reserve before the kill (0.5 s, or a fifth of drain_s) gave its last answers after it.

Cause: the time of the stop began when the event loop noticed the signal.

The signal handler now runs between two instructions, also while the event loop is busy, and records the time; all times of the stop count from it. A process that notices the signal only after flush_s still ends without answers.

test_time_counts_from_the_arrival_of_the_signal: with an event loop that is late until after answer_s, an open call got no answer within 20 s before; it is answered at once now.

--- a/baobabdoor/entry/_daemon.py
+++ b/baobabdoor/entry/_daemon.py
@@ -116,7 +116,7 @@
     finally:
         service.close()
         # A further signal would end the process as if it had failed, because
-        # the event loop restores the default handlers.
+        # the interpreter restores the default handlers when it exits.
         signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
 
 
@@ -124,8 +124,16 @@
     """Starts a server, waits for a signal, and shuts down gracefully."""
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
+
+    def request_stop(number: int, frame: object) -> None:
+        # Called between two instructions, also while the event loop is busy for
+        # long, which notices the signal only later.
+        del number, frame
+        server.observe_signal()
+        loop.call_soon_threadsafe(stop_requested.set)
+
     for signal_number in STOP_SIGNALS:
-        loop.add_signal_handler(signal_number, stop_requested.set)
+        signal.signal(signal_number, request_stop)
     try:
         await server.start()
     except OSError as error:
--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -88,6 +88,8 @@
         self.bounds_ = _limits.divide(components.entry_settings)
         self.pool_ = transport.MemoryPool(self.bounds_.pool_bytes)
         self.draining_ = False
+        # When the first stop signal arrived.
+        self.signalled_s_: float | None = None
         self.applied_configuration_: tuple[int, str] | None = None
         self.log_ = observability.get_logger("entry")
         self.client_ = _backend_client.BackendClient(
@@ -145,9 +147,18 @@
         components.recorder.record("entry.started")
         self.log_.info("started", caller=address.url)
 
+    def observe_signal(self) -> None:
+        """Observes a stop signal, from whose arrival `drain_s` counts."""
+        if self.signalled_s_ is None:
+            self.signalled_s_ = self.components.timers.now_s()
+
     async def stop(self) -> bool:
-        """Stops within `drain_s`; returns whether all requests completed."""
+        """Stops within `drain_s`; returns whether all requests completed.
+
+        The time counts from the stop signal, or from now without one.
+        """
         components = self.components
+        self.observe_signal()
         self.draining_ = True
         components.recorder.record(
             "entry.draining", active=self.dispatcher_.active
@@ -182,6 +193,7 @@
                 control=self.components.control,
             ),
             budget,
+            self.signalled_s_,
         )
 
     def _make_dispatcher(self) -> _request_dispatcher.RequestDispatcher:
--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -58,12 +58,15 @@
     Args:
         parts: Parts of the entry server.
         budget: Times of the stop.
+        signalled_s: When the stop signal arrived, from which they count.
     """
 
-    def __init__(self, parts: Parts, budget: base.ShutdownBudget):
+    def __init__(
+        self, parts: Parts, budget: base.ShutdownBudget, signalled_s: float
+    ):
         self.parts = parts
         self.budget = budget
-        self.started_s = parts.timers.now_s()
+        self.signalled_s = signalled_s
         self.gave_up = False
         self.log = observability.get_logger("entry")
 
@@ -71,9 +74,11 @@
         """Stops the entry; returns whether all requests completed."""
         parts = self.parts
         self._announce()
-        give_up = parts.timers.call_later(self.budget.answer_s, self._give_up)
+        give_up = parts.timers.call_later(
+            self._left_s(self.budget.answer_s), self._give_up
+        )
         # The load balancer sends requests until it detects the unready state.
-        await asyncio.sleep(self.budget.serve_s)
+        await asyncio.sleep(self._left_s(self.budget.serve_s))
         parts.callers.draining = True
         parts.callers.listener.stop()
         await self._wait_for(self._callers_answered)
@@ -107,8 +112,12 @@
     @property
     def remaining_s(self) -> float:
         """Time in which replies may still be written, in seconds."""
-        end_s = self.started_s + self.budget.flush_s
-        return max(0.0, end_s - self.parts.timers.now_s())
+        return self._left_s(self.budget.flush_s)
+
+    def _left_s(self, end_s: float) -> float:
+        """Returns the time until a time of the budget; 0 if it is over."""
+        elapsed_s = self.parts.timers.now_s() - self.signalled_s
+        return max(0.0, end_s - elapsed_s)
 
     async def _wait_for(self, done: Callable[[], bool]) -> None:
         """Waits for a condition until no reply may be written any more."""
--- a/tests/entry_stop_harness.py
+++ b/tests/entry_stop_harness.py
@@ -1,12 +1,14 @@
 """Harness of tests that stop an entry while it has open requests."""
 
 import asyncio
+import signal
 import socket
 
 import entry_harness
 from tornado import web
 
 from baobabdoor import transport
+from baobabdoor.entry import _daemon
 
 JOBS_PATH = "/v1/jobs"
 
@@ -54,6 +56,21 @@
 
         return asyncio.run(run_scenario())
 
+    def serve(self, scenario):
+        """Runs a scenario beside an entry that a signal stops."""
+
+        async def run_scenario():
+            self.serving = asyncio.ensure_future(_daemon.serve(self.server))
+            await entry_harness.wait_until(lambda: self.server.subscriptions_)
+            return await asyncio.wait_for(scenario(), 60)
+
+        handlers = [(n, signal.getsignal(n)) for n in _daemon.STOP_SIGNALS]
+        try:
+            return asyncio.run(run_scenario())
+        finally:
+            for number, handler in handlers:
+                signal.signal(number, handler)
+
     def accepts(self, port):
         try:
             socket.create_connection(("127.0.0.1", port)).close()
--- a/tests/test_entry_stop_control.py
+++ b/tests/test_entry_stop_control.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import os
+import signal
 
 import entry_harness
 import entry_stop_harness
@@ -174,6 +176,45 @@
         assert sent["answered"] or not sent["accepted"]
 
 
+class TestSignal:
+
+    def test_time_counts_from_the_arrival_of_the_signal(self):
+        # Guards against answers that are due after the kill, because the event
+        # loop was busy when the signal arrived.
+        harness = entry_stop_harness.StoppedHarness(drain_s=1000.0)
+        harness.components.operator_routes = [
+            (
+                SLOW_PATH,
+                entry_stop_harness.SlowHandler,
+                {"release": asyncio.Event()},
+            )
+        ]
+        budget = base.divide_shutdown(1000.0, 0.05)
+        # Between the time when answers are due and that when they are flushed.
+        late_s = (budget.answer_s + budget.flush_s) / 2
+
+        async def scenario():
+            reader, _ = await harness.send(
+                entry_harness.request_head(
+                    method="GET", path=SLOW_PATH, **OPERATOR
+                ),
+                harness.control_port,
+            )
+            await entry_harness.wait_until(
+                lambda: harness.server.control_server_.in_progress
+            )
+            signalled_s = harness.timers.now_s()
+            harness.timers.now_s = lambda: signalled_s
+            os.kill(os.getpid(), signal.SIGTERM)
+            harness.timers.now_s = lambda: signalled_s + late_s
+            response = await entry_harness.read_response(reader)
+            await harness.serving
+            return response
+
+        response = harness.serve(scenario)
+        assert (response[0], response[1]["Connection"]) == (502, "close")
+
+
 class TestTimeBudget:
 
     @pytest.mark.parametrize("drain_s", [2.0, 3.0])
