Leave time to flush replies when the event loop was late

What callers saw: a request in progress that got no answer at the end of a stop of a busy process.

Cause: when the event loop is late until after flush_s, the requests that are left are answered and all connections are closed in the same iterations, before the replies are written, although the kill comes only later.

Connections are now closed 0.1 s after the requests that are left were answered at the earliest, which is half of the shortest reserve before the kill.

--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -19,6 +19,9 @@
 # Also the time in which a connection that was just accepted is read for the
 # first time.
 POLL_INTERVAL_S = 0.05
+# Minimum time to flush replies once answers are due, for an event loop that was
+# late. Half of the shortest reserve before the kill, that of `drain_s` 1.
+MIN_FLUSH_S = 0.1
 STEP = "entry.stop"
 
 
@@ -67,6 +70,8 @@
         self.parts = parts
         self.budget = budget
         self.signalled_s = signalled_s
+        # When the requests that were left were answered.
+        self.answered_s: float | None = None
         self.gave_up = False
         self.log = observability.get_logger("entry")
 
@@ -112,7 +117,11 @@
     @property
     def remaining_s(self) -> float:
         """Time in which replies may still be written, in seconds."""
-        return self._left_s(self.budget.flush_s)
+        left_s = self._left_s(self.budget.flush_s)
+        if self.answered_s is None:
+            return max(MIN_FLUSH_S, left_s)
+        since_s = self.parts.timers.now_s() - self.answered_s
+        return max(MIN_FLUSH_S - since_s, left_s)
 
     def _left_s(self, end_s: float) -> float:
         """Returns the time until a time of the budget; 0 if it is over."""
@@ -145,6 +154,7 @@
     def _give_up(self) -> None:
         """Answers the requests that did not complete in time."""
         parts = self.parts
+        self.answered_s = parts.timers.now_s()
         refusal = base.Refusal(base.Reason.DRAINING, STEP)
         parts.control_handler.interrupt(refusal)
         # New requests would be refused, and could not be once the time to
--- a/tests/test_entry_stop_control.py
+++ b/tests/test_entry_stop_control.py
@@ -14,6 +14,10 @@
 
 OPERATOR = {"Authorization": "Bearer " + "t" * 16}
 SLOW_PATH = "/v1/slow"
+LONG_DRAIN_S = 1000.0
+# Ends between the time when answers are due and that when they are flushed.
+BUSY_UNTIL_ANSWERS = LONG_DRAIN_S - 0.7
+BUSY_UNTIL_END = LONG_DRAIN_S
 METRICS = entry_harness.request_head(method="GET", path="/metrics")
 
 
@@ -178,10 +182,11 @@
 
 class TestSignal:
 
-    def test_time_counts_from_the_arrival_of_the_signal(self):
-        # Guards against answers that are due after the kill, because the event
-        # loop was busy when the signal arrived.
-        harness = entry_stop_harness.StoppedHarness(drain_s=1000.0)
+    @pytest.mark.parametrize("late_s", [BUSY_UNTIL_ANSWERS, BUSY_UNTIL_END])
+    def test_time_counts_from_the_arrival_of_the_signal(self, late_s):
+        # Guards against answers that are due after the kill, or are cut before
+        # they are written, because the event loop was busy.
+        harness = entry_stop_harness.StoppedHarness(drain_s=LONG_DRAIN_S)
         harness.components.operator_routes = [
             (
                 SLOW_PATH,
@@ -189,9 +194,6 @@
                 {"release": asyncio.Event()},
             )
         ]
-        budget = base.divide_shutdown(1000.0, 0.05)
-        # Between the time when answers are due and that when they are flushed.
-        late_s = (budget.answer_s + budget.flush_s) / 2
 
         async def scenario():
             reader, _ = await harness.send(
