Log the requests that are open when an entry stops

A request that is cut at the end of a stop left no trace in the log of baobabdoor-entry, so that the report of one could not be traced: how far was it, on which port, since when?

requests_open_at_exit and request_open_at_exit now name the open requests of both ports before their connections are closed, 20 per port at most.

--- a/baobabdoor/entry/_caller_server.py
+++ b/baobabdoor/entry/_caller_server.py
@@ -243,6 +243,31 @@
             for usage in self.budget.usages_.values()
         )
 
+    def open_requests(self) -> list[transport.OpenRequest]:
+        """Returns the requests that have begun and are not answered."""
+        now_s = self.listener.now_s()
+        records = []
+        for stream, usage in self.budget.usages_.items():
+            phase = usage.phase
+            if phase is transport.Phase.IDLE:
+                if not _has_received(stream):
+                    continue
+                phase = transport.Phase.HEADER
+            request = stream.exchange_
+            line = request.start_line if request else None
+            records.append(
+                transport.OpenRequest(
+                    "callers",
+                    phase.value,
+                    line.method if line else "",
+                    line.path.partition("?")[0] if line else "",
+                    request.headers if line else httputil.HTTPHeaders(),
+                    now_s - usage.since_s,
+                    stream.peer,
+                )
+            )
+        return records
+
     def give_up(self, refusal: base.Refusal) -> None:
         """Answers the requests that wait for a body or for the entry itself."""
         self.draining = True
--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -22,6 +22,9 @@
 # Minimum time to flush replies once answers are due, for an event loop that was
 # late. Half of the shortest reserve before the kill, that of `drain_s` 1.
 MIN_FLUSH_S = 0.1
+# Maximum open requests of a port that are named in the log, so that a crowd
+# takes little of the time before the kill.
+MAX_LOGGED_REQUESTS = 20
 STEP = "entry.stop"
 
 
@@ -90,14 +93,36 @@
         parts.client.close()
         # Requests that have arrived meanwhile are refused.
         await self._wait_for(self._callers_flushed)
+        self._log_open_requests("callers", parts.callers.open_requests())
         parts.callers.listener.close_all()
         await self._leave()
         self._close_control_port()
         await self._wait_for(self._control_flushed)
+        self._log_open_requests("control", parts.control_server.open_requests())
         parts.control_server.close_all()
         give_up.cancel()
         return not self.gave_up
 
+    def _log_open_requests(
+        self, server: str, open_requests: list[transport.OpenRequest]
+    ) -> None:
+        """Logs the requests that are open when their connections are closed."""
+        if not open_requests:
+            return
+        self.log.warning(
+            "requests_open_at_exit", server=server, count=len(open_requests)
+        )
+        for request in open_requests[:MAX_LOGGED_REQUESTS]:
+            self.log.warning(
+                "request_open_at_exit",
+                server=server,
+                phase=request.phase,
+                phase_ms=round(request.age_s * 1000),
+                method=request.method,
+                path=request.path,
+                peer=request.connection,
+            )
+
     def _close_control_port(self) -> None:
         """Refuses connections to the control port, then closes idle ones.
 
--- a/tests/test_entry_stop_control.py
+++ b/tests/test_entry_stop_control.py
@@ -8,6 +8,7 @@
 import entry_harness
 import entry_stop_harness
 import pytest
+from structlog import testing
 
 from baobabdoor import base
 from baobabdoor import idempotency
@@ -217,6 +218,84 @@
         assert (response[0], response[1]["Connection"]) == (502, "close")
 
 
+class TestOpenRequests:
+
+    def _logged(self, harness, port, request, is_open):
+        """Returns the records of requests that a stop leaves open."""
+
+        async def scenario():
+            _, writer = await harness.send(request, port)
+            await entry_harness.wait_until(is_open)
+            with testing.capture_logs() as logs:
+                await harness.server.stop()
+            writer.close()
+            return logs
+
+        harness.components.operator_routes = [
+            (
+                SLOW_PATH,
+                entry_stop_harness.SlowHandler,
+                {"release": asyncio.Event()},
+            )
+        ]
+        return [
+            (line["server"], line["phase"], line["method"], line["path"])
+            for line in harness.run(scenario)
+            if line["event"] == "request_open_at_exit"
+        ]
+
+    def test_open_request_of_the_control_port_is_logged(self):
+        # Guards against requests that are cut without a trace.
+        harness = entry_stop_harness.StoppedHarness(drain_s=1.0)
+        server = harness.server
+
+        def is_open():
+            server.control_handler_.interrupt = lambda refusal: None
+            return server.control_server_.in_progress
+
+        request = entry_harness.request_head(
+            method="GET", path=SLOW_PATH, **OPERATOR
+        )
+        logged = self._logged(harness, harness.control_port, request, is_open)
+        assert logged == [("control", "handling", "GET", SLOW_PATH)]
+
+    @pytest.mark.parametrize(
+        ("request_part", "record"),
+        [
+            (b"GET /x HT", ("callers", "header", "", "")),
+            (
+                entry_harness.request_head(
+                    path="/v1/jobs?a=1", **{"Content-Length": "2"}
+                ),
+                ("callers", "body", "POST", "/v1/jobs"),
+            ),
+        ],
+        ids=["header", "body"],
+    )
+    def test_open_request_of_the_caller_port_is_logged(
+        self, request_part, record
+    ):
+        # Guards against requests that are cut without a trace.
+        harness = entry_stop_harness.StoppedHarness(drain_s=1.0)
+        callers = harness.server.caller_server_
+        callers.give_up = lambda refusal: None
+        logged = self._logged(
+            harness, harness.port, request_part, callers.open_requests
+        )
+        assert logged == [record]
+
+    def test_stop_that_answers_all_requests_logs_none(self):
+        harness = entry_stop_harness.StoppedHarness(drain_s=1.0)
+        server = harness.server
+        logged = self._logged(
+            harness,
+            harness.control_port,
+            METRICS,
+            lambda: server.control_server_.budget.usages_,
+        )
+        assert not logged
+
+
 class TestTimeBudget:
 
     @pytest.mark.parametrize("drain_s", [2.0, 3.0])
