--- a/baobabdoor/entry/_shutdown.py
+++ b/baobabdoor/entry/_shutdown.py
@@ -19,6 +19,12 @@
 # Also the time in which a connection that was just accepted is read for the
 # first time.
 POLL_INTERVAL_S = 0.05
+# Minimum time to flush replies once answers are due, for an event loop that was
+# late. Half of the shortest reserve before the kill, that of `drain_s` 1.
+MIN_FLUSH_S = 0.1
+# Maximum open requests of a port that are named in the log, so that a crowd
+# takes little of the time before the kill.
+MAX_LOGGED_REQUESTS = 20
 STEP = "entry.stop"
 
 
@@ -58,12 +64,17 @@
     Args:
         parts: Parts of the entry server.
         budget: Times of the stop.
+        signalled_s: When the stop signal arrived, from which they count.
     """
 
-    def __init__(self, parts: Parts, budget: base.ShutdownBudget):
+    def __init__(
+        self, parts: Parts, budget: base.ShutdownBudget, signalled_s: float
+    ):
         self.parts = parts
         self.budget = budget
-        self.started_s = parts.timers.now_s()
+        self.signalled_s = signalled_s
+        # When the requests that were left were answered.
+        self.answered_s: float | None = None
         self.gave_up = False
         self.log = observability.get_logger("entry")
 
@@ -71,23 +82,57 @@
         """Stops the entry; returns whether all requests completed."""
         parts = self.parts
         self._announce()
-        give_up = parts.timers.call_later(self.budget.answer_s, self._give_up)
+        give_up = parts.timers.call_later(
+            self._left_s(self.budget.answer_s), self._give_up
+        )
         # The load balancer sends requests until it detects the unready state.
-        await asyncio.sleep(self.budget.serve_s)
+        await asyncio.sleep(self._left_s(self.budget.serve_s))
         parts.callers.draining = True
         parts.callers.listener.stop()
         await self._wait_for(self._callers_answered)
         parts.client.close()
         # Requests that have arrived meanwhile are refused.
         await self._wait_for(self._callers_flushed)
+        self._log_open_requests("callers", parts.callers.open_requests())
         parts.callers.listener.close_all()
         await self._leave()
-        parts.control_server.stop_accepting()
+        self._close_control_port()
         await self._wait_for(self._control_flushed)
+        self._log_open_requests("control", parts.control_server.open_requests())
         parts.control_server.close_all()
         give_up.cancel()
         return not self.gave_up
 
+    def _log_open_requests(
+        self, server: str, open_requests: list[transport.OpenRequest]
+    ) -> None:
+        """Logs the requests that are open when their connections are closed."""
+        if not open_requests:
+            return
+        self.log.warning(
+            "requests_open_at_exit", server=server, count=len(open_requests)
+        )
+        for request in open_requests[:MAX_LOGGED_REQUESTS]:
+            self.log.warning(
+                "request_open_at_exit",
+                server=server,
+                phase=request.phase,
+                phase_ms=round(request.age_s * 1000),
+                method=request.method,
+                path=request.path,
+                peer=request.connection,
+            )
+
+    def _close_control_port(self) -> None:
+        """Refuses connections to the control port, then closes idle ones.
+
+        A client whose connection is closed can tell that the entry has stopped,
+        because a new one is refused.
+        """
+        server = self.parts.control_server
+        server.listener.stop()
+        server.stop_accepting()
+
     def _announce(self) -> None:
         """Makes all further replies close their connection."""
         parts = self.parts
@@ -97,8 +142,16 @@
     @property
     def remaining_s(self) -> float:
         """Time in which replies may still be written, in seconds."""
-        end_s = self.started_s + self.budget.flush_s
-        return max(0.0, end_s - self.parts.timers.now_s())
+        left_s = self._left_s(self.budget.flush_s)
+        if self.answered_s is None:
+            return max(MIN_FLUSH_S, left_s)
+        since_s = self.parts.timers.now_s() - self.answered_s
+        return max(MIN_FLUSH_S - since_s, left_s)
+
+    def _left_s(self, end_s: float) -> float:
+        """Returns the time until a time of the budget; 0 if it is over."""
+        elapsed_s = self.parts.timers.now_s() - self.signalled_s
+        return max(0.0, end_s - elapsed_s)
 
     async def _wait_for(self, done: Callable[[], bool]) -> None:
         """Waits for a condition until no reply may be written any more."""
@@ -126,8 +179,12 @@
     def _give_up(self) -> None:
         """Answers the requests that did not complete in time."""
         parts = self.parts
+        self.answered_s = parts.timers.now_s()
         refusal = base.Refusal(base.Reason.DRAINING, STEP)
         parts.control_handler.interrupt(refusal)
+        # New requests would be refused, and could not be once the time to
+        # flush replies is over.
+        self._close_control_port()
         parts.control_server.refuse_unfinished()
         self.gave_up = not self._callers_answered()
         parts.client.close()
