Make the tests of state requests independent of the load of the machine

Beside a load of 30 on 8 cores one of 177 tests failed: requests that take longer than 0.2 s are also read from the store, which told another state than the leader.

--- a/baobabdoor/dispatch/_row_reader.py
+++ b/baobabdoor/dispatch/_row_reader.py
@@ -68,7 +68,7 @@
             async with asyncio.timeout(timeout_s):
                 return await future
         except TimeoutError:
-            return _refusal("no answer in time")
+            return _refusal("read timed out")
 
     def _schedule_start(self) -> None:
         """Starts calls once all requests of this iteration are known."""
--- a/tests/test_dispatch_job_states.py
+++ b/tests/test_dispatch_job_states.py
@@ -23,16 +23,17 @@
 from baobabdoor.dispatch import _election
 from baobabdoor.dispatch import _faults
 from baobabdoor.dispatch import _gateway
+from baobabdoor.dispatch import _job_states
 from baobabdoor.dispatch import _outcomes
 from baobabdoor.scheduling import _job
 from baobabdoor.standin import _row_store
 from baobabdoor.transport import _client
 
 QUEUE = scheduling.Queue(scheduling_fixtures.QUEUE, "h", "/q/", "p")
-# Deadline of a caller.
-TIMEOUT_S = 3.0
+# Deadline of a caller; generous, because a busy machine is slow.
+TIMEOUT_S = 30.0
 # Only guards against hangs.
-HANG_TIMEOUT_S = 20.0
+HANG_TIMEOUT_S = 60.0
 CROWD = 1000
 RUNNING = _outcomes.Outcome("state", value="running")
 UNCERTAIN = _outcomes.Outcome("uncertain", 1, detail="revocation-uncertain")
@@ -124,16 +125,16 @@
         row_key = (_commits.JOBS_TABLE, _election.PART, job_id)
         self.store.rows[row_key] = platform.StoredRow(*row_key, job.encode(), 1)
 
-    async def state(self, number=0):
-        return await self.gateway.state(key(number), QUEUE, TIMEOUT_S)
+    async def state(self, number, timeout_s):
+        return await self.gateway.state(key(number), QUEUE, timeout_s)
 
-    def ask(self, numbers=(0,)):
+    def ask(self, numbers=(0,), timeout_s=TIMEOUT_S):
         """Returns the outcomes of requests that come at the same time."""
 
         async def ask():
             async with asyncio.timeout(HANG_TIMEOUT_S):
                 return await asyncio.gather(
-                    *(self.state(number) for number in numbers)
+                    *(self.state(number, timeout_s) for number in numbers)
                 )
 
         return asyncio.run(ask())
@@ -162,7 +163,10 @@
         entry = Entry(lambda call: asyncio.Event())
         assert entry.ask()[0].value == "completed"
 
-    def test_a_leader_that_answers_saves_the_read_of_the_store(self):
+    def test_a_leader_that_answers_saves_the_read_of_the_store(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(_job_states, "HEDGE_DELAY_S", TIMEOUT_S)
         entry = Entry(lambda call: RUNNING)
         assert entry.ask(range(50)) == [RUNNING] * 50
         assert entry.store.reads == 0
@@ -179,7 +183,7 @@
     def test_a_refusal_names_the_last_failure_of_leader_and_store(self):
         entry = Entry(lambda call: UNCERTAIN)
         entry.store.reachable = False
-        (outcome,) = entry.ask()
+        (outcome,) = entry.ask(timeout_s=1.0)
         assert "holder: revocation-uncertain" in outcome.detail
         assert "store: unknown-result" in outcome.detail
 
@@ -209,6 +213,7 @@
 
     def test_requests_share_calls_of_the_leader(self):
         entry = Entry(lambda call: RUNNING, CROWD)
+        entry.store.reachable = False
         assert entry.ask(range(CROWD)) == [RUNNING] * CROWD
         assert entry.leader.calls < CROWD / 10
 
