Wait for a late leader when a job's row is unreadable here

Callers got 503 although the leader knew the state: when it had not answered within 0.2 s, the entry read the row of the job, and one that it could not decode, such as that of a newer program version, ended the request at once.

An unreadable row now ends only the reads of the store. The request ends with the leader's answer or, if that fails too, with the same refusal as before. The new test fails before this change (unavailable instead of running).

--- a/baobabdoor/dispatch/_job_states.py
+++ b/baobabdoor/dispatch/_job_states.py
@@ -187,14 +187,16 @@
                 return outcome
             self.attempts_ += 1
             self.failures_[source] = outcome
-            if self._should_end():
+            if outcome is UNREADABLE or self._should_end():
                 return None
             await asyncio.sleep(RETRY_PAUSE_S)
             if self._should_end():
                 return None
 
     def _should_end(self) -> bool:
-        return len(self.failures_) == 2 and self.is_hopeless()
+        if len(self.failures_) < 2:
+            return False
+        return self.failures_["store"] is UNREADABLE or self.is_hopeless()
 
     def refusal(self) -> _outcomes.Outcome:
         """Returns the refusal, which names the last failures for the log."""
@@ -207,4 +209,4 @@
 
 
 def _tells(outcome: _outcomes.Outcome) -> bool:
-    return outcome.kind not in UNDECIDED or outcome is UNREADABLE
+    return outcome.kind not in UNDECIDED
--- a/tests/test_dispatch_job_states.py
+++ b/tests/test_dispatch_job_states.py
@@ -194,6 +194,28 @@
         assert entry.ask()[0].kind == "unavailable"
         assert entry.store.reads == 1
 
+    def test_a_late_leader_tells_a_state_that_is_unreadable_here(self):
+        """The unreadable row ended the wait for the leader."""
+        entry = Entry(lambda call: unreachable())
+        row_key = (_commits.JOBS_TABLE, _election.PART, key(0))
+        entry.store.rows[row_key] = platform.StoredRow(*row_key, b"x", 1)
+        states = entry.gateway.states
+        read_stored = states.read_stored
+        row_is_read = asyncio.Event()
+
+        async def read(*arguments):
+            outcome = await read_stored(*arguments)
+            asyncio.get_running_loop().call_later(0.01, row_is_read.set)
+            return outcome
+
+        async def read_leader(message):
+            await row_is_read.wait()
+            return RUNNING
+
+        states.read_stored = read
+        states.leader.read = read_leader
+        assert entry.ask()[0] == RUNNING
+
 
 class TestCrowd:
     """Requests for the states of many jobs that come at the same time."""
