Answer queries with a key that cannot be checked within their deadline

While an entry cannot check a key, it asks the leader again and again. The deadline was checked only between two calls, each of which waits for its turn and for up to 0.5 s, so that the answer of a silent leader came after the caller had given up.

Each call is limited to the time that is left. The new test, whose leader never answers, ran into its timeout of 10 s before this change.

--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -168,7 +168,11 @@
         message = _message(queue, caller, job_id) | {"customer": None}
         end_s = platform.boot_time_s() + timeout_s
         while True:
-            outcome = await self.states.leader.read(message)
+            try:
+                async with asyncio.timeout(end_s - platform.boot_time_s()):
+                    outcome = await self.states.leader.read(message)
+            except TimeoutError:
+                return self.refuse_access(caller.decision, "entry")
             if outcome.kind not in _job_states.UNDECIDED:
                 return outcome
             decision = self.access.check_caller(queue, caller.digest)
--- a/tests/test_dispatch_uncertain_keys.py
+++ b/tests/test_dispatch_uncertain_keys.py
@@ -6,6 +6,8 @@
 import pytest
 import test_dispatch_access
 
+from baobabdoor import platform
+from baobabdoor import transport
 from baobabdoor.dispatch import _job_states
 from baobabdoor.dispatch import _outcomes
 
@@ -121,6 +123,26 @@
 
         run(scenario)
 
+    def test_is_answered_in_time_while_the_leader_is_silent(self):
+        """The deadline was only checked between two calls of the leader."""
+
+        async def scenario(service):
+            async def read(message):
+                await asyncio.Event().wait()
+
+            service.handler.gateway.states.leader.read = read
+            headers = {
+                "Authorization": f"Token {CLUB}",
+                platform.DEADLINE_HEADER: "300",
+            }
+            path = test_dispatch_access.PATH + test_dispatch_access.JOB
+            request = transport.Request("GET", path, "example", headers, b"")
+            async with asyncio.timeout(TIMEOUT_S):
+                reply = await service.handler.serve(request)
+            assert reply.status == 503
+
+        run(scenario)
+
 
 class TestOtherCalls:
 
