Read single rows after a page of jobs could not be read

With more requests than free calls, rows are read in pages of up to 1 MB. A page that failed changed nothing, so that the next attempt was a page again: where pages time out and single rows do not, no request was answered until fewer than nine were left.

A failed page now lets the next calls read single rows, until the usual growth of the expected share leads to another page. In the new test, with a store that answers single rows only, all 300 requests get their row within three attempts; before, none did. No run with a slow store has shown this case.

--- a/baobabdoor/dispatch/_row_reader.py
+++ b/baobabdoor/dispatch/_row_reader.py
@@ -123,6 +123,9 @@
             first, platform.PAGE_ROWS if is_page else 1
         )
         if isinstance(answer, base.Refusal):
+            if is_page:
+                # A page may take too long where single rows do not.
+                self.page_share_ = 1 / requested
             for futures in requests.values():
                 _set_results(futures, answer)
             return
--- a/tests/test_dispatch_row_reader.py
+++ b/tests/test_dispatch_row_reader.py
@@ -142,6 +142,30 @@
         results = read(store, map(key, range(requested)))
         assert all(isinstance(item, base.Refusal) for item in results)
 
+    def test_rows_are_read_one_by_one_after_a_page_failed(self):
+        """Pages that always time out were read again and again."""
+
+        class PagelessStore(HeldStore):
+
+            async def read(self, table, part, start, timeout_s, limit):
+                if limit > 1:
+                    return REFUSAL
+                return await super().read(table, part, start, timeout_s, limit)
+
+        keys = [key(number) for number in range(300)]
+
+        async def scenario(reader):
+            async def read_again(item):
+                for _ in range(3):
+                    row = await reader.read(item, HANG_TIMEOUT_S)
+                    if not isinstance(row, base.Refusal):
+                        return row.key
+                return None
+
+            return await asyncio.gather(*map(read_again, keys))
+
+        assert run(PagelessStore(keys), scenario) == keys
+
     def test_requests_that_timed_out_are_not_read(self):
         store = HeldStore()
         store.holds = True
