Read the oldest requested job first when calls read pages

When more pages were needed than calls were free, the pages with the lowest keys were read, and those that a page did not contain went to the end. While other requests kept arriving, those for jobs with high identifiers waited until their deadline.

The first page starts at the oldest requested key, and requests that a page did not contain stay ahead of newer ones.

--- a/baobabdoor/dispatch/_row_reader.py
+++ b/baobabdoor/dispatch/_row_reader.py
@@ -26,8 +26,8 @@
 
     While fewer keys are requested than calls are free, each call reads one row.
     Otherwise, calls read pages of the part, each starting at a requested key,
-    if a page is expected to contain several of them. A row is always read after
-    it was requested.
+    the first one at that of the oldest request, if a page is expected to
+    contain several of them. A row is always read after it was requested.
 
     Args:
         store: The store.
@@ -98,10 +98,16 @@
             # Another page is tried some time later: the part may have shrunk.
             self.page_share_ = min(1.0, SHARE_GROWTH * self.page_share_)
             return [[key] for key in keys[:free]]
+        oldest = keys[0]
         keys.sort()
+        index = keys.index(oldest)
         size = math.ceil(page_keys)
-        starts = range(0, len(keys), size)
-        return [keys[start : start + size] for start in starts[:free]]
+        groups = [
+            part[start : start + size]
+            for part in (keys[index:], keys[:index])
+            for start in range(0, len(part), size)
+        ]
+        return groups[:free]
 
     def _observe_call_end(self, call: asyncio.Task) -> None:
         self.calls.discard(call)
@@ -132,12 +138,15 @@
         rows = {row.key: row for row in answer.rows}
         last = answer.rows[-1].key if answer.more else None
         covered = 0
+        left = {}
         for key, futures in requests.items():
             if last is None or key <= last:
                 covered += 1
                 _set_results(futures, rows.get(key))
             else:
-                self.waiting.setdefault(key, []).extend(futures)
+                left[key] = futures + self.waiting.pop(key, [])
+        # These are older than those that have come meanwhile.
+        self.waiting = left | self.waiting
         if is_page:
             self._observe_page(covered, len(requests), requested)
 
--- a/tests/test_dispatch_row_reader.py
+++ b/tests/test_dispatch_row_reader.py
@@ -202,6 +202,35 @@
         assert run(store, scenario).key == key(5)
 
 
+class TestOrder:
+
+    def test_the_oldest_request_is_read_first(self):
+        """Requests for high keys waited while others kept arriving."""
+        store = HeldStore(map(key, range(3000)), page_rows=10)
+
+        async def scenario(reader):
+            # A small share of the requested rows is in a page.
+            await asyncio.gather(
+                *(
+                    reader.read(key(number), HANG_TIMEOUT_S)
+                    for number in range(0, 3000, 3)
+                )
+            )
+            oldest = asyncio.ensure_future(
+                reader.read(key(2999), HANG_TIMEOUT_S)
+            )
+            others = [
+                asyncio.ensure_future(reader.read(key(number), HANG_TIMEOUT_S))
+                for number in range(2900)
+            ]
+            await oldest
+            late = sum(not item.done() for item in others)
+            await asyncio.gather(*others)
+            return late
+
+        assert run(store, scenario) > 2000
+
+
 class TestConnections:
 
     def test_calls_leave_connections_to_the_election(self):
