Check at the end of random walks that leaders can tell all states

Cause: random walks checked each state once, when it was stored. They saw neither a leader that no longer knows an accepted job nor a state that changes after it was shown.

Change: where a walk ends, its leader and the next one, which loads the rows, must know each job whose submission was stored, and show an end that was stored as it was.

--- a/baobabdoor/standin/_quota_walk.py
+++ b/baobabdoor/standin/_quota_walk.py
@@ -12,6 +12,7 @@
 from baobabdoor import customers
 from baobabdoor import scheduling
 from baobabdoor.standin import _walk
+from baobabdoor.standin import _walk_oracle
 
 # Customers with their maxima of CPU in thousandths of a core; 0 is none. A task
 # has up to 2,500, so that some exceed the maximum of one by themselves once it
@@ -40,7 +41,7 @@
 TARGET_MS = 60_000.0
 
 
-class QuotaOracle(_walk.Oracle):
+class QuotaOracle(_walk_oracle.Oracle):
     """Checks also that no start exceeds the quota of its customer."""
 
     def __init__(self, system: "QuotaWalk"):
--- a/baobabdoor/standin/_walk.py
+++ b/baobabdoor/standin/_walk.py
@@ -13,13 +13,13 @@
 
 from baobabdoor import dispatch
 from baobabdoor import scheduling
+from baobabdoor.standin import _walk_oracle
 from baobabdoor.standin import _worker_model
 
 TIME_STEP_S = 0.05
 START_S = 100.0
 POOL = "pool"
 QUEUE = "queue"
-MAX_ATTEMPTS = 3
 WORKERS = 6
 CPU_MILLI = 4000
 # Capacities to which a worker may shrink or grow while it runs.
@@ -33,11 +33,6 @@
 SHRINK_NOTICE_S = HEARTBEAT_S + MAX_ENTRY_AGE_S
 # Share of jobs with a task that crashes the workers that start it.
 CRASHING_SHARE = 0.08
-# Crashes of a task after which a further number of starts is a violation.
-MAX_CRASHES = 3
-MAX_STARTS_AFTER_CRASHES = 3
-# Crashes of its workers after which a task may be shown as failed.
-MIN_CRASHES_TO_FAIL = 2
 # Share of steps with checkpoints, the work between two of them, and the time to
 # restore one.
 CHECKPOINTING_SHARE = 0.7
@@ -46,174 +41,6 @@
 OUTCOMES = scheduling.OrderOutcome
 
 
-@attrs.frozen
-class Violation:
-    """Violation of a rule.
-
-    Attributes:
-        rule: Name of the rule.
-        time_s: Time of the violation.
-        detail: Description of the observation.
-    """
-
-    rule: str
-    time_s: float
-    detail: str
-
-
-class Oracle:
-    """Checks starts and ends of runs as observed by the workers."""
-
-    def __init__(self, system: "Walk"):
-        self.system = system
-        self.violations: list[Violation] = []
-        self.acknowledged_done: set[str] = set()
-        self.acknowledged_failures: collections.Counter = collections.Counter()
-        self.done: set[str] = set()
-        self.failed_ends: collections.Counter = collections.Counter()
-        # Workers that crashed while they ran a task, and its later starts.
-        self.crashes: collections.Counter = collections.Counter()
-        self.starts_after_crashes: collections.Counter = collections.Counter()
-        self.starts = 0
-        # Starts of a task beside another run of it.
-        self.duplicates = 0
-        # Orders to start a task from a checkpoint.
-        self.resumed_starts = 0
-        # Checkpoint that the members of a gang start from, by gang and run.
-        self.gang_checkpoints: dict[tuple[str, int], str] = {}
-
-    def check_start_order(
-        self, order: scheduling.StartOrder, now_s: float
-    ) -> None:
-        """Checks that callers sent what a worker is told to start."""
-        if self.system.find_step(order.task) is None:
-            self.add_violation("UNASKED", now_s, f"nobody sent {order.task!r}")
-            return
-        spec = self.system.specs[order.task.split(".")[0]]
-        if order.payload != spec.payload:
-            self.add_violation(
-                "UNASKED",
-                now_s,
-                f"{order.task} was sent with payload {spec.payload!r}, "
-                f"started with {order.payload!r}",
-            )
-        self._check_checkpoint(order, now_s)
-
-    def _check_checkpoint(
-        self, order: scheduling.StartOrder, now_s: float
-    ) -> None:
-        """Checks that a start resumes its own task, or its gang as a whole."""
-        unit = self._unit_of(order.task)
-        key = (unit, order.run_id)
-        saved = order.checkpoint
-        if unit != order.task and (
-            self.gang_checkpoints.setdefault(key, saved) != saved
-        ):
-            self.add_violation(
-                "UNASKED", now_s, f"{order.task} differs from its gang"
-            )
-        if not saved:
-            return
-        self.resumed_starts += 1
-        producer = self.system.checkpoints.task(saved)
-        if producer is None or self._unit_of(producer) != unit:
-            self.add_violation(
-                "UNASKED",
-                now_s,
-                f"{order.task} run {order.run_id} was started from checkpoint "
-                f"{saved!r} of {producer}",
-            )
-
-    def _unit_of(self, task: str) -> str:
-        """Returns the gang of a task, or the task itself."""
-        step = self.system.find_step(task)
-        return task.rpartition(".")[0] if step and step.gang else task
-
-    def on_start(self, worker, run, now_s: float) -> None:
-        """Checks the start of a run."""
-        self.starts += 1
-        known_steps = map(self.system.find_step, worker.runs)
-        used_cpu_milli = sum(step.cpu_milli for step in known_steps if step)
-        if used_cpu_milli > self.system.noticed_capacity_milli(worker):
-            self.add_violation(
-                "LIMIT", now_s, f"{run.task} on {worker.record.worker_id}"
-            )
-        step = self.system.find_step(run.task)
-        self._check_count(worker, run, step, now_s)
-        if run.task in self.acknowledged_done:
-            self.add_violation("TWICE", now_s, f"{run.task} was done")
-        if self.acknowledged_failures[run.task] >= MAX_ATTEMPTS:
-            self.add_violation("BUDGET", now_s, run.task)
-        self._check_crashes(run.task, now_s)
-        if step is None:
-            return
-        job_id = run.task.split(".")[0]
-        spec = self.system.specs[job_id]
-        for dependency in step.after:
-            for index in range(spec.steps[dependency].task_count):
-                if f"{job_id}.0.{dependency}.{index}" not in self.done:
-                    self.add_violation("ORDER", now_s, run.task)
-                    return
-
-    def _check_count(self, worker, run, step, now_s: float) -> None:
-        """Checks that a task has one run, or two where its step allows it."""
-        others = sum(
-            other is not worker and run.task in other.runs
-            for other in self.system.workers.values()
-        )
-        self.duplicates += others > 0
-        if others > int(step is not None and step.speculative):
-            self.add_violation(
-                "TWICE", now_s, f"{run.task} has {others + 1} runs"
-            )
-
-    def _check_crashes(self, task: str, now_s: float) -> None:
-        if task not in self.system.crashing_tasks:
-            return
-        if self.crashes[task] >= MAX_CRASHES:
-            self.starts_after_crashes[task] += 1
-        if self.starts_after_crashes[task] >= MAX_STARTS_AFTER_CRASHES:
-            self.add_violation("BUDGET", now_s, f"{task} crashes its workers")
-
-    def on_crash(self, worker) -> None:
-        """Records the crash of a worker."""
-        self.crashes.update(worker.runs.keys())
-
-    def on_end(self, worker, entry: scheduling.EndEntry) -> None:
-        """Records the end of a run."""
-        del worker
-        if entry.outcome == "done":
-            self.done.add(entry.task)
-        elif entry.outcome == "failed":
-            self.failed_ends[entry.task] += 1
-
-    def on_acknowledgement(self, entry: scheduling.EndEntry) -> None:
-        """Records an end that was acknowledged before its lease expired."""
-        if entry.outcome == "done":
-            self.acknowledged_done.add(entry.task)
-        elif entry.outcome == "failed":
-            self.acknowledged_failures[entry.task] += 1
-
-    def check_visible_state(self, job: scheduling.Job, now_s: float) -> None:
-        """Checks the state of a job that is visible to callers."""
-        if job.stored_state is scheduling.JobState.COMPLETED:
-            for task in job.tasks():
-                if task.name not in self.done:
-                    self.add_violation("MIXED", now_s, task.name)
-        elif job.stored_state is scheduling.JobState.FAILED and not any(
-            self.failed_ends[task.name] >= MAX_ATTEMPTS
-            or self.crashes[task.name] >= MIN_CRASHES_TO_FAIL
-            for task in job.tasks()
-        ):
-            self.add_violation(
-                "LOST", now_s, f"{job.spec.job_id} failed without a cause"
-            )
-
-    def add_violation(self, rule: str, now_s: float, detail: str) -> None:
-        """Records a violation of a rule."""
-        self.violations.append(Violation(rule, now_s, detail))
-
-
 class Leader:
     """Leader of one term, with its scheduler."""
 
@@ -372,7 +199,7 @@
         self.specs: dict[str, scheduling.JobSpec] = {}
         self.delayed_orders: list[tuple] = []
         self.partitioned_until_s: dict[tuple[int, str], float] = {}
-        self.oracle = Oracle(self)
+        self.oracle = _walk_oracle.Oracle(self)
         self.workers: dict[str, _worker_model.ModelWorker] = {}
         # Entries in the list of workers, as of the workers' last heartbeats.
         self.listed_records: dict[str, scheduling.WorkerRecord] = {}
@@ -390,7 +217,11 @@
             1,
             {
                 QUEUE: scheduling.Queue(
-                    QUEUE, "h", "/q/", POOL, max_attempts=MAX_ATTEMPTS
+                    QUEUE,
+                    "h",
+                    "/q/",
+                    POOL,
+                    max_attempts=_walk_oracle.MAX_ATTEMPTS,
                 )
             },
             {POOL: scheduling.PoolSettings(POOL)},
@@ -565,7 +396,7 @@
             return model.stop(order, self.now_s)
         return model.hold(order, self.now_s)
 
-    def run(self, seconds: float) -> list[Violation]:
+    def run(self, seconds: float) -> list[_walk_oracle.Violation]:
         """Runs for a period of virtual time and returns the violations."""
         end_s = self.now_s + seconds
         while self.now_s < end_s and not self.oracle.violations:
@@ -581,8 +412,15 @@
                     leader.step(leader is current)
             if current.stopped:
                 self.change_leader()
+        if not self.oracle.violations:
+            self._check_states()
         return self.oracle.violations
 
+    def _check_states(self) -> None:
+        """Checks the states that this leader and the next one can tell."""
+        for leader in (self.leaders[-1], Leader(self, self.term_count)):
+            self.oracle.check_all_states(leader.scheduler, self.now_s)
+
     def _deliver_delayed(self) -> None:
         """Delivers delayed orders, except to workers that were restarted."""
         due = [
--- a/tests/soak_oracle.py
+++ b/tests/soak_oracle.py
@@ -8,6 +8,7 @@
 
 from baobabdoor import scheduling
 from baobabdoor.standin import _walk
+from baobabdoor.standin import _walk_oracle
 
 # Maximum time from the acknowledgement of a cancellation to the start of a task
 # by a daemon in touch, on a worker that carries it out at once.
@@ -43,7 +44,7 @@
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
-class Oracle(_walk.Oracle):
+class Oracle(_walk_oracle.Oracle):
     """Oracle that also tracks starts and failures of jobs."""
 
     def __init__(self, soak: "Checks"):
@@ -203,7 +204,7 @@
         if (
             state == "failed"
             and failures < soak_platform.MAX_ATTEMPTS
-            and crashes < _walk.MIN_CRASHES_TO_FAIL
+            and crashes < _walk_oracle.MIN_CRASHES_TO_FAIL
         ):
             self.oracle.add(
                 "LOST",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,7 +17,7 @@
 
 from baobabdoor import platform
 from baobabdoor import scheduling
-from baobabdoor.standin import _walk
+from baobabdoor.standin import _walk_oracle
 from baobabdoor.standin import _worker_model
 
 SEED = 1002
@@ -526,11 +526,11 @@
 
     def test_a_task_that_crashes_its_workers_is_started_again(self, soak_run):
         soak_run.crashing_tasks.add(TASK)
-        soak_run.oracle.crashes[TASK] = _walk.MAX_CRASHES
-        for run_id in range(1, _walk.MAX_STARTS_AFTER_CRASHES):
+        soak_run.oracle.crashes[TASK] = _walk_oracle.MAX_CRASHES
+        for run_id in range(1, _walk_oracle.MAX_STARTS_AFTER_CRASHES):
             self.start_run(soak_run, run_id)
         assert not self.rules(soak_run)
-        self.start_run(soak_run, _walk.MAX_STARTS_AFTER_CRASHES)
+        self.start_run(soak_run, _walk_oracle.MAX_STARTS_AFTER_CRASHES)
         assert self.rules(soak_run) == {"BUDGET"}
 
     def order_start(self, soak_run, **changes):
