Show the longest iteration of the event loop while soak runs ask for all jobs

Cause: the process of the soak also runs the store and the workers. A request whose answer it reads late cannot be told from one that a daemon answers late. The watch of the event loop counted the time before it ran as an iteration: a series of stops 16.42 s after the start showed 16.43 s.

Change: a watch runs while jobs are asked for, and each line of a run shows its longest iteration; a watch counts from when it runs.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -256,6 +256,7 @@
         f"faults={len(soak.fault_log)} "
         f"asked={soak.end_responses.total()} "
         f"without_state={soak.end_responses.total() - soak.end_responses[200]} "
+        f"longest_iteration={soak.asking_watch.longest_s:.2f} "
         f"broken={len(violations)}"
     )
     if isinstance(soak, ClosingSoak):
--- a/tests/soak_closing.py
+++ b/tests/soak_closing.py
@@ -17,6 +17,7 @@
 import soak_callers
 import soak_oracle
 import soak_platform
+import soak_stop_records
 import soak_stops
 
 from baobabdoor import platform
@@ -99,12 +100,15 @@
     Attributes:
         end_responses: Number of requests by the status of their answer, or by
             the error of their last attempt.
+        asking_watch: Observes the event loop while requests wait.
     """
 
     def __init__(self):
         self.end_responses: collections.Counter = collections.Counter()
         # Jobs that the store holds from the closing on.
         self.kept_jobs: list[str] = []
+        # Tells late answers of daemons from answers that were read late.
+        self.asking_watch = soak_stop_records.LoopWatch()
 
     async def _wait_until_in_touch(self) -> None:
         """Waits until all daemons are in touch with the platform."""
@@ -127,8 +131,12 @@
         jobs = self._jobs_to_ask()
         fill = max(0, REQUESTS_AT_ONCE - len(jobs))
         jobs += self.kept_jobs[:fill]
-        for first in range(0, len(jobs), REQUESTS_AT_ONCE):
-            await self._ask_at_once(jobs[first : first + REQUESTS_AT_ONCE])
+        watch = asyncio.ensure_future(self.asking_watch.run())
+        try:
+            for first in range(0, len(jobs), REQUESTS_AT_ONCE):
+                await self._ask_at_once(jobs[first : first + REQUESTS_AT_ONCE])
+        finally:
+            watch.cancel()
 
     def _jobs_to_ask(self) -> list[str]:
         """Returns the accepted jobs that have to be known."""
--- a/tests/soak_stop_records.py
+++ b/tests/soak_stop_records.py
@@ -97,6 +97,8 @@
 
     async def run(self) -> None:
         """Records the iterations of the event loop until it is cancelled."""
+        now_s = time.monotonic()
+        self.ticks_s.extend([now_s, now_s])
         while True:
             await asyncio.sleep(TICK_INTERVAL_S)
             now_s = time.monotonic()
