Resolve unanswered attempts that the leader has settled as never run

What callers saw: 504 for requests that the leader had refused or withdrawn (job_withdrawn), although nothing ran.

Cause: a follower that got no answer to an attempt kept it as unknown for good. A later refusal of the leader said nothing about the earlier attempt.

Change: each attempt to submit or cancel has an identifier. A later attempt names the unanswered ones, and the answer lists those that are settled. An attempt is sent at most once, so a settled one cannot run later. Answers have the new field only if it is not empty: older followers do not ask and could not read it.

Result: tests/test_dispatch_attempts.py, 26 tests pass. With answers that list no settled attempt (planted), the 4 tests of settled attempts fail with "unknown" instead of "refused" and "unavailable"; the tests of attempts that may have an effect pass in both. Not measured at scale.

--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -14,6 +14,7 @@
 from baobabdoor import scheduling
 from baobabdoor import transport
 from baobabdoor.dispatch import _access
+from baobabdoor.dispatch import _attempts
 from baobabdoor.dispatch import _job_states
 from baobabdoor.dispatch import _leader_states
 from baobabdoor.dispatch import _outcomes
@@ -45,6 +46,7 @@
         self.daemon = daemon
         self.shutdown = shutdown or _shutdown.Shutdown()
         self.access = _access.AccessCheck(daemon)
+        self.attempts = _attempts.SettledAttempts()
         self.states = _job_states.JobStates(daemon, self._call_leader)
 
     def refuse_access(
@@ -193,13 +195,15 @@
             remaining_s = timeout_s - (loop.time() - started_s)
             if remaining_s <= LEADER_POLL_S or self.shutdown.answers_due:
                 break
+            attempt = progress.begin()
             outcome = await self._call_leader(
-                method, message, min(remaining_s, PEER_TIMEOUT_S), progress
+                method,
+                message | attempt,
+                min(remaining_s, PEER_TIMEOUT_S),
+                progress,
             )
-            progress.in_flight = False
-            if outcome.kind == "unknown":
-                progress.unanswered = True
-            elif outcome.kind not in ("unavailable", "not-holder"):
+            progress.end(attempt["attempt"], outcome)
+            if outcome.kind not in ("unknown", "unavailable", "not-holder"):
                 # An earlier attempt may still succeed.
                 ambiguous = progress.unanswered and outcome.kind in (
                     "rejected",
@@ -267,7 +271,8 @@
             outcome = _outcomes.Outcome("not-holder")
             if self.daemon.controller is not None:
                 outcome = await self.answer(method, message, timeout_s)
-        return transport.Reply(200, json.dumps(attrs.asdict(outcome)).encode())
+        outcome = self.attempts.answer(message, outcome)
+        return transport.Reply(200, _outcomes.encode_outcome(outcome))
 
     async def answer(
         self, method: str, message: dict, timeout_s: float
--- a/baobabdoor/dispatch/_outcomes.py
+++ b/baobabdoor/dispatch/_outcomes.py
@@ -1,6 +1,7 @@
 """Outcomes of callers' requests."""
 
 import json
+import secrets
 
 import attrs
 
@@ -28,12 +29,15 @@
         value: State of the job, number of jobs, or the outcomes of several
             requests.
         detail: Explanation for logs.
+        settled: Earlier attempts of the request that had no effect and never
+            will have one.
     """
 
     kind: str
     retry_after_s: int = 0
     value: str | int | list = ""
     detail: str = ""
+    settled: list[str] = attrs.field(factory=list)
 
 
 FORBIDDEN = Outcome("forbidden", detail="the job of another customer")
@@ -49,13 +53,31 @@
     """How far a caller's request has come.
 
     Attributes:
-        unanswered: Whether an attempt ended without a result.
+        unanswered: Attempts that ended without a result and may have an effect.
         in_flight: Whether the current attempt may have been sent.
     """
 
-    unanswered: bool = False
+    unanswered: list[str] = attrs.field(factory=list)
     in_flight: bool = False
 
+    def begin(self) -> dict:
+        """Begins an attempt and returns its part of the message."""
+        message = {"attempt": secrets.token_hex(8)}
+        if self.unanswered:
+            message["earlier"] = list(self.unanswered)
+        return message
+
+    def end(self, attempt: str, outcome: Outcome) -> None:
+        """Ends an attempt with what is known of it and of earlier ones."""
+        self.in_flight = False
+        self.unanswered = [
+            earlier
+            for earlier in self.unanswered
+            if earlier not in outcome.settled
+        ]
+        if outcome.kind == "unknown":
+            self.unanswered.append(attempt)
+
     def permit(self) -> bool:
         """Observes that an attempt is about to be sent, and permits it."""
         self.in_flight = True
@@ -69,6 +91,17 @@
         return NOT_RUN_AT_STOP
 
 
+def encode_outcome(outcome: Outcome) -> bytes:
+    """Returns the body of a leader's response.
+
+    Daemons that do not ask for earlier attempts may not know `settled`.
+    """
+    content = attrs.asdict(outcome)
+    if not outcome.settled:
+        del content["settled"]
+    return json.dumps(content).encode()
+
+
 def decode_outcome(response: transport.Response) -> Outcome:
     """Returns the outcome in a leader's response.
 
