Drop requests whose clients have reset their connections

What callers saw: answers that came late or never from a daemon whose event loop was late, up to its kill at the end of grace-s in a roll of twelve daemons. Its port for peers had reached its bound of 584 connections in two logs.

Cause: a follower that times out resets its connection and sends the request again. The leader had the first one in its buffers and handled it in full: the event loop notices a reset only when it reads again, after the request.

Change: a complete request is dropped if its connection has been reset, which the kernel tells without waiting. A client that has only closed its own side still gets its answer. The connection counts as closed with reason "reset".

Result: tests/test_transport_resets.py; before, the handler ran for the request that was reset (2 of 3 tests failed), now none fails. tests/test_transport*.py, test_dispatch_shutdown.py and test_request_limits.py pass. That this was what kept those two daemons busy is suspected, not shown.

--- a/baobabdoor/transport/_connections.py
+++ b/baobabdoor/transport/_connections.py
@@ -85,6 +85,20 @@
         """Address of the client as `ip:port`."""
         return f"{self.address[0]}:{self.address[1]}"
 
+    def was_reset(self) -> bool:
+        """Returns whether the client has reset the connection.
+
+        The event loop notices it only once all received bytes have been read. A
+        client that has closed only its own side still reads.
+        """
+        try:
+            self.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return False
+
     def discard(self) -> None:
         """Discards bytes that were received and not yet read.
 
--- a/baobabdoor/transport/_exchange.py
+++ b/baobabdoor/transport/_exchange.py
@@ -97,9 +97,14 @@
             self.refuse(OVERLOADED, "memory")
 
     def finish(self) -> None:
-        """Handles the complete request."""
+        """Handles the complete request, unless its client has reset it."""
         if self.stream.closed():
             return
+        if self.stream.was_reset():
+            # An overloaded server would spend its time on requests whose
+            # clients have timed out.
+            self.server.listener.close(self.stream, "reset")
+            return
         if self.early_reply_ is not None:
             held_bytes = self.server.listener.start_handling(self.stream)
             self.server.budget.end_handling(held_bytes)
