--- a/tests/soak_stop_records.py
+++ b/tests/soak_stop_records.py
@@ -87,11 +87,14 @@
 
     The process also runs the simulated platform, so that callers may notice the
     end of a connection late.
+
+    Args:
+        ticks: Iterations that may pass from the end of a connection until its
+            caller runs.
     """
 
-    def __init__(self):
-        now_s = time.monotonic()
-        self.ticks_s = collections.deque([now_s, now_s], maxlen=2)
+    def __init__(self, ticks: int = 2):
+        self.ticks_s = collections.deque([time.monotonic()] * ticks, ticks)
         # Longest time between two iterations.
         self.longest_s = 0.0
 
--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -74,6 +74,10 @@
 
     daemon_count = DAEMONS
     caller_count = CALLERS
+    repeated_share = REPEATED_SHARE
+    reload_share = RELOAD_SHARE
+    deadlines_s = DEADLINES_S
+    kept_jobs = KEPT_JOBS
 
     def __init__(self, seed: int, *arguments):
         super().__init__(seed, *arguments)
@@ -154,7 +158,7 @@
         now_ms = self.simulator.now_ms()
         step = (scheduling.StepSpec(1),)
         rows = []
-        for number in range(KEPT_JOBS):
+        for number in range(self.kept_jobs):
             spec = scheduling.JobSpec(
                 f"{number:016x}", soak_platform.QUEUE, "", step
             )
@@ -200,9 +204,9 @@
         """Stops a daemon, waits for its end and starts it again."""
         daemon = self.daemons[number]
         signals = []
-        if self.random.random() < REPEATED_SHARE:
+        if self.random.random() < self.repeated_share:
             signals.append(self._signal_later(daemon, signal.SIGTERM))
-        if self.random.random() < RELOAD_SHARE:
+        if self.random.random() < self.reload_share:
             signals.append(self._signal_later(daemon, signal.SIGHUP))
         held = await self._hold_connections(number)
         with self.disruptions.span(f"daemon {number}", planned=True):
@@ -376,7 +380,7 @@
             number = self._choose_daemon(generator)
         daemon = self.daemons[number]
         connection = connections[number]
-        deadline_s = self.deadline_random.choice(DEADLINES_S)
+        deadline_s = self.deadline_random.choice(self.deadlines_s)
         series = self.series[-1]
         self.pending[number] += 1
         if daemon.stopping:
