Read a failed page of a new leader's state again without the others

What callers saw: a leader that loads its state answers no submission and no cancel. One page that failed made it read all pages of the table again: 20,000 jobs are 40 pages, so with a timeout of each page now and then the term did not begin.

Cause: `read_all` returns the refusal of a page instead of the rows before it, and the controller called it again. Found by reading, not seen in a log.

Change: each page is read until the store answers. No other process changes the rows meanwhile, because each transaction depends on the row of the leader. The warning `takeover_waits` names the key at which the page starts.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -5,7 +5,6 @@
 import math
 import time
 
-from baobabdoor import base
 from baobabdoor import observability
 from baobabdoor import platform
 from baobabdoor import scheduling
@@ -145,10 +144,10 @@
     async def _take_over(self) -> None:
         started_s = platform.boot_time_s()
         jobs, roster, waves, sequence, turns = await asyncio.gather(
-            self._read(_commits.JOBS_TABLE),
-            self._read(_commits.ROSTER_TABLE),
-            self._read(_commits.WAVES_TABLE),
-            self._read(_transactions.SEQUENCE_TABLE),
+            _loading.read_rows(self.store, _commits.JOBS_TABLE),
+            _loading.read_rows(self.store, _commits.ROSTER_TABLE),
+            _loading.read_rows(self.store, _commits.WAVES_TABLE),
+            _loading.read_rows(self.store, _transactions.SEQUENCE_TABLE),
             self.committer.learned_turns.read(),
         )
         self.update_clocks()
@@ -196,14 +195,6 @@
         self.poller.start()
         self.loaded.set()
 
-    async def _read(self, table: str) -> tuple[platform.StoredRow, ...]:
-        while True:
-            answer = await self.store.read_all(table, _election.PART)
-            if not isinstance(answer, base.Refusal):
-                return answer.rows
-            LOG.warning("takeover_waits", table=table, reason=str(answer))
-            await asyncio.sleep(_table_follower.RETRY_DELAY_S)
-
     def _load_turns(self, rows: tuple[platform.StoredRow, ...]) -> None:
         for row in rows:
             try:
--- a/baobabdoor/dispatch/_loading.py
+++ b/baobabdoor/dispatch/_loading.py
@@ -1,12 +1,56 @@
-"""Loads the jobs of earlier terms."""
+"""Reads the state of earlier terms and loads their jobs."""
 
 import asyncio
 
+from baobabdoor import base
+from baobabdoor import observability
 from baobabdoor import platform
+from baobabdoor.dispatch import _election
+from baobabdoor.dispatch import _table_follower
 
 # Rows that are loaded between two iterations of the event loop. 200 rows take
 # some 5 ms; 20,000 rows at once delay callers and a stop signal by 0.5 s.
 BATCH_ROWS = 200
+LOG = observability.get_logger("controller")
+
+
+async def read_rows(
+    store: platform.StoreClient, table: str
+) -> tuple[platform.StoredRow, ...]:
+    """Reads all rows of a table of the leader, page by page.
+
+    No other process changes them meanwhile: each transaction depends on the row
+    of the leader. So a page that fails is read again without the others.
+
+    Args:
+        store: The store.
+        table: Name of the table.
+
+    Returns:
+        The rows in ascending order of keys.
+    """
+    rows: list[platform.StoredRow] = []
+    start = ""
+    while True:
+        page = await _read_page(store, table, start)
+        rows += page.rows
+        if not page.more or not page.rows:
+            return tuple(rows)
+        start = page.rows[-1].key + "\0"
+
+
+async def _read_page(
+    store: platform.StoreClient, table: str, start: str
+) -> platform.RowSet:
+    """Reads a page, again until the store answers."""
+    while True:
+        answer = await store.read(table, _election.PART, start)
+        if not isinstance(answer, base.Refusal):
+            return answer
+        LOG.warning(
+            "takeover_waits", table=table, start=start, reason=str(answer)
+        )
+        await asyncio.sleep(_table_follower.RETRY_DELAY_S)
 
 
 async def load_jobs(controller, rows: tuple[platform.StoredRow, ...]) -> None:
