Read the jobs of earlier terms with four concurrent calls

What callers saw: a new leader read the pages of its tables one after the other: 20,000 jobs are 40 pages, at least 12 s with 0.3 s on each answer of the store. Until then, submissions and cancels had no leader.

Change: after the first page, four ranges of keys are read at the same time. Identifiers of jobs are random hexadecimal numbers, so the ranges are of similar size. A table of one page is still read by one call.

--- a/tests/test_dispatch_loading.py
+++ b/tests/test_dispatch_loading.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from baobabdoor import base
 from baobabdoor import platform
 from baobabdoor.dispatch import _election
@@ -21,6 +23,7 @@
     def __init__(self, keys):
         super().__init__()
         self.starts = []
+        self.open = self.most_open = 0
         self.failing_calls = set()
         for key in keys:
             row = platform.StoredRow(TABLE, _election.PART, key, b"1", 1)
@@ -28,7 +31,13 @@
 
     async def read(self, table, part="", start="", **options):
         self.starts.append(start)
-        if len(self.starts) in self.failing_calls:
+        number = len(self.starts)
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        # All concurrent calls are open before the first one is answered.
+        await asyncio.sleep(0)
+        self.open -= 1
+        if number in self.failing_calls:
             return self._refusal(base.Reason.UNKNOWN_RESULT)
         return await super().read(table, part, start, **options)
 
@@ -64,3 +73,24 @@
         assert read(store) == keys
         assert len(store.starts) == len(whole.starts) + 3
         assert store.starts.count("") == 2
+
+
+class TestRanges:
+
+    def test_large_table_is_read_by_four_calls_at_a_time(self):
+        """Forty pages, one after the other, kept a leader from its return."""
+        keys = job_ids(40 * PAGE_ROWS)
+        store = Store(keys)
+        assert read(store) == keys
+        assert store.most_open == 4
+        assert len(store.starts) <= 45
+
+    @pytest.mark.parametrize("prefix", ["", "0", "5", "c", "f", "x"])
+    def test_no_row_is_lost_or_read_twice(self, prefix):
+        keys = [f"{prefix}{number:08x}" for number in range(3 * PAGE_ROWS)]
+        assert read(Store(keys)) == keys
+
+    def test_range_ends_at_a_key_between_two_pages(self):
+        keys = [f"0{number:04x}" for number in range(2 * PAGE_ROWS)]
+        keys += ["3fff", "4", "40", "7f", "8", "80", "c", "c0"]
+        assert read(Store(keys)) == keys
