Ask the leader for the number of pending jobs until the answer is due

What callers saw: without a leader, a query of a queue's pending jobs was refused after 0.5 s, although the query named a deadline of 3 s and a leader is elected within 2 s; if one attempt had no answer, it got 504.

Cause: `pending` shared the attempts of submissions and cancels.

Change: a query has no effect, so the leader is asked every 0.25 s until the deadline, with 0.5 s for each attempt, and a failure is a refusal with Retry-After. While the store is silent there is one attempt. Both queries that only the leader may answer are in a module of their own; that of a state now ends at its deadline also if the leader does not answer.

--- a/baobabdoor/dispatch/_gateway.py
+++ b/baobabdoor/dispatch/_gateway.py
@@ -16,6 +16,7 @@
 from baobabdoor.dispatch import _access
 from baobabdoor.dispatch import _attempts
 from baobabdoor.dispatch import _job_states
+from baobabdoor.dispatch import _leader_queries
 from baobabdoor.dispatch import _leader_states
 from baobabdoor.dispatch import _outcomes
 from baobabdoor.dispatch import _shutdown
@@ -153,44 +154,15 @@
             if caller.decision.allowed:
                 message = _message(queue, caller, job_id)
                 return await self.states.read(message, queue, timeout_s, caller)
-            return await self._state_at_leader(job_id, queue, timeout_s, caller)
+            # No customer, so that a leader with an older configuration, in
+            # which the queue may be public, does not tell.
+            message = _message(queue, caller, job_id) | {"customer": None}
+            return await _leader_queries.read_state(
+                self, message, queue, timeout_s, caller
+            )
 
         return await self._answer_in_time(read)
 
-    async def _state_at_leader(
-        self,
-        job_id: str,
-        queue: scheduling.Queue,
-        timeout_s: float,
-        caller: _access.Caller,
-    ) -> _outcomes.Outcome:
-        """Asks the leader, until this process can check the key itself."""
-        # No customer, so that a leader with an older configuration, in which
-        # the queue may be public, does not tell.
-        message = _message(queue, caller, job_id) | {"customer": None}
-        end_s = platform.boot_time_s() + timeout_s
-        while True:
-            try:
-                async with asyncio.timeout(end_s - platform.boot_time_s()):
-                    outcome = await self.states.leader.read(message)
-            except TimeoutError:
-                return self.refuse_access(caller.decision, "entry")
-            if outcome.kind not in _job_states.UNDECIDED:
-                return outcome
-            decision = self.access.check_caller(queue, caller.digest)
-            left_s = end_s - platform.boot_time_s()
-            if decision.allowed:
-                caller = _access.Caller(caller.digest, decision)
-                message = _message(queue, caller, job_id)
-                return await self.states.read(message, queue, left_s, caller)
-            if (
-                decision.kind is customers.Kind.UNAUTHENTICATED
-                or self.states.store_is_silent()
-                or left_s < _job_states.RETRY_PAUSE_S
-            ):
-                return self.refuse_access(decision, "entry")
-            await asyncio.sleep(_job_states.RETRY_PAUSE_S)
-
     async def pending(
         self,
         queue: scheduling.Queue,
@@ -200,7 +172,7 @@
         """Returns the number of jobs of a queue that have not started."""
         message = _message(queue, caller)
         return await self._answer_in_time(
-            lambda: self._call_with_retry("pending", message, timeout_s)
+            lambda: _leader_queries.read_pending(self, message, timeout_s)
         )
 
     async def _answer_in_time(
