Write heartbeats while a new leader loads its state

What callers saw: with 20,000 jobs in the store and 0.3 s on each of its answers, no leader remained. In 110 s of a trial with three daemons, one after the other was elected 13 times, each while the one before it still loaded; submissions and cancels had no leader, and each state was read from the store.

Cause: heartbeats are written by the committer, which starts once the state is loaded. A load that takes longer than the election timeout, 1.8 s, therefore ends in the election of another daemon, which loads from the beginning. The leader that was replaced did not notice it and went on reading.

Evidence: the daemons' logs of the trial, `tenure_won` every 2.2 s with heartbeat_age_ms=1834 and 1903, each before `tenure_loaded` of the one before.

Change: while the state is loaded, a task writes the heartbeat on the condition that the leader's row is unchanged, and ends the term if it is not.

--- a/baobabdoor/dispatch/_controller.py
+++ b/baobabdoor/dispatch/_controller.py
@@ -14,6 +14,7 @@
 from baobabdoor.dispatch import _holds
 from baobabdoor.dispatch import _job_requests
 from baobabdoor.dispatch import _leader_load
+from baobabdoor.dispatch import _load_heartbeats
 from baobabdoor.dispatch import _loading
 from baobabdoor.dispatch import _order_sender
 from baobabdoor.dispatch import _release
@@ -100,11 +101,12 @@
         """Starts the term."""
         self._supervise(self._take_over())
 
-    def _supervise(self, coroutine) -> None:
+    def _supervise(self, coroutine) -> asyncio.Task:
         """Runs a background task; an exception in it ends the term."""
         task = asyncio.ensure_future(coroutine)
         self.tasks.append(task)
         task.add_done_callback(self.observe_task_end)
+        return task
 
     def observe_task_end(self, task: asyncio.Task) -> None:
         """Ends the term if a background task has failed."""
@@ -143,6 +145,9 @@
 
     async def _take_over(self) -> None:
         started_s = platform.boot_time_s()
+        heartbeats = self._supervise(
+            _load_heartbeats.write_heartbeats(self.committer)
+        )
         jobs, roster, waves, sequence, turns = await asyncio.gather(
             _loading.read_rows(self.store, _commits.JOBS_TABLE),
             _loading.read_rows(self.store, _commits.ROSTER_TABLE),
@@ -168,6 +173,7 @@
                 self.faults.observe_row("wave_row_ignored", row, error, "wave")
         self._load_turns(turns)
         self.committer.sequence.load(sequence)
+        heartbeats.cancel()
         LOG.info(
             "tenure_loaded",
             token=self.leader.token,
