Answer requests for jobs whose Host header is missing or invalid

What callers saw: a question about a job, sent by HTTP/1.0 without a Host header or by HTTP/1.1 with an invalid one, got no answer, ever; its connection stayed open.

Cause: the caller port passes such requests to a tornado application in a task. Tornado 6.5 and later refuse the header by an exception, which ended the task; nothing else answers the request.

The exception is now answered by 400, any other by 500 with a log line. HTTP/1.0 requires no Host header, so that such a request is handled. The control port was not concerned: its server answers exceptions of handlers.

--- a/baobabdoor/entry/_local_paths.py
+++ b/baobabdoor/entry/_local_paths.py
@@ -4,13 +4,20 @@
 from collections.abc import Callable
 import json
 
+from tornado import httputil
 from tornado import web
 
 from baobabdoor import base
+from baobabdoor import observability
 from baobabdoor import requests
 from baobabdoor import transport
 from baobabdoor.entry import _caller_request
 
+JOBS_STEP = "entry.jobs"
+# Tornado requires a host, which HTTP/1.0 does not. No handler uses it.
+HOST = "localhost"
+LOG = observability.get_logger("entry")
+
 Handler = Callable[[_caller_request.CallerRequest, bytes], None]
 
 
@@ -85,7 +92,7 @@
         self, request: _caller_request.CallerRequest, body: bytes
     ) -> None:
         if self.jobs_handler_ is None:
-            _refuse(request, base.Refusal(base.Reason.NOT_FOUND, "entry.jobs"))
+            _refuse(request, base.Refusal(base.Reason.NOT_FOUND, JOBS_STEP))
             return
         task = asyncio.ensure_future(self._serve_jobs(request, body))
         self.tasks_.add(task)
@@ -94,11 +101,26 @@
     async def _serve_jobs(
         self, request: _caller_request.CallerRequest, body: bytes
     ) -> None:
-        method, target, _ = request.start_line
+        method, target, version = request.start_line
         path = target.partition("?")[0]
-        reply = await self.jobs_handler_.serve(
-            transport.Request(method, path, "", request.headers, body)
-        )
+        headers = request.headers
+        if version == "HTTP/1.0" and "Host" not in headers:
+            headers = headers.copy()
+            headers["Host"] = HOST
+        try:
+            reply = await self.jobs_handler_.serve(
+                transport.Request(method, path, "", headers, body)
+            )
+        except httputil.HTTPInputError as error:
+            refusal = base.Refusal(
+                base.Reason.BAD_REQUEST, JOBS_STEP, detail=str(error)
+            )
+            _refuse(request, refusal)
+            return
+        except Exception as error:
+            # Nothing else would answer the request.
+            LOG.exception("request_failed", path=path, error=str(error))
+            reply = transport.Reply(500)
         request.respond_locally(
             _caller_request.LocalResponse(
                 reply.status, reply.body, reply.content_type
--- a/tests/test_entry_input.py
+++ b/tests/test_entry_input.py
@@ -7,6 +7,16 @@
 import entry_harness
 import pytest
 import request_fakes as fakes
+from tornado import web
+
+from baobabdoor import transport
+
+
+class EmptyHandler(web.RequestHandler):
+    """Answers 200 without a body."""
+
+    def get(self):
+        pass
 
 
 def limit_memory(harness, request_bytes):
@@ -125,6 +135,38 @@
         assert received.startswith(b"HTTP/1.1 4")
         assert not caplog.records
 
+    @pytest.mark.parametrize(
+        ("version", "host", "status"),
+        [
+            ("1.1", b"", 400),
+            ("1.1", b"Host: a b/c\r\n", 400),
+            ("1.1", b"Host: a\r\nHost: b\r\n", 400),
+            ("1.0", b"", 200),
+            ("1.1", b"Host: service\r\n", 200),
+        ],
+    )
+    def test_question_about_a_job_is_answered_whatever_its_host(
+        self, version, host, status
+    ):
+        # Guards against a header that ends the handler without an answer.
+        harness = entry_harness.EntryHarness()
+        harness.server.caller_server_.local_paths.jobs_handler_ = (
+            transport.ApplicationHandler(
+                web.Application([("/v1/jobs/j", EmptyHandler)])
+            )
+        )
+        request = f"GET /v1/jobs/j HTTP/{version}\r\n".encode() + host
+
+        async def scenario():
+            reader, writer = await harness.connect()
+            writer.write(request + b"\r\n")
+            response = await asyncio.wait_for(
+                entry_harness.read_response(reader), 5
+            )
+            return response[0]
+
+        assert harness.run(scenario) == status
+
     def test_slow_body_times_out_and_occupies_no_slot(self):
         harness = entry_harness.EntryHarness(per_worker=1, body_timeout_s=0.3)
         backend = harness.add_backend(entry_harness.echo)
