End requests whose key is being claimed at their deadline

What callers saw: a request with an idempotency key got no answer by its deadline while the platform did not answer.

Cause: a request that is not ready leaves the queue when a slot is free, and is queued again once its key is claimed. Only queued requests and those at a backend server ended at their deadline; a request in between waited for the platform. Without a free slot the same request was answered in time.

Requests whose claim has no result now end at their deadline, as unknown, since another entry may have run the request. A claim that succeeds later is given up, as for a caller that has disconnected. Requests that a peer runs still end with its reply, or by the timeout for it.

test_claim_without_an_answer_ends_at_the_deadline, with a deadline of 0.2 s: no answer within 10 s before, 504 unknown now.

--- a/baobabdoor/entry/_entry_server.py
+++ b/baobabdoor/entry/_entry_server.py
@@ -295,6 +295,7 @@
 
     def _tick(self) -> None:
         self.caller_server_.tick()
+        self.keys_.expire(self.components.timers.now_s())
         self.dispatcher_.tick()
 
     def _run_housekeeping(self) -> None:
--- a/baobabdoor/entry/_idempotency_keys.py
+++ b/baobabdoor/entry/_idempotency_keys.py
@@ -88,6 +88,21 @@
             if request.state is not _pending_request.RequestState.ENDED
         ]
 
+    def expire(self, now_s: float) -> None:
+        """Ends requests whose claim has no result by their deadline.
+
+        A request that a peer runs ends with its reply or the timeout for it,
+        which lies behind the deadline by the time for the way back.
+        """
+        refusal = base.Refusal(base.Reason.DEADLINE_EXPIRED, "entry.keys")
+        for request in self.unresolved:
+            if request.info.deadline_s <= now_s and not self.belongs_to_peer(
+                request
+            ):
+                self.dispatcher.complete(
+                    request, _request_dispatcher.not_run(refusal)
+                )
+
     def refuse_unresolved(self, refusal: base.Refusal) -> None:
         """Completes the requests whose key is being resolved.
 
--- a/tests/test_entry_server.py
+++ b/tests/test_entry_server.py
@@ -4,6 +4,7 @@
 import json
 
 import entry_harness
+import entry_stop_harness
 import pytest
 import request_fakes as fakes
 
@@ -283,6 +284,26 @@
         assert json.loads(response.body)["reason"] == "stale-view"
         assert backend.received == []
 
+    def test_claim_without_an_answer_ends_at_the_deadline(self):
+        # Guards against a request that has left the queue for a free slot and
+        # is not looked at again until the platform answers.
+        harness = entry_harness.EntryHarness()
+        components = harness.server.components
+        components.claims.service = entry_stop_harness.SilentPlatform()
+        backend = harness.add_backend(entry_harness.echo)
+
+        async def scenario():
+            headers = {"Idempotency-Key": "k", "Baobabdoor-Deadline-Ms": "200"}
+            reader, writer = await harness.connect()
+            writer.write(entry_harness.request_head(**headers))
+            response = await asyncio.wait_for(
+                entry_harness.read_response(reader), 10
+            )
+            return response[0], response[1]["Baobabdoor-Outcome"]
+
+        assert harness.run(scenario) == (504, "unknown")
+        assert not backend.received
+
     def test_ticket_runs_once_and_is_replayed(self):
         harness = entry_harness.EntryHarness()
         backend = harness.add_backend(
