Connect before the loop goes on in the test of a graceful shutdown

test_graceful_shutdown_completes_all_requests failed once in a whole run beside load: connection refused on /readyz.

Cause: the test connected 0.02 s after the stop had begun, and the port refuses connections 0.05 s after that (balancer_wait_s of the harness). An event loop that is late by 0.03 s connects too late.

The test now connects and sends its request before the event loop goes on, so that the port must accept the connection and answer it. All checks are kept.

--- a/tests/test_entry_stops.py
+++ b/tests/test_entry_stops.py
@@ -75,8 +75,14 @@
             )
             await entry_harness.wait_until(lambda: harness.queue.length == 2)
             stopping = asyncio.ensure_future(harness.server.stop())
-            await asyncio.sleep(0.02)
-            ready = await harness.fetch("/readyz")
+            await asyncio.sleep(0)
+            # Before the event loop can stop accepting connections.
+            client = socket.create_connection(("127.0.0.1", harness.port))
+            client.sendall(
+                entry_harness.request_head(method="GET", path="/readyz")
+            )
+            ready_reader, _ = await asyncio.open_connection(sock=client)
+            ready = await entry_harness.read_response(ready_reader)
             responses = [await running, await queued]
             await asyncio.sleep(0.1)
             writer.write(b"cd")
@@ -93,7 +99,7 @@
             return await scenario()
 
         ready, responses, body_response, drained = asyncio.run(run_scenario())
-        assert (ready.code, drained) == (503, True)
+        assert (ready[0], drained) == (503, True)
         assert [r.body for r in responses] == [b"/running", b"/queued"]
         assert body_response[2] == b"/body"
         assert body_response[1]["Connection"] == "close"
