Read smaller pages for some time after one could not be read

A page that fails ends with a refusal of all its requests, and the next attempt read a page of the same size, which takes as long. Pages now have 16 rows after a failure and one after another, until none has failed for 5 s.

--- a/baobabdoor/dispatch/_row_reader.py
+++ b/baobabdoor/dispatch/_row_reader.py
@@ -11,9 +11,11 @@
 # election, the configuration and the state of a new leader do not wait for
 # reads of single rows.
 MAX_CALLS = 8
-# Pages shrink by this factor when one cannot be read, so that the third attempt
-# reads single rows, and double when one can.
-SHRINK_FACTOR = 32
+# Maximum rows of a page after none, one or more pages could not be read: a page
+# may take too long where fewer rows do not.
+PAGE_ROWS = (platform.PAGE_ROWS, 16, 1)
+# Time after the last failure until pages of the full size are read again.
+RECOVERY_S = 5.0
 # Weight of a page with a longer span than expected in the expected span.
 SPAN_SMOOTHING = 0.2
 # Two calls fit into the deadline of a typical request, 3 s, so that one may hit
@@ -37,9 +39,9 @@
         part: Part of the table.
 
     Attributes:
-        page_rows_: Maximum rows of a page.
         page_span_: Expected share of all possible keys between the first and
-            the last one of a page.
+            the last one of a page of the full size.
+        failures_: Pages that could not be read since the last recovery.
     """
 
     def __init__(self, store: platform.StoreClient, table: str, part: str):
@@ -50,8 +52,9 @@
         self.waiting: dict[str, list[asyncio.Future]] = {}
         self.calls: set[asyncio.Task] = set()
         self.start_scheduled = False
-        self.page_rows_ = platform.PAGE_ROWS
         self.page_span_ = 1.0
+        self.failures_ = 0
+        self.failed_s_ = -math.inf
 
     async def read(
         self, key: str, timeout_s: float
@@ -94,13 +97,15 @@
 
     def _group_keys(self, free: int) -> list[list[str]]:
         """Returns the keys of each call that can start now."""
-        if len(self.waiting) <= free:
-            return [[key] for key in self.waiting]
+        rows = self._page_rows()
+        if len(self.waiting) <= free or rows == 1:
+            return [[key] for key in list(self.waiting)[:free]]
+        span = self.page_span_ * rows / platform.PAGE_ROWS
         groups: list[list[str]] = []
         start = -math.inf
         for key in sorted(self.waiting):
             position = _position(key)
-            if position - start > self.page_span_:
+            if position - start > span:
                 groups.append([])
                 start = position
             groups[-1].append(key)
@@ -122,13 +127,11 @@
         """
         is_page = len(requests) > 1
         first = next(iter(requests))
-        limit = self.page_rows_ if is_page else 1
+        limit = self._page_rows() if is_page else 1
         answer = await self._read_rows(first, limit)
         if isinstance(answer, base.Refusal):
             if is_page:
-                # A page may take too long where fewer rows do not.
-                self.page_rows_ = max(1, limit // SHRINK_FACTOR)
-                self.page_span_ /= SHRINK_FACTOR
+                self._observe_failure(limit)
             for futures in requests.values():
                 _set_results(futures, answer)
             return
@@ -140,7 +143,7 @@
             else:
                 self.waiting.setdefault(key, []).extend(futures)
         if is_page:
-            self._observe_page(first, answer)
+            self._observe_page(first, answer, limit)
 
     async def _read_rows(
         self, start: str, limit: int
@@ -161,9 +164,27 @@
             return answer
         return _refusal("a page without rows that is not the last")
 
-    def _observe_page(self, first: str, page: platform.RowSet) -> None:
+    def _page_rows(self) -> int:
+        """Returns the maximum rows of a page."""
+        if platform.boot_time_s() - self.failed_s_ > RECOVERY_S:
+            self.failures_ = 0
+        return PAGE_ROWS[self.failures_]
+
+    def _observe_failure(self, limit: int) -> None:
+        """Observes a page that was not read; pages of its size were too large.
+
+        Pages that were under way with it count as one.
+        """
+        self.failed_s_ = platform.boot_time_s()
+        if limit == PAGE_ROWS[self.failures_]:
+            self.failures_ = min(self.failures_ + 1, len(PAGE_ROWS) - 1)
+
+    def _observe_page(
+        self, first: str, page: platform.RowSet, limit: int
+    ) -> None:
         if page.more:
             span = _position(page.rows[-1].key) - _position(first)
+            span *= platform.PAGE_ROWS / limit
             growth = SPAN_SMOOTHING * (span - self.page_span_)
             # Keys beyond the end of a page cost another call.
             span = min(span, self.page_span_ + growth)
@@ -171,9 +192,6 @@
             span = max(self.page_span_, 1.0 - _position(first))
         if span > 0:
             self.page_span_ = span
-        if self.page_rows_ < platform.PAGE_ROWS:
-            self.page_rows_ = min(platform.PAGE_ROWS, 2 * self.page_rows_)
-            self.page_span_ *= 2
 
 
 def _position(key: str) -> float:
