--- a/tests/test_dispatch_first_configuration.py
+++ b/tests/test_dispatch_first_configuration.py
@@ -5,6 +5,7 @@
 
 import dispatch_fixtures
 import pytest
+from structlog import testing
 import test_dispatch_access
 
 from baobabdoor import observability
@@ -56,8 +57,11 @@
         path = test_dispatch_access.PATH + JOB
         return transport.Request(method, path, "example", headers, b"")
 
+    async def reply(self, **options):
+        return await self.handler.serve(self.request(**options))
+
     async def serve(self, **options):
-        return (await self.handler.serve(self.request(**options))).status
+        return (await self.reply(**options)).status
 
 
 async def wait_until_idle():
@@ -81,10 +85,14 @@
 
         asyncio.run(scenario())
 
-    def test_is_refused_at_its_deadline_and_counted(self):
+    def test_is_refused_at_its_deadline_logged_and_counted(self):
         async def scenario():
             entry = Entry()
-            assert await entry.serve(deadline_ms=200) == 503
+            with testing.capture_logs() as logs:
+                reply = await entry.reply(deadline_ms=200)
+            assert reply.status == 503
+            assert "Retry-After: 1" in reply.headers
+            assert [line["job"] for line in logs] == [JOB]
             metrics = observability.render_text(entry.daemon.metrics).decode()
             assert 'method="GET",outcome="unavailable"' in metrics
 
