End a daemon before the teardown of its event loop

What callers saw: connections that were cut by the kill.

Cause: the process ended only after the teardown of asyncio.run. It now ends as soon as the daemon has stopped, when all replies are flushed or the time for them is over.

test_process_ends_before_the_teardown_of_its_event_loop is new; the 7 tests of test_dispatch_stops.py with real processes pass.

--- a/baobabdoor/dispatch/_daemon.py
+++ b/baobabdoor/dispatch/_daemon.py
@@ -366,9 +366,16 @@
     observability.configure_logs(
         settings.node, output=observability.BoundedWriter(1)
     )
-    daemon = Daemon(settings)
-    asyncio.run(daemon.run())
-    # The interpreter would free the state of thousands of jobs one by one,
-    # which takes up to 0.5 s of the grace period on a busy machine. Log lines
-    # have been written without a buffer.
+    asyncio.run(_run_and_exit(Daemon(settings)))
+
+
+async def _run_and_exit(daemon: Daemon) -> None:
+    """Runs a daemon and ends the process with it.
+
+    The end of the event loop would cancel hundreds of tasks, and the
+    interpreter would free the state of thousands of jobs one by one, which
+    takes up to 0.5 s of the grace period on a busy machine. Log lines have been
+    written without a buffer.
+    """
+    await daemon.run()
     os._exit(0)
--- a/tests/test_dispatch_daemon.py
+++ b/tests/test_dispatch_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import json
+import types
 import weakref
 
 import pytest
@@ -86,3 +87,23 @@
             gc.unfreeze()
         assert daemon.controller is None
         assert state() is not None
+
+    def test_process_ends_before_the_teardown_of_its_event_loop(
+        self, monkeypatch
+    ):
+        """A process was killed while it cancelled the tasks of requests."""
+        codes = []
+
+        async def run():
+            asyncio.ensure_future(asyncio.sleep(3600))
+
+        async def scenario():
+            daemon = types.SimpleNamespace(run=run)
+            await _daemon._run_and_exit(daemon)
+
+        def leave(code):
+            codes.append((code, len(asyncio.all_tasks())))
+
+        monkeypatch.setattr(_daemon.os, "_exit", leave)
+        asyncio.run(scenario())
+        assert codes == [(0, 2)]
