--- a/tests/soak_roll.py
+++ b/tests/soak_roll.py
@@ -128,7 +128,7 @@
     repeated_share = 0.0
     reload_share = 0.0
     deadlines_s = (DEADLINE_S,)
-    kept_jobs = KEPT_JOBS
+    kept_job_count = KEPT_JOBS
     usual_rate = USUAL_RATE
     share = 1.0
 
--- a/tests/soak_stops.py
+++ b/tests/soak_stops.py
@@ -77,7 +77,7 @@
     repeated_share = REPEATED_SHARE
     reload_share = RELOAD_SHARE
     deadlines_s = DEADLINES_S
-    kept_jobs = KEPT_JOBS
+    kept_job_count = KEPT_JOBS
 
     def __init__(self, seed: int, *arguments):
         super().__init__(seed, *arguments)
@@ -158,7 +158,7 @@
         now_ms = self.simulator.now_ms()
         step = (scheduling.StepSpec(1),)
         rows = []
-        for number in range(self.kept_jobs):
+        for number in range(self.kept_job_count):
             spec = scheduling.JobSpec(
                 f"{number:016x}", soak_platform.QUEUE, "", step
             )
--- a/tests/test_soak_roll.py
+++ b/tests/test_soak_roll.py
@@ -17,7 +17,7 @@
 
     daemon_count = 4
     joining_workers = 4
-    kept_jobs = 50
+    kept_job_count = 50
     usual_rate = 2.0
 
 
